--- a/src/tamaracktray/agent.py
+++ b/src/tamaracktray/agent.py
@@ -108,7 +108,7 @@
         return [HttpServer(self.own.address, self.handle_request, limits)]
 
     @override
-    def list_loops(self) -> list[Callable[[], Awaitable[None]]]:
+    def list_role_loops(self) -> list[Callable[[], Awaitable[None]]]:
         if self.versions is None:
             return []
         return [self.versions.run_status]
--- /dev/null
+++ b/src/tamaracktray/beacons.py
@@ -0,0 +1,74 @@
+"""Beacons: small datagrams by which processes tell each other what they know.
+
+A beacon is a whole statement, so one that is lost is made good by the next. Entries
+tell their calls at each endpoint; agents tell what their engine is about to do.
+"""
+
+import msgspec
+from returns.result import Failure, Result, Success
+
+from tamaracktray.exceptions import ProtocolError
+from tamaracktray.snapshots import Collection
+
+MAX_BEACON_BYTES = 60_000
+
+
+class EndpointStatus(msgspec.Struct, frozen=True, array_like=True):
+    """What an agent says of its engine, newer than the platform's list."""
+
+    endpoint_id: str
+    is_swapping: bool
+    version_by_model: dict[str, int]
+
+
+class Beacon(msgspec.Struct, frozen=True, array_like=True):
+    """What one process tells its peers.
+
+    ``incarnation`` changes with every start of the process and ``number`` grows with
+    every beacon. ``revision_by_collection`` tells up to which revision the sender knows
+    each collection and ``changed_by_collection`` since which it is as it is.
+    """
+
+    name: str
+    incarnation: int
+    number: int
+    revision_by_collection: dict[Collection, int]
+    changed_by_collection: dict[Collection, int]
+    in_flight_by_endpoint: dict[str, int] = {}
+    status: EndpointStatus | None = None
+    is_leaving: bool = False
+
+
+_ENCODER = msgspec.msgpack.Encoder()
+_DECODER = msgspec.msgpack.Decoder(Beacon)
+
+
+def encode_beacon(beacon: Beacon) -> bytes:
+    """Return the datagram of a beacon."""
+    return _ENCODER.encode(beacon)
+
+
+def decode_beacon(data: bytes) -> Result[Beacon, ProtocolError]:
+    """Parse a datagram."""
+    try:
+        return Success(_DECODER.decode(data))
+    except msgspec.DecodeError as error:
+        return Failure(ProtocolError(f"unreadable beacon: {error}"))
+
+
+class BeaconFilter:
+    """Drops beacons that arrive after a newer one of the same sender."""
+
+    __slots__ = ("_newest_by_name",)
+
+    def __init__(self) -> None:
+        self._newest_by_name: dict[str, tuple[int, int]] = {}
+
+    def accept(self, beacon: Beacon) -> bool:
+        """Tell whether a beacon is the newest of its sender's present life."""
+        known = self._newest_by_name.get(beacon.name)
+        is_same_life = known is not None and known[0] == beacon.incarnation
+        if is_same_life and known[1] >= beacon.number:
+            return False
+        self._newest_by_name[beacon.name] = (beacon.incarnation, beacon.number)
+        return True
--- /dev/null
+++ b/src/tamaracktray/calls.py
@@ -0,0 +1,109 @@
+"""Callers' requests to routes, with the events and effects that concern them."""
+
+import msgspec
+
+from tamaracktray.effects import Effect
+from tamaracktray.events import Event
+from tamaracktray.outcomes import AttemptPhase
+from tamaracktray.routes import Route
+from tamaracktray.types import Address, Refusal
+
+
+class Call(msgspec.Struct, frozen=True):
+    """One request of a caller on a route.
+
+    ``id`` is unique in this process; ``request_id`` is the caller's own. ``services``
+    are the services that may take it, the drawn one first. ``deadline`` is the
+    monotonic time at which the caller, or the route, gives up. An empty ``regions``
+    allows all. Token counts are 0 for calls without a prompt; ``output_tokens`` is the
+    estimate of what will be generated. ``fingerprint`` is equal for equal requests of
+    one caller.
+    """
+
+    id: str
+    request_id: str
+    route: Route
+    services: tuple[str, ...]
+    arrived: float
+    deadline: float
+    team: str = ""
+    priority: int = 0
+    regions: frozenset[str] = frozenset()
+    model: str = ""
+    prompt_tokens: int = 0
+    output_tokens: int = 0
+    session: str = ""
+    fingerprint: str = ""
+    last_event_id: str = ""
+
+
+class CallArrived(Event, frozen=True):
+    """A caller's request was read and belongs to a route."""
+
+    call: Call
+
+
+class CallAttemptEnded(Event, frozen=True):
+    """An attempt at an endpoint ended.
+
+    ``is_reset`` tells that the endpoint broke the connection. ``last_event_id`` is the
+    last whole event of a stream that the caller has got.
+    """
+
+    call_id: str
+    endpoint_id: str
+    phase: AttemptPhase
+    status: int = 0
+    is_reset: bool = False
+    last_event_id: str = ""
+    detail: str = ""
+
+
+class CallStarted(Event, frozen=True):
+    """The first part of an endpoint's answer arrived; ``version`` is of the weights."""
+
+    call_id: str
+    endpoint_id: str
+    version: int = 0
+
+
+class CallEnded(Event, frozen=True):
+    """The caller got its final answer or is gone."""
+
+    call_id: str
+
+
+class SendCall(Effect, frozen=True):
+    """Send a call to an endpoint.
+
+    ``version`` is the version that must answer, 0 for any. ``last_event_id`` is set
+    when a stream goes on at another endpoint.
+    """
+
+    call_id: str
+    attempt: int
+    endpoint_id: str
+    address: Address
+    version: int = 0
+    urgency: int | None = None
+    last_event_id: str = ""
+
+
+class RefuseCall(Effect, frozen=True):
+    """Answer a call with a final error."""
+
+    call_id: str
+    refusal: Refusal
+
+
+class CutCall(Effect, frozen=True):
+    """Break off an answer that has begun and cannot be completed."""
+
+    call_id: str
+    reason: str
+
+
+class RelayFailure(Effect, frozen=True):
+    """Pass on the failure that an endpoint answered last."""
+
+    call_id: str
--- /dev/null
+++ b/src/tamaracktray/direct.py
@@ -0,0 +1,409 @@
+"""The reducer of processes that follow the platform's store.
+
+An entry sends callers' requests straight to endpoints; an agent brings versions of
+weights into its engine. Both hold the same knowledge, taken from the store or from
+peers, and every decision that follows from it is made here without sockets or clocks.
+"""
+
+from collections.abc import Callable
+from typing import Any
+
+import msgspec
+
+from tamaracktray.beacons import Beacon, BeaconFilter
+from tamaracktray.calls import (
+    CallArrived,
+    CallAttemptEnded,
+    CallEnded,
+    CallStarted,
+)
+from tamaracktray.effects import Effect, Exit
+from tamaracktray.engines import VersionTarget
+from tamaracktray.events import Event, ShutdownRequested, Tick
+from tamaracktray.exceptions import InvariantError
+from tamaracktray.gateway import (
+    GatewayContext,
+    GatewayState,
+    fill_room,
+    follow_roster,
+    handle_attempt_ended,
+    handle_call,
+    handle_call_ended,
+    handle_call_started,
+    handle_gateway_tick,
+)
+from tamaracktray.objects import StoredObject
+from tamaracktray.placement import Surroundings
+from tamaracktray.quarantine import CrashLedger
+from tamaracktray.roster import EndpointRecord, Roster
+from tamaracktray.routes import RouteIndex, RoutingTable, Service
+from tamaracktray.snapshots import Collection, Knowledge, Snapshot
+from tamaracktray.types import Address, Role
+
+# A store that has answered for this long counts as back for good, in seconds. Entries
+# that lapsed in the outage are listed again within about two.
+LAPSE_HOLD_S = 2.0
+
+
+class Member(msgspec.Struct, frozen=True):
+    """An entry as its peers know it; ``address`` takes beacons and peers' calls."""
+
+    name: str
+    zone: str
+    address: Address
+
+
+class CollectionListed(Event, frozen=True):
+    """The whole content of a collection was read from the store."""
+
+    collection: Collection
+    objects: list[StoredObject]
+    revision: int
+
+
+class CollectionChanged(Event, frozen=True):
+    """Changes of a collection up to ``revision`` came from the store."""
+
+    collection: Collection
+    changes: list[StoredObject]
+    revision: int
+
+
+class SnapshotsReceived(Event, frozen=True):
+    """A peer sent snapshots that are newer than the own ones."""
+
+    snapshot_by_collection: dict[Collection, Snapshot]
+
+
+class StoreLost(Event, frozen=True):
+    """A call to the store failed."""
+
+
+class BeaconHeard(Event, frozen=True):
+    """A peer's beacon arrived."""
+
+    beacon: Beacon
+    sender: Address
+
+
+class PullSnapshots(Effect, frozen=True):
+    """Ask a peer for the snapshots that are newer than the own ones."""
+
+    address: Address
+
+
+class AnswerBeacon(Effect, frozen=True):
+    """Tell a peer that misses changes what this process knows."""
+
+    address: Address
+
+
+class ApplyRouting(Effect, frozen=True):
+    """A new routing table is in force."""
+
+
+class DirectState:
+    """Whole state of one process.
+
+    ``outage_end`` is when the store last answered after a failure; a failure since then
+    is not over while ``is_store_lost``. ``named_at_by_model`` tells when this process
+    learned of the newest version of a model's weights.
+    """
+
+    __slots__ = (
+        "beacons",
+        "contact_s",
+        "evacuated_zones",
+        "exit_deadline",
+        "gateway",
+        "index",
+        "is_leaving",
+        "is_store_lost",
+        "knowledge",
+        "ledger",
+        "members_by_name",
+        "name",
+        "named_at_by_model",
+        "outage_end",
+        "region_by_zone",
+        "role",
+        "roster",
+        "target_by_model",
+        "version_bound_s",
+        "zone",
+    )
+
+    def __init__(
+        self,
+        name: str,
+        role: Role,
+        zone: str,
+        region_by_zone: dict[str, str],
+        *,
+        version_bound_s: float,
+        contact_s: float,
+        quarantine_s: float,
+    ) -> None:
+        self.name = name
+        self.role = role
+        self.zone = zone
+        self.region_by_zone = region_by_zone
+        self.version_bound_s = version_bound_s
+        self.contact_s = contact_s
+        self.knowledge = Knowledge()
+        self.roster = Roster(LAPSE_HOLD_S)
+        self.ledger = CrashLedger(quarantine_s)
+        self.beacons = BeaconFilter()
+        self.index: RouteIndex | None = None
+        self.evacuated_zones: frozenset[str] = frozenset()
+        self.target_by_model: dict[str, VersionTarget] = {}
+        self.named_at_by_model: dict[str, float] = {}
+        self.members_by_name: dict[str, Member] = {}
+        self.outage_end = 0.0
+        self.is_store_lost = False
+        self.is_leaving = False
+        self.exit_deadline = 0.0
+        self.gateway: GatewayState | None = None
+
+    @property
+    def is_informed(self) -> bool:
+        """Tell whether enough is known to answer callers."""
+        snapshots = self.knowledge.by_collection
+        needed = (Collection.ROUTING, Collection.ENDPOINTS, Collection.EVACUATIONS)
+        known = all(snapshots[collection].revision for collection in needed)
+        return known and self.index is not None
+
+    @property
+    def services_by_name(self) -> dict[str, Service]:
+        """Return what the operator says of the services."""
+        return {} if self.index is None else self.index.table.services_by_name
+
+
+def reduce_direct(state: DirectState, event: Event) -> tuple[DirectState, list[Effect]]:
+    """Return the next state and the effects of one event."""
+    handler = _HANDLER_BY_EVENT.get(type(event))
+    if handler is None:
+        raise InvariantError(f"no handler for {type(event).__name__}")
+    return state, handler(state, event)
+
+
+def _on_listed(state: DirectState, event: CollectionListed) -> list[Effect]:
+    known = state.knowledge.by_collection[event.collection]
+    merged = known.replace_all(event.objects, event.revision)
+    return _take_from_store(state, event.now, event.collection, merged)
+
+
+def _on_changed(state: DirectState, event: CollectionChanged) -> list[Effect]:
+    known = state.knowledge.by_collection[event.collection]
+    merged = known.apply_changes(event.changes, event.revision)
+    return _take_from_store(state, event.now, event.collection, merged)
+
+
+def _take_from_store(
+    state: DirectState, now: float, collection: Collection, snapshot: Snapshot
+) -> list[Effect]:
+    if state.is_store_lost:
+        state.is_store_lost = False
+        state.outage_end = now
+    return _take(state, now, {collection: snapshot})
+
+
+def _on_snapshots(state: DirectState, event: SnapshotsReceived) -> list[Effect]:
+    return _take(state, event.now, event.snapshot_by_collection)
+
+
+def _take(
+    state: DirectState, now: float, snapshots: dict[Collection, Snapshot]
+) -> list[Effect]:
+    effects: list[Effect] = []
+    for collection, snapshot in snapshots.items():
+        if not state.knowledge.merge(collection, snapshot):
+            continue
+        effects.extend(_FOLLOWER_BY_COLLECTION[collection](state, now))
+    return effects
+
+
+def _values(state: DirectState, collection: Collection) -> list[Any]:
+    """Return the readable values of a collection."""
+    objects = state.knowledge.by_collection[collection].objects_by_name.values()
+    return [item.value for item in objects if item.value is not None]
+
+
+def _follow_routing(state: DirectState, now: float) -> list[Effect]:
+    tables: list[RoutingTable] = _values(state, Collection.ROUTING)
+    newest = max(tables, key=lambda table: table.version, default=None)
+    if newest is None:
+        return []
+    if state.index is not None and newest.version <= state.index.table.version:
+        return []
+    state.index = RouteIndex(newest)
+    effects = _follow_endpoints(state, now)
+    return [ApplyRouting(), *effects]
+
+
+def _follow_endpoints(state: DirectState, now: float) -> list[Effect]:
+    records: list[EndpointRecord] = _values(state, Collection.ENDPOINTS)
+    outage_end = now if state.is_store_lost else state.outage_end
+    state.roster.update(now, records, outage_end)
+    return _apply_roster(state, now)
+
+
+def _apply_roster(state: DirectState, now: float) -> list[Effect]:
+    if state.gateway is None:
+        return []
+    context = _gateway_context(state, now)
+    follow_roster(context, state.roster.records_by_id)
+    return fill_room(context, now)
+
+
+def _follow_evacuations(state: DirectState, now: float) -> list[Effect]:
+    state.evacuated_zones = frozenset(_values(state, Collection.EVACUATIONS))
+    return []
+
+
+def _follow_versions(state: DirectState, now: float) -> list[Effect]:
+    for target in _values(state, Collection.VERSIONS):
+        known = state.target_by_model.get(target.model)
+        if known is not None and known.version >= target.version:
+            continue
+        state.target_by_model[target.model] = target
+        state.named_at_by_model[target.model] = now
+        if known is None:
+            # A process that starts cannot tell how long ago the version was named.
+            state.named_at_by_model[target.model] -= state.version_bound_s
+            state.named_at_by_model[target.model] += state.contact_s
+    return []
+
+
+def _follow_members(state: DirectState, now: float) -> list[Effect]:
+    members = [
+        msgspec.convert(value, Member) for value in _values(state, Collection.MEMBERS)
+    ]
+    state.members_by_name = {
+        member.name: member for member in members if member.name != state.name
+    }
+    if state.gateway is not None:
+        state.gateway.peers = len(state.members_by_name)
+    return _apply_roster(state, now)
+
+
+_FOLLOWER_BY_COLLECTION: dict[
+    Collection, Callable[[DirectState, float], list[Effect]]
+] = {
+    Collection.ROUTING: _follow_routing,
+    Collection.ENDPOINTS: _follow_endpoints,
+    Collection.EVACUATIONS: _follow_evacuations,
+    Collection.VERSIONS: _follow_versions,
+    Collection.MEMBERS: _follow_members,
+}
+
+
+def _on_store_lost(state: DirectState, event: StoreLost) -> list[Effect]:
+    state.is_store_lost = True
+    return []
+
+
+def _on_beacon(state: DirectState, event: BeaconHeard) -> list[Effect]:
+    beacon = event.beacon
+    if not state.beacons.accept(beacon):
+        return []
+    effects: list[Effect] = []
+    if state.knowledge.find_missing(beacon.changed_by_collection):
+        effects.append(PullSnapshots(event.sender))
+    if state.knowledge.select_newer(beacon.revision_by_collection):
+        effects.append(AnswerBeacon(event.sender))
+    if state.gateway is None:
+        return effects
+    _note_status(state, beacon)
+    for load in state.gateway.loads_by_id.values():
+        count = beacon.in_flight_by_endpoint.get(load.record.id, 0)
+        load.note_peer(event.now, beacon.name, count)
+    return effects + fill_room(_gateway_context(state, event.now), event.now)
+
+
+def _note_status(state: DirectState, beacon: Beacon) -> None:
+    status = beacon.status
+    if status is None or state.gateway is None:
+        return
+    load = state.gateway.loads_by_id.get(status.endpoint_id)
+    if load is None:
+        return
+    load.is_swapping = status.is_swapping
+
+
+def _on_tick(state: DirectState, event: Tick) -> list[Effect]:
+    effects: list[Effect] = []
+    state.ledger.expire(event.now)
+    if state.roster.expire(event.now):
+        effects.extend(_apply_roster(state, event.now))
+    if state.gateway is not None:
+        context = _gateway_context(state, event.now)
+        effects.extend(handle_gateway_tick(context, event.now))
+    if state.is_leaving and event.now >= state.exit_deadline and _is_idle(state):
+        effects.append(Exit())
+    return effects
+
+
+def _is_idle(state: DirectState) -> bool:
+    return state.gateway is None or not state.gateway.pending_by_id
+
+
+def _on_shutdown(state: DirectState, event: ShutdownRequested) -> list[Effect]:
+    state.is_leaving = True
+    return []
+
+
+def _gateway_context(state: DirectState, now: float) -> GatewayContext:
+    if state.gateway is None:
+        raise InvariantError(f"{state.name} is not an entry")
+    return GatewayContext(
+        state.gateway,
+        build_surroundings(state, now),
+        state.ledger,
+        state.is_leaving,
+    )
+
+
+def build_surroundings(state: DirectState, now: float) -> Surroundings:
+    """Return what placing needs to know at ``now``."""
+    return Surroundings(
+        state.zone,
+        state.region_by_zone,
+        state.evacuated_zones,
+        state.services_by_name,
+        _list_version_floors(state, now),
+    )
+
+
+def _list_version_floors(state: DirectState, now: float) -> dict[str, int]:
+    """Return the oldest version on which calls may begin, by model.
+
+    The newest version is owed ``version_bound_s`` after its naming.
+    """
+    floors: dict[str, int] = {}
+    for model, target in state.target_by_model.items():
+        named_at = state.named_at_by_model[model]
+        if now - named_at >= state.version_bound_s:
+            floors[model] = target.version
+    return floors
+
+
+def _with_gateway(
+    handle: Callable[[GatewayContext, Any], list[Effect]],
+) -> Callable[[DirectState, Any], list[Effect]]:
+    return lambda state, event: handle(_gateway_context(state, event.now), event)
+
+
+_HANDLER_BY_EVENT: dict[type[Event], Callable[[DirectState, Any], list[Effect]]] = {
+    Tick: _on_tick,
+    CollectionListed: _on_listed,
+    CollectionChanged: _on_changed,
+    SnapshotsReceived: _on_snapshots,
+    StoreLost: _on_store_lost,
+    BeaconHeard: _on_beacon,
+    ShutdownRequested: _on_shutdown,
+    CallArrived: _with_gateway(handle_call),
+    CallStarted: _with_gateway(handle_call_started),
+    CallAttemptEnded: _with_gateway(handle_attempt_ended),
+    CallEnded: _with_gateway(handle_call_ended),
+}
--- /dev/null
+++ b/src/tamaracktray/direct_sections.py
@@ -0,0 +1,182 @@
+"""Settings of processes that follow the platform's store."""
+
+from pathlib import Path
+from typing import Annotated
+
+import msgspec
+from returns.result import Result
+
+from tamaracktray.exceptions import SettingsError
+from tamaracktray.sections import (
+    ADDRESS,
+    ADDRESS_LIST,
+    ADDRESS_OR_EMPTY,
+    LEVEL,
+    NAME,
+    count_meta,
+    meta,
+    seconds_meta,
+)
+from tamaracktray.settings import read_sections
+from tamaracktray.types import Address, Role
+
+MS_PER_S = 1_000.0
+
+
+class DirectNodeSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """The process and its place."""
+
+    role: Annotated[Role, meta("What the process does.")]
+    name: Annotated[str, meta("Unique name of the process.", pattern=NAME)]
+    zone: Annotated[str, meta("Availability zone of the instance.", pattern=NAME)]
+    regions: Annotated[
+        str, meta("All availability zones with their regions.", "zone=region, ...")
+    ]
+    ip: Annotated[str, meta("Address of the instance.", "IP", pattern=r"^[0-9.]+$")]
+
+
+class ListenSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Where the process listens."""
+
+    peer_ports: Annotated[
+        str,
+        meta("Ports for peers.", "first, last", pattern=r"^[0-9]+ *, *[0-9]+$"),
+    ]
+    callers: Annotated[
+        str, meta("Address for callers.", "IP:port", pattern=ADDRESS_OR_EMPTY)
+    ] = ""
+    readiness: Annotated[
+        str, meta("Address of /readyz.", "IP:port", pattern=ADDRESS_OR_EMPTY)
+    ] = ""
+    metrics_port: Annotated[
+        int, count_meta("Port of /metrics; 0 for none.", "port", 0, 65_535)
+    ] = 0
+
+
+class StoreSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """The platform's store."""
+
+    address: Annotated[str, meta("Address.", "IP:port", pattern=ADDRESS)]
+    timeout_s: Annotated[float, seconds_meta("Longest call.", 0.1, 60.0)] = 1.5
+    watch_s: Annotated[float, seconds_meta("Longest watch.", 1.0, 30.0)] = 30.0
+
+
+class DirectPeerSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Exchange between the processes."""
+
+    seeds: Annotated[
+        str,
+        meta(
+            "Entries to ask while the store is out; their ports are not used.",
+            "IP:port, separated by commas",
+            pattern=ADDRESS_LIST,
+        ),
+    ] = ""
+    beacon_s: Annotated[
+        float, seconds_meta("Time between beacons under load.", 0.01, 10.0)
+    ] = 0.05
+
+
+class EngineSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """The model engine on the instance of an agent."""
+
+    address: Annotated[
+        str, meta("Address of the engine.", "IP:port", pattern=ADDRESS_OR_EMPTY)
+    ] = ""
+    service: Annotated[str, meta("Service of the engine.")] = ""
+    report_s: Annotated[
+        float, seconds_meta("Time between reads of its report.", 0.05, 60.0)
+    ] = 0.25
+
+
+class BoundSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Bounds that the operators set for the whole fleet.
+
+    ``contact_ms`` is the time without trouble after which a process is in touch.
+    ``version_ms`` is owed from the naming of a version to the last call on an older.
+    """
+
+    contact_ms: Annotated[
+        float, meta("Time to be in touch.", "ms", ge=0, le=600_000)
+    ] = 3_000.0
+    version_ms: Annotated[
+        float, meta("Bound of a rollout.", "ms", ge=0, le=3_600_000)
+    ] = 8_000.0
+    grace_s: Annotated[
+        float, seconds_meta("Time from SIGTERM to SIGKILL.", 0.5, 600.0)
+    ] = 8.0
+    repeat_ratio: Annotated[float, meta("Repeats for each call.", ge=0, le=10)] = 0.2
+    repeat_window_s: Annotated[
+        float, seconds_meta("Window of the bound on repeats.", 1, 600)
+    ] = 10.0
+    repeat_reserve: Annotated[
+        float, meta("Repeats allowed beside the ratio.", "calls", ge=0, le=1e6)
+    ] = 100.0
+    cold_burst: Annotated[
+        float,
+        meta("Calls a cold endpoint bears beyond its rate.", "calls", ge=0, le=1e6),
+    ] = 5.0
+    quarantine_s: Annotated[
+        float, seconds_meta("Time for which a crash of an endpoint counts.", 1, 86_400)
+    ] = 300.0
+
+
+class DirectLogSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Logs."""
+
+    level: Annotated[str, meta("debug to error.", pattern=LEVEL)] = "info"
+
+
+class DirectSettings(msgspec.Struct, frozen=True):
+    """All settings of one process."""
+
+    node: DirectNodeSettings
+    listen: ListenSettings
+    store: StoreSettings
+    peers: DirectPeerSettings
+    engine: EngineSettings
+    bounds: BoundSettings
+    logs: DirectLogSettings
+
+    @property
+    def region_by_zone(self) -> dict[str, str]:
+        """Return the region of each availability zone."""
+        pairs = (pair.strip() for pair in self.node.regions.split(","))
+        parts = (pair.partition("=") for pair in pairs if pair)
+        return {zone.strip(): region.strip() for zone, _, region in parts}
+
+    @property
+    def peer_address(self) -> Address:
+        """Return where peers reach this process."""
+        return Address(self.node.ip, self.peer_port)
+
+    @property
+    def peer_port(self) -> int:
+        """Return the port for peers, which is the same on all instances."""
+        return int(self.listen.peer_ports.partition(",")[0])
+
+    @property
+    def seed_addresses(self) -> list[Address]:
+        """Return the peers to ask while the store is out, without the own address."""
+        texts = self.peers.seeds.replace(",", " ").split()
+        addresses = [
+            Address(Address.parse(text).host, self.peer_port) for text in texts
+        ]
+        return [address for address in addresses if address != self.peer_address]
+
+
+DIRECT_SECTIONS: dict[str, type[msgspec.Struct]] = {
+    "node": DirectNodeSettings,
+    "listen": ListenSettings,
+    "store": StoreSettings,
+    "peers": DirectPeerSettings,
+    "engine": EngineSettings,
+    "bounds": BoundSettings,
+    "logs": DirectLogSettings,
+}
+
+
+def load_direct_settings(path: Path) -> Result[DirectSettings, SettingsError]:
+    """Read and check a settings file that a template has made."""
+    sections = read_sections(path, DIRECT_SECTIONS, is_empty_default=True)
+    return sections.map(lambda values: DirectSettings(**values))
--- /dev/null
+++ b/src/tamaracktray/direct_shell.py
@@ -0,0 +1,379 @@
+"""The part of a process that follows the platform's store which touches sockets."""
+
+import gc
+import socket as socket_module
+import sys
+import time
+from collections.abc import Awaitable, Callable
+from pathlib import Path
+
+import curio
+import msgspec
+from returns.result import Failure, Success
+from typing_extensions import override
+
+from tamaracktray.beacons import Beacon, decode_beacon, encode_beacon
+from tamaracktray.deployment import Deployment
+from tamaracktray.direct import (
+    AnswerBeacon,
+    ApplyRouting,
+    BeaconHeard,
+    CollectionChanged,
+    CollectionListed,
+    DirectState,
+    PullSnapshots,
+    SnapshotsReceived,
+    StoreLost,
+    reduce_direct,
+)
+from tamaracktray.direct_sections import DirectSettings, load_direct_settings
+from tamaracktray.effects import Effect
+from tamaracktray.engines import VersionTarget
+from tamaracktray.events import Event, Tick
+from tamaracktray.exceptions import ConflictError, PlatformError, RevisionExpiredError
+from tamaracktray.exchange import fetch
+from tamaracktray.http import HttpServer, Request, Responder
+from tamaracktray.logs import configure_logs
+from tamaracktray.metrics import NullMetrics
+from tamaracktray.objects import StoredObject
+from tamaracktray.roster import EndpointRecord
+from tamaracktray.routes import RoutingTable
+from tamaracktray.runtime import Runtime
+from tamaracktray.snapshots import Collection, Snapshot
+from tamaracktray.types import Address, Role
+
+TICK_S = 0.025
+EXIT_SETTINGS = 2
+
+# Pauses before a failed call to the store is repeated, in seconds.
+RETRY_MIN_S = 0.1
+RETRY_MAX_S = 0.5
+
+# Pause between two watches of a collection, so that changes which come together cost
+# one call, in seconds.
+SETTLE_S = 0.05
+
+# Longest call to a peer, in seconds.
+PEER_TIMEOUT_S = 1.0
+
+# Beacons are sent at least this often, in seconds.
+IDLE_BEACON_S = 0.5
+
+SNAPSHOTS_PATH = "/snapshots"
+MAX_DATAGRAM_BYTES = 65_507
+
+VALUE_TYPE_BY_COLLECTION: dict[Collection, type] = {
+    Collection.ROUTING: RoutingTable,
+    Collection.ENDPOINTS: EndpointRecord,
+    Collection.EVACUATIONS: str,
+    Collection.VERSIONS: VersionTarget,
+    Collection.MEMBERS: dict,
+}
+
+
+class DirectShell(Runtime):
+    """Runs one process that follows the platform's store."""
+
+    def __init__(
+        self, path: Path, settings: DirectSettings, deployment: Deployment
+    ) -> None:
+        super().__init__(NullMetrics())
+        self.path = path
+        self.settings = settings
+        self.deployment = deployment
+        self.own_address = settings.peer_address
+        bounds = settings.bounds
+        self.state = DirectState(
+            settings.node.name,
+            settings.node.role,
+            settings.node.zone,
+            settings.region_by_zone,
+            version_bound_s=bounds.version_ms / 1_000.0,
+            contact_s=bounds.contact_ms / 1_000.0,
+            quarantine_s=bounds.quarantine_s,
+        )
+        self.store = deployment.open_store(
+            Address.parse(settings.store.address), settings.store.timeout_s
+        )
+        self._incarnation = self.random.getrandbits(32)
+        self._beacon_number = 0
+        self._pulls: set[Address] = set()
+        self._datagrams = curio.socket.socket(
+            socket_module.AF_INET, socket_module.SOCK_DGRAM
+        )
+        self.add_performer(ApplyRouting, self.apply_routing)
+        self.add_performer(PullSnapshots, self._start_pull)
+        self.add_performer(AnswerBeacon, self._answer_beacon)
+
+    @override
+    def reduce(self, event: Event) -> list[Effect]:
+        self.state, effects = reduce_direct(self.state, event)
+        return effects
+
+    @override
+    def build_servers(self) -> list[HttpServer]:
+        return [HttpServer(self.own_address, self.handle_peer)]
+
+    @override
+    def list_loops(self) -> list[Callable[[], Awaitable[None]]]:
+        watches = [self._build_watch(collection) for collection in Collection]
+        return [self._run_ticks, self._run_datagrams, self._run_beacons, *watches]
+
+    @override
+    async def prepare(self) -> None:
+        self._datagrams.bind((self.own_address.host, self.own_address.port))
+        for address in self.settings.seed_addresses:
+            await self._start_pull(PullSnapshots(address))
+
+    @override
+    async def reload(self) -> None:
+        loaded = load_direct_settings(self.path)
+        if isinstance(loaded, Failure):
+            self.log.error("settings not reloaded", error=loaded.failure().message)
+            return
+        self.settings = loaded.unwrap()
+        self.log.info("reloaded")
+
+    async def apply_routing(self, effect: ApplyRouting) -> None:
+        """Follow a routing table that has come into force."""
+        self.log.info("routing in force", version=self.state.index.table.version)
+
+    async def handle_peer(self, request: Request, responder: Responder) -> None:
+        """Answer a peer's call."""
+        if request.path == SNAPSHOTS_PATH:
+            await self._hand_out_snapshots(request, responder)
+            return
+        await responder.respond(404, [])
+
+    def build_beacon(self) -> Beacon:
+        """Return what this process tells its peers now."""
+        self._beacon_number += 1
+        knowledge = self.state.knowledge
+        return Beacon(
+            self.state.name,
+            self._incarnation,
+            self._beacon_number,
+            knowledge.list_revisions(),
+            knowledge.list_changes(),
+            is_leaving=self.state.is_leaving,
+        )
+
+    async def send_beacon(self, address: Address) -> None:
+        """Tell one peer; a beacon that cannot be sent is like one that is lost."""
+        try:
+            await self._datagrams.sendto(
+                encode_beacon(self.build_beacon()), (address.host, address.port)
+            )
+        except OSError as error:
+            self.log.debug("beacon not sent", peer=str(address), error=str(error))
+
+    async def tell_peers(self) -> None:
+        """Send a beacon to every entry."""
+        for member in list(self.state.members_by_name.values()):
+            await self.send_beacon(member.address)
+
+    async def _answer_beacon(self, effect: AnswerBeacon) -> None:
+        await self.send_beacon(effect.address)
+
+    async def _run_beacons(self) -> None:
+        while True:
+            await curio.sleep(IDLE_BEACON_S * self.random.uniform(0.8, 1.2))
+            await self.tell_peers()
+
+    async def _run_datagrams(self) -> None:
+        while True:
+            try:
+                data, sender = await self._datagrams.recvfrom(MAX_DATAGRAM_BYTES)
+            except OSError as error:
+                # An earlier beacon met a closed port.
+                self.log.debug("peer not listening", error=str(error))
+                continue
+            decoded = decode_beacon(data)
+            if isinstance(decoded, Failure):
+                self.log.warning("beacon unreadable", sender=sender[0])
+                continue
+            address = Address(sender[0], sender[1])
+            await self.dispatch(
+                BeaconHeard(time.monotonic(), decoded.unwrap(), address)
+            )
+
+    async def _run_ticks(self) -> None:
+        while True:
+            await curio.sleep(TICK_S)
+            await self.dispatch(Tick(time.monotonic()))
+
+    async def _hand_out_snapshots(self, request: Request, responder: Responder) -> None:
+        try:
+            known = msgspec.msgpack.decode(request.body, type=dict[Collection, int])
+        except msgspec.DecodeError:
+            await responder.respond(400, [])
+            return
+        newer = self.state.knowledge.select_newer(known)
+        await responder.respond(200, [], msgspec.msgpack.encode(newer))
+
+    async def _start_pull(self, effect: PullSnapshots) -> None:
+        if effect.address in self._pulls:
+            return
+        self._pulls.add(effect.address)
+        await self.spawn(self._pull, effect.address)
+
+    async def _pull(self, address: Address) -> None:
+        """Take the snapshots that a peer has newer."""
+        known = msgspec.msgpack.encode(self.state.knowledge.list_revisions())
+        try:
+            reply = await fetch(
+                address, "POST", SNAPSHOTS_PATH, None, known, timeout_s=PEER_TIMEOUT_S
+            )
+        finally:
+            self._pulls.discard(address)
+        if isinstance(reply, Failure) or reply.unwrap().status != 200:
+            self.log.info("peer unreachable", peer=str(address))
+            return
+        snapshots = decode_snapshots(reply.unwrap().body)
+        if snapshots:
+            names = [collection.value for collection in snapshots]
+            self.log.info("knowledge from peer", peer=str(address), collections=names)
+        await self.dispatch(SnapshotsReceived(time.monotonic(), snapshots))
+
+    def _build_watch(self, collection: Collection) -> Callable[[], Awaitable[None]]:
+        async def follow() -> None:
+            await self._follow(collection)
+
+        return follow
+
+    async def _follow(self, collection: Collection) -> None:
+        """Follow a collection by one long poll after another."""
+        is_listed = False
+        failed_at = 0.0
+        while True:
+            if not is_listed:
+                failure = await self._list(collection)
+                is_listed = failure is None
+            else:
+                failure = await self._watch(collection)
+                is_listed = not isinstance(failure, RevisionExpiredError)
+            now = time.monotonic()
+            if failure is None:
+                if failed_at:
+                    lost_s = now - failed_at
+                    self.log.info(
+                        "store regained", collection=collection.value, lost_s=lost_s
+                    )
+                failed_at = 0.0
+                await curio.sleep(SETTLE_S)
+                continue
+            if isinstance(failure, RevisionExpiredError):
+                self.log.info("history expired", collection=collection.value)
+                continue
+            await self._note_failure(collection, failure, is_first=not failed_at)
+            failed_at = failed_at or now
+            await curio.sleep(self.random.uniform(RETRY_MIN_S, RETRY_MAX_S))
+
+    async def _note_failure(
+        self, collection: Collection, failure: PlatformError, *, is_first: bool
+    ) -> None:
+        await self.dispatch(StoreLost(time.monotonic()))
+        if not is_first:
+            return
+        self.log.warning(
+            "store lost", collection=collection.value, error=failure.message
+        )
+        if self.state.is_informed:
+            return
+        for address in self.settings.seed_addresses:
+            await self._start_pull(PullSnapshots(address))
+
+    async def _list(self, collection: Collection) -> PlatformError | None:
+        listed = await self.store.list(collection)
+        if isinstance(listed, Failure):
+            return listed.failure()
+        objects = listed.unwrap()
+        await self.dispatch(
+            CollectionListed(
+                time.monotonic(), collection, objects.items, objects.revision
+            )
+        )
+        return None
+
+    async def _watch(self, collection: Collection) -> PlatformError | None:
+        revision = self.state.knowledge.by_collection[collection].revision
+        watch_s = self.settings.store.watch_s
+        watched = await self.store.watch(collection, revision, watch_s)
+        if isinstance(watched, Failure):
+            return watched.failure()
+        changes = watched.unwrap()
+        await self.dispatch(
+            CollectionChanged(
+                time.monotonic(), collection, changes.items, changes.revision
+            )
+        )
+        return None
+
+
+def decode_snapshots(body: bytes) -> dict[Collection, Snapshot]:
+    """Return the snapshots that a peer sent, with their values in their types."""
+    received = msgspec.msgpack.decode(body, type=dict[Collection, Snapshot])
+    return {
+        collection: _convert_values(collection, snapshot)
+        for collection, snapshot in received.items()
+    }
+
+
+def _convert_values(collection: Collection, snapshot: Snapshot) -> Snapshot:
+    value_type = VALUE_TYPE_BY_COLLECTION[collection]
+    objects: dict[str, StoredObject] = {}
+    for name, item in snapshot.objects_by_name.items():
+        value = item.value
+        if value is not None:
+            value = msgspec.convert(value, value_type)
+        objects[name] = msgspec.structs.replace(item, value=value)
+    return msgspec.structs.replace(snapshot, objects_by_name=objects)
+
+
+async def register_member(shell: DirectShell, member: object) -> PlatformError | None:
+    """Write the own entry among the members, over one of an earlier start."""
+    collection = Collection.MEMBERS
+    name = shell.state.name
+    value = msgspec.to_builtins(member)
+    written = await shell.store.put(collection, name, value, 0, "")
+    if isinstance(written, Success):
+        return None
+    failure = written.failure()
+    if not isinstance(failure, ConflictError) or failure.current_version is None:
+        return failure
+    written = await shell.store.put(
+        collection, name, value, failure.current_version, ""
+    )
+    return None if isinstance(written, Success) else written.failure()
+
+
+def run_direct(path: Path, deployment: Deployment) -> int:
+    """Run the process that a settings file describes and return its exit code.
+
+    The code is 0 after an ordered shutdown, 1 after a broken invariant and 2 when the
+    settings are invalid.
+    """
+    loaded = load_direct_settings(path)
+    if isinstance(loaded, Failure):
+        print(f"tamaracktrayd: {loaded.failure().message}", file=sys.stderr)
+        return EXIT_SETTINGS
+    settings = loaded.unwrap()
+    configure_logs(settings.logs.level, sys.stdout, process=settings.node.name)
+    shell = _build_shell(path, settings, deployment)
+    # Objects made so far live as long as the process; the collector need not see them.
+    gc.freeze()
+    curio.run(shell.run)
+    return shell.exit_code
+
+
+def _build_shell(
+    path: Path, settings: DirectSettings, deployment: Deployment
+) -> DirectShell:
+    """Return the shell of the role, importing nothing that the other role needs."""
+    if settings.node.role is Role.ENTRY:
+        from tamaracktray.direct_entry import DirectEntryShell
+
+        return DirectEntryShell(path, settings, deployment)
+    from tamaracktray.direct_agent import DirectAgentShell
+
+    return DirectAgentShell(path, settings, deployment)
--- a/src/tamaracktray/entry.py
+++ b/src/tamaracktray/entry.py
@@ -83,7 +83,7 @@
         return servers
 
     @override
-    def list_loops(self) -> list[Callable[[], Awaitable[None]]]:
+    def list_role_loops(self) -> list[Callable[[], Awaitable[None]]]:
         return []
 
     async def handle_request(self, request: Request, responder: Responder) -> None:
--- a/src/tamaracktray/exchange.py
+++ b/src/tamaracktray/exchange.py
@@ -14,12 +14,26 @@
 from tamaracktray.http import (
     READ_BYTES,
     Headers,
+    RawHeaders,
     Reply,
     decode_headers,
     next_event,
 )
 from tamaracktray.types import Address
 
+# A peer that vanishes without a reset is noticed after the idle time and all probes.
+KEEPALIVE_IDLE_S = 1
+KEEPALIVE_INTERVAL_S = 1
+KEEPALIVE_PROBES = 2
+
+CONNECTION_OPTIONS = (
+    (socket_module.IPPROTO_TCP, socket_module.TCP_NODELAY, 1),
+    (socket_module.SOL_SOCKET, socket_module.SO_KEEPALIVE, 1),
+    (socket_module.IPPROTO_TCP, socket_module.TCP_KEEPIDLE, KEEPALIVE_IDLE_S),
+    (socket_module.IPPROTO_TCP, socket_module.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_S),
+    (socket_module.IPPROTO_TCP, socket_module.TCP_KEEPCNT, KEEPALIVE_PROBES),
+)
+
 
 class Exchange:
     """One request sent by the client, whose answer is being read.
@@ -34,6 +48,7 @@
         "_is_ended",
         "_socket",
         "headers",
+        "raw_headers",
         "status",
     )
 
@@ -44,6 +59,7 @@
         self._early_head: h11.Event | None = None
         self.status = 0
         self.headers: dict[str, str] = {}
+        self.raw_headers: RawHeaders = []
 
     @property
     def is_framed(self) -> bool:
@@ -81,6 +97,7 @@
             return Failure(TransportError("closed without an answer", sent=True))
         self.status = event.status_code
         self.headers = decode_headers(event.headers)
+        self.raw_headers = event.headers.raw_items()
         return Success(None)
 
     async def _read_response(self) -> h11.Event:
@@ -149,40 +166,54 @@
     address: Address,
     method: str,
     target: str,
-    headers: Headers,
+    headers: Headers | RawHeaders,
     body: bytes = b"",
     *,
     connect_timeout_s: float = 2.0,
+    is_host_given: bool = False,
 ) -> Result[Exchange, TransportError]:
     """Connect, send one request and return the exchange.
 
-    The failure tells whether any byte of the request was sent.
+    With ``is_host_given`` the headers name the host already. The failure tells whether
+    any byte of the request was sent.
     """
     connection = h11.Connection(h11.CLIENT)
-    host_header = ("host", str(address))
     framing = [("content-length", str(len(body))), ("connection", "close")]
-    request = h11.Request(
-        method=method, target=target, headers=[host_header, *framing, *headers]
-    )
+    if not is_host_given:
+        framing.append(("host", str(address)))
+    request = h11.Request(method=method, target=target, headers=[*headers, *framing])
     payload = connection.send(request) + connection.send(h11.Data(data=body))
     payload += connection.send(h11.EndOfMessage())
     try:
-        socket = await curio.timeout_after(
-            connect_timeout_s, curio.open_connection(address.host, address.port)
-        )
+        socket = await curio.timeout_after(connect_timeout_s, _connect(address))
     except (OSError, curio.TaskTimeout) as error:
         reason = str(error) or "timed out"
         message = f"cannot connect to {address}: {reason}"
         return Failure(TransportError(message, sent=False))
-    socket.setsockopt(socket_module.IPPROTO_TCP, socket_module.TCP_NODELAY, 1)
     try:
         await curio.timeout_after(connect_timeout_s, socket.sendall(payload))
     except (OSError, curio.TaskTimeout) as error:
         await socket.close()
         return Failure(TransportError(f"request was cut: {error}", sent=True))
+    except curio.CancelledError:
+        await socket.close()
+        raise
     return Success(Exchange(connection, socket))
 
 
+async def _connect(address: Address) -> curio.io.Socket:
+    """Open a connection whose loss is noticed within seconds, also while it is idle."""
+    socket = curio.socket.socket(socket_module.AF_INET, socket_module.SOCK_STREAM)
+    try:
+        for level, option, value in CONNECTION_OPTIONS:
+            socket.setsockopt(level, option, value)
+        await socket.connect((address.host, address.port))
+    except BaseException:
+        await socket.close()
+        raise
+    return socket
+
+
 async def fetch(
     address: Address,
     method: str,
--- /dev/null
+++ b/src/tamaracktray/gateway.py
@@ -0,0 +1,406 @@
+"""The reducer's part for entries that send calls straight to endpoints."""
+
+import msgspec
+
+from tamaracktray.budgets import PermitBucket, RepeatBudget
+from tamaracktray.calls import (
+    Call,
+    CallArrived,
+    CallAttemptEnded,
+    CallEnded,
+    CallStarted,
+    CutCall,
+    RefuseCall,
+    RelayFailure,
+    SendCall,
+)
+from tamaracktray.effects import Effect
+from tamaracktray.outcomes import AttemptPhase
+from tamaracktray.placement import (
+    EndpointLoad,
+    Surroundings,
+    choose_endpoint,
+    is_eligible,
+)
+from tamaracktray.quarantine import CrashLedger
+from tamaracktray.roster import EndpointRecord
+from tamaracktray.routes import Service
+from tamaracktray.types import ErrorCode, Refusal, RunState
+from tamaracktray.waiting import WaitingLine
+
+# Connections that one call may try in vain, beside its attempts.
+MAX_UNREACHABLE = 3
+
+# When a refused caller should come back, in seconds: about the time in which an engine
+# ends one of its calls.
+BUSY_RETRY_S = 0.1
+NO_ENDPOINT_RETRY_S = 0.5
+
+# Part of the fleet's bounds that is spent, so that stale counts stay within the rest.
+SAFE_SHARE = 0.5
+
+
+class GatewayBounds(msgspec.Struct, frozen=True):
+    """Bounds that hold for all processes together; times in seconds.
+
+    ``repeat_ratio`` and ``repeat_reserve`` bound repeats within ``repeat_window_s``.
+    ``cold_burst`` is what cold endpoints bear beyond their rate in a second.
+    """
+
+    repeat_ratio: float = 0.2
+    repeat_reserve: float = 100.0
+    repeat_window_s: float = 10.0
+    cold_burst: float = 5.0
+
+
+class PendingCall:
+    """A call that has no final answer yet.
+
+    ``may_have_run`` is set once an attempt was sent and did not promise that the call
+    was not run; from then on no answer may promise it. ``endpoint_id`` names where an
+    attempt is under way. ``version`` is that of the weights which began a stream.
+    """
+
+    __slots__ = (
+        "attempts",
+        "call",
+        "crashes",
+        "endpoint_id",
+        "has_failed_answer",
+        "is_started",
+        "last_event_id",
+        "may_have_run",
+        "tried",
+        "unreachable",
+        "version",
+    )
+
+    def __init__(self, call: Call) -> None:
+        self.call = call
+        self.attempts = 0
+        self.unreachable = 0
+        self.endpoint_id = ""
+        self.may_have_run = False
+        self.has_failed_answer = False
+        self.is_started = False
+        self.last_event_id = call.last_event_id
+        self.version = 0
+        self.tried: set[str] = set()
+
+
+class GatewayState:
+    """The calls and endpoint loads of one entry."""
+
+    __slots__ = (
+        "bounds",
+        "budget_by_service",
+        "loads_by_id",
+        "peers",
+        "pending_by_id",
+        "waiting",
+    )
+
+    def __init__(self, bounds: GatewayBounds) -> None:
+        self.bounds = bounds
+        self.peers = 0
+        self.loads_by_id: dict[str, EndpointLoad] = {}
+        self.pending_by_id: dict[str, PendingCall] = {}
+        self.waiting = WaitingLine()
+        self.budget_by_service: dict[str, RepeatBudget] = {}
+
+    def find_budget(self, service: str) -> RepeatBudget:
+        """Return the own part of a service's budget for repeats."""
+        budget = self.budget_by_service.get(service)
+        if budget is None:
+            bounds = self.bounds
+            share = SAFE_SHARE / (self.peers + 1)
+            budget = RepeatBudget(
+                bounds.repeat_ratio * SAFE_SHARE,
+                bounds.repeat_reserve * share * SAFE_SHARE,
+                bounds.repeat_window_s,
+            )
+            self.budget_by_service[service] = budget
+        return budget
+
+
+class GatewayContext(msgspec.Struct):
+    """The parts of the process state that the gateway reads."""
+
+    state: GatewayState
+    around: Surroundings
+    ledger: CrashLedger
+    is_leaving: bool
+
+
+def follow_roster(
+    context: GatewayContext, records_by_id: dict[str, EndpointRecord]
+) -> None:
+    """Follow the endpoints in use, keeping what is known of those that stay."""
+    state = context.state
+    loads: dict[str, EndpointLoad] = {}
+    for endpoint_id, record in records_by_id.items():
+        load = state.loads_by_id.get(endpoint_id)
+        if load is None or load.record.born_ms != record.born_ms:
+            load = EndpointLoad(record)
+        load.record = record
+        service = context.around.services_by_name.get(record.service)
+        _follow_cold_rate(state, load, service)
+        loads[endpoint_id] = load
+    state.loads_by_id = loads
+
+
+def _follow_cold_rate(
+    state: GatewayState, load: EndpointLoad, service: Service | None
+) -> None:
+    """Bound what the own process sends in a second, as an endpoint may turn cold."""
+    if service is None or not service.cold_rate:
+        load.cold_budget = None
+        return
+    share = SAFE_SHARE / (state.peers + 1)
+    rate = max(service.cold_rate * share, 1.0)
+    burst = max(state.bounds.cold_burst * share, 1.0)
+    if load.cold_budget is None:
+        load.cold_budget = PermitBucket(rate, burst)
+        return
+    load.cold_budget.resize(rate, burst)
+
+
+def handle_call(context: GatewayContext, event: CallArrived) -> list[Effect]:
+    """Send a call, let it wait for room, or refuse it."""
+    state = context.state
+    call = event.call
+    for service in call.services:
+        state.find_budget(service).earn()
+    release = context.ledger.find_release(event.now, call.fingerprint)
+    if release is not None:
+        return [RefuseCall(call.id, _refuse_crashing(release - event.now))]
+    pending = PendingCall(call)
+    state.pending_by_id[call.id] = pending
+    return _place(context, event.now, pending)
+
+
+def handle_call_started(context: GatewayContext, event: CallStarted) -> list[Effect]:
+    """Note that an answer has begun, after which it can only go on."""
+    pending = context.state.pending_by_id.get(event.call_id)
+    if pending is not None:
+        pending.is_started = True
+        pending.version = event.version or pending.version
+    load = context.state.loads_by_id.get(event.endpoint_id)
+    if load is not None:
+        load.note_success()
+    return []
+
+
+def handle_attempt_ended(
+    context: GatewayContext, event: CallAttemptEnded
+) -> list[Effect]:
+    """Take in the end of an attempt and decide what the caller gets."""
+    state = context.state
+    pending = state.pending_by_id.get(event.call_id)
+    load = state.loads_by_id.get(event.endpoint_id)
+    if load is not None:
+        load.note_ended()
+        _judge_endpoint(load, event)
+    if pending is None:
+        return fill_room(context, event.now)
+    pending.endpoint_id = ""
+    pending.last_event_id = event.last_event_id or pending.last_event_id
+    effects = _continue_call(context, event, pending)
+    return effects + fill_room(context, event.now)
+
+
+def handle_call_ended(context: GatewayContext, event: CallEnded) -> list[Effect]:
+    """Forget a call whose caller has its answer or is gone."""
+    state = context.state
+    state.waiting.remove(event.call_id)
+    pending = state.pending_by_id.pop(event.call_id, None)
+    if pending is None or not pending.endpoint_id:
+        return []
+    load = state.loads_by_id.get(pending.endpoint_id)
+    if load is not None:
+        load.note_ended()
+    return fill_room(context, event.now)
+
+
+def handle_gateway_tick(context: GatewayContext, now: float) -> list[Effect]:
+    """Send calls that found room and refuse those that have waited long enough."""
+    state = context.state
+    effects = fill_room(context, now)
+    for call in state.waiting.remove_expired(now):
+        pending = state.pending_by_id.get(call.id)
+        if pending is not None:
+            effects.extend(_refuse(context, now, pending))
+    return effects
+
+
+def fill_room(context: GatewayContext, now: float) -> list[Effect]:
+    """Send waiting calls, in order, to endpoints with room."""
+    state = context.state
+    effects: list[Effect] = []
+    if not len(state.waiting):
+        return effects
+    for call in state.waiting.list_ordered():
+        pending = state.pending_by_id.get(call.id)
+        if pending is None:
+            state.waiting.remove(call.id)
+            continue
+        load = _choose(context, now, pending)
+        if load is None:
+            continue
+        state.waiting.remove(call.id)
+        effects.append(_send(now, pending, load))
+    return effects
+
+
+def _choose(
+    context: GatewayContext, now: float, pending: PendingCall
+) -> EndpointLoad | None:
+    crashed = context.ledger.crashed_endpoints(now, pending.call.fingerprint)
+    return choose_endpoint(
+        now,
+        pending.call,
+        context.state.loads_by_id.values(),
+        context.around,
+        pending.tried | crashed,
+    )
+
+
+def _place(context: GatewayContext, now: float, pending: PendingCall) -> list[Effect]:
+    load = _choose(context, now, pending)
+    if load is not None:
+        return [_send(now, pending, load)]
+    if not _has_eligible(context, pending):
+        return _refuse(context, now, pending)
+    waiting = context.state.waiting
+    if not waiting.push(now, pending.call, is_resumed=pending.is_started):
+        return _refuse(context, now, pending)
+    return []
+
+
+def _has_eligible(context: GatewayContext, pending: PendingCall) -> bool:
+    return any(
+        load.record.id not in pending.tried
+        and is_eligible(pending.call, load.record, context.around)
+        for load in context.state.loads_by_id.values()
+    )
+
+
+def _send(now: float, pending: PendingCall, load: EndpointLoad) -> SendCall:
+    pending.attempts += 1
+    pending.endpoint_id = load.record.id
+    load.note_sent(now)
+    held = load.record.find_model(pending.call.model)
+    return SendCall(
+        pending.call.id,
+        pending.attempts,
+        load.record.id,
+        load.record.address,
+        version=held.version if held is not None else 0,
+        urgency=None,
+        last_event_id=pending.last_event_id,
+    )
+
+
+def _judge_endpoint(load: EndpointLoad, event: CallAttemptEnded) -> None:
+    if event.phase is AttemptPhase.ANSWERED:
+        load.note_success()
+    elif event.phase is AttemptPhase.NOT_SENT:
+        load.note_unreachable(event.now)
+    elif event.phase is AttemptPhase.REFUSED:
+        load.note_full(event.now)
+    else:
+        load.note_failure(event.now)
+
+
+def _continue_call(
+    context: GatewayContext, event: CallAttemptEnded, pending: PendingCall
+) -> list[Effect]:
+    now = event.now
+    if event.phase is AttemptPhase.ANSWERED:
+        del context.state.pending_by_id[event.call_id]
+        return []
+    if event.phase is AttemptPhase.NOT_SENT:
+        pending.attempts -= 1
+        pending.unreachable += 1
+        pending.tried.add(event.endpoint_id)
+        if pending.unreachable > MAX_UNREACHABLE:
+            return _refuse(context, now, pending)
+        return _place(context, now, pending)
+    pending.tried.add(event.endpoint_id)
+    if event.phase is not AttemptPhase.REFUSED:
+        pending.may_have_run = True
+        pending.has_failed_answer = event.phase is AttemptPhase.FAILED
+        if event.is_reset:
+            context.ledger.record(now, pending.call.fingerprint, event.endpoint_id)
+    if not _may_repeat(context, now, pending):
+        return _refuse(context, now, pending)
+    return _place(context, now, pending)
+
+
+def _may_repeat(context: GatewayContext, now: float, pending: PendingCall) -> bool:
+    call = pending.call
+    if pending.attempts >= call.route.max_attempts or now >= call.deadline:
+        return False
+    if pending.may_have_run and not call.route.is_idempotent:
+        return False
+    if context.ledger.find_release(now, call.fingerprint) is not None:
+        return False
+    return context.state.find_budget(call.services[0]).spend(now)
+
+
+def _refuse(context: GatewayContext, now: float, pending: PendingCall) -> list[Effect]:
+    """Give the caller its final answer, promising "not run" only when it is true."""
+    call = pending.call
+    context.state.pending_by_id.pop(call.id, None)
+    context.state.waiting.remove(call.id)
+    if pending.is_started:
+        return [CutCall(call.id, "the stream broke off and no endpoint can resume it")]
+    if pending.has_failed_answer:
+        return [RelayFailure(call.id)]
+    if pending.may_have_run:
+        return [RefuseCall(call.id, refuse_unanswered())]
+    if not _has_eligible(context, pending):
+        return [RefuseCall(call.id, refuse_no_endpoint())]
+    return [RefuseCall(call.id, refuse_busy())]
+
+
+def refuse_unanswered() -> Refusal:
+    """Return the error for a call that was sent and not answered as it should be."""
+    return Refusal(
+        ErrorCode.OUTCOME_UNKNOWN,
+        "the request was sent but not answered",
+        RunState.UNKNOWN,
+        502,
+    )
+
+
+def refuse_busy() -> Refusal:
+    """Return the refusal of a call for which no endpoint has room."""
+    return Refusal(
+        ErrorCode.OVERLOADED,
+        "all endpoints are busy",
+        RunState.NOT_RUN,
+        503,
+        BUSY_RETRY_S,
+    )
+
+
+def refuse_no_endpoint() -> Refusal:
+    """Return the refusal of a call that no endpoint may run now."""
+    return Refusal(
+        ErrorCode.NO_ENDPOINT,
+        "no endpoint can take the request now",
+        RunState.NOT_RUN,
+        503,
+        NO_ENDPOINT_RETRY_S,
+    )
+
+
+def _refuse_crashing(left_s: float) -> Refusal:
+    return Refusal(
+        ErrorCode.QUARANTINED,
+        "this request crashed several endpoints and is refused for a while",
+        RunState.NOT_RUN,
+        503,
+        left_s,
+    )
--- a/src/tamaracktray/http.py
+++ b/src/tamaracktray/http.py
@@ -21,6 +21,7 @@
 LISTEN_BACKLOG = 512
 
 Headers = list[tuple[str, str]]
+RawHeaders = list[tuple[bytes, bytes]]
 
 
 class HttpLimits(msgspec.Struct, frozen=True):
@@ -42,6 +43,7 @@
     """A whole request; header names are in lower case.
 
     ``target`` is the path with the query as it was sent, ``path`` is decoded.
+    ``raw_headers`` keeps the headers in the order and spelling of the sender.
     """
 
     method: str
@@ -50,6 +52,7 @@
     query: dict[str, str]
     headers: dict[str, str]
     body: bytes = b""
+    raw_headers: RawHeaders = []
 
 
 class Reply(msgspec.Struct, frozen=True):
@@ -84,7 +87,7 @@
         """Tell the client that the request has arrived and is being handled."""
 
     @abstractmethod
-    async def send_head(self, status: int, headers: Headers) -> None:
+    async def send_head(self, status: int, headers: Headers | RawHeaders) -> None:
         """Send the status line and headers of a chunked answer."""
 
     @abstractmethod
@@ -100,7 +103,9 @@
         """Cut the connection, so that the client sees an incomplete answer."""
 
     @abstractmethod
-    async def respond(self, status: int, headers: Headers, body: bytes = b"") -> None:
+    async def respond(
+        self, status: int, headers: Headers | RawHeaders, body: bytes = b""
+    ) -> None:
         """Send a whole answer of known length."""
 
 
@@ -134,7 +139,7 @@
             h11.InformationalResponse(status_code=HTTPStatus.PROCESSING, headers=[])
         )
 
-    async def send_head(self, status: int, headers: Headers) -> None:
+    async def send_head(self, status: int, headers: Headers | RawHeaders) -> None:
         framed = [*headers, ("transfer-encoding", "chunked")]
         await self._send(h11.Response(status_code=status, headers=framed))
 
@@ -149,26 +154,48 @@
         self._connection.send_failed()
         await self._socket.close()
 
-    async def respond(self, status: int, headers: Headers, body: bytes = b"") -> None:
+    async def respond(
+        self, status: int, headers: Headers | RawHeaders, body: bytes = b""
+    ) -> None:
         framed = [*headers, ("content-length", str(len(body)))]
         head = h11.Response(status_code=status, headers=framed)
         await self._send(head, h11.Data(data=body), h11.EndOfMessage())
 
 
 class HttpServer:
-    """Accepts connections on one address and hands requests to a handler."""
+    """Accepts connections on one address and hands requests to a handler.
+
+    With ``cancels_abandoned`` a handler is cancelled when its client closes the
+    connection. ``limits`` may be replaced and then holds for the next requests.
+    """
 
-    __slots__ = ("_active", "_handler", "_limits", "_listener", "_tasks", "address")
+    __slots__ = (
+        "_active",
+        "_cancels_abandoned",
+        "_handler",
+        "_idle_tasks",
+        "_listener",
+        "_tasks",
+        "address",
+        "limits",
+    )
 
     def __init__(
-        self, address: Address, handler: Handler, limits: HttpLimits | None = None
+        self,
+        address: Address,
+        handler: Handler,
+        limits: HttpLimits | None = None,
+        *,
+        cancels_abandoned: bool = False,
     ) -> None:
         self.address = address
+        self.limits = limits or HttpLimits()
         self._handler = handler
-        self._limits = limits or HttpLimits()
+        self._cancels_abandoned = cancels_abandoned
         self._listener: curio.io.Socket | None = None
         self._active = 0
         self._tasks: set[curio.Task] = set()
+        self._idle_tasks: set[curio.Task] = set()
 
     @property
     def active_requests(self) -> int:
@@ -202,6 +229,11 @@
             if task is not current:
                 await task.cancel(blocking=False)
 
+    async def close_idle(self) -> None:
+        """Close the connections on which no request is being received or answered."""
+        for task in list(self._idle_tasks):
+            await task.cancel(blocking=False)
+
     async def _run_connection(self, client: curio.io.Socket) -> None:
         try:
             async with client:
@@ -212,24 +244,66 @@
             self._tasks.discard(await curio.current_task())
 
     async def _serve_connection(self, client: curio.io.Socket) -> None:
-        limits = self._limits
         connection = h11.Connection(
-            h11.SERVER, max_incomplete_event_size=limits.max_header_bytes
+            h11.SERVER, max_incomplete_event_size=self.limits.max_header_bytes
         )
         while True:
+            limits = self.limits
             responder = _ConnectionResponder(connection, client, limits.send_timeout_s)
             try:
+                if not await self._wait_for_request(connection, client):
+                    return
                 request = await _receive_request(connection, client, limits)
             except RequestRejectedError as error:
                 await _reject(responder, connection, error)
                 return
             if request is None:
                 return
-            await self._handle(request, responder)
+            if self._cancels_abandoned:
+                await self._handle_watched(request, responder, connection, client)
+            else:
+                await self._handle(request, responder)
             if responder.is_aborted or connection.our_state is not h11.DONE:
                 return
             connection.start_next_cycle()
 
+    async def _wait_for_request(
+        self, connection: h11.Connection, client: curio.io.Socket
+    ) -> bool:
+        """Wait for the first bytes of a request; return whether any came."""
+        if connection.trailing_data[0]:
+            return True
+        task = await curio.current_task()
+        self._idle_tasks.add(task)
+        try:
+            data = await curio.ignore_after(
+                self.limits.idle_timeout_s, client.recv(READ_BYTES)
+            )
+        finally:
+            self._idle_tasks.discard(task)
+        if not data:
+            return False
+        connection.receive_data(data)
+        return True
+
+    async def _handle_watched(
+        self,
+        request: Request,
+        responder: _ConnectionResponder,
+        connection: h11.Connection,
+        client: curio.io.Socket,
+    ) -> None:
+        """Run the handler until it ends or the client closes the connection."""
+        handler = await curio.spawn(self._handle, request, responder)
+        watcher = await curio.spawn(_watch_client, connection, client, handler)
+        try:
+            await handler.wait()
+        finally:
+            await watcher.cancel()
+            await handler.cancel()
+        if handler.cancelled:
+            responder.is_aborted = True
+
     async def _handle(self, request: Request, responder: _ConnectionResponder) -> None:
         """Run the handler; a fault in it cuts this connection and no other."""
         self._active += 1
@@ -244,6 +318,23 @@
             self._active -= 1
 
 
+async def _watch_client(
+    connection: h11.Connection, client: curio.io.Socket, handler: curio.Task
+) -> None:
+    """Cancel the handler when the client closes; keep what it sends meanwhile."""
+    kept_bytes = 0
+    while kept_bytes < READ_BYTES:
+        try:
+            data = await client.recv(READ_BYTES)
+        except OSError:
+            data = b""
+        if not data:
+            await handler.cancel(blocking=False)
+            return
+        kept_bytes += len(data)
+        connection.receive_data(data)
+
+
 async def _reject(
     responder: _ConnectionResponder,
     connection: h11.Connection,
@@ -263,7 +354,7 @@
     """Read one whole request; return ``None`` when the client has closed."""
     try:
         first = await curio.timeout_after(
-            limits.idle_timeout_s, next_event(connection, client)
+            limits.receive_timeout_s, next_event(connection, client)
         )
         if not isinstance(first, h11.Request):
             return None
@@ -313,6 +404,7 @@
         query=dict(parse_qsl(parts.query)),
         headers=decode_headers(event.headers),
         body=body,
+        raw_headers=event.headers.raw_items(),
     )
 
 
--- /dev/null
+++ b/src/tamaracktray/intake.py
@@ -0,0 +1,117 @@
+"""From a caller's request to a call on a route, or to the reason why it is none."""
+
+import hashlib
+import itertools
+
+from returns.result import Failure, Result, Success
+
+from tamaracktray.calls import Call
+from tamaracktray.hashing import hash_text
+from tamaracktray.http import Request
+from tamaracktray.protocol import CallerFields
+from tamaracktray.routes import Route, RouteIndex, Team
+from tamaracktray.types import ErrorCode, Refusal, RunState
+
+# When a caller should come back to a process that does not know its routes yet.
+UNINFORMED_RETRY_S = 0.5
+
+HASH_RANGE = 2**64
+
+_numbers = itertools.count(1)
+
+
+def refuse_uninformed() -> Refusal:
+    """Return the refusal of a process that knows no configuration yet."""
+    return Refusal(
+        ErrorCode.NO_ENDPOINT,
+        "this entry has no configuration yet",
+        RunState.NOT_RUN,
+        503,
+        UNINFORMED_RETRY_S,
+    )
+
+
+def build_call(
+    now: float, index: RouteIndex, request: Request, fields: CallerFields
+) -> Result[Call, Refusal]:
+    """Return the call that a request makes, or the refusal if it makes none.
+
+    The status of the refusal is 404 without a route and 401 without a known key.
+    """
+    host = request.headers.get("host", "").partition(":")[0].lower()
+    route = index.find_route(host, request.target.partition("?")[0])
+    if route is None:
+        message = "no route matches the host and path"
+        return Failure(Refusal(ErrorCode.NOT_FOUND, message, RunState.NOT_RUN, 404))
+    team = index.find_team(fields.key) if fields.key else None
+    if team is None and index.needs_keys and not route.is_public:
+        message = "the key is unknown" if fields.key else "a key is needed"
+        return Failure(Refusal(ErrorCode.UNAUTHORIZED, message, RunState.NOT_RUN, 401))
+    return Success(_assemble(now, route, team, request, fields))
+
+
+def _assemble(
+    now: float, route: Route, team: Team | None, request: Request, fields: CallerFields
+) -> Call:
+    wait_s = route.timeout_s
+    if fields.wait_s is not None:
+        wait_s = min(wait_s, fields.wait_s)
+    priority = route.priority
+    if team is not None and team.priority is not None:
+        priority = team.priority
+    return Call(
+        id=str(next(_numbers)),
+        request_id=fields.request_id,
+        route=route,
+        services=order_services(route, fields.request_id),
+        arrived=now,
+        deadline=now + wait_s,
+        team=team.name if team is not None else "",
+        priority=priority,
+        regions=join_regions(route, team),
+        model=fields.model,
+        prompt_tokens=fields.prompt_tokens,
+        output_tokens=fields.expected_output or fields.max_output,
+        session=fields.session,
+        fingerprint=_digest_request(request, fields),
+        last_event_id=fields.last_event_id,
+    )
+
+
+def order_services(route: Route, request_id: str) -> tuple[str, ...]:
+    """Return the route's services, one drawn by weight first.
+
+    The draw follows from the request's id, so that it needs no state.
+    """
+    names = [backend.service for backend in route.backends if backend.weight > 0]
+    if len(names) < 2:
+        return tuple(names)
+    total = sum(backend.weight for backend in route.backends)
+    point = hash_text(request_id) / HASH_RANGE * total
+    for backend in route.backends:
+        point -= backend.weight
+        if point < 0 and backend.weight > 0:
+            others = [name for name in names if name != backend.service]
+            return (backend.service, *others)
+    return tuple(names)
+
+
+def join_regions(route: Route, team: Team | None) -> frozenset[str]:
+    """Return the regions that both the route and the team allow; empty allows all.
+
+    Where the two have no region in common, nothing is allowed, which an impossible name
+    expresses.
+    """
+    by_route = frozenset(route.allowed_regions)
+    by_team = frozenset(team.allowed_regions) if team is not None else frozenset()
+    if not by_route or not by_team:
+        return by_route or by_team
+    return by_route & by_team or frozenset({""})
+
+
+def _digest_request(request: Request, fields: CallerFields) -> str:
+    digest = hashlib.blake2b(digest_size=16)
+    for part in (request.method, request.target, fields.key):
+        digest.update(part.encode("utf-8", "replace") + b"\n")
+    digest.update(request.body)
+    return digest.hexdigest()
--- a/src/tamaracktray/logs.py
+++ b/src/tamaracktray/logs.py
@@ -1,15 +1,16 @@
-"""Structured logs: one JSON object a line, on standard error.
+"""Structured logs: one JSON object a line.
 
 Lines are written for changes of state only; what happens often is counted.
 """
 
 import logging
 import sys
+from typing import TextIO
 
 import structlog
 
 
-def configure_logs(level: str, **context: str) -> None:
+def configure_logs(level: str, stream: TextIO = sys.stderr, **context: str) -> None:
     """Set up logging for this process; ``context`` is added to every line."""
     number = getattr(logging, level.upper())
     structlog.configure(
@@ -21,7 +22,7 @@
             structlog.processors.JSONRenderer(),
         ],
         wrapper_class=structlog.make_filtering_bound_logger(number),
-        logger_factory=structlog.PrintLoggerFactory(sys.stderr),
+        logger_factory=structlog.PrintLoggerFactory(stream),
         cache_logger_on_first_use=True,
     )
     structlog.contextvars.bind_contextvars(**context)
--- a/src/tamaracktray/messages.py
+++ b/src/tamaracktray/messages.py
@@ -27,12 +27,19 @@
     error: Refusal
 
 
-def encode_refusal(refusal: Refusal) -> tuple[Headers, bytes]:
-    """Return the headers and body of an error answer."""
+def encode_refusal(
+    refusal: Refusal, *, allows_fractions: bool = False
+) -> tuple[Headers, bytes]:
+    """Return the headers and body of an error answer.
+
+    The time to wait is in whole seconds unless callers understand fractions.
+    """
     headers: Headers = [JSON_TYPE]
     if refusal.retry_after_s is not None:
-        seconds = max(math.ceil(refusal.retry_after_s), 1)
-        headers.append((names.RETRY_AFTER, str(seconds)))
+        text = str(max(math.ceil(refusal.retry_after_s), 1))
+        if allows_fractions:
+            text = f"{refusal.retry_after_s:.3f}"
+        headers.append((names.RETRY_AFTER, text))
     return headers, msgspec.json.encode(ErrorBody(refusal))
 
 
--- a/src/tamaracktray/outcomes.py
+++ b/src/tamaracktray/outcomes.py
@@ -4,11 +4,15 @@
 
 
 class AttemptPhase(str, Enum):
-    """How far one attempt of an entry came."""
+    """How far one attempt of an entry came.
+
+    ``FAILED`` is an endpoint's own whole answer that says it failed.
+    """
 
     NOT_SENT = "not_sent"
     SENT = "sent"
     REFUSED = "refused"
+    FAILED = "failed"
     ANSWERED = "answered"
     CUT = "cut"
 
--- /dev/null
+++ b/src/tamaracktray/placement.py
@@ -0,0 +1,210 @@
+"""Which endpoint takes a call: room, weights, zones and distance.
+
+The decisions here answer an ordinary load near what the endpoints can bear. An endpoint
+holds as many calls as it works on at a time and never a queue of its own, since its
+queue cannot be reordered and is where latency objectives are missed.
+"""
+
+from collections.abc import Iterable, Mapping
+
+import msgspec
+
+from tamaracktray.budgets import PermitBucket
+from tamaracktray.calls import Call
+from tamaracktray.roster import EndpointRecord
+from tamaracktray.routes import Service
+
+# Time for which an endpoint that could not be reached gets nothing, in seconds; doubled
+# with every failure in a row.
+FIRST_BLOCK_S = 0.25
+MAX_BLOCK_S = 2.0
+
+# Time for which an endpoint that was full gets nothing, in seconds: about one pass.
+FULL_BLOCK_S = 0.05
+
+# Failures in a row after which an endpoint counts as unreachable or failing.
+FAILURES_TO_BLOCK = 2
+
+# What a peer said of its calls counts for this long, in seconds.
+PEER_COUNT_S = 1.0
+
+# Calls by which another availability zone or region must be emptier than the own one.
+ZONE_DISTANCE = 0.5
+REGION_DISTANCE = 1.0
+
+
+class EndpointLoad:
+    """What this process knows of the load and health of one endpoint.
+
+    ``in_flight`` counts the calls of this process. ``is_swapping`` tells that the
+    endpoint's agent has ordered it to load another version.
+    """
+
+    __slots__ = (
+        "_peer_counts",
+        "blocked_deadline",
+        "cold_budget",
+        "failures",
+        "in_flight",
+        "is_swapping",
+        "record",
+    )
+
+    def __init__(self, record: EndpointRecord) -> None:
+        self.record = record
+        self.in_flight = 0
+        self.failures = 0
+        self.blocked_deadline = 0.0
+        self.cold_budget: PermitBucket | None = None
+        self.is_swapping = False
+        self._peer_counts: dict[str, tuple[int, float]] = {}
+
+    def note_peer(self, now: float, peer: str, count: int) -> None:
+        """Take in how many calls a peer has at the endpoint."""
+        self._peer_counts[peer] = (count, now + PEER_COUNT_S)
+
+    def count_running(self, now: float) -> int:
+        """Return the calls of all processes at the endpoint."""
+        total = self.in_flight
+        for count, deadline in self._peer_counts.values():
+            if deadline > now:
+                total += count
+        return total
+
+    def note_sent(self, now: float) -> None:
+        """Count a call that is being sent."""
+        self.in_flight += 1
+        if self.cold_budget is not None:
+            self.cold_budget.take(now)
+
+    def note_ended(self) -> None:
+        """Count a call that has left the endpoint.
+
+        An endpoint that was born again starts at 0 while calls of its last life end.
+        """
+        self.in_flight = max(self.in_flight - 1, 0)
+
+    def note_success(self) -> None:
+        """Clear the failures after a good answer."""
+        self.failures = 0
+        self.blocked_deadline = 0.0
+
+    def note_failure(self, now: float) -> None:
+        """Avoid the endpoint for a while after failures in a row."""
+        self.failures += 1
+        if self.failures < FAILURES_TO_BLOCK:
+            return
+        exponent = min(self.failures - FAILURES_TO_BLOCK, 8)
+        block_s = min(FIRST_BLOCK_S * 2**exponent, MAX_BLOCK_S)
+        self.blocked_deadline = max(self.blocked_deadline, now + block_s)
+
+    def note_unreachable(self, now: float) -> None:
+        """Avoid an endpoint that does not take connections."""
+        self.failures = max(self.failures, FAILURES_TO_BLOCK - 1)
+        self.note_failure(now)
+
+    def note_full(self, now: float) -> None:
+        """Avoid an endpoint that had no room until a call may have ended there."""
+        self.blocked_deadline = max(self.blocked_deadline, now + FULL_BLOCK_S)
+
+    def has_cold_permit(self, now: float) -> bool:
+        """Tell whether the endpoint bears one more call this moment."""
+        return self.cold_budget is None or self.cold_budget.has_permit(now)
+
+
+class Surroundings(msgspec.Struct, frozen=True):
+    """What placing needs to know beside the endpoints' loads.
+
+    ``version_floor_by_model`` is the oldest version on which a call may begin.
+    """
+
+    zone: str
+    region_by_zone: Mapping[str, str]
+    evacuated_zones: frozenset[str]
+    services_by_name: Mapping[str, Service]
+    version_floor_by_model: Mapping[str, int]
+
+    @property
+    def region(self) -> str:
+        """Return the region of the own availability zone."""
+        return self.region_by_zone.get(self.zone, "")
+
+    def measure_distance(self, zone: str) -> float:
+        """Return the distance of an availability zone, in calls."""
+        if zone == self.zone:
+            return 0.0
+        if self.region_by_zone.get(zone, "") == self.region:
+            return ZONE_DISTANCE
+        return REGION_DISTANCE
+
+
+def is_eligible(call: Call, record: EndpointRecord, around: Surroundings) -> bool:
+    """Tell whether an endpoint may run a call at all."""
+    if record.service not in call.services or record.is_draining:
+        return False
+    if record.zone in around.evacuated_zones:
+        return False
+    if call.regions and around.region_by_zone.get(record.zone) not in call.regions:
+        return False
+    service = around.services_by_name.get(record.service)
+    if service is None:
+        return False
+    return _holds_model(call, record, service, around)
+
+
+def _holds_model(
+    call: Call, record: EndpointRecord, service: Service, around: Surroundings
+) -> bool:
+    if service.engine is None or not call.model:
+        return True
+    held = record.find_model(call.model)
+    if held is None or not held.is_whole(service.engine.layers):
+        return False
+    return held.version >= around.version_floor_by_model.get(call.model, 0)
+
+
+def count_room(load: EndpointLoad, now: float) -> int:
+    """Return how many more calls the endpoint can work on at once."""
+    if load.blocked_deadline > now or load.is_swapping:
+        return 0
+    if not load.has_cold_permit(now):
+        return 0
+    return max(load.record.max_batch - load.count_running(now), 0)
+
+
+def choose_endpoint(
+    now: float,
+    call: Call,
+    loads: Iterable[EndpointLoad],
+    around: Surroundings,
+    tried: set[str],
+) -> EndpointLoad | None:
+    """Return the emptiest near endpoint with room, or ``None``.
+
+    Endpoints of the service drawn for the call come first; those of the route's other
+    services take it only when the drawn one has none that may run it.
+    """
+    eligible = [
+        load
+        for load in loads
+        if load.record.id not in tried and is_eligible(call, load.record, around)
+    ]
+    for service in call.services:
+        candidates = [load for load in eligible if load.record.service == service]
+        if candidates:
+            return _choose_emptiest(now, candidates, around)
+    return None
+
+
+def _choose_emptiest(
+    now: float, candidates: list[EndpointLoad], around: Surroundings
+) -> EndpointLoad | None:
+    best: EndpointLoad | None = None
+    best_cost = 0.0
+    for load in candidates:
+        if not count_room(load, now):
+            continue
+        cost = load.count_running(now) + around.measure_distance(load.record.zone)
+        if best is None or cost < best_cost:
+            best, best_cost = load, cost
+    return best
--- /dev/null
+++ b/src/tamaracktray/platform/deployment.py
@@ -0,0 +1,36 @@
+"""Opens the platform's store, engines and origin."""
+
+from typing_extensions import override
+
+from tamaracktray.deployment import Deployment
+from tamaracktray.engines import StagingEngine, VersionOrigin
+from tamaracktray.objects import ObjectStore
+from tamaracktray.platform.engine import PlatformEngine, PlatformOrigin
+from tamaracktray.platform.store import PlatformStore
+from tamaracktray.platform.wire import PlatformWire
+from tamaracktray.protocol import RequestProtocol
+from tamaracktray.types import Address
+
+
+class PlatformDeployment(Deployment):
+    """The users' platform."""
+
+    def __init__(self) -> None:
+        self._protocol = PlatformWire()
+
+    @property
+    @override
+    def protocol(self) -> RequestProtocol:
+        return self._protocol
+
+    @override
+    def open_store(self, address: Address, timeout_s: float) -> ObjectStore:
+        return PlatformStore(address, timeout_s=timeout_s)
+
+    @override
+    def open_engine(self, address: Address) -> StagingEngine:
+        return PlatformEngine(address)
+
+    @override
+    def open_origin(self, address: Address) -> VersionOrigin:
+        return PlatformOrigin(address)
--- /dev/null
+++ b/src/tamaracktray/platform/engine.py
@@ -0,0 +1,165 @@
+"""Calls to the platform's model engines and to its origin of weights."""
+
+import msgspec
+from returns.result import Failure, Result, Success
+from typing_extensions import override
+
+from tamaracktray.engines import (
+    EngineReport,
+    OrderOutcome,
+    StagingEngine,
+    StartOrder,
+    VersionOrigin,
+)
+from tamaracktray.exceptions import TransportError, WeightError
+from tamaracktray.exchange import fetch
+from tamaracktray.http import Headers, Reply
+from tamaracktray.platform.documents import read_manifest, read_report
+from tamaracktray.types import Address
+from tamaracktray.weights import MAX_CHUNK_BYTES, Manifest
+
+JSON: Headers = [("content-type", "application/json")]
+OCTETS: Headers = [("content-type", "application/octet-stream")]
+
+# Calls to the engine on the own instance, in seconds.
+LOCAL_TIMEOUT_S = 1.0
+
+# A chunk crosses a link that other chunks and live answers share, in seconds.
+CHUNK_TIMEOUT_S = 4.0
+
+# Loads after what is running instead of cutting it.
+WAIT_FOR_RUNNING = "wait"
+
+OUTCOME_BY_STATUS = {
+    200: OrderOutcome.IN_EFFECT,
+    202: OrderOutcome.BEGUN,
+    409: OrderOutcome.CONFLICT,
+    412: OrderOutcome.FENCED,
+}
+
+
+class PlatformEngine(StagingEngine):
+    """Reaches the model engine on the own instance."""
+
+    __slots__ = ("_address",)
+
+    def __init__(self, address: Address) -> None:
+        self._address = address
+
+    @override
+    async def read_report(self) -> Result[EngineReport, TransportError]:
+        reply = await fetch(self._address, "GET", "/report", timeout_s=LOCAL_TIMEOUT_S)
+        if isinstance(reply, Failure):
+            return reply
+        answer = reply.unwrap()
+        try:
+            return Success(read_report(answer.body))
+        except msgspec.DecodeError as error:
+            message = f"unreadable report ({answer.status}): {error}"
+            return Failure(TransportError(message, sent=True))
+
+    @override
+    async def list_staged(self, model: str) -> Result[list[int], WeightError]:
+        reply = await self._call("GET", f"/stage-get/{model}")
+        if isinstance(reply, Failure):
+            return reply
+        try:
+            held = msgspec.json.decode(reply.unwrap().body, type=dict[str, list[int]])
+        except msgspec.DecodeError as error:
+            return Failure(WeightError(f"unreadable list of staged chunks: {error}"))
+        return Success(held.get("held", []))
+
+    @override
+    async def read_chunk(self, model: str, index: int) -> Result[bytes, WeightError]:
+        # The platform calls the position of a chunk its quantity.
+        reply = await self._call("GET", f"/stage-get/{model}?quantity={index}")
+        return reply.map(lambda answer: answer.body)
+
+    @override
+    async def write_chunk(
+        self, model: str, index: int, data: bytes
+    ) -> Result[None, WeightError]:
+        target = f"/stage-put/{model}?quantity={index}"
+        return (await self._call("PUT", target, data)).map(lambda _: None)
+
+    @override
+    async def start(self, order: StartOrder) -> Result[OrderOutcome, TransportError]:
+        document = {
+            "op": "start",
+            "model": order.model,
+            "version": order.version,
+            "switchMode": WAIT_FOR_RUNNING,
+            "precondition": order.sequence,
+            "fencingToken": order.fence,
+        }
+        body = msgspec.json.encode(document)
+        reply = await fetch(
+            self._address, "POST", "/order", JSON, body, timeout_s=LOCAL_TIMEOUT_S
+        )
+        return reply.map(
+            lambda answer: OUTCOME_BY_STATUS.get(answer.status, OrderOutcome.REFUSED)
+        )
+
+    async def _call(
+        self, method: str, target: str, body: bytes = b""
+    ) -> Result[Reply, WeightError]:
+        reply = await fetch(
+            self._address,
+            method,
+            target,
+            OCTETS if body else None,
+            body,
+            timeout_s=LOCAL_TIMEOUT_S,
+            max_bytes=MAX_CHUNK_BYTES,
+        )
+        return _check(reply, f"{method} {target}")
+
+
+class PlatformOrigin(VersionOrigin):
+    """Reaches the origin of weights."""
+
+    __slots__ = ("_address",)
+
+    def __init__(self, address: Address) -> None:
+        self._address = address
+
+    @override
+    async def read_manifest(
+        self, model: str, version: int
+    ) -> Result[Manifest, WeightError]:
+        reply = await self._call(f"/manifest/{model}?version={version}")
+        if isinstance(reply, Failure):
+            return reply
+        try:
+            chunk_bytes, digests = read_manifest(reply.unwrap().body)
+        except (msgspec.DecodeError, UnicodeDecodeError) as error:
+            return Failure(WeightError(f"unreadable manifest: {error}"))
+        return Success(Manifest(chunk_bytes, chunk_bytes * len(digests), digests))
+
+    @override
+    async def read_chunk(
+        self, model: str, version: int, index: int
+    ) -> Result[bytes, WeightError]:
+        target = f"/piece/{model}?quantity={index}&version={version}"
+        return (await self._call(target)).map(lambda answer: answer.body)
+
+    async def _call(self, target: str) -> Result[Reply, WeightError]:
+        reply = await fetch(
+            self._address,
+            "GET",
+            target,
+            timeout_s=CHUNK_TIMEOUT_S,
+            max_bytes=MAX_CHUNK_BYTES,
+        )
+        return _check(reply, f"GET {target}")
+
+
+def _check(
+    reply: Result[Reply, TransportError], call: str
+) -> Result[Reply, WeightError]:
+    if isinstance(reply, Failure):
+        return Failure(WeightError(f"{call}: {reply.failure().message}"))
+    answer = reply.unwrap()
+    if answer.status != 200:
+        return Failure(WeightError(f"{call}: answered {answer.status}"))
+    return Success(answer)
--- /dev/null
+++ b/src/tamaracktray/platform/store.py
@@ -0,0 +1,244 @@
+"""Client of the platform's metadata store."""
+
+from typing import Any
+
+import msgspec
+import structlog
+from returns.result import Failure, Result, Success
+from typing_extensions import override
+
+from tamaracktray.exceptions import (
+    ConflictError,
+    ObjectNotFoundError,
+    PlatformError,
+    PlatformUnavailableError,
+    RevisionExpiredError,
+    UnclearWriteError,
+)
+from tamaracktray.exchange import fetch
+from tamaracktray.http import Headers, Reply
+from tamaracktray.objects import ObjectList, ObjectStore, StoredObject
+from tamaracktray.platform.documents import (
+    Reader,
+    as_is,
+    read_configuration,
+    read_endpoint,
+    read_evacuation,
+    read_version,
+)
+from tamaracktray.snapshots import Collection
+from tamaracktray.types import Address
+
+JSON: Headers = [("content-type", "application/json")]
+MAX_ANSWER_BYTES = 16 * 1_048_576
+MS_PER_S = 1_000.0
+
+# The platform lists about 500 objects a page; a longer walk means a faulty answer.
+MAX_PAGES = 64
+
+# Time beyond a watch's own wait in which its answer must arrive, in seconds.
+WATCH_GRACE_S = 3.0
+
+KIND_BY_COLLECTION = {
+    Collection.ROUTING: "config",
+    Collection.ENDPOINTS: "servers",
+    Collection.EVACUATIONS: "evacuations",
+    Collection.VERSIONS: "versions",
+    Collection.MEMBERS: "members",
+}
+
+READER_BY_COLLECTION: dict[str, Reader] = {
+    Collection.ROUTING: read_configuration,
+    Collection.ENDPOINTS: read_endpoint,
+    Collection.EVACUATIONS: read_evacuation,
+    Collection.VERSIONS: read_version,
+    Collection.MEMBERS: as_is,
+}
+
+
+class _Metadata(msgspec.Struct, frozen=True):
+    name: str
+    revision: int = 0
+
+
+class _Object(msgspec.Struct, frozen=True):
+    metadata: _Metadata
+    spec: Any = None
+
+
+class _Page(msgspec.Struct, frozen=True, rename="camel"):
+    items: list[_Object]
+    store_revision: int
+    has_more: bool = False
+
+
+class _Event(msgspec.Struct, frozen=True):
+    object: _Object
+    removed: bool = False
+
+
+class _Events(msgspec.Struct, frozen=True, rename="camel"):
+    events: list[_Event]
+    store_revision: int
+
+
+class PlatformStore(ObjectStore):
+    """Reads and writes the platform's objects; values are the product's types.
+
+    An object that cannot be read has the value ``None``.
+    """
+
+    __slots__ = ("_address", "_timeout_s", "calls")
+
+    def __init__(self, address: Address, *, timeout_s: float) -> None:
+        self._address = address
+        self._timeout_s = timeout_s
+        self.calls = 0
+
+    @override
+    async def get(
+        self, collection: str, name: str
+    ) -> Result[StoredObject, PlatformError]:
+        reply = await self._call("GET", f"{_path(collection)}/{name}")
+        return reply.bind(lambda answer: _decode(answer, _Object)).map(
+            lambda item: _translate(collection, item)
+        )
+
+    @override
+    async def list(self, collection: str) -> Result[ObjectList, PlatformError]:
+        items: list[StoredObject] = []
+        revision = 0
+        query = ""
+        for _ in range(MAX_PAGES):
+            reply = await self._call("GET", _path(collection) + query)
+            decoded = reply.bind(lambda answer: _decode(answer, _Page))
+            if isinstance(decoded, Failure):
+                return decoded
+            page: _Page = decoded.unwrap()
+            # Changes between two pages arrive again with the watch that follows.
+            revision = revision or page.store_revision
+            items.extend(_translate(collection, item) for item in page.items)
+            if not page.has_more or not page.items:
+                return Success(ObjectList(revision, items))
+            # The platform continues after a name, whatever this parameter is called.
+            query = f"?sinceRevision={page.items[-1].metadata.name}"
+        return Failure(PlatformUnavailableError(f"{collection}: the list has no end"))
+
+    @override
+    async def put(
+        self, collection: str, name: str, value: Any, version: int, writer: str
+    ) -> Result[StoredObject, PlatformError]:
+        metadata: dict[str, Any] = {"name": name}
+        method, target = "POST", _path(collection)
+        if version:
+            metadata["revision"] = version
+            method, target = "PUT", f"{_path(collection)}/{name}"
+        body = msgspec.json.encode({"metadata": metadata, "spec": value})
+        reply = await self._call(method, target, body)
+        return reply.bind(lambda answer: _decode(answer, _Object)).map(
+            lambda item: _translate(collection, item)
+        )
+
+    @override
+    async def delete(
+        self, collection: str, name: str, version: int, writer: str
+    ) -> Result[int, PlatformError]:
+        target = f"{_path(collection)}/{name}?revision={version}"
+        reply = await self._call("DELETE", target)
+        return reply.map(lambda _: version)
+
+    @override
+    async def watch(
+        self, collection: str, revision: int, timeout_s: float
+    ) -> Result[ObjectList, PlatformError]:
+        wait_ms = int(timeout_s * MS_PER_S)
+        target = f"{_path(collection)}?watch={revision}&waitMs={wait_ms}"
+        reply = await self._call("GET", target, timeout_s=timeout_s + WATCH_GRACE_S)
+        decoded = reply.bind(lambda answer: _decode(answer, _Events))
+        return decoded.map(lambda answer: _read_events(collection, answer))
+
+    async def _call(
+        self,
+        method: str,
+        target: str,
+        body: bytes = b"",
+        timeout_s: float | None = None,
+    ) -> Result[Reply, PlatformError]:
+        self.calls += 1
+        reply = await fetch(
+            self._address,
+            method,
+            target,
+            JSON,
+            body,
+            timeout_s=timeout_s or self._timeout_s,
+            max_bytes=MAX_ANSWER_BYTES,
+        )
+        if isinstance(reply, Failure):
+            error = reply.failure()
+            if error.sent and method != "GET":
+                return Failure(UnclearWriteError(error.message))
+            return Failure(PlatformUnavailableError(error.message))
+        answer = reply.unwrap()
+        if answer.status >= 300:
+            return Failure(_classify(method, target, answer))
+        return Success(answer)
+
+
+def _path(collection: str) -> str:
+    return f"/objects/{KIND_BY_COLLECTION[Collection(collection)]}"
+
+
+def _classify(method: str, target: str, answer: Reply) -> PlatformError:
+    message = f"{method} {target}: {answer.status}"
+    if answer.status == 404:
+        return ObjectNotFoundError(message)
+    if answer.status == 409:
+        return ConflictError(message, current_version=_read_version(answer.body))
+    if answer.status == 410:
+        return RevisionExpiredError(message)
+    # The platform promises that a call which it answers by 429 or 503 did nothing.
+    return PlatformUnavailableError(message)
+
+
+def _read_version(body: bytes) -> int | None:
+    try:
+        return msgspec.json.decode(body, type=_Object).metadata.revision
+    except msgspec.DecodeError:
+        return None
+
+
+def _decode(answer: Reply, document: type) -> Result[Any, PlatformError]:
+    try:
+        return Success(msgspec.json.decode(answer.body, type=document))
+    except msgspec.DecodeError as error:
+        return Failure(PlatformUnavailableError(f"unreadable answer: {error}"))
+
+
+def _translate(
+    collection: str, item: _Object, *, is_removed: bool = False
+) -> StoredObject:
+    metadata = item.metadata
+    value = None
+    if not is_removed:
+        value = _read_value(collection, metadata.name, item.spec)
+    return StoredObject(metadata.name, metadata.revision, value, deleted=is_removed)
+
+
+def _read_value(collection: str, name: str, spec: Any) -> Any:
+    """Return the translated document, or ``None`` with a log line if unreadable."""
+    try:
+        return READER_BY_COLLECTION[collection](name, spec)
+    except (msgspec.ValidationError, ValueError) as error:
+        structlog.get_logger().warning(
+            "object unreadable", collection=collection, name=name, error=str(error)
+        )
+        return None
+
+
+def _read_events(collection: str, answer: _Events) -> ObjectList:
+    items = [
+        _translate(collection, event.object, is_removed=event.removed)
+        for event in answer.events
+    ]
+    return ObjectList(answer.store_revision, items)
--- /dev/null
+++ b/src/tamaracktray/platform/wire.py
@@ -0,0 +1,149 @@
+"""The platform's headers on requests and answers."""
+
+from typing_extensions import override
+
+from tamaracktray.http import RawHeaders, Request
+from tamaracktray.protocol import (
+    AnswerFields,
+    AttemptFields,
+    CallerFields,
+    RequestProtocol,
+)
+
+REQUEST_ID = "x-tamaracktray-request-id"
+# Milliseconds that the sender waits, not a point in time.
+DEADLINE_MS = "x-tamaracktray-deadline-ms"
+# ID:TOKENS pairs separated by commas; a list of the prompt's parts, not a hash.
+PROMPT_PARTS = "x-tamaracktray-prefix-hash"
+MODEL = "x-tamaracktray-model"
+# Prompt tokens and the most output tokens: what is asked for, not what was used.
+TOKEN_COUNTS = "x-tamaracktray-token-usage"
+OUTPUT_ESTIMATE = "x-tamaracktray-length-hint"
+SIGNATURE = "x-tamaracktray-server-signature"
+TENANT = "x-tamaracktray-tenant"
+EXPECTED_ENDPOINT = "x-tamaracktray-expect-instance"
+EXPECTED_VERSION = "x-tamaracktray-expect-version"
+URGENCY = "x-tamaracktray-request-priority"
+NOT_RUN = "x-tamaracktray-not-executed"
+# A single version number of the weights.
+VERSION = "x-tamaracktray-weight-versions"
+LAST_EVENT_ID = "last-event-id"
+AUTHORIZATION = "authorization"
+KEY_SCHEME = "token "
+ENDPOINT_PATH = "path"
+
+# The status of an endpoint that is not the expected one, or not of that version.
+MISDIRECTED = 421
+
+MS_PER_S = 1_000.0
+
+HOP_HEADERS = frozenset(
+    {
+        "connection",
+        "content-length",
+        "expect",
+        "keep-alive",
+        "proxy-authenticate",
+        "proxy-authorization",
+        "proxy-connection",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+    }
+)
+
+# Headers that only this system may set; what a caller sends under them is dropped.
+OWN_HEADERS = frozenset(
+    {
+        AUTHORIZATION,
+        DEADLINE_MS,
+        ENDPOINT_PATH,
+        EXPECTED_ENDPOINT,
+        EXPECTED_VERSION,
+        LAST_EVENT_ID,
+        TENANT,
+        URGENCY,
+    }
+)
+
+
+class PlatformWire(RequestProtocol):
+    """Speaks the platform's headers."""
+
+    @override
+    def read_caller(self, request: Request) -> CallerFields:
+        headers = request.headers
+        authorization = headers.get(AUTHORIZATION, "")
+        key = ""
+        if authorization[: len(KEY_SCHEME)].lower() == KEY_SCHEME:
+            key = authorization[len(KEY_SCHEME) :].strip()
+        wait_ms = _read_int(headers.get(DEADLINE_MS, ""))
+        prompt_tokens, _, max_output = headers.get(TOKEN_COUNTS, "").partition(",")
+        parts = headers.get(PROMPT_PARTS, "")
+        return CallerFields(
+            headers.get(REQUEST_ID, ""),
+            key,
+            None if wait_ms is None else wait_ms / MS_PER_S,
+            headers.get(MODEL, ""),
+            _read_int(prompt_tokens) or 0,
+            _read_int(max_output) or 0,
+            _read_int(headers.get(OUTPUT_ESTIMATE, "")) or 0,
+            parts.rpartition(",")[2].partition(":")[0].strip(),
+            headers.get(LAST_EVENT_ID, ""),
+        )
+
+    @override
+    def build_attempt(self, request: Request, fields: AttemptFields) -> RawHeaders:
+        listed = _list_connection_headers(request.headers)
+        headers: RawHeaders = []
+        for name, value in request.raw_headers:
+            text = name.decode("ascii").lower()
+            if text in HOP_HEADERS or text in OWN_HEADERS or text in listed:
+                continue
+            headers.append((name, value))
+        wait_ms = max(int(fields.time_left_s * MS_PER_S), 1)
+        added = [(DEADLINE_MS, str(wait_ms)), (EXPECTED_ENDPOINT, fields.endpoint_id)]
+        if fields.team:
+            added.append((TENANT, fields.team))
+        if fields.version:
+            added.append((EXPECTED_VERSION, str(fields.version)))
+        if fields.urgency is not None:
+            added.append((URGENCY, str(fields.urgency)))
+        if fields.last_event_id:
+            added.append((LAST_EVENT_ID, fields.last_event_id))
+        headers.extend(
+            (name.encode(), value.encode("latin-1")) for name, value in added
+        )
+        return headers
+
+    @override
+    def read_answer(self, headers: dict[str, str]) -> AnswerFields:
+        return AnswerFields(
+            headers.get(REQUEST_ID, ""),
+            NOT_RUN in headers,
+            SIGNATURE in headers,
+            _read_int(headers.get(VERSION, "")) or 0,
+        )
+
+    @override
+    def select_answer(self, headers: RawHeaders) -> RawHeaders:
+        selected: RawHeaders = []
+        for name, value in headers:
+            if name.decode("ascii").lower() in HOP_HEADERS:
+                continue
+            selected.append((name, value))
+        return selected
+
+
+def _list_connection_headers(headers: dict[str, str]) -> set[str]:
+    """Return the headers that the caller named as concerning its connection only."""
+    value = headers.get("connection", "")
+    return {part.strip().lower() for part in value.split(",") if part.strip()}
+
+
+def _read_int(text: str) -> int | None:
+    text = text.strip()
+    if not text.isascii() or not text.isdigit():
+        return None
+    return int(text)
--- a/src/tamaracktray/sections.py
+++ b/src/tamaracktray/sections.py
@@ -15,30 +15,33 @@
 UNIT = "unit"
 
 
-def _meta(description: str, unit: str = "", **bounds: Any) -> Meta:
+def meta(description: str, unit: str = "", **bounds: Any) -> Meta:
+    """Describe a setting for messages and the reference page."""
     return Meta(description=description, extra={UNIT: unit}, **bounds)
 
 
-def _seconds(description: str, low: float, high: float) -> Meta:
-    return _meta(description, "seconds", ge=low, le=high)
+def seconds_meta(description: str, low: float, high: float) -> Meta:
+    """Describe a time in seconds."""
+    return meta(description, "seconds", ge=low, le=high)
 
 
-def _count(description: str, unit: str, low: int, high: int) -> Meta:
-    return _meta(description, unit, ge=low, le=high)
+def count_meta(description: str, unit: str, low: int, high: int) -> Meta:
+    """Describe a number of ``unit``."""
+    return meta(description, unit, ge=low, le=high)
 
 
 class NodeSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """The process and its addresses."""
 
-    role: Annotated[Role, _meta("What the process does.")]
-    name: Annotated[str, _meta("Unique name of the process.", pattern=NAME)]
-    zone: Annotated[str, _meta("Availability zone of the instance.", pattern=NAME)]
-    region: Annotated[str, _meta("Region of the availability zone.", pattern=NAME)]
+    role: Annotated[Role, meta("What the process does.")]
+    name: Annotated[str, meta("Unique name of the process.", pattern=NAME)]
+    zone: Annotated[str, meta("Availability zone of the instance.", pattern=NAME)]
+    region: Annotated[str, meta("Region of the availability zone.", pattern=NAME)]
     listen: Annotated[
-        str, _meta("Address for requests and chunks.", "IP:port", pattern=ADDRESS)
+        str, meta("Address for requests and chunks.", "IP:port", pattern=ADDRESS)
     ]
     control: Annotated[
-        str, _meta("Address for gRPC between processes.", "IP:port", pattern=ADDRESS)
+        str, meta("Address for gRPC between processes.", "IP:port", pattern=ADDRESS)
     ]
 
 
@@ -46,19 +49,21 @@
     """The platform's services."""
 
     object_api: Annotated[
-        str, _meta("Address of the object API.", "IP:port", pattern=ADDRESS)
+        str, meta("Address of the object API.", "IP:port", pattern=ADDRESS)
     ]
     instance_list: Annotated[
-        str, _meta("Address of the instance list.", "IP:port", pattern=ADDRESS)
+        str, meta("Address of the instance list.", "IP:port", pattern=ADDRESS)
     ]
-    token_file: Annotated[str, _meta("File with the bearer token.", "path")] = ""
+    token_file: Annotated[str, meta("File with the bearer token.", "path")] = ""
     token_variable: Annotated[
-        str, _meta("Environment variable with the bearer token.")
+        str, meta("Environment variable with the bearer token.")
     ] = ""
-    timeout_s: Annotated[float, _seconds("Longest call.", 0.1, 60.0)] = 2.0
-    watch_s: Annotated[float, _seconds("Mean time of one watch.", 1.0, 300.0)] = 10.0
+    timeout_s: Annotated[float, seconds_meta("Longest call.", 0.1, 60.0)] = 2.0
+    watch_s: Annotated[float, seconds_meta("Mean time of one watch.", 1.0, 300.0)] = (
+        10.0
+    )
     list_interval_s: Annotated[
-        float, _seconds("Time between reads of the instance list.", 0.2, 300.0)
+        float, seconds_meta("Time between reads of the instance list.", 0.2, 300.0)
     ] = 5.0
 
 
@@ -67,11 +72,11 @@
 
     listen: Annotated[
         str,
-        _meta("Address; empty for none.", "IP:port", pattern=ADDRESS_OR_EMPTY),
+        meta("Address; empty for none.", "IP:port", pattern=ADDRESS_OR_EMPTY),
     ] = ""
-    token_file: Annotated[str, _meta("File with the operators' token.", "path")] = ""
+    token_file: Annotated[str, meta("File with the operators' token.", "path")] = ""
     token_variable: Annotated[
-        str, _meta("Environment variable with the operators' token.")
+        str, meta("Environment variable with the operators' token.")
     ] = ""
 
 
@@ -80,56 +85,62 @@
 
     seeds: Annotated[
         str,
-        _meta(
+        meta(
             "Control addresses to ask at the start, when the platform is out.",
             "IP:port, separated by commas",
             pattern=ADDRESS_LIST,
         ),
     ] = ""
-    key_file: Annotated[str, _meta("File with the key shared by peers.", "path")] = ""
+    key_file: Annotated[str, meta("File with the key shared by peers.", "path")] = ""
     key_variable: Annotated[
-        str, _meta("Environment variable with the key shared by peers.")
+        str, meta("Environment variable with the key shared by peers.")
     ] = ""
     contact_s: Annotated[
         float,
-        _seconds("Time after which a silent platform and zone mean isolation.", 1, 60),
+        seconds_meta(
+            "Time after which a silent platform and zone mean isolation.", 1, 60
+        ),
     ] = 5.0
     quarantine_s: Annotated[
-        float, _seconds("Time for which a crash of an endpoint counts.", 1, 86_400)
+        float, seconds_meta("Time for which a crash of an endpoint counts.", 1, 86_400)
     ] = 300.0
 
 
 class EndpointSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """The endpoint beside an agent."""
 
-    kind: Annotated[TargetKind, _meta("Whether it serves a model or a service.")] = (
+    kind: Annotated[TargetKind, meta("Whether it serves a model or a service.")] = (
         TargetKind.MODEL
     )
-    serves: Annotated[str, _meta("Name of the model or service.")] = ""
+    serves: Annotated[str, meta("Name of the model or service.")] = ""
     address: Annotated[
-        str, _meta("Address of the endpoint.", "IP:port", pattern=ADDRESS_OR_EMPTY)
+        str, meta("Address of the endpoint.", "IP:port", pattern=ADDRESS_OR_EMPTY)
     ] = ""
     echoes_request_id: Annotated[
-        bool, _meta("Whether answers must repeat the request's x-request-id.")
+        bool, meta("Whether answers must repeat the request's x-request-id.")
     ] = True
     cold_limit: Annotated[
-        int, _count("Load that a cold endpoint bears.", "requests", 1, 1000)
+        int, count_meta("Load that a cold endpoint bears.", "requests", 1, 1000)
     ] = 2
     max_limit: Annotated[
-        int, _count("Load that a warm endpoint bears at most.", "requests", 1, 10_000)
+        int,
+        count_meta("Load that a warm endpoint bears at most.", "requests", 1, 10_000),
     ] = 32
     target_s: Annotated[
-        float, _seconds("Longest healthy time to the first byte.", 0.01, 600)
+        float, seconds_meta("Longest healthy time to the first byte.", 0.01, 600)
     ] = 1.3
     jump_factor: Annotated[
-        float, _meta("Multiple of the usual time that means cold.", ge=1.5, le=100)
+        float, meta("Multiple of the usual time that means cold.", ge=1.5, le=100)
     ] = 4.0
     warm_proofs: Annotated[
-        int, _count("Healthy answers that make a cold one warm.", "answers", 1, 1000)
+        int,
+        count_meta("Healthy answers that make a cold one warm.", "answers", 1, 1000),
     ] = 8
-    queue_limit: Annotated[int, _count("Longest queue.", "requests", 0, 10_000)] = 32
+    queue_limit: Annotated[int, count_meta("Longest queue.", "requests", 0, 10_000)] = (
+        32
+    )
     status_interval_s: Annotated[
-        float, _seconds("Time between reads of the engine's status.", 0.05, 60)
+        float, seconds_meta("Time between reads of the engine's status.", 0.05, 60)
     ] = 1.0
 
 
@@ -137,23 +148,25 @@
     """Transfer of weights and rollout slots."""
 
     origin: Annotated[
-        str, _meta("Address of the origin.", "IP:port", pattern=ADDRESS_OR_EMPTY)
+        str, meta("Address of the origin.", "IP:port", pattern=ADDRESS_OR_EMPTY)
     ] = ""
     chunk_timeout_s: Annotated[
-        float, _seconds("Longest fetch of one chunk.", 0.1, 600)
+        float, seconds_meta("Longest fetch of one chunk.", 0.1, 600)
     ] = 10.0
     takeover_s: Annotated[
-        float, _seconds("Time after which the next in rank takes over.", 0.1, 600)
+        float, seconds_meta("Time after which the next in rank takes over.", 0.1, 600)
     ] = 5.0
     cross_region_bytes_s: Annotated[
         int,
-        _count(
+        count_meta(
             "Rate for weights from other regions; 0 is unlimited.", "B/s", 0, 10**12
         ),
     ] = 0
-    lease_s: Annotated[float, _seconds("Lease of a rollout slot.", 1, 86_400)] = 120.0
+    lease_s: Annotated[float, seconds_meta("Lease of a rollout slot.", 1, 86_400)] = (
+        120.0
+    )
     load_timeout_s: Annotated[
-        float, _seconds("Longest load of a version.", 1, 86_400)
+        float, seconds_meta("Longest load of a version.", 1, 86_400)
     ] = 60.0
 
 
@@ -161,49 +174,50 @@
     """Bounds on callers' requests."""
 
     max_header_bytes: Annotated[
-        int, _count("Largest header.", "bytes", 1_024, 1_048_576)
+        int, count_meta("Largest header.", "bytes", 1_024, 1_048_576)
     ] = 16_384
     max_body_bytes: Annotated[
-        int, _count("Largest body.", "bytes", 1_024, 64 * 1_048_576)
+        int, count_meta("Largest body.", "bytes", 1_024, 64 * 1_048_576)
     ] = 1_048_576
     idle_timeout_s: Annotated[
-        float, _seconds("Longest wait for a request on a connection.", 0.1, 3_600)
+        float, seconds_meta("Longest wait for a request on a connection.", 0.1, 3_600)
     ] = 30.0
     receive_timeout_s: Annotated[
-        float, _seconds("Longest arrival of one request.", 0.1, 600)
+        float, seconds_meta("Longest arrival of one request.", 0.1, 600)
     ] = 10.0
     send_timeout_s: Annotated[
-        float, _seconds("Longest write of a part of an answer.", 0.1, 600)
+        float, seconds_meta("Longest write of a part of an answer.", 0.1, 600)
     ] = 10.0
     deadline_s: Annotated[
-        float, _seconds("Deadline of a request that names none.", 0.1, 3_600)
+        float, seconds_meta("Deadline of a request that names none.", 0.1, 3_600)
     ] = 30.0
     max_deadline_s: Annotated[
-        float, _seconds("Latest deadline a request may name.", 0.1, 3_600)
+        float, seconds_meta("Latest deadline a request may name.", 0.1, 3_600)
     ] = 300.0
-    stall_s: Annotated[float, _seconds("Longest pause within an answer.", 0.1, 600)] = (
-        10.0
-    )
+    stall_s: Annotated[
+        float, seconds_meta("Longest pause within an answer.", 0.1, 600)
+    ] = 10.0
     claim_margin_s: Annotated[
-        float, _seconds("Lease of a key beyond the request's deadline.", 0.1, 600)
+        float, seconds_meta("Lease of a key beyond the request's deadline.", 0.1, 600)
     ] = 5.0
     acknowledge_s: Annotated[
-        float, _seconds("Longest silence of an agent after an attempt.", 0.05, 60)
+        float, seconds_meta("Longest silence of an agent after an attempt.", 0.05, 60)
     ] = 1.0
     key_retention_s: Annotated[
-        float, _seconds("Time for which an idempotency key is kept.", 60, 30 * 86_400)
+        float,
+        seconds_meta("Time for which an idempotency key is kept.", 60, 30 * 86_400),
     ] = 86_400.0
 
 
 class TelemetrySettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """Logs, metrics and traces."""
 
-    log_level: Annotated[str, _meta("debug to error.", pattern=LEVEL)] = "info"
+    log_level: Annotated[str, meta("debug to error.", pattern=LEVEL)] = "info"
     statsd: Annotated[
         str,
-        _meta("Address of the statsd server.", "IP:port", pattern=ADDRESS_OR_EMPTY),
+        meta("Address of the statsd server.", "IP:port", pattern=ADDRESS_OR_EMPTY),
     ] = ""
-    statsd_prefix: Annotated[str, _meta("Prefix of all metrics.")] = "tamaracktray"
+    statsd_prefix: Annotated[str, meta("Prefix of all metrics.")] = "tamaracktray"
     trace_file: Annotated[
-        str, _meta("File for spans as JSON lines; empty for none.", "path")
+        str, meta("File for spans as JSON lines; empty for none.", "path")
     ] = ""
--- a/src/tamaracktray/settings.py
+++ b/src/tamaracktray/settings.py
@@ -106,6 +106,24 @@
 
     The error names the file, the section, the key and what is accepted.
     """
+    return read_sections(path, SECTIONS).bind(
+        lambda sections: _read_secrets(path, Settings(**sections)).bind(
+            lambda settings: _check_combination(path, settings)
+        )
+    )
+
+
+def read_sections(
+    path: Path,
+    types_by_section: dict[str, type[msgspec.Struct]],
+    *,
+    is_empty_default: bool = False,
+) -> Result[dict[str, Any], SettingsError]:
+    """Read and check the sections of an INI file.
+
+    With ``is_empty_default`` a key without a value takes its default, as in a file that
+    was made from a template.
+    """
     parser = configparser.ConfigParser(interpolation=None)
     try:
         parser.read_string(path.read_text("utf-8"), source=str(path))
@@ -113,21 +131,21 @@
         return Failure(SettingsError(f"{path}: cannot read the file: {error}"))
     except configparser.Error as error:
         return Failure(SettingsError(f"{path}: {error.message}"))
-    unknown = [name for name in parser.sections() if name not in SECTIONS]
+    unknown = [name for name in parser.sections() if name not in types_by_section]
     if unknown:
-        accepted = ", ".join(SECTIONS)
+        accepted = ", ".join(types_by_section)
         message = f"{path}: [{unknown[0]}]: unknown section; accepted: {accepted}"
         return Failure(SettingsError(message))
     sections: dict[str, msgspec.Struct] = {}
-    for name, section_type in SECTIONS.items():
+    for name, section_type in types_by_section.items():
         values = dict(parser[name]) if parser.has_section(name) else {}
+        if is_empty_default:
+            values = {key: value for key, value in values.items() if value}
         converted = _convert_section(path, name, section_type, values)
         if isinstance(converted, Failure):
             return converted
         sections[name] = converted.unwrap()
-    return _read_secrets(path, Settings(**sections)).bind(
-        lambda settings: _check_combination(path, settings)
-    )
+    return Success(sections)
 
 
 def describe_section(section_type: type[msgspec.Struct]) -> list[FieldInfo]:
--- a/src/tamaracktray/shell.py
+++ b/src/tamaracktray/shell.py
@@ -4,19 +4,14 @@
 ``AgentShell`` add what is particular to each role.
 """
 
-import random
-import secrets
-import signal
-import socket as socket_module
 import time
-from abc import ABC, abstractmethod
+from abc import abstractmethod
 from collections.abc import Awaitable, Callable
 from pathlib import Path
-from typing import Any
 
 import curio
-import structlog
 from returns.result import Failure
+from typing_extensions import override
 
 from tamaracktray import headers as names
 from tamaracktray.control import ControlClient, ControlServer, ControlSnapshot
@@ -33,15 +28,15 @@
     InstancesListed,
     ObjectsReceived,
     PeerHeard,
-    ShutdownRequested,
     Tick,
 )
-from tamaracktray.exceptions import InvariantError, PlatformError, RevisionExpiredError
-from tamaracktray.http import Headers, HttpServer
+from tamaracktray.exceptions import PlatformError, RevisionExpiredError
+from tamaracktray.http import Headers
 from tamaracktray.instances import InstanceList
 from tamaracktray.metrics import Metrics, NullMetrics, StatsdMetrics
 from tamaracktray.objects import CONFIGURATION, ObjectList, ObjectStore, StoredObject
 from tamaracktray.resources import Resource, decode_resource
+from tamaracktray.runtime import MAX_EXIT_WAIT_S, Runtime
 from tamaracktray.settings import Settings
 from tamaracktray.tracing import FileTracer, NullTracer, Tracer
 from tamaracktray.types import Address, Instance
@@ -50,8 +45,6 @@
 RETRY_MIN_S = 0.2
 RETRY_MAX_S = 2.0
 JITTER = 0.3
-MAX_EXIT_WAIT_S = 10.0
-EXIT_BROKEN = 1
 
 
 def decode_objects(items: list[StoredObject]) -> list[Resource]:
@@ -69,12 +62,13 @@
     return resources
 
 
-class Shell(ABC):
+class Shell(Runtime):
     """Runs one process."""
 
     def __init__(
         self, settings: Settings, store: ObjectStore, instance_list: InstanceList
     ) -> None:
+        super().__init__(build_metrics(settings))
         node = settings.node
         self.settings = settings
         self.store = store
@@ -89,71 +83,45 @@
         )
         peers = settings.peers
         self.state = ProcessState(self.own, peers.contact_s, peers.quarantine_s)
-        self.log = structlog.get_logger()
-        self.metrics = _build_metrics(settings)
-        self.tracer = _build_tracer(settings)
+        self.tracer = build_tracer(settings)
         self.durable_writes = 0
-        self.exit_code = 0
         self._exit_deadline = 0.0
         self._instance_list = instance_list
-        self._random = random.Random(secrets.randbits(64))
-        self._done = curio.Event()
         self._peers_in_exchange: set[str] = set()
         self._control = ControlServer(
             self.own.control, settings.peer_key, self._build_snapshot()
         )
         self._client = ControlClient(settings.peer_key)
-        self._performers: dict[type[Effect], Callable[[Any], Awaitable[None]]] = {
-            PublishConfiguration: self._publish,
-            ExchangeWithPeer: self._start_exchange,
-            Exit: self._exit,
-            ProbePlatform: self._start_probe,
-        }
+        self.add_performer(PublishConfiguration, self._publish)
+        self.add_performer(ExchangeWithPeer, self._start_exchange)
+        self.add_performer(ProbePlatform, self._start_probe)
 
     @abstractmethod
-    def build_servers(self) -> list[HttpServer]:
-        """Return the HTTP servers of the role."""
-
-    @abstractmethod
-    def list_loops(self) -> list[Callable[[], Awaitable[None]]]:
+    def list_role_loops(self) -> list[Callable[[], Awaitable[None]]]:
         """Return the endless tasks of the role."""
 
-    def add_performer(
-        self, effect_type: type[Effect], perform: Callable[[Any], Awaitable[None]]
-    ) -> None:
-        """Register what carries out one type of effect."""
-        self._performers[effect_type] = perform
-
-    async def dispatch(self, event: Event) -> None:
-        """Reduce an event and carry out its effects."""
+    @override
+    def reduce(self, event: Event) -> list[Effect]:
         self.state, effects = reduce(self.state, event)
-        for effect in effects:
-            await self._performers[type(effect)](effect)
-
-    async def spawn(self, function: Callable[..., Awaitable[None]], *args: Any) -> None:
-        """Run a task in the background; a broken invariant stops the process."""
-        await curio.spawn(self._guard, function, *args, daemon=True)
-
-    async def run(self) -> None:
-        """Serve until the process has been asked to stop and is idle."""
-        servers = self.build_servers()
-        for server in servers:
-            await server.open()
-        self._control.start()
-        await self._publish(PublishConfiguration())
-        loops = [
+        return effects
+
+    @override
+    def list_loops(self) -> list[Callable[[], Awaitable[None]]]:
+        return [
             self._run_ticks,
             self._run_watch,
             self._run_instances,
             self._run_inbox,
-            self._run_signals,
-            *self.list_loops(),
+            *self.list_role_loops(),
         ]
-        for loop in [*loops, *(server.serve for server in servers)]:
-            await curio.spawn(self._run_loop, loop, daemon=True)
-        self.log.info("started", role=self.own.role.value, zone=self.own.zone)
-        await self._done.wait()
-        self.log.info("stopped")
+
+    @override
+    async def prepare(self) -> None:
+        self._control.start()
+        await self._publish(PublishConfiguration())
+
+    @override
+    def close(self) -> None:
         self._control.stop()
         self._client.close()
         self.tracer.close()
@@ -186,32 +154,6 @@
             PeerHeard(time.monotonic(), name, zone, number, control=control)
         )
 
-    async def _run_loop(self, loop: Callable[[], Awaitable[None]]) -> None:
-        """Run an endless task; the process cannot do without any of them."""
-        try:
-            await loop()
-        except curio.CancelledError:
-            raise
-        except Exception:
-            self.log.exception("loop failed")
-            self.exit_code = EXIT_BROKEN
-            await self._done.set()
-
-    async def _guard(
-        self, function: Callable[..., Awaitable[None]], *args: Any
-    ) -> None:
-        try:
-            await function(*args)
-        except InvariantError:
-            self.log.exception("invariant broken")
-            self.exit_code = EXIT_BROKEN
-            await self._done.set()
-        except curio.CancelledError:
-            raise
-        except Exception:
-            self.metrics.count("task_failures")
-            self.log.exception("task failed")
-
     def _build_snapshot(self) -> ControlSnapshot:
         now = time.monotonic()
         return ControlSnapshot(
@@ -227,12 +169,13 @@
     async def _publish(self, effect: PublishConfiguration) -> None:
         self._control.snapshot = self._build_snapshot()
 
+    @override
     async def _exit(self, effect: Exit) -> None:
         now = time.monotonic()
         self._exit_deadline = self._exit_deadline or now + MAX_EXIT_WAIT_S
         if self.durable_writes and now < self._exit_deadline:
             return
-        await self._done.set()
+        await self.stop()
 
     async def _start_exchange(self, effect: ExchangeWithPeer) -> None:
         if effect.peer in self._peers_in_exchange:
@@ -259,7 +202,7 @@
     async def _run_ticks(self) -> None:
         while True:
             await curio.sleep(TICK_S)
-            draw = self._random.getrandbits(64)
+            draw = self.random.getrandbits(64)
             await self.dispatch(Tick(time.monotonic(), draw))
             self._control.snapshot = self._build_snapshot()
 
@@ -293,7 +236,7 @@
             self.metrics.count("platform_failures")
             if not self.state.configuration.revision:
                 await self._ask_seeds()
-            await curio.sleep(self._random.uniform(RETRY_MIN_S, RETRY_MAX_S))
+            await curio.sleep(self.random.uniform(RETRY_MIN_S, RETRY_MAX_S))
 
     async def _list_objects(self) -> PlatformError | None:
         listed = await self.store.list(CONFIGURATION)
@@ -304,7 +247,7 @@
 
     async def _watch_objects(self) -> PlatformError | None:
         mean_s = self.settings.platform.watch_s
-        timeout_s = self._random.uniform((1 - JITTER) * mean_s, (1 + JITTER) * mean_s)
+        timeout_s = self.random.uniform((1 - JITTER) * mean_s, (1 + JITTER) * mean_s)
         revision = self.state.configuration.revision
         watched = await self.store.watch(CONFIGURATION, revision, timeout_s)
         if isinstance(watched, Failure):
@@ -341,28 +284,11 @@
             else:
                 await self.dispatch(InstancesListed(time.monotonic(), listed.unwrap()))
             interval_s = self.settings.platform.list_interval_s
-            await curio.sleep(interval_s * self._random.uniform(1 - JITTER, 1 + JITTER))
-
-    async def _run_signals(self) -> None:
-        """Turn SIGTERM and SIGINT into an event."""
-        receiver, sender = socket_module.socketpair()
-        receiver.setblocking(False)
-        sender.setblocking(False)
-        signal.set_wakeup_fd(sender.fileno())
-        for number in (signal.SIGTERM, signal.SIGINT):
-            signal.signal(number, _ignore_signal)
-        async with curio.io.Socket(receiver) as stream:
-            await stream.recv(1)
-            self.log.info("leaving")
-            await self.dispatch(ShutdownRequested(time.monotonic()))
-            await curio.sleep(MAX_EXIT_WAIT_S * 1_000)
-
-
-def _ignore_signal(number: int, frame: object) -> None:
-    """Do nothing: the wake-up descriptor carries the signal into curio."""
+            await curio.sleep(interval_s * self.random.uniform(1 - JITTER, 1 + JITTER))
 
 
-def _build_metrics(settings: Settings) -> Metrics:
+def build_metrics(settings: Settings) -> Metrics:
+    """Return the metrics that the settings ask for."""
     telemetry = settings.telemetry
     if not telemetry.statsd:
         return NullMetrics()
@@ -370,7 +296,8 @@
     return StatsdMetrics(address, f"{telemetry.statsd_prefix}.{settings.node.name}")
 
 
-def _build_tracer(settings: Settings) -> Tracer:
+def build_tracer(settings: Settings) -> Tracer:
+    """Return the tracer that the settings ask for."""
     if not settings.telemetry.trace_file:
         return NullTracer()
     return FileTracer(Path(settings.telemetry.trace_file), settings.node.name)
--- a/src/tamaracktray/types.py
+++ b/src/tamaracktray/types.py
@@ -32,6 +32,7 @@
 
     BAD_REQUEST = "bad_request"
     NOT_FOUND = "not_found"
+    UNAUTHORIZED = "unauthorized"
     TOO_LARGE = "too_large"
     TIMED_OUT = "timed_out"
     NO_ENDPOINT = "no_endpoint"
--- /dev/null
+++ b/src/tamaracktray/waiting.py
@@ -0,0 +1,79 @@
+"""Calls that wait a moment for room at an endpoint, and the order in which they go.
+
+A call waits only a fraction of its latency objective: one that starts later than its
+objective takes room from one that could still start in time.
+"""
+
+from tamaracktray.calls import Call
+
+# Share of the latency objective that a call may spend waiting for room.
+WAIT_SHARE = 0.35
+
+# Longest wait of a call whose route has no latency objective, in seconds.
+DEFAULT_WAIT_S = 0.2
+
+# Time in which a stream that broke off must find another endpoint, in seconds; callers
+# give a silent stream up after two.
+RESUME_WAIT_S = 0.7
+
+# Most calls that wait in one process; each is a few kilobytes and a held connection.
+MAX_WAITING = 200
+
+
+class WaitingCall:
+    """A call with the time at which it must have found room."""
+
+    __slots__ = ("call", "deadline", "order")
+
+    def __init__(self, call: Call, deadline: float, order: tuple) -> None:
+        self.call = call
+        self.deadline = deadline
+        self.order = order
+
+
+class WaitingLine:
+    """The calls of one process that wait for room."""
+
+    __slots__ = ("_by_id",)
+
+    def __init__(self) -> None:
+        self._by_id: dict[str, WaitingCall] = {}
+
+    def __len__(self) -> int:
+        return len(self._by_id)
+
+    def __contains__(self, call_id: str) -> bool:
+        return call_id in self._by_id
+
+    def push(self, now: float, call: Call, *, is_resumed: bool = False) -> bool:
+        """Let a call wait; return whether it may. Resumed streams go first."""
+        if len(self._by_id) >= MAX_WAITING:
+            return False
+        wait_s = call.route.target_latency_s * WAIT_SHARE or DEFAULT_WAIT_S
+        end = now + RESUME_WAIT_S if is_resumed else call.arrived + wait_s
+        deadline = min(end, call.deadline)
+        if deadline <= now:
+            return False
+        order = (not is_resumed, call.priority, call.arrived)
+        self._by_id[call.id] = WaitingCall(call, deadline, order)
+        return True
+
+    def remove(self, call_id: str) -> None:
+        """Forget a call."""
+        self._by_id.pop(call_id, None)
+
+    def list_ordered(self) -> list[Call]:
+        """Return the waiting calls, the one to serve first at the front."""
+        ordered = sorted(self._by_id.values(), key=lambda waiting: waiting.order)
+        return [waiting.call for waiting in ordered]
+
+    def remove_expired(self, now: float) -> list[Call]:
+        """Remove and return the calls that have waited as long as they may."""
+        expired = [item.call for item in self._by_id.values() if item.deadline <= now]
+        for call in expired:
+            del self._by_id[call.id]
+        return expired
+
+    def next_deadline(self) -> float | None:
+        """Return when the next call stops waiting, ``None`` when none waits."""
+        return min((item.deadline for item in self._by_id.values()), default=None)
