Bring named versions into engines through the entries

Cause: agents were idle, so added engines stayed empty and no request could begin once a named version was due.

Entries hand chunks on, each fetched once a region; agents stage, read back, and order the load in two waves.

--- /dev/null
+++ b/src/tamaracktray/chunk_relay.py
@@ -0,0 +1,258 @@
+"""Hands the chunks of versions from the origin on to agents, each fetched once."""
+
+import curio
+import msgspec
+import structlog
+from returns.result import Failure, Result, Success
+
+from tamaracktray.engines import VersionOrigin
+from tamaracktray.exceptions import WeightError
+from tamaracktray.exchange import fetch
+from tamaracktray.http import Request, Responder
+from tamaracktray.types import Address
+from tamaracktray.weights import MAX_CHUNK_BYTES, Manifest, verify_chunk
+
+VERSIONS_PATH = "/versions/"
+
+# Longest call to a peer for a chunk, in seconds: the chunk may have to come from the
+# origin first, over a link that all agents share.
+PEER_CHUNK_TIMEOUT_S = 3.0
+
+# Versions of which chunks are kept: the newest and the one that it replaces.
+KEPT_VERSIONS = 2
+
+# Reads of a manifest that must agree, since nothing else vouches for it.
+MANIFEST_READS = 2
+
+MANIFEST_TRIES = 6
+
+
+class VersionKey(msgspec.Struct, frozen=True):
+    """A version of a model."""
+
+    model: str
+    version: int
+
+    @property
+    def path(self) -> str:
+        """Return the path under which peers ask for its parts."""
+        return f"{VERSIONS_PATH}{self.model}/{self.version}"
+
+
+async def read_peer_manifest(
+    address: Address, key: VersionKey
+) -> Result[Manifest, WeightError]:
+    """Ask a peer for a manifest."""
+    reply = await fetch(
+        address, "GET", f"{key.path}/manifest", timeout_s=PEER_CHUNK_TIMEOUT_S
+    )
+    if isinstance(reply, Failure):
+        return Failure(WeightError(reply.failure().message))
+    answer = reply.unwrap()
+    if answer.status != 200:
+        return Failure(WeightError(f"{address} answered {answer.status}"))
+    try:
+        return Success(msgspec.msgpack.decode(answer.body, type=Manifest))
+    except msgspec.DecodeError as error:
+        return Failure(WeightError(f"{address}: unreadable manifest: {error}"))
+
+
+async def read_peer_chunk(
+    address: Address, key: VersionKey, index: int, digest: str
+) -> Result[bytes, WeightError]:
+    """Ask a peer for a chunk and verify it."""
+    reply = await fetch(
+        address,
+        "GET",
+        f"{key.path}/{index}",
+        timeout_s=PEER_CHUNK_TIMEOUT_S,
+        max_bytes=MAX_CHUNK_BYTES,
+    )
+    if isinstance(reply, Failure):
+        return Failure(WeightError(reply.failure().message))
+    answer = reply.unwrap()
+    if answer.status != 200:
+        return Failure(WeightError(f"{address} answered {answer.status}"))
+    return verify_chunk(answer.body, digest)
+
+
+async def read_origin_manifest(
+    origin: VersionOrigin, key: VersionKey
+) -> Result[Manifest, WeightError]:
+    """Read a manifest until two reads agree: the origin's answers may be spoilt."""
+    seen: list[Manifest] = []
+    failure = WeightError("the origin's manifests differ")
+    for _ in range(MANIFEST_TRIES):
+        read = await origin.read_manifest(key.model, key.version)
+        if isinstance(read, Failure):
+            failure = read.failure()
+            continue
+        manifest = read.unwrap()
+        seen.append(manifest)
+        if seen.count(manifest) >= MANIFEST_READS:
+            return Success(manifest)
+    return Failure(failure)
+
+
+async def read_origin_chunk(
+    origin: VersionOrigin, key: VersionKey, index: int, digest: str
+) -> Result[bytes, WeightError]:
+    """Read a chunk from the origin and verify it."""
+    read = await origin.read_chunk(key.model, key.version, index)
+    return read.bind(lambda data: verify_chunk(data, digest))
+
+
+class _Pending:
+    """A part that is being fetched; all who ask meanwhile share the result."""
+
+    __slots__ = ("done", "result")
+
+    def __init__(self) -> None:
+        self.done = curio.Event()
+        self.result: Result = Failure(WeightError("the fetch was broken off"))
+
+
+class ChunkRelay:
+    """The chunks that one entry holds, and how it gets those that it lacks.
+
+    ``find_upstream`` returns the peer to ask for a part, ``None`` for the origin.
+    """
+
+    __slots__ = (
+        "_chunk_by_part",
+        "_find_upstream",
+        "_manifest_by_key",
+        "_open_origin",
+        "_pending_by_part",
+        "bytes_from_origin",
+    )
+
+    def __init__(self, find_upstream, open_origin) -> None:
+        self._find_upstream = find_upstream
+        self._open_origin = open_origin
+        self._manifest_by_key: dict[VersionKey, Manifest] = {}
+        self._chunk_by_part: dict[tuple[VersionKey, int], bytes] = {}
+        self._pending_by_part: dict[tuple[VersionKey, int], _Pending] = {}
+        self.bytes_from_origin = 0
+
+    async def handle(self, request: Request, responder: Responder) -> None:
+        """Answer a peer that asks for a part of a version."""
+        parts = request.path.removeprefix(VERSIONS_PATH).split("/")
+        if len(parts) != 3 or not parts[1].isdigit():
+            await responder.respond(404, [])
+            return
+        key = VersionKey(parts[0], int(parts[1]))
+        if parts[2] == "manifest":
+            manifest = await self.find_manifest(key)
+            encoded = manifest.map(msgspec.msgpack.encode)
+        elif parts[2].isdigit():
+            encoded = await self.find_chunk(key, int(parts[2]))
+        else:
+            await responder.respond(404, [])
+            return
+        if isinstance(encoded, Failure):
+            await responder.respond(503, [])
+            return
+        await responder.respond(200, [], encoded.unwrap())
+
+    async def find_manifest(self, key: VersionKey) -> Result[Manifest, WeightError]:
+        """Return a manifest, fetched if need be."""
+        known = self._manifest_by_key.get(key)
+        if known is not None:
+            return Success(known)
+        return await self._share((key, -1), self._fetch_manifest, key)
+
+    async def find_chunk(
+        self, key: VersionKey, index: int
+    ) -> Result[bytes, WeightError]:
+        """Return a chunk, fetched if need be."""
+        known = self._chunk_by_part.get((key, index))
+        if known is not None:
+            return Success(known)
+        return await self._share((key, index), self._fetch_chunk, key, index)
+
+    async def _share(self, part, fetch_part, *args) -> Result:
+        """Fetch a part once for all who ask for it."""
+        pending = self._pending_by_part.get(part)
+        if pending is not None:
+            await pending.done.wait()
+            return pending.result
+        pending = _Pending()
+        self._pending_by_part[part] = pending
+        try:
+            pending.result = await fetch_part(*args)
+        finally:
+            del self._pending_by_part[part]
+            await pending.done.set()
+        return pending.result
+
+    async def _fetch_manifest(self, key: VersionKey) -> Result[Manifest, WeightError]:
+        upstream = self._find_upstream(f"{key.path}/manifest")
+        read: Result[Manifest, WeightError] = Failure(WeightError("no upstream"))
+        if upstream is not None:
+            read = await read_peer_manifest(upstream, key)
+        if isinstance(read, Failure):
+            origin = self._open_origin()
+            if origin is None:
+                return Failure(WeightError("the origin is not known yet"))
+            read = await read_origin_manifest(origin, key)
+        if isinstance(read, Success):
+            self._manifest_by_key[key] = read.unwrap()
+            self._forget_old(key)
+        else:
+            _log_failure(key, "manifest", read.failure())
+        return read
+
+    async def _fetch_chunk(
+        self, key: VersionKey, index: int
+    ) -> Result[bytes, WeightError]:
+        manifest = await self.find_manifest(key)
+        if isinstance(manifest, Failure):
+            return manifest
+        chunks = manifest.unwrap().chunks
+        if index >= len(chunks):
+            return Failure(WeightError(f"version {key.version} has no chunk {index}"))
+        digest = chunks[index]
+        upstream = self._find_upstream(f"{key.path}/{index}")
+        read: Result[bytes, WeightError] = Failure(WeightError("no upstream"))
+        if upstream is not None:
+            read = await read_peer_chunk(upstream, key, index, digest)
+        if isinstance(read, Failure):
+            read = await self._read_origin(key, index, digest)
+        if isinstance(read, Success):
+            self._chunk_by_part[key, index] = read.unwrap()
+        else:
+            _log_failure(key, str(index), read.failure())
+        return read
+
+    async def _read_origin(
+        self, key: VersionKey, index: int, digest: str
+    ) -> Result[bytes, WeightError]:
+        origin = self._open_origin()
+        if origin is None:
+            return Failure(WeightError("the origin is not known yet"))
+        read = await read_origin_chunk(origin, key, index, digest)
+        if isinstance(read, Success):
+            self.bytes_from_origin += len(read.unwrap())
+        return read
+
+    def _forget_old(self, newest: VersionKey) -> None:
+        """Forget all but the newest versions of a model."""
+        versions = sorted(
+            key.version for key in self._manifest_by_key if key.model == newest.model
+        )
+        for version in versions[:-KEPT_VERSIONS]:
+            old = VersionKey(newest.model, version)
+            del self._manifest_by_key[old]
+            for part in [part for part in self._chunk_by_part if part[0] == old]:
+                del self._chunk_by_part[part]
+
+
+def _log_failure(key: VersionKey, part: str, error: WeightError) -> None:
+    structlog.get_logger().info(
+        "part not fetched",
+        model=key.model,
+        version=key.version,
+        part=part,
+        error=error.message,
+    )
--- /dev/null
+++ b/src/tamaracktray/chunk_sources.py
@@ -0,0 +1,62 @@
+"""Where a chunk of a version is asked for.
+
+Entries hand chunks on: the first of each region takes them from the first of the
+origin's region, which takes them from the origin. So the origin sends about one copy
+and each link between regions carries one. Agents ask the entries near them.
+"""
+
+from collections.abc import Iterable
+
+from tamaracktray.direct import Member
+from tamaracktray.hashing import hash_text
+from tamaracktray.types import Address
+
+
+def rank_members(key: str, members: Iterable[Member]) -> list[Member]:
+    """Return members by rendezvous hash with ``key``, the first to ask first."""
+    return sorted(members, key=lambda member: hash_text(f"{key}\n{member.name}"))
+
+
+def choose_upstream(
+    own: Member,
+    peers: Iterable[Member],
+    region_by_zone: dict[str, str],
+    origin_region: str,
+    key: str,
+) -> Address | None:
+    """Return the entry that an entry asks for a chunk, ``None`` for the origin."""
+    everybody = [own, *peers]
+    own_region = region_by_zone.get(own.zone, "")
+    local = [
+        member
+        for member in everybody
+        if region_by_zone.get(member.zone, "") == own_region
+    ]
+    first = rank_members(key, local)[0]
+    if first.name != own.name:
+        return first.address
+    if own_region == origin_region:
+        return None
+    near_origin = [
+        member
+        for member in everybody
+        if region_by_zone.get(member.zone, "") == origin_region
+    ]
+    candidates = near_origin or everybody
+    upstream = rank_members(key, candidates)[0]
+    return None if upstream.name == own.name else upstream.address
+
+
+def list_sources(
+    zone: str, members: Iterable[Member], region_by_zone: dict[str, str], key: str
+) -> list[Address]:
+    """Return the entries that an agent asks for a chunk, the nearest first."""
+    region = region_by_zone.get(zone, "")
+
+    def measure(member: Member) -> int:
+        if member.zone == zone:
+            return 0
+        return 1 if region_by_zone.get(member.zone, "") == region else 2
+
+    ranked = rank_members(key, members)
+    return [member.address for member in sorted(ranked, key=measure)]
--- a/src/tamaracktray/direct.py
+++ b/src/tamaracktray/direct.py
@@ -32,12 +32,34 @@
     handle_call_started,
     handle_gateway_tick,
 )
+from tamaracktray.hashing import hash_text
 from tamaracktray.objects import StoredObject
 from tamaracktray.placement import Surroundings
 from tamaracktray.quarantine import CrashLedger
 from tamaracktray.roster import EndpointRecord, Roster
 from tamaracktray.routes import RouteIndex, RoutingTable, Service
 from tamaracktray.snapshots import Collection, Knowledge, Snapshot
+from tamaracktray.staging import (
+    FIRST_VERSION,
+    WAVES,
+    ChunkArrived,
+    ChunkStaged,
+    EngineSeen,
+    EngineSilent,
+    ManifestRead,
+    OrderAnswered,
+    StageChecked,
+    StagingState,
+    advance,
+    handle_chunk_arrived,
+    handle_chunk_staged,
+    handle_engine_seen,
+    handle_engine_silent,
+    handle_manifest_read,
+    handle_order_answered,
+    handle_stage_checked,
+    name_version,
+)
 from tamaracktray.types import Address, Role
 
 # A store that has answered for this long counts as back for good, in seconds. Entries
@@ -107,7 +129,8 @@
 
     ``outage_end`` is when the store last answered after a failure; a failure since then
     is not over while ``is_store_lost``. ``named_at_by_model`` tells when this process
-    learned of the newest version of a model's weights.
+    learned of the newest version of a model's weights. ``served`` names the service of
+    the engine beside an agent.
     """
 
     __slots__ = (
@@ -125,9 +148,12 @@
         "name",
         "named_at_by_model",
         "outage_end",
+        "own_engine",
         "region_by_zone",
         "role",
         "roster",
+        "served",
+        "staging",
         "target_by_model",
         "version_bound_s",
         "zone",
@@ -164,6 +190,9 @@
         self.is_leaving = False
         self.exit_deadline = 0.0
         self.gateway: GatewayState | None = None
+        self.staging: StagingState | None = None
+        self.served = ""
+        self.own_engine: Address | None = None
 
     @property
     def is_informed(self) -> bool:
@@ -173,6 +202,13 @@
         known = all(snapshots[collection].revision for collection in needed)
         return known and self.index is not None
 
+    def find_own_record(self) -> EndpointRecord | None:
+        """Return the record of the engine beside an agent."""
+        for record in self.roster.records_by_id.values():
+            if record.address == self.own_engine:
+                return record
+        return None
+
     @property
     def services_by_name(self) -> dict[str, Service]:
         """Return what the operator says of the services."""
@@ -238,7 +274,7 @@
         return []
     state.index = RouteIndex(newest)
     effects = _follow_endpoints(state, now)
-    return [ApplyRouting(), *effects]
+    return [ApplyRouting(), *effects, *_follow_own_version(state, now)]
 
 
 def _follow_endpoints(state: DirectState, now: float) -> list[Effect]:
@@ -272,7 +308,38 @@
             # A process that starts cannot tell how long ago the version was named.
             state.named_at_by_model[target.model] -= state.version_bound_s
             state.named_at_by_model[target.model] += state.contact_s
-    return []
+    return _follow_own_version(state, now)
+
+
+def _follow_own_version(state: DirectState, now: float) -> list[Effect]:
+    """Let an agent work towards the version of its engine's model."""
+    if state.staging is None:
+        return []
+    service = state.services_by_name.get(state.served)
+    if service is None or service.engine is None or not service.engine.models:
+        return []
+    model = service.engine.models[0].name
+    target = state.target_by_model.get(model, VersionTarget(model, FIRST_VERSION))
+    named_at = state.named_at_by_model.get(model, now)
+    state.staging.wave = _rank_own_engine(state) % WAVES
+    return name_version(state.staging, now, model, target.version, named_at)
+
+
+def _rank_own_engine(state: DirectState) -> int:
+    """Return the rank of the own engine among those of its service.
+
+    The ranks alternate between the engines of an availability zone.
+    """
+    records = [
+        record
+        for record in state.roster.records_by_id.values()
+        if record.service == state.served
+    ]
+    records.sort(key=lambda record: (record.zone, hash_text(record.id)))
+    for rank, record in enumerate(records):
+        if record.address == state.own_engine:
+            return rank
+    return 0
 
 
 def _follow_members(state: DirectState, now: float) -> list[Effect]:
@@ -339,6 +406,8 @@
     if state.gateway is not None:
         context = _gateway_context(state, event.now)
         effects.extend(handle_gateway_tick(context, event.now))
+    if state.staging is not None:
+        effects.extend(advance(state.staging, event.now))
     if state.is_leaving and event.now >= state.exit_deadline and _is_idle(state):
         effects.append(Exit())
     return effects
@@ -394,6 +463,17 @@
     return lambda state, event: handle(_gateway_context(state, event.now), event)
 
 
+def _with_staging(
+    handle: Callable[[StagingState, Any], list[Effect]],
+) -> Callable[[DirectState, Any], list[Effect]]:
+    def handle_event(state: DirectState, event: Any) -> list[Effect]:
+        if state.staging is None:
+            raise InvariantError(f"{state.name} is not an agent")
+        return handle(state.staging, event)
+
+    return handle_event
+
+
 _HANDLER_BY_EVENT: dict[type[Event], Callable[[DirectState, Any], list[Effect]]] = {
     Tick: _on_tick,
     CollectionListed: _on_listed,
@@ -406,4 +486,11 @@
     CallStarted: _with_gateway(handle_call_started),
     CallAttemptEnded: _with_gateway(handle_attempt_ended),
     CallEnded: _with_gateway(handle_call_ended),
+    EngineSeen: _with_staging(handle_engine_seen),
+    EngineSilent: _with_staging(handle_engine_silent),
+    ManifestRead: _with_staging(handle_manifest_read),
+    ChunkArrived: _with_staging(handle_chunk_arrived),
+    ChunkStaged: _with_staging(handle_chunk_staged),
+    StageChecked: _with_staging(handle_stage_checked),
+    OrderAnswered: _with_staging(handle_order_answered),
 }
--- a/src/tamaracktray/direct_agent.py
+++ b/src/tamaracktray/direct_agent.py
@@ -1,7 +1,225 @@
 """The agent that brings versions of weights into the engine on its instance."""
 
+import time
+from collections.abc import Awaitable, Callable
+from pathlib import Path
+
+import curio
+import msgspec
+from returns.result import Failure, Result, Success
+from typing_extensions import override
+
+from tamaracktray.beacons import Beacon, EndpointStatus
+from tamaracktray.chunk_relay import (
+    VersionKey,
+    read_origin_chunk,
+    read_origin_manifest,
+    read_peer_chunk,
+    read_peer_manifest,
+)
+from tamaracktray.chunk_sources import list_sources
+from tamaracktray.deployment import Deployment
+from tamaracktray.direct_sections import DirectSettings
 from tamaracktray.direct_shell import DirectShell
+from tamaracktray.exceptions import WeightError
+from tamaracktray.staging import (
+    CheckStage,
+    ChunkArrived,
+    ChunkStaged,
+    EngineSeen,
+    EngineSilent,
+    FetchPart,
+    KeepChunks,
+    ManifestRead,
+    OrderAnswered,
+    OrderStart,
+    ReadManifest,
+    StageChecked,
+    StagePart,
+    StagingState,
+)
+from tamaracktray.types import Address
+from tamaracktray.weights import Manifest, digest_bytes
+
+# Time between reads of the report while an order is being carried out, in seconds.
+SWAP_REPORT_S = 0.05
+
+# Entries to ask in vain before the origin itself is asked.
+MAX_ENTRIES_ASKED = 3
 
 
 class DirectAgentShell(DirectShell):
     """Runs an agent."""
+
+    def __init__(
+        self, path: Path, settings: DirectSettings, deployment: Deployment
+    ) -> None:
+        super().__init__(path, settings, deployment)
+        self.state.staging = StagingState(settings.bounds.version_ms / 1_000.0)
+        self.state.served = settings.engine.service
+        self._chunk_by_digest: dict[str, bytes] = {}
+        self._told: EndpointStatus | None = None
+        address = settings.engine.address
+        self._engine = None
+        if address:
+            self.state.own_engine = Address.parse(address)
+            self._engine = deployment.open_engine(self.state.own_engine)
+        self.add_performer(ReadManifest, self._in_background(self._read_manifest))
+        self.add_performer(FetchPart, self._in_background(self._fetch_part))
+        self.add_performer(StagePart, self._in_background(self._stage_part))
+        self.add_performer(CheckStage, self._in_background(self._check_stage))
+        self.add_performer(OrderStart, self._in_background(self._order_start))
+        self.add_performer(KeepChunks, self._keep_chunks)
+
+    def _in_background(
+        self, perform: Callable[..., Awaitable[None]]
+    ) -> Callable[..., Awaitable[None]]:
+        async def start(effect: object) -> None:
+            await self.spawn(perform, effect)
+
+        return start
+
+    @override
+    def list_loops(self) -> list[Callable[[], Awaitable[None]]]:
+        loops = super().list_loops()
+        return [*loops, self._run_reports] if self._engine is not None else loops
+
+    @override
+    def build_beacon(self) -> Beacon:
+        return msgspec.structs.replace(
+            super().build_beacon(), status=self._build_status()
+        )
+
+    def _build_status(self) -> EndpointStatus | None:
+        staging = self.state.staging
+        record = self.state.find_own_record()
+        if record is None or staging.report is None:
+            return None
+        versions = {model.name: model.version for model in staging.report.models}
+        return EndpointStatus(record.id, staging.is_swapping, versions)
+
+    async def _run_reports(self) -> None:
+        """Read the engine's report again and again."""
+        while True:
+            report = await self._engine.read_report()
+            now = time.monotonic()
+            if isinstance(report, Failure):
+                await self.dispatch(EngineSilent(now))
+            else:
+                await self.dispatch(EngineSeen(now, report.unwrap()))
+            await self._tell_status()
+            staging = self.state.staging
+            interval_s = self.settings.engine.report_s
+            await curio.sleep(SWAP_REPORT_S if staging.is_swapping else interval_s)
+
+    async def _tell_status(self) -> None:
+        """Tell entries at once when the engine's state has changed."""
+        status = self._build_status()
+        if status == self._told:
+            return
+        self._told = status
+        self.log.info(
+            "engine",
+            step=self.state.staging.step.value,
+            is_swapping=status is not None and status.is_swapping,
+            versions=None if status is None else status.version_by_model,
+        )
+        await self.tell_peers()
+
+    def _list_entries(self, key: str) -> list[Address]:
+        return list_sources(
+            self.state.zone,
+            self.state.members_by_name.values(),
+            self.state.region_by_zone,
+            key,
+        )[:MAX_ENTRIES_ASKED]
+
+    def _choose_entry(self, key: str, attempt: int) -> Address | None:
+        """Return the entry to ask at an attempt, ``None`` for the origin."""
+        entries = self._list_entries(key)
+        position = attempt % (len(entries) + 1)
+        return entries[position] if position < len(entries) else None
+
+    async def _read_manifest(self, effect: ReadManifest) -> None:
+        key = VersionKey(effect.model, effect.version)
+        entry = self._choose_entry(key.path, effect.attempt)
+        read: Result[Manifest, WeightError] = Failure(WeightError("no origin"))
+        origin = self.open_origin()
+        if entry is not None:
+            read = await read_peer_manifest(entry, key)
+        elif origin is not None:
+            read = await read_origin_manifest(origin, key)
+        if isinstance(read, Failure):
+            self.log.info(
+                "manifest not read",
+                version=effect.version,
+                source=str(entry or "origin"),
+                error=read.failure().message,
+            )
+        manifest = read.value_or(None)
+        await self.dispatch(ManifestRead(time.monotonic(), effect.version, manifest))
+
+    async def _fetch_part(self, effect: FetchPart) -> None:
+        key = VersionKey(effect.model, effect.version)
+        entry = self._choose_entry(f"{key.path}/{effect.index}", effect.attempt)
+        read: Result[bytes, WeightError] = Failure(WeightError("no origin"))
+        origin = self.open_origin()
+        if entry is not None:
+            read = await read_peer_chunk(entry, key, effect.index, effect.digest)
+        elif origin is not None:
+            read = await read_origin_chunk(origin, key, effect.index, effect.digest)
+        if isinstance(read, Success):
+            self._chunk_by_digest[effect.digest] = read.unwrap()
+        else:
+            self.log.info(
+                "chunk not fetched",
+                version=effect.version,
+                index=effect.index,
+                source=str(entry or "origin"),
+                error=read.failure().message,
+            )
+        is_good = isinstance(read, Success)
+        await self.dispatch(
+            ChunkArrived(time.monotonic(), effect.version, effect.index, is_good)
+        )
+
+    async def _stage_part(self, effect: StagePart) -> None:
+        data = self._chunk_by_digest[effect.digest]
+        staged = await self._engine.write_chunk(effect.model, effect.index, data)
+        if isinstance(staged, Failure):
+            self.log.info("chunk not staged", error=staged.failure().message)
+        is_good = isinstance(staged, Success)
+        await self.dispatch(
+            ChunkStaged(time.monotonic(), effect.index, effect.digest, is_good)
+        )
+
+    async def _check_stage(self, effect: CheckStage) -> None:
+        """Read staged chunks back; an empty digest stands for one that is not there."""
+        digest_by_index: dict[int, str] = {}
+        listed = await self._engine.list_staged(effect.model)
+        staged = set(listed.value_or([]))
+        for index in effect.indices:
+            digest_by_index[index] = ""
+            if index not in staged:
+                continue
+            read = await self._engine.read_chunk(effect.model, index)
+            if isinstance(read, Success):
+                digest_by_index[index] = digest_bytes(read.unwrap())
+        await self.dispatch(StageChecked(time.monotonic(), digest_by_index))
+
+    async def _order_start(self, effect: OrderStart) -> None:
+        order = effect.order
+        answered = await self._engine.start(order)
+        outcome = answered.value_or(None)
+        self.log.info(
+            "order",
+            model=order.model,
+            version=order.version,
+            sequence=order.sequence,
+            outcome=None if outcome is None else outcome.value,
+        )
+        await self.dispatch(OrderAnswered(time.monotonic(), order.version, outcome))
+
+    async def _keep_chunks(self, effect: KeepChunks) -> None:
+        for digest in set(self._chunk_by_digest) - effect.digests:
+            del self._chunk_by_digest[digest]
--- a/src/tamaracktray/direct_entry.py
+++ b/src/tamaracktray/direct_entry.py
@@ -21,6 +21,8 @@
     RelayFailure,
     SendCall,
 )
+from tamaracktray.chunk_relay import VERSIONS_PATH, ChunkRelay
+from tamaracktray.chunk_sources import choose_upstream
 from tamaracktray.deployment import Deployment
 from tamaracktray.direct import ApplyRouting, Member
 from tamaracktray.direct_sections import DirectSettings
@@ -115,6 +117,7 @@
                 bounds.cold_burst,
             )
         )
+        self._relay = ChunkRelay(self._find_upstream, self.open_origin)
         self._open_by_id: dict[str, OpenCall] = {}
         self._callers = HttpServer(
             Address.parse(settings.listen.callers),
@@ -145,6 +148,26 @@
         beacon = super().build_beacon()
         return msgspec.structs.replace(beacon, in_flight_by_endpoint=counts)
 
+    @override
+    async def handle_peer(self, request: Request, responder: Responder) -> None:
+        if request.path.startswith(VERSIONS_PATH):
+            await self._relay.handle(request, responder)
+            return
+        await super().handle_peer(request, responder)
+
+    def _find_upstream(self, key: str) -> Address | None:
+        node = self.settings.node
+        index = self.state.index
+        origin = None if index is None else index.table.find_origin()
+        origin_zone = "" if origin is None else origin.origin_zone
+        return choose_upstream(
+            Member(node.name, node.zone, self.own_address),
+            self.state.members_by_name.values(),
+            self.state.region_by_zone,
+            self.state.region_by_zone.get(origin_zone, ""),
+            key,
+        )
+
     async def _register(self) -> None:
         """Let peers find this entry."""
         node = self.settings.node
--- a/src/tamaracktray/direct_shell.py
+++ b/src/tamaracktray/direct_shell.py
@@ -28,7 +28,7 @@
 )
 from tamaracktray.direct_sections import DirectSettings, load_direct_settings
 from tamaracktray.effects import Effect
-from tamaracktray.engines import VersionTarget
+from tamaracktray.engines import VersionOrigin, VersionTarget
 from tamaracktray.events import Event, Tick
 from tamaracktray.exceptions import ConflictError, PlatformError, RevisionExpiredError
 from tamaracktray.exchange import fetch
@@ -138,6 +138,15 @@
         """Follow a routing table that has come into force."""
         self.log.info("routing in force", version=self.state.index.table.version)
 
+    def open_origin(self) -> VersionOrigin | None:
+        """Return a client of the origin, ``None`` while it is not known."""
+        if self.state.index is None:
+            return None
+        service = self.state.index.table.find_origin()
+        if service is None or service.origin is None:
+            return None
+        return self.deployment.open_origin(service.origin)
+
     async def handle_peer(self, request: Request, responder: Responder) -> None:
         """Answer a peer's call."""
         if request.path == SNAPSHOTS_PATH:
--- /dev/null
+++ b/src/tamaracktray/staging.py
@@ -0,0 +1,597 @@
+"""The reducer's part for agents: from a named version to one that the engine serves.
+
+The chunks of the version are fetched, staged in the engine and checked while the engine
+goes on with the version it has. Then the engine is ordered to load what is staged.
+Chunks are fetched also while there is no engine, so that one that arrives late is in
+service as soon as it has been handed the weights.
+"""
+
+from enum import Enum
+
+import msgspec
+
+from tamaracktray.effects import Effect
+from tamaracktray.engines import EngineReport, OrderOutcome, StartOrder
+from tamaracktray.events import Event
+from tamaracktray.weights import Manifest
+
+# Chunks in transfer at a time. A link is kept busy by two, and a third would only
+# lengthen the queue in which callers' requests wait.
+MAX_IN_FLIGHT = 2
+
+# A staged chunk that was read back within this time needs no other check before the
+# order, in seconds.
+CHECK_VALID_S = 2.0
+
+RETRY_S = 0.1
+MANIFEST_RETRY_S = 0.2
+ORDER_RETRY_S = 0.1
+
+# An engine that does not answer for this long is gone, in seconds.
+ENGINE_SILENCE_S = 1.0
+
+# Time before the bound of a rollout by which the last engines are ordered to load, in
+# seconds: they end what is running first.
+SWAP_RESERVE_S = 1.1
+
+# Engines that swap at different times, so that some always serve.
+WAVES = 2
+
+# A newer version is started at once if it can be there this long before the bound of
+# the one under way, in seconds.
+SKIP_MARGIN_S = 1.0
+
+FIRST_VERSION = 1
+
+
+class Step(str, Enum):
+    """How far the work on a version has come."""
+
+    MANIFEST = "manifest"
+    CHUNKS = "chunks"
+    CHECK = "check"
+    TURN = "turn"
+    ORDER = "order"
+    LOADING = "loading"
+    DONE = "done"
+
+
+class ManifestRead(Event, frozen=True):
+    """The manifest of a version was read, or could not be."""
+
+    version: int
+    manifest: Manifest | None
+
+
+class ChunkArrived(Event, frozen=True):
+    """A chunk was fetched and verified, or could not be."""
+
+    version: int
+    index: int
+    is_good: bool
+
+
+class ChunkStaged(Event, frozen=True):
+    """A chunk was handed to the engine, or could not be."""
+
+    index: int
+    digest: str
+    is_good: bool
+
+
+class StageChecked(Event, frozen=True):
+    """Staged chunks were read back; ``digest_by_index`` tells what lies there."""
+
+    digest_by_index: dict[int, str]
+
+
+class EngineSeen(Event, frozen=True):
+    """The engine answered with a report."""
+
+    report: EngineReport
+
+
+class EngineSilent(Event, frozen=True):
+    """The engine did not answer."""
+
+
+class OrderAnswered(Event, frozen=True):
+    """The engine answered an order; ``None`` when no answer came."""
+
+    version: int
+    outcome: OrderOutcome | None
+
+
+class ReadManifest(Effect, frozen=True):
+    """Read the manifest of a version."""
+
+    model: str
+    version: int
+    attempt: int
+
+
+class FetchPart(Effect, frozen=True):
+    """Fetch one chunk into memory and verify it."""
+
+    model: str
+    version: int
+    index: int
+    digest: str
+    attempt: int
+
+
+class StagePart(Effect, frozen=True):
+    """Hand a chunk from memory to the engine."""
+
+    model: str
+    index: int
+    digest: str
+
+
+class CheckStage(Effect, frozen=True):
+    """Read staged chunks back."""
+
+    model: str
+    indices: list[int]
+
+
+class OrderStart(Effect, frozen=True):
+    """Order the engine to load what is staged."""
+
+    order: StartOrder
+
+
+class KeepChunks(Effect, frozen=True):
+    """Forget all chunks in memory but these."""
+
+    digests: frozenset[str]
+
+
+class StagedChunk(msgspec.Struct, frozen=True):
+    """What lies at one position of the engine's stage, and when that was seen."""
+
+    digest: str
+    checked_at: float
+
+
+class VersionWork:
+    """The work on one version.
+
+    ``attempts_by_index`` counts failed fetches.
+    """
+
+    __slots__ = (
+        "attempts_by_index",
+        "in_flight",
+        "manifest",
+        "manifest_attempts",
+        "named_at",
+        "retry_deadline_by_index",
+        "started_at",
+        "version",
+    )
+
+    def __init__(self, version: int, named_at: float, now: float) -> None:
+        self.version = version
+        self.named_at = named_at
+        self.started_at = now
+        self.manifest: Manifest | None = None
+        self.manifest_attempts = 0
+        self.in_flight: set[int] = set()
+        self.attempts_by_index: dict[int, int] = {}
+        self.retry_deadline_by_index: dict[int, float] = {}
+
+    @property
+    def digests(self) -> list[str]:
+        """Return the digests of the chunks, none while the manifest is unknown."""
+        return [] if self.manifest is None else self.manifest.chunks
+
+
+class StagingState:
+    """State of the versions of one agent.
+
+    ``is_probed`` tells that the engine was asked at least once. ``stage_by_index`` is
+    what lies in its stage, as far as that is known; ``is_stage_known`` tells that it
+    was read, which is worth its time only for an engine that has lost its model.
+    ``held`` are the digests of the chunks in memory. ``following`` is the version after
+    the one that is being worked on.
+    """
+
+    __slots__ = (
+        "current",
+        "following",
+        "held",
+        "is_checking",
+        "is_manifest_asked",
+        "is_ordering",
+        "is_probed",
+        "is_stage_known",
+        "is_staging",
+        "last_seen",
+        "manifest_retry_deadline",
+        "model",
+        "order_retry_deadline",
+        "report",
+        "stage_by_index",
+        "step",
+        "version_bound_s",
+        "wave",
+    )
+
+    def __init__(self, version_bound_s: float) -> None:
+        self.version_bound_s = version_bound_s
+        self.model = ""
+        self.wave = 0
+        self.report: EngineReport | None = None
+        self.last_seen = 0.0
+        self.step = Step.DONE
+        self.current: VersionWork | None = None
+        self.following: VersionWork | None = None
+        self.held: set[str] = set()
+        self.stage_by_index: dict[int, StagedChunk] = {}
+        self.is_probed = False
+        self.is_stage_known = False
+        self.is_checking = False
+        self.is_staging = False
+        self.is_ordering = False
+        self.is_manifest_asked = False
+        self.manifest_retry_deadline = 0.0
+        self.order_retry_deadline = 0.0
+
+    @property
+    def is_swapping(self) -> bool:
+        """Tell whether the engine takes no new work because of an order."""
+        if self.step in (Step.ORDER, Step.LOADING):
+            return True
+        return self.report is not None and self.report.is_busy
+
+    @property
+    def loaded_version(self) -> int:
+        """Return the version that the engine holds of the model, 0 for none."""
+        held = None if self.report is None else self.report.find_model(self.model)
+        return 0 if held is None else held.version
+
+
+def name_version(
+    state: StagingState, now: float, model: str, version: int, named_at: float
+) -> list[Effect]:
+    """Work towards a version that the operator has named."""
+    if model != state.model:
+        state.model = model
+        state.current = None
+        state.following = None
+    newest = state.following or state.current
+    if newest is not None and newest.version >= version:
+        return advance(state, now)
+    work = VersionWork(version, named_at, now)
+    if state.current is None or state.step is Step.DONE or _may_skip(state, now):
+        _begin(state, work)
+    else:
+        state.following = work
+    return advance(state, now)
+
+
+def _begin(state: StagingState, work: VersionWork) -> None:
+    state.current = work
+    state.following = None
+    state.step = Step.MANIFEST
+    state.is_manifest_asked = False
+    state.manifest_retry_deadline = 0.0
+
+
+def _may_skip(state: StagingState, now: float) -> bool:
+    """Tell whether the version under way may be left out for the next one.
+
+    It may as long as its order has not been given and the next version can be there
+    before calls must not begin on older versions than the one left out.
+    """
+    work = state.current
+    if work is None or state.step in (Step.TURN, Step.ORDER, Step.LOADING):
+        return False
+    total = len(work.digests)
+    missing = len(_list_missing(state, work)) if total else 1
+    done_share = 1.0 - missing / max(total, 1)
+    spent_s = max(now - work.started_at, RETRY_S)
+    deadline = work.named_at + state.version_bound_s - SKIP_MARGIN_S
+    if done_share <= 0.0:
+        return True
+    whole_s = spent_s / done_share
+    if now + whole_s <= deadline:
+        return True
+    return now + (1.0 - done_share) * whole_s > deadline
+
+
+def _list_missing(state: StagingState, work: VersionWork) -> list[int]:
+    """Return the positions whose chunk is neither staged nor in memory."""
+    return [
+        index
+        for index, digest in enumerate(work.digests)
+        if digest not in state.held and not _is_staged(state, index, digest)
+    ]
+
+
+def _is_staged(state: StagingState, index: int, digest: str) -> bool:
+    staged = state.stage_by_index.get(index)
+    return staged is not None and staged.digest == digest
+
+
+def handle_engine_seen(state: StagingState, event: EngineSeen) -> list[Effect]:
+    """Follow the engine's report."""
+    before = state.report
+    state.report = event.report
+    state.last_seen = event.now
+    state.is_probed = True
+    if before is None or before.born_ms != event.report.born_ms:
+        _forget_engine(state)
+    return advance(state, event.now)
+
+
+def handle_engine_silent(state: StagingState, event: EngineSilent) -> list[Effect]:
+    """Treat an engine that stays silent as gone."""
+    state.is_probed = True
+    if event.now - state.last_seen >= ENGINE_SILENCE_S:
+        state.report = None
+        _forget_engine(state)
+    return advance(state, event.now)
+
+
+def _forget_engine(state: StagingState) -> None:
+    """Start over with an engine of which nothing is known."""
+    state.stage_by_index.clear()
+    state.is_stage_known = state.loaded_version > 0
+    if state.step is not Step.MANIFEST:
+        state.step = Step.CHUNKS
+
+
+def handle_manifest_read(state: StagingState, event: ManifestRead) -> list[Effect]:
+    """Take in the manifest of the version under way or of the next."""
+    state.is_manifest_asked = False
+    work = _find_work(state, event.version)
+    if work is None:
+        return advance(state, event.now)
+    if event.manifest is None:
+        work.manifest_attempts += 1
+        state.manifest_retry_deadline = event.now + MANIFEST_RETRY_S
+        return advance(state, event.now)
+    work.manifest = event.manifest
+    if work is state.current and state.step is Step.MANIFEST:
+        state.step = Step.CHUNKS
+    return advance(state, event.now)
+
+
+def _find_work(state: StagingState, version: int) -> VersionWork | None:
+    for work in (state.current, state.following):
+        if work is not None and work.version == version:
+            return work
+    return None
+
+
+def handle_chunk_arrived(state: StagingState, event: ChunkArrived) -> list[Effect]:
+    """Take in the end of one fetch."""
+    work = _find_work(state, event.version)
+    if work is None:
+        return advance(state, event.now)
+    work.in_flight.discard(event.index)
+    if event.is_good:
+        state.held.add(work.digests[event.index])
+        return advance(state, event.now)
+    attempts = work.attempts_by_index.get(event.index, 0) + 1
+    work.attempts_by_index[event.index] = attempts
+    work.retry_deadline_by_index[event.index] = event.now + RETRY_S
+    return advance(state, event.now)
+
+
+def handle_chunk_staged(state: StagingState, event: ChunkStaged) -> list[Effect]:
+    """Take in that a chunk lies in the engine's stage."""
+    state.is_staging = False
+    if event.is_good:
+        staged = StagedChunk(event.digest, event.now)
+        state.stage_by_index[event.index] = staged
+    else:
+        state.stage_by_index.pop(event.index, None)
+    return advance(state, event.now)
+
+
+def handle_stage_checked(state: StagingState, event: StageChecked) -> list[Effect]:
+    """Take in what was read back from the stage."""
+    state.is_checking = False
+    state.is_stage_known = True
+    for index, digest in event.digest_by_index.items():
+        if not digest:
+            state.stage_by_index.pop(index, None)
+            continue
+        state.stage_by_index[index] = StagedChunk(digest, event.now)
+    return advance(state, event.now)
+
+
+def handle_order_answered(state: StagingState, event: OrderAnswered) -> list[Effect]:
+    """Follow the engine's answer to an order."""
+    state.is_ordering = False
+    work = state.current
+    if work is None or work.version != event.version or state.step is not Step.ORDER:
+        return advance(state, event.now)
+    if event.outcome in (OrderOutcome.BEGUN, OrderOutcome.IN_EFFECT):
+        state.step = Step.LOADING
+        return advance(state, event.now)
+    # Without an answer the order may have begun, which the next report tells.
+    state.step = Step.LOADING if event.outcome is None else Step.CHUNKS
+    state.order_retry_deadline = event.now + ORDER_RETRY_S
+    return advance(state, event.now)
+
+
+def advance(state: StagingState, now: float) -> list[Effect]:
+    """Take the next steps that the state allows."""
+    work = state.current
+    if work is None or not state.is_probed:
+        return []
+    effects: list[Effect] = []
+    if _is_served(state, work) and state.step is not Step.DONE:
+        state.step = Step.DONE
+        following = [] if state.following is None else state.following.digests
+        state.held.intersection_update(following)
+        effects.append(KeepChunks(frozenset(state.held)))
+    if state.step is Step.DONE:
+        if state.following is None:
+            if not _is_served(state, work) and state.report is not None:
+                state.step = Step.MANIFEST if work.manifest is None else Step.CHUNKS
+                return effects + advance(state, now)
+            return effects
+        _begin_following(state)
+        return effects + advance(state, now)
+    if state.step is Step.LOADING:
+        _judge_loading(state, now)
+    effects.extend(_ask_manifests(state, now))
+    effects.extend(_fetch(state, now))
+    effects.extend(_stage(state))
+    effects.extend(_check(state, now))
+    effects.extend(_order(state, now))
+    return effects
+
+
+def _begin_following(state: StagingState) -> None:
+    work = state.following
+    if work is None:
+        return
+    manifest = work.manifest
+    _begin(state, work)
+    if manifest is not None:
+        state.step = Step.CHUNKS
+
+
+def _is_served(state: StagingState, work: VersionWork) -> bool:
+    report = state.report
+    if report is None or report.is_busy:
+        return False
+    held = report.find_model(state.model)
+    return held is not None and held.version == work.version
+
+
+def _judge_loading(state: StagingState, now: float) -> None:
+    """Order again when the engine is idle and has not taken the version."""
+    if state.report is None or state.report.is_busy or state.is_ordering:
+        return
+    if now < state.order_retry_deadline + ENGINE_SILENCE_S:
+        return
+    state.step = Step.CHUNKS
+
+
+def _ask_manifests(state: StagingState, now: float) -> list[Effect]:
+    if state.is_manifest_asked or now < state.manifest_retry_deadline:
+        return []
+    for work in (state.current, state.following):
+        if work is None or work.manifest is not None:
+            continue
+        state.is_manifest_asked = True
+        return [ReadManifest(state.model, work.version, work.manifest_attempts)]
+    return []
+
+
+def _fetch(state: StagingState, now: float) -> list[Effect]:
+    """Fetch missing chunks, those of the version under way first."""
+    effects: list[Effect] = []
+    if state.report is not None and not state.is_stage_known:
+        # What the stage holds already need not be fetched.
+        return effects
+    busy = sum(
+        len(work.in_flight)
+        for work in (state.current, state.following)
+        if work is not None
+    )
+    for work in (state.current, state.following):
+        if work is None or work.manifest is None:
+            continue
+        for index in _list_missing(state, work):
+            if busy >= MAX_IN_FLIGHT:
+                return effects
+            if index in work.in_flight:
+                continue
+            if work.retry_deadline_by_index.get(index, 0.0) > now:
+                continue
+            work.in_flight.add(index)
+            busy += 1
+            attempt = work.attempts_by_index.get(index, 0)
+            digest = work.digests[index]
+            effects.append(FetchPart(state.model, work.version, index, digest, attempt))
+    return effects
+
+
+def _stage(state: StagingState) -> list[Effect]:
+    """Hand the next chunk of the version under way to the engine."""
+    work = state.current
+    if work is None or state.report is None or not state.is_stage_known:
+        return []
+    if state.is_staging or state.step not in (Step.CHUNKS, Step.CHECK):
+        return []
+    for index, digest in enumerate(work.digests):
+        if _is_staged(state, index, digest) or digest not in state.held:
+            continue
+        state.is_staging = True
+        return [StagePart(state.model, index, digest)]
+    return []
+
+
+def _check(state: StagingState, now: float) -> list[Effect]:
+    """Read back what was staged too long ago, once everything is staged."""
+    work = state.current
+    if work is None or work.manifest is None or state.report is None:
+        return []
+    if state.is_checking:
+        return []
+    if not state.is_stage_known:
+        state.is_checking = True
+        return [CheckStage(state.model, list(range(len(work.digests))))]
+    if state.step not in (Step.CHUNKS, Step.CHECK, Step.TURN):
+        return []
+    if state.is_staging or not _is_all_staged(state, work):
+        if state.step is Step.TURN:
+            state.step = Step.CHUNKS
+        return []
+    if state.step is not Step.TURN:
+        state.step = Step.TURN
+    if now < _turn(state, work):
+        return []
+    stale = [
+        index
+        for index, staged in sorted(state.stage_by_index.items())
+        if staged.checked_at + CHECK_VALID_S <= now
+    ]
+    if stale:
+        state.is_checking = True
+        return [CheckStage(state.model, stale)]
+    return []
+
+
+def _is_all_staged(state: StagingState, work: VersionWork) -> bool:
+    return all(
+        _is_staged(state, index, digest) for index, digest in enumerate(work.digests)
+    )
+
+
+def _turn(state: StagingState, work: VersionWork) -> float:
+    """Return when the engine may be ordered to load.
+
+    An engine without the model serves nobody, so nothing is gained by waiting.
+    """
+    if state.wave == 0 or not state.loaded_version:
+        return work.started_at
+    last = work.named_at + state.version_bound_s - SWAP_RESERVE_S
+    return work.named_at + (last - work.named_at) * state.wave / (WAVES - 1)
+
+
+def _order(state: StagingState, now: float) -> list[Effect]:
+    work = state.current
+    if work is None or state.report is None or state.step is not Step.TURN:
+        return []
+    if state.is_checking or state.is_ordering or state.report.is_busy:
+        return []
+    if now < max(_turn(state, work), state.order_retry_deadline):
+        return []
+    if not _is_all_staged(state, work):
+        return []
+    state.step = Step.ORDER
+    state.is_ordering = True
+    state.order_retry_deadline = now
+    order = StartOrder(
+        state.model, work.version, state.report.sequence, fence=work.version
+    )
+    return [OrderStart(order)]
