Keep a floor for each named version and log each decision on a call

Cause: the floor followed only the newest naming, so calls began on version 1 later than the bound of version 2 once version 3 was named; and a process that had read an empty list of versions took the first naming for one long past. A socket closed by the handler while its watcher waited on it broke curio's selector. Ruled out: a late watch (the naming arrived within 30 ms in the logs).

--- a/src/tamaracktray/calls.py
+++ b/src/tamaracktray/calls.py
@@ -73,11 +73,30 @@
     call_id: str
 
 
+class FleetView(msgspec.Struct, frozen=True):
+    """What a decision on a call was based on.
+
+    Of the ``listed`` endpoints of the call's services, ``eligible`` ones may run it;
+    of these, ``blocked`` ones failed or were full lately, ``swapping`` ones load a new
+    version and ``running`` calls are at all of them together. ``waiting`` calls wait in
+    this process. ``version_floor`` is the oldest version that may answer.
+    """
+
+    listed: int = 0
+    eligible: int = 0
+    blocked: int = 0
+    swapping: int = 0
+    running: int = 0
+    waiting: int = 0
+    version_floor: int = 0
+
+
 class SendCall(Effect, frozen=True):
     """Send a call to an endpoint.
 
     ``version`` is the version that must answer, 0 for any. ``last_event_id`` is set
-    when a stream goes on at another endpoint.
+    when a stream goes on at another endpoint. ``running`` counts the calls that were at
+    the endpoint before.
     """
 
     call_id: str
@@ -87,6 +106,7 @@
     version: int = 0
     urgency: int | None = None
     last_event_id: str = ""
+    running: int = 0
 
 
 class RefuseCall(Effect, frozen=True):
@@ -94,6 +114,7 @@
 
     call_id: str
     refusal: Refusal
+    view: FleetView = FleetView()
 
 
 class CutCall(Effect, frozen=True):
--- a/src/tamaracktray/direct.py
+++ b/src/tamaracktray/direct.py
@@ -67,6 +67,18 @@
 LAPSE_HOLD_S = 2.0
 
 
+# Time before a version is due from which calls go to it only, in seconds: a call may
+# wait that long at its endpoint before it begins.
+VERSION_MARGIN_S = 0.5
+
+
+class Naming(msgspec.Struct, frozen=True):
+    """When this process learned that a version was named, in monotonic seconds."""
+
+    version: int
+    named_at: float
+
+
 class Member(msgspec.Struct, frozen=True):
     """An entry as its peers know it; ``address`` takes beacons and peers' calls."""
 
@@ -128,8 +140,9 @@
     """Whole state of one process.
 
     ``outage_end`` is when the store last answered after a failure; a failure since then
-    is not over while ``is_store_lost``. ``named_at_by_model`` tells when this process
-    learned of the newest version of a model's weights. ``served`` names the service of
+    is not over while ``is_store_lost``. ``namings_by_model`` tells of each version of a
+    model's weights that may still be due when this process learned of its naming.
+    ``has_versions`` tells that the named versions were read once. ``served`` names the service of
     the engine beside an agent.
     """
 
@@ -139,6 +152,7 @@
         "evacuated_zones",
         "exit_deadline",
         "gateway",
+        "has_versions",
         "index",
         "is_leaving",
         "is_store_lost",
@@ -146,7 +160,7 @@
         "ledger",
         "members_by_name",
         "name",
-        "named_at_by_model",
+        "namings_by_model",
         "outage_end",
         "own_engine",
         "region_by_zone",
@@ -183,7 +197,8 @@
         self.index: RouteIndex | None = None
         self.evacuated_zones: frozenset[str] = frozenset()
         self.target_by_model: dict[str, VersionTarget] = {}
-        self.named_at_by_model: dict[str, float] = {}
+        self.has_versions = False
+        self.namings_by_model: dict[str, list[Naming]] = {}
         self.members_by_name: dict[str, Member] = {}
         self.outage_end = 0.0
         self.is_store_lost = False
@@ -303,11 +318,13 @@
         if known is not None and known.version >= target.version:
             continue
         state.target_by_model[target.model] = target
-        state.named_at_by_model[target.model] = now
-        if known is None:
+        named_at = now
+        if not state.has_versions:
             # A process that starts cannot tell how long ago the version was named.
-            state.named_at_by_model[target.model] -= state.version_bound_s
-            state.named_at_by_model[target.model] += state.contact_s
+            named_at += state.contact_s - state.version_bound_s
+        namings = state.namings_by_model.setdefault(target.model, [])
+        namings.append(Naming(target.version, named_at))
+    state.has_versions = True
     return _follow_own_version(state, now)
 
 
@@ -320,7 +337,8 @@
         return []
     model = service.engine.models[0].name
     target = state.target_by_model.get(model, VersionTarget(model, FIRST_VERSION))
-    named_at = state.named_at_by_model.get(model, now)
+    namings = state.namings_by_model.get(model)
+    named_at = namings[-1].named_at if namings else now
     state.staging.wave = _rank_own_engine(state) % WAVES
     return name_version(state.staging, now, model, target.version, named_at)
 
@@ -381,21 +399,21 @@
         effects.append(AnswerBeacon(event.sender))
     if state.gateway is None:
         return effects
-    _note_status(state, beacon)
+    _note_status(state, event.now, beacon)
     for load in state.gateway.loads_by_id.values():
         count = beacon.in_flight_by_endpoint.get(load.record.id, 0)
         load.note_peer(event.now, beacon.name, count)
     return effects + fill_room(_gateway_context(state, event.now), event.now)
 
 
-def _note_status(state: DirectState, beacon: Beacon) -> None:
+def _note_status(state: DirectState, now: float, beacon: Beacon) -> None:
     status = beacon.status
     if status is None or state.gateway is None:
         return
     load = state.gateway.loads_by_id.get(status.endpoint_id)
     if load is None:
         return
-    load.is_swapping = status.is_swapping
+    load.note_status(now, status.is_swapping, status.version_by_model)
 
 
 def _on_tick(state: DirectState, event: Tick) -> list[Effect]:
@@ -447,13 +465,16 @@
 def _list_version_floors(state: DirectState, now: float) -> dict[str, int]:
     """Return the oldest version on which calls may begin, by model.
 
-    The newest version is owed ``version_bound_s`` after its naming.
+    A version is owed ``version_bound_s`` after its naming, also when a newer one has
+    been named since. A call may begin a moment after it was sent.
     """
     floors: dict[str, int] = {}
-    for model, target in state.target_by_model.items():
-        named_at = state.named_at_by_model[model]
-        if now - named_at >= state.version_bound_s:
-            floors[model] = target.version
+    bound_s = state.version_bound_s - VERSION_MARGIN_S
+    for model, namings in state.namings_by_model.items():
+        due = [item.version for item in namings if now - item.named_at >= bound_s]
+        if due:
+            floors[model] = due[-1]
+            namings[:] = [item for item in namings if item.version >= due[-1]]
     return floors
 
 
--- a/src/tamaracktray/direct_entry.py
+++ b/src/tamaracktray/direct_entry.py
@@ -43,6 +43,7 @@
 from tamaracktray.outcomes import AttemptPhase
 from tamaracktray.protocol import AnswerFields, AttemptFields
 from tamaracktray.routes import RepeatKind
+from tamaracktray.snapshots import Collection
 from tamaracktray.types import Address, ErrorCode, Refusal, RunState
 
 # Longest wait for a connection to an endpoint, in seconds: a full queue of connections
@@ -211,15 +212,28 @@
     async def handle_caller(self, request: Request, responder: Responder) -> None:
         """Answer one caller."""
         if not self.state.is_informed:
+            self.log.info("refused", reason="no configuration", request_line=True)
             await self._send_refusal(responder, refuse_uninformed())
             return
         fields = self.deployment.protocol.read_caller(request)
         built = build_call(time.monotonic(), self.state.index, request, fields)
         if isinstance(built, Failure):
-            await self._send_refusal(responder, built.failure())
+            refusal = built.failure()
+            self._log_request(
+                "refused",
+                fields.request_id,
+                status=refusal.status,
+                code=refusal.code.value,
+                routing=self.state.index.table.version,
+            )
+            await self._send_refusal(responder, refusal)
             return
         await self._answer(OpenCall(built.unwrap(), request, responder))
 
+    def _log_request(self, event: str, request_id: str, **inputs: object) -> None:
+        """Log a decision on a request; such lines are bounded in number."""
+        self.log.info(event, request=request_id, request_line=True, **inputs)
+
     async def _answer(self, open_call: OpenCall) -> None:
         call = open_call.call
         self._open_by_id[call.id] = open_call
@@ -229,12 +243,16 @@
             await curio.timeout_after(left_s, self._follow_decisions(open_call))
         except curio.TaskTimeout:
             await self._end_late(open_call)
+        except curio.CancelledError:
+            self._log_request("caller gone", call.request_id)
+            raise
         finally:
             self._open_by_id.pop(call.id, None)
             await self.dispatch(CallEnded(time.monotonic(), call.id))
 
     async def _end_late(self, open_call: OpenCall) -> None:
         """Give the final answer to a call whose time is over."""
+        self._log_request("time over", open_call.call.request_id)
         if open_call.is_head_sent:
             await open_call.responder.abort()
             return
@@ -248,7 +266,9 @@
         while True:
             decision: Effect = await open_call.decisions.get()
             if isinstance(decision, SendCall):
+                self._log_attempt(open_call, decision)
                 ended = await self._attempt(open_call, decision)
+                self._log_attempt_end(open_call, ended)
                 await self.dispatch(ended)
                 if ended.phase is AttemptPhase.ANSWERED:
                     return
@@ -256,21 +276,67 @@
             await self._finish(open_call, decision)
             return
 
+    def _log_attempt(self, open_call: OpenCall, decision: SendCall) -> None:
+        call = open_call.call
+        snapshots = self.state.knowledge.by_collection
+        self._log_request(
+            "attempt",
+            call.request_id,
+            number=decision.attempt,
+            route=call.route.name,
+            team=call.team,
+            endpoint=decision.endpoint_id,
+            running=decision.running,
+            version=decision.version,
+            waited_s=round(time.monotonic() - call.arrived, 4),
+            left_s=round(call.deadline - time.monotonic(), 3),
+            routing=self.state.index.table.version,
+            endpoints_revision=snapshots[Collection.ENDPOINTS].revision,
+        )
+
+    def _log_attempt_end(self, open_call: OpenCall, ended: CallAttemptEnded) -> None:
+        call = open_call.call
+        self._log_request(
+            "attempt ended",
+            call.request_id,
+            endpoint=ended.endpoint_id,
+            phase=ended.phase.value,
+            status=ended.status,
+            after_s=round(ended.now - call.arrived, 4),
+            detail=ended.detail,
+        )
+
     async def _finish(self, open_call: OpenCall, decision: Effect) -> None:
         """Carry out a final decision."""
         responder = open_call.responder
-        if isinstance(decision, CutCall):
-            await responder.abort()
-            return
+        request_id = open_call.call.request_id
         if isinstance(decision, RelayFailure) and open_call.failure is not None:
             failure = open_call.failure
+            self._log_request("failure passed on", request_id, status=failure.status)
             await self._respond(responder, failure)
             return
         if isinstance(decision, RefuseCall):
+            self._log_refusal(open_call, decision)
             await self._send_refusal(responder, decision.refusal)
             return
+        reason = decision.reason if isinstance(decision, CutCall) else "no answer"
+        self._log_request("answer cut", request_id, reason=reason)
         await responder.abort()
 
+    def _log_refusal(self, open_call: OpenCall, decision: RefuseCall) -> None:
+        refusal = decision.refusal
+        self._log_request(
+            "refused",
+            open_call.call.request_id,
+            status=refusal.status,
+            code=refusal.code.value,
+            run=refusal.run.value,
+            retry_after_s=refusal.retry_after_s,
+            waited_s=round(time.monotonic() - open_call.call.arrived, 4),
+            route=open_call.call.route.name,
+            **msgspec.to_builtins(decision.view),
+        )
+
     async def _deliver(
         self, effect: SendCall | RefuseCall | CutCall | RelayFailure
     ) -> None:
--- a/src/tamaracktray/direct_shell.py
+++ b/src/tamaracktray/direct_shell.py
@@ -33,7 +33,7 @@
 from tamaracktray.exceptions import ConflictError, PlatformError, RevisionExpiredError
 from tamaracktray.exchange import fetch
 from tamaracktray.http import HttpServer, Request, Responder
-from tamaracktray.logs import configure_logs
+from tamaracktray.logs import Logs, configure_logs
 from tamaracktray.metrics import NullMetrics
 from tamaracktray.objects import StoredObject
 from tamaracktray.roster import EndpointRecord
@@ -95,6 +95,7 @@
         self.store = deployment.open_store(
             Address.parse(settings.store.address), settings.store.timeout_s
         )
+        self.logs: Logs | None = None
         self._incarnation = self.random.getrandbits(32)
         self._beacon_number = 0
         self._pulls: set[Address] = set()
@@ -210,6 +211,8 @@
         while True:
             await curio.sleep(TICK_S)
             await self.dispatch(Tick(time.monotonic()))
+            if self.logs is not None:
+                self.logs.flush()
 
     async def _hand_out_snapshots(self, request: Request, responder: Responder) -> None:
         try:
@@ -367,11 +370,18 @@
         print(f"tamaracktrayd: {loaded.failure().message}", file=sys.stderr)
         return EXIT_SETTINGS
     settings = loaded.unwrap()
-    configure_logs(settings.logs.level, sys.stdout, process=settings.node.name)
+    logs = configure_logs(
+        settings.logs.level,
+        sys.stdout.fileno(),
+        is_buffered=True,
+        process=settings.node.name,
+    )
     shell = _build_shell(path, settings, deployment)
+    shell.logs = logs
     # Objects made so far live as long as the process; the collector need not see them.
     gc.freeze()
     curio.run(shell.run)
+    logs.flush()
     return shell.exit_code
 
 
--- a/src/tamaracktray/gateway.py
+++ b/src/tamaracktray/gateway.py
@@ -10,6 +10,7 @@
     CallEnded,
     CallStarted,
     CutCall,
+    FleetView,
     RefuseCall,
     RelayFailure,
     SendCall,
@@ -225,6 +226,8 @@
 def handle_gateway_tick(context: GatewayContext, now: float) -> list[Effect]:
     """Send calls that found room and refuse those that have waited long enough."""
     state = context.state
+    for load in state.loads_by_id.values():
+        load.expire_status(now)
     effects = fill_room(context, now)
     for call in state.waiting.remove_expired(now):
         pending = state.pending_by_id.get(call.id)
@@ -248,7 +251,7 @@
         if load is None:
             continue
         state.waiting.remove(call.id)
-        effects.append(_send(now, pending, load))
+        effects.append(_send(context, now, pending, load))
     return effects
 
 
@@ -268,7 +271,7 @@
 def _place(context: GatewayContext, now: float, pending: PendingCall) -> list[Effect]:
     load = _choose(context, now, pending)
     if load is not None:
-        return [_send(now, pending, load)]
+        return [_send(context, now, pending, load)]
     if not _has_eligible(context, pending):
         return _refuse(context, now, pending)
     waiting = context.state.waiting
@@ -280,24 +283,29 @@
 def _has_eligible(context: GatewayContext, pending: PendingCall) -> bool:
     return any(
         load.record.id not in pending.tried
-        and is_eligible(pending.call, load.record, context.around)
+        and is_eligible(pending.call, load, context.around)
         for load in context.state.loads_by_id.values()
     )
 
 
-def _send(now: float, pending: PendingCall, load: EndpointLoad) -> SendCall:
+def _send(
+    context: GatewayContext, now: float, pending: PendingCall, load: EndpointLoad
+) -> SendCall:
+    # While several versions may answer, an endpoint is free to change in between.
+    is_version_due = pending.call.model in context.around.version_floor_by_model
     pending.attempts += 1
     pending.endpoint_id = load.record.id
+    running = load.count_running(now)
     load.note_sent(now)
-    held = load.record.find_model(pending.call.model)
     return SendCall(
         pending.call.id,
         pending.attempts,
         load.record.id,
         load.record.address,
-        version=held.version if held is not None else 0,
+        version=load.find_version(pending.call.model) if is_version_due else 0,
         urgency=None,
         last_event_id=pending.last_event_id,
+        running=running,
     )
 
 
@@ -348,9 +356,29 @@
     return context.state.find_budget(call.services[0]).spend(now)
 
 
+def view_fleet(context: GatewayContext, now: float, pending: PendingCall) -> FleetView:
+    """Return what a decision on a call is based on."""
+    call = pending.call
+    listed = eligible = blocked = swapping = running = 0
+    for load in context.state.loads_by_id.values():
+        if load.record.service not in call.services:
+            continue
+        listed += 1
+        if not is_eligible(call, load, context.around):
+            continue
+        eligible += 1
+        blocked += load.blocked_deadline > now
+        swapping += load.is_swapping
+        running += load.count_running(now)
+    floor = context.around.version_floor_by_model.get(call.model, 0)
+    waiting = len(context.state.waiting)
+    return FleetView(listed, eligible, blocked, swapping, running, waiting, floor)
+
+
 def _refuse(context: GatewayContext, now: float, pending: PendingCall) -> list[Effect]:
     """Give the caller its final answer, promising "not run" only when it is true."""
     call = pending.call
+    view = view_fleet(context, now, pending)
     context.state.pending_by_id.pop(call.id, None)
     context.state.waiting.remove(call.id)
     if pending.is_started:
@@ -358,10 +386,10 @@
     if pending.has_failed_answer:
         return [RelayFailure(call.id)]
     if pending.may_have_run:
-        return [RefuseCall(call.id, refuse_unanswered())]
+        return [RefuseCall(call.id, refuse_unanswered(), view)]
     if not _has_eligible(context, pending):
-        return [RefuseCall(call.id, refuse_no_endpoint())]
-    return [RefuseCall(call.id, refuse_busy())]
+        return [RefuseCall(call.id, refuse_no_endpoint(), view)]
+    return [RefuseCall(call.id, refuse_busy(), view)]
 
 
 def refuse_unanswered() -> Refusal:
--- a/src/tamaracktray/http.py
+++ b/src/tamaracktray/http.py
@@ -115,7 +115,7 @@
 class _ConnectionResponder(Responder):
     """Answers one request on a server connection."""
 
-    __slots__ = ("_connection", "_socket", "_timeout_s", "is_aborted")
+    __slots__ = ("_connection", "_socket", "_timeout_s", "is_aborted", "watcher")
 
     def __init__(
         self, connection: h11.Connection, socket: curio.io.Socket, timeout_s: float
@@ -124,6 +124,7 @@
         self._socket = socket
         self._timeout_s = timeout_s
         self.is_aborted = False
+        self.watcher: curio.Task | None = None
 
     async def _send(self, *events: h11.Event) -> None:
         data = b"".join(self._connection.send(event) or b"" for event in events)
@@ -152,6 +153,9 @@
     async def abort(self) -> None:
         self.is_aborted = True
         self._connection.send_failed()
+        if self.watcher is not None:
+            # No task may wait on a socket that another one closes.
+            await self.watcher.cancel()
         await self._socket.close()
 
     async def respond(
@@ -296,6 +300,7 @@
         """Run the handler until it ends or the client closes the connection."""
         handler = await curio.spawn(self._handle, request, responder)
         watcher = await curio.spawn(_watch_client, connection, client, handler)
+        responder.watcher = watcher
         try:
             await handler.wait()
         finally:
--- a/src/tamaracktray/placement.py
+++ b/src/tamaracktray/placement.py
@@ -28,6 +28,10 @@
 # What a peer said of its calls counts for this long, in seconds.
 PEER_COUNT_S = 1.0
 
+# What an agent said of its engine counts for this long, in seconds; it repeats it twice
+# a second.
+STATUS_S = 1.5
+
 # Calls by which another availability zone or region must be emptier than the own one.
 ZONE_DISTANCE = 0.5
 REGION_DISTANCE = 1.0
@@ -37,7 +41,8 @@
     """What this process knows of the load and health of one endpoint.
 
     ``in_flight`` counts the calls of this process. ``is_swapping`` tells that the
-    endpoint's agent has ordered it to load another version.
+    endpoint's agent has ordered it to load another version. What the agent says of the
+    versions counts before the list, which is older, until ``status_deadline``.
     """
 
     __slots__ = (
@@ -46,8 +51,10 @@
         "cold_budget",
         "failures",
         "in_flight",
+        "_version_by_model",
         "is_swapping",
         "record",
+        "status_deadline",
     )
 
     def __init__(self, record: EndpointRecord) -> None:
@@ -57,8 +64,32 @@
         self.blocked_deadline = 0.0
         self.cold_budget: PermitBucket | None = None
         self.is_swapping = False
+        self.status_deadline = 0.0
+        self._version_by_model: dict[str, int] = {}
         self._peer_counts: dict[str, tuple[int, float]] = {}
 
+    def note_status(
+        self, now: float, is_swapping: bool, version_by_model: dict[str, int]
+    ) -> None:
+        """Take in what the endpoint's agent says."""
+        self.is_swapping = is_swapping
+        self.status_deadline = now + STATUS_S
+        self._version_by_model = version_by_model
+
+    def expire_status(self, now: float) -> None:
+        """Go by the list again when the agent has been silent."""
+        if now >= self.status_deadline:
+            self.is_swapping = False
+            self._version_by_model = {}
+
+    def find_version(self, model: str) -> int:
+        """Return the version of a model that the endpoint holds as a whole, or 0."""
+        told = self._version_by_model.get(model)
+        if told is not None:
+            return told
+        held = self.record.find_model(model)
+        return 0 if held is None else held.version
+
     def note_peer(self, now: float, peer: str, count: int) -> None:
         """Take in how many calls a peer has at the endpoint."""
         self._peer_counts[peer] = (count, now + PEER_COUNT_S)
@@ -138,8 +169,9 @@
         return REGION_DISTANCE
 
 
-def is_eligible(call: Call, record: EndpointRecord, around: Surroundings) -> bool:
+def is_eligible(call: Call, load: EndpointLoad, around: Surroundings) -> bool:
     """Tell whether an endpoint may run a call at all."""
+    record = load.record
     if record.service not in call.services or record.is_draining:
         return False
     if record.zone in around.evacuated_zones:
@@ -149,18 +181,13 @@
     service = around.services_by_name.get(record.service)
     if service is None:
         return False
-    return _holds_model(call, record, service, around)
-
-
-def _holds_model(
-    call: Call, record: EndpointRecord, service: Service, around: Surroundings
-) -> bool:
     if service.engine is None or not call.model:
         return True
     held = record.find_model(call.model)
-    if held is None or not held.is_whole(service.engine.layers):
+    if held is not None and not held.is_whole(service.engine.layers):
         return False
-    return held.version >= around.version_floor_by_model.get(call.model, 0)
+    floor = max(around.version_floor_by_model.get(call.model, 0), 1)
+    return load.find_version(call.model) >= floor
 
 
 def count_room(load: EndpointLoad, now: float) -> int:
@@ -187,7 +214,7 @@
     eligible = [
         load
         for load in loads
-        if load.record.id not in tried and is_eligible(call, load.record, around)
+        if load.record.id not in tried and is_eligible(call, load, around)
     ]
     for service in call.services:
         candidates = [load for load in eligible if load.record.service == service]
