--- a/src/tamaracktray/direct.py
+++ b/src/tamaracktray/direct.py
@@ -142,8 +142,8 @@
     ``outage_end`` is when the store last answered after a failure; a failure since then
     is not over while ``is_store_lost``. ``namings_by_model`` tells of each version of a
     model's weights that may still be due when this process learned of its naming.
-    ``has_versions`` tells that the named versions were read once. ``served`` names the service of
-    the engine beside an agent.
+    ``has_versions`` tells that the named versions were read once. ``served`` names the
+    service of the engine beside an agent.
     """
 
     __slots__ = (
--- a/src/tamaracktray/exchange.py
+++ b/src/tamaracktray/exchange.py
@@ -223,10 +223,18 @@
     *,
     timeout_s: float = 5.0,
     max_bytes: int = 4 * 1_048_576,
+    is_host_given: bool = False,
 ) -> Result[Reply, TransportError]:
     """Send one request and return its whole answer within ``timeout_s`` seconds."""
     exchange = _fetch(
-        address, method, target, headers or [], body, timeout_s, max_bytes
+        address,
+        method,
+        target,
+        headers or [],
+        body,
+        timeout_s,
+        max_bytes,
+        is_host_given,
     )
     try:
         return await curio.timeout_after(timeout_s, exchange)
@@ -243,10 +251,17 @@
     body: bytes,
     timeout_s: float,
     max_bytes: int,
+    is_host_given: bool,
 ) -> Result[Reply, TransportError]:
     # A shorter bound on the connection tells an unsent request from an unanswered one.
     opened = await open_exchange(
-        address, method, target, headers, body, connect_timeout_s=timeout_s / 2
+        address,
+        method,
+        target,
+        headers,
+        body,
+        connect_timeout_s=timeout_s / 2,
+        is_host_given=is_host_given,
     )
     if isinstance(opened, Failure):
         return opened
--- a/src/tamaracktray/runtime.py
+++ b/src/tamaracktray/runtime.py
@@ -75,13 +75,17 @@
         await curio.spawn(self._guard, function, *args, daemon=True)
 
     async def run(self) -> None:
+        """Serve until a signal has asked the process to stop and it is idle."""
+        await curio.spawn(self._run_loop, self._run_signals, daemon=True)
+        await self.serve()
+
+    async def serve(self) -> None:
         """Serve until the process has been asked to stop and is idle."""
         servers = self.build_servers()
         for server in servers:
             await server.open()
         await self.prepare()
-        loops = [self._run_signals, *self.list_loops()]
-        for loop in [*loops, *(server.serve for server in servers)]:
+        for loop in [*self.list_loops(), *(server.serve for server in servers)]:
             await curio.spawn(self._run_loop, loop, daemon=True)
         self.log.info("started")
         await self._done.wait()
--- /dev/null
+++ b/src/tamaracktray_emulator/platform/origin.py
@@ -0,0 +1,70 @@
+"""Stand-in for the platform's origin of weights."""
+
+import hashlib
+
+from typing_extensions import override
+
+from tamaracktray.http import Request, Responder
+from tamaracktray.types import Address
+from tamaracktray.weights import digest_bytes
+from tamaracktray_emulator.platform.documents import (
+    CHUNK_BYTES,
+    CHUNKS,
+    ENGINE_MODEL,
+    LAYERS,
+)
+from tamaracktray_emulator.standin import StandIn, send_json
+
+
+def make_chunk(version: int, index: int) -> bytes:
+    """Return the bytes of a chunk, which differ for each version and position."""
+    seed = hashlib.sha256(f"{version}/{index}".encode()).digest()
+    return (seed * (CHUNK_BYTES // len(seed) + 1))[:CHUNK_BYTES]
+
+
+def list_digests(version: int) -> list[str]:
+    """Return the digests of a version's chunks."""
+    return [digest_bytes(make_chunk(version, index)) for index in range(CHUNKS)]
+
+
+class OriginStandIn(StandIn):
+    """Hands out versions; counts what it sends.
+
+    ``is_down`` resets every call. ``spoilt`` chunks and manifests are sent with a wrong
+    byte once each.
+    """
+
+    def __init__(self, address: Address) -> None:
+        super().__init__(address)
+        self.chunks_sent = 0
+        self.is_down = False
+        self.spoilt: set[int] = set()
+        self.is_manifest_spoilt = False
+
+    @override
+    async def answer(self, request: Request, responder: Responder) -> None:
+        if self.is_down:
+            await responder.abort()
+            return
+        version = int(request.query.get("version", "1"))
+        if request.path == f"/manifest/{ENGINE_MODEL}":
+            digests = list_digests(version)
+            if self.is_manifest_spoilt:
+                self.is_manifest_spoilt = False
+                digests[0] = "0" * 64
+            document = {
+                "model": ENGINE_MODEL,
+                "version": version,
+                "chunkBytes": CHUNK_BYTES,
+                "layers": LAYERS,
+                "digests": digests,
+            }
+            await send_json(responder, 200, document)
+            return
+        index = int(request.query["quantity"])
+        data = make_chunk(version, index)
+        if index in self.spoilt:
+            self.spoilt.discard(index)
+            data = b"\x00" + data[1:]
+        self.chunks_sent += 1
+        await responder.respond(200, [], data)
--- /dev/null
+++ b/src/tamaracktray_emulator/platform/store.py
@@ -0,0 +1,190 @@
+"""Stand-in for the platform's metadata store, with its outages."""
+
+import time
+from enum import Enum
+from typing import Any
+
+import curio
+import msgspec
+from typing_extensions import override
+
+from tamaracktray.http import Request, Responder
+from tamaracktray.types import Address
+from tamaracktray_emulator.standin import StandIn, send_json
+
+PAGE_LENGTH = 500
+PREFIX = "/objects/"
+WATCH_POLL_S = 0.005
+MS_PER_S = 1_000.0
+
+
+class Outage(str, Enum):
+    """How the store fails."""
+
+    NONE = "none"
+    BUSY = "busy"
+    MANY = "many"
+    RESET = "reset"
+    SILENT = "silent"
+
+
+class StoreFaults(msgspec.Struct):
+    """Faults that tests switch on.
+
+    ``delay_s`` slows every call. ``lost_answers`` counts writes whose answer is cut
+    after they took effect. ``is_deaf`` keeps watches from seeing changes.
+    """
+
+    outage: Outage = Outage.NONE
+    delay_s: float = 0.0
+    lost_answers: int = 0
+    is_deaf: bool = False
+
+
+class StoredChange(msgspec.Struct, frozen=True):
+    """One entry of the history."""
+
+    revision: int
+    kind: str
+    name: str
+    object: dict[str, Any]
+    is_removed: bool
+
+
+class PlatformStoreStandIn(StandIn):
+    """Serves objects by kind and name, with one revision counter and watches."""
+
+    def __init__(self, address: Address) -> None:
+        super().__init__(address)
+        self.revision = 1
+        self.first_revision = 1
+        self.objects: dict[tuple[str, str], dict[str, Any]] = {}
+        self.history: list[StoredChange] = []
+        self.faults = StoreFaults()
+        self.calls = 0
+
+    def write(self, kind: str, name: str, spec: Any) -> int:
+        """Store an object as the operator or an endpoint does; return the revision."""
+        self.revision += 1
+        metadata = {"name": name, "revision": self.revision, "created": 1}
+        metadata |= {"finalizers": [], "deleting": False}
+        stored = {"metadata": metadata, "spec": spec, "status": None}
+        self.objects[kind, name] = stored
+        self.history.append(StoredChange(self.revision, kind, name, stored, False))
+        return self.revision
+
+    def remove(self, kind: str, name: str) -> int:
+        """Remove an object; return the revision."""
+        stored = self.objects.pop((kind, name))
+        self.revision += 1
+        self.history.append(StoredChange(self.revision, kind, name, stored, True))
+        return self.revision
+
+    def compact(self) -> None:
+        """Drop the history, so that watches from before must list again."""
+        self.first_revision = self.revision
+        self.history.clear()
+
+    @override
+    async def answer(self, request: Request, responder: Responder) -> None:
+        self.calls += 1
+        if await self._fail(responder):
+            return
+        if self.faults.delay_s:
+            await curio.sleep(self.faults.delay_s)
+        kind, _, name = request.path.removeprefix(PREFIX).partition("/")
+        if request.method != "GET":
+            await self._write(request, responder, kind, name)
+        elif "watch" in request.query:
+            await self._watch(request, responder, kind)
+        elif name:
+            await self._get(responder, kind, name)
+        else:
+            await self._list(request, responder, kind)
+
+    async def _fail(self, responder: Responder) -> bool:
+        outage = self.faults.outage
+        if outage is Outage.NONE:
+            return False
+        if outage is Outage.SILENT:
+            await curio.sleep(3_600.0)
+        if outage is Outage.RESET:
+            await responder.abort()
+            return True
+        status = 503 if outage is Outage.BUSY else 429
+        await send_json(responder, status, {"error": "not now"})
+        return True
+
+    async def _get(self, responder: Responder, kind: str, name: str) -> None:
+        stored = self.objects.get((kind, name))
+        if stored is None:
+            await send_json(responder, 404, {"error": "no such object"})
+            return
+        await send_json(responder, 200, stored)
+
+    async def _list(self, request: Request, responder: Responder, kind: str) -> None:
+        after = request.query.get("sinceRevision", "")
+        names = sorted(name for key, name in self.objects if key == kind)
+        left = [name for name in names if name > after]
+        page = left[:PAGE_LENGTH]
+        document = {
+            "items": [self.objects[kind, name] for name in page],
+            "hasMore": len(left) > len(page),
+            "storeRevision": self.revision,
+        }
+        await send_json(responder, 200, document)
+
+    async def _watch(self, request: Request, responder: Responder, kind: str) -> None:
+        revision = int(request.query["watch"])
+        deadline = time.monotonic() + int(request.query["waitMs"]) / MS_PER_S
+        while True:
+            if revision < self.first_revision:
+                await send_json(responder, 410, {"error": "history is gone"})
+                return
+            events = [
+                {"object": change.object, "removed": change.is_removed}
+                for change in self.history
+                if change.revision > revision and change.kind == kind
+            ]
+            is_over = time.monotonic() >= deadline
+            if is_over or (events and not self.faults.is_deaf):
+                break
+            if self.faults.outage is not Outage.NONE:
+                await self._fail(responder)
+                return
+            await curio.sleep(WATCH_POLL_S)
+        if self.faults.is_deaf:
+            events = []
+        document = {"events": events, "storeRevision": self.revision}
+        await send_json(responder, 200, document)
+
+    async def _write(
+        self, request: Request, responder: Responder, kind: str, name: str
+    ) -> None:
+        document = msgspec.json.decode(request.body) if request.body else {}
+        metadata = document.get("metadata", {})
+        name = name or metadata["name"]
+        stored = self.objects.get((kind, name))
+        wanted = metadata.get("revision", request.query.get("revision"))
+        if request.method == "POST" and stored is not None:
+            await send_json(responder, 409, stored)
+            return
+        if request.method != "POST" and stored is None:
+            await send_json(responder, 404, {"error": "no such object"})
+            return
+        if (
+            wanted is not None
+            and stored
+            and int(wanted) != stored["metadata"]["revision"]
+        ):
+            await send_json(responder, 409, stored)
+            return
+        if request.method == "DELETE":
+            self.remove(kind, name)
+        else:
+            self.write(kind, name, document.get("spec"))
+        if self.faults.lost_answers:
+            self.faults.lost_answers -= 1
+            await responder.abort()
+            return
+        await send_json(responder, 200, self.objects.get((kind, name), {}))
--- /dev/null
+++ b/src/tamaracktray_emulator/platform/worker.py
@@ -0,0 +1,229 @@
+"""Stand-in for the platform's workers: plain ones and model engines."""
+
+from enum import Enum
+from typing import Any
+
+import curio
+import msgspec
+from typing_extensions import override
+
+from tamaracktray.http import Headers, Request, Responder
+from tamaracktray.types import Address
+from tamaracktray.weights import digest_bytes
+from tamaracktray_emulator.platform.documents import CHUNKS, ENGINE_MODEL, LAYERS
+from tamaracktray_emulator.standin import StandIn, send_json
+
+REQUEST_ID = "x-tamaracktray-request-id"
+SIGNATURE = "x-tamaracktray-server-signature"
+NOT_RUN = "x-tamaracktray-not-executed"
+EXPECTED_ENDPOINT = "x-tamaracktray-expect-instance"
+EXPECTED_VERSION = "x-tamaracktray-expect-version"
+VERSION = "x-tamaracktray-weight-versions"
+
+EVENTS = 6
+EVENT_S = 0.01
+WORK_S = 0.01
+
+
+class Mode(str, Enum):
+    """How a worker answers."""
+
+    GOOD = "good"
+    FULL = "full"
+    FAILING = "failing"
+    HANGING = "hanging"
+    CUTTING = "cutting"
+    CROSSED = "crossed"
+    UNSIGNED = "unsigned"
+    GARBLED = "garbled"
+    UNFRAMED = "unframed"
+    EXTRA = "extra"
+
+
+class WorkerStandIn(StandIn):
+    """Answers requests; remembers what it ran.
+
+    ``runs`` holds the headers of every request that was run, by request id.
+    """
+
+    def __init__(self, address: Address, endpoint_id: str, service: str) -> None:
+        super().__init__(address)
+        self.id = endpoint_id
+        self.service = service
+        self.mode = Mode.GOOD
+        self.cut_after = EVENTS
+        self.runs: dict[str, list[dict[str, str]]] = {}
+        self.finished: list[str] = []
+        self.arrivals = 0
+
+    def describe(self, zone: str, **fields: Any) -> dict[str, Any]:
+        """Return the entry that the worker writes into the store."""
+        return {
+            "service": self.service,
+            "address": str(self.server.address),
+            "zone": zone,
+            "version": "v1",
+            "maxBatchSize": 16,
+            "state": "ready",
+            "coldRemainingMs": 0,
+            "stage": "both",
+            "models": [],
+            "seq": 0,
+            "born": 1,
+            **fields,
+        }
+
+    @override
+    async def answer(self, request: Request, responder: Responder) -> None:
+        self.arrivals += 1
+        if request.headers.get(EXPECTED_ENDPOINT, self.id) != self.id:
+            await responder.respond(421, [])
+            return
+        if self.mode is Mode.FULL:
+            await responder.respond(503, [(NOT_RUN, "1")])
+            return
+        request_id = request.headers.get(REQUEST_ID, "")
+        self.runs.setdefault(request_id, []).append(request.headers)
+        await self.run(request, responder, self._build_headers(request_id))
+        self.finished.append(request_id)
+
+    def _build_headers(self, request_id: str) -> Headers:
+        if self.mode is Mode.CROSSED:
+            request_id = "another"
+        headers = [(REQUEST_ID, request_id), (SIGNATURE, f"sig.{self.id}")]
+        return headers[:1] if self.mode is Mode.UNSIGNED else headers
+
+    async def run(
+        self, request: Request, responder: Responder, headers: Headers
+    ) -> None:
+        """Work on a request and answer it."""
+        await curio.sleep(WORK_S)
+        if self.mode is Mode.HANGING:
+            await curio.sleep(3_600.0)
+        if self.mode is Mode.CUTTING:
+            await responder.abort()
+            return
+        status = 500 if self.mode is Mode.FAILING else 200
+        await responder.respond(status, headers, b"answer of " + self.id.encode())
+
+
+class EngineStandIn(WorkerStandIn):
+    """A worker that streams events and takes weights and orders."""
+
+    def __init__(self, address: Address, endpoint_id: str, service: str) -> None:
+        super().__init__(address, endpoint_id, service)
+        self.version = 0
+        self.staged: dict[int, bytes] = {}
+        self.loaded_digests: list[str] = []
+        self.orders: list[dict[str, Any]] = []
+        self.is_busy = False
+        self.sequence = 0
+        self.born = 1
+        self.load_s = 0.05
+
+    def restart(self) -> None:
+        """Lose the model but keep what is staged, as after a crash."""
+        self.version = 0
+        self.sequence = 0
+        self.born += 1
+
+    def list_models(self) -> list[dict[str, Any]]:
+        """Return the models as reports and entries list them."""
+        if not self.version:
+            return []
+        return [{"name": ENGINE_MODEL, "version": self.version, "adapters": []}]
+
+    def list_layers(self) -> list[dict[str, Any]]:
+        """Return the layers held."""
+        if not self.version:
+            return []
+        return [{"from": 0, "to": LAYERS, "version": self.version}]
+
+    @override
+    def describe(self, zone: str, **fields: Any) -> dict[str, Any]:
+        models = {"models": self.list_models(), "layers": self.list_layers()}
+        return super().describe(zone, **{**models, "seq": self.sequence, **fields})
+
+    @override
+    async def answer(self, request: Request, responder: Responder) -> None:
+        if request.path == "/report":
+            await send_json(responder, 200, self._report())
+        elif request.path == "/order":
+            await self._order(request, responder)
+        elif request.path.startswith("/stage-"):
+            await self._stage(request, responder)
+        elif request.headers.get(EXPECTED_VERSION, str(self.version)) != str(
+            self.version
+        ):
+            await responder.respond(421, [])
+        else:
+            await super().answer(request, responder)
+
+    def _report(self) -> dict[str, Any]:
+        return {
+            "stage": "both",
+            "models": self.list_models(),
+            "layers": self.list_layers(),
+            "busy": self.is_busy,
+            "seq": self.sequence,
+            "queued": 0,
+            "active": 0,
+            "kvUsed": 0,
+            "kvTotal": 90000,
+            "handles": 0,
+            "born": self.born,
+            "pace": 1.0,
+        }
+
+    async def _stage(self, request: Request, responder: Responder) -> None:
+        quantity = request.query.get("quantity")
+        if request.method == "PUT":
+            self.staged[int(quantity)] = request.body
+            await responder.respond(200, [])
+        elif quantity is None:
+            await send_json(responder, 200, {"held": sorted(self.staged)})
+        elif int(quantity) in self.staged:
+            await responder.respond(200, [], self.staged[int(quantity)])
+        else:
+            await responder.respond(404, [])
+
+    async def _order(self, request: Request, responder: Responder) -> None:
+        order = msgspec.json.decode(request.body)
+        self.orders.append(order)
+        if order.get("precondition", self.sequence) != self.sequence or self.is_busy:
+            await responder.respond(409, [])
+            return
+        self.sequence += 1
+        self.is_busy = True
+        self.loaded_digests = [
+            digest_bytes(self.staged.get(index, b"")) for index in range(CHUNKS)
+        ]
+        await curio.spawn(self._load, order["version"], daemon=True)
+        await responder.respond(202, [])
+
+    async def _load(self, version: int) -> None:
+        self.version = 0
+        await curio.sleep(self.load_s)
+        self.version = version
+        self.is_busy = False
+
+    @override
+    async def run(
+        self, request: Request, responder: Responder, headers: Headers
+    ) -> None:
+        first = int(request.headers.get("last-event-id", "0")) + 1
+        if self.mode in (Mode.HANGING, Mode.FAILING):
+            await super().run(request, responder, headers)
+            return
+        headers = [*headers, (VERSION, str(self.version))]
+        headers.append(("content-type", "text/event-stream"))
+        await responder.send_head(200, headers)
+        for number in range(first, EVENTS + 1):
+            await curio.sleep(EVENT_S)
+            event = f"id: {number}\ndata: token {number}\n\n".encode()
+            if self.mode is Mode.CUTTING and number > self.cut_after:
+                await responder.send_data(event[: len(event) // 2])
+                await responder.abort()
+                return
+            await responder.send_data(event)
+        await responder.finish()
--- /dev/null
+++ b/tests/gateways.py
@@ -0,0 +1,124 @@
+"""A gateway with made-up endpoints, driven by events, that several tests share."""
+
+from tamaracktray.calls import Call, CallArrived, CallAttemptEnded, CallEnded
+from tamaracktray.effects import Effect
+from tamaracktray.gateway import (
+    GatewayBounds,
+    GatewayContext,
+    GatewayState,
+    follow_roster,
+    handle_attempt_ended,
+    handle_call,
+    handle_call_ended,
+    handle_gateway_tick,
+)
+from tamaracktray.outcomes import AttemptPhase
+from tamaracktray.placement import Surroundings
+from tamaracktray.quarantine import CrashLedger
+from tamaracktray.roster import EndpointRecord, LoadedModel
+from tamaracktray.routes import (
+    Backend,
+    EngineSpec,
+    ModelSpec,
+    RepeatKind,
+    Route,
+    Service,
+)
+from tamaracktray.types import Address
+
+MODEL = "kiln"
+ENGINES = "engines"
+ORDERS = "orders"
+LAYERS = 16
+ZONE = "zone-a"
+REGION_BY_ZONE = {"zone-a": "region-a", "zone-b": "region-a", "zone-c": "region-c"}
+
+SERVICES = {
+    ENGINES: Service(
+        ENGINES,
+        engine=EngineSpec(max_batch=4, models=(ModelSpec(MODEL),), layers=LAYERS),
+    ),
+    ORDERS: Service(ORDERS),
+}
+
+
+def engine(name: str, zone: str = ZONE, version: int = 1, **fields) -> EndpointRecord:
+    models = (LoadedModel(MODEL, version, 0, LAYERS),) if version else ()
+    options = {"max_batch": 4, "models": models, **fields}
+    return EndpointRecord(
+        name, ENGINES, Address("10.0.0.1", 1_000 + len(name)), zone, **options
+    )
+
+
+def worker(name: str, zone: str = ZONE, **fields) -> EndpointRecord:
+    options = {"max_batch": 2, **fields}
+    return EndpointRecord(name, ORDERS, Address("10.0.0.2", 80), zone, **options)
+
+
+def build_route(kind: RepeatKind, *services: str, **fields) -> Route:
+    options = {
+        "timeout_s": 6.0,
+        "target_latency_s": 0.4,
+        "max_attempts": 2,
+        "is_resumable": kind is RepeatKind.STREAM,
+        **fields,
+    }
+    backends = tuple(Backend(service) for service in services)
+    return Route("r", "h", "/", kind, backends, **options)
+
+
+STREAM = build_route(RepeatKind.STREAM, ENGINES)
+SAFE = build_route(RepeatKind.SAFE, ORDERS)
+UNSAFE = build_route(RepeatKind.UNSAFE, ORDERS)
+
+
+def build_call(name: str, route: Route = STREAM, now: float = 0.0, **fields) -> Call:
+    options = {
+        "model": MODEL if route.kind is RepeatKind.STREAM else "",
+        "fingerprint": name,
+        **fields,
+    }
+    services = tuple(backend.service for backend in route.backends)
+    return Call(name, name, route, services, now, now + route.timeout_s, **options)
+
+
+class Gateway:
+    """A gateway whose effects and time the test follows."""
+
+    def __init__(self, *records: EndpointRecord, peers: int = 0) -> None:
+        self.state = GatewayState(GatewayBounds())
+        self.state.peers = peers
+        self.ledger = CrashLedger(300.0)
+        self.floors: dict[str, int] = {}
+        self.evacuated: frozenset[str] = frozenset()
+        self.now = 0.0
+        self.follow(*records)
+
+    @property
+    def context(self) -> GatewayContext:
+        around = Surroundings(
+            ZONE, REGION_BY_ZONE, self.evacuated, SERVICES, self.floors
+        )
+        return GatewayContext(self.state, around, self.ledger, False)
+
+    def follow(self, *records: EndpointRecord) -> None:
+        follow_roster(self.context, {record.id: record for record in records})
+
+    def load(self, name: str):
+        return self.state.loads_by_id[name]
+
+    def arrive(self, call: Call) -> list[Effect]:
+        return handle_call(self.context, CallArrived(self.now, call))
+
+    def end(
+        self, call: Call, endpoint: str, phase: AttemptPhase, **fields
+    ) -> list[Effect]:
+        event = CallAttemptEnded(self.now, call.id, endpoint, phase, **fields)
+        return handle_attempt_ended(self.context, event)
+
+    def leave(self, call: Call) -> list[Effect]:
+        return handle_call_ended(self.context, CallEnded(self.now, call.id))
+
+    def tick(self, seconds: float) -> list[Effect]:
+        self.now += seconds
+        return handle_gateway_tick(self.context, self.now)
--- /dev/null
+++ b/tests/platforms.py
@@ -0,0 +1,243 @@
+"""A small fleet against stand-ins of the platform, all within one curio kernel.
+
+Each instance has a loopback address of its own, as the platform's machines have.
+"""
+
+import itertools
+import time
+from collections.abc import Awaitable, Callable
+from pathlib import Path
+from typing import Any
+
+import curio
+
+from tamaracktray.direct_agent import DirectAgentShell
+from tamaracktray.direct_entry import DirectEntryShell
+from tamaracktray.direct_sections import (
+    BoundSettings,
+    DirectLogSettings,
+    DirectNodeSettings,
+    DirectPeerSettings,
+    DirectSettings,
+    EngineSettings,
+    ListenSettings,
+    StoreSettings,
+)
+from tamaracktray.exchange import fetch
+from tamaracktray.http import Reply
+from tamaracktray.platform.deployment import PlatformDeployment
+from tamaracktray.types import Address, Role
+from tamaracktray_emulator.platform.documents import (
+    build_configuration,
+    build_engine_service,
+    build_plain_service,
+    build_route,
+    build_tenant,
+)
+from tamaracktray_emulator.platform.origin import OriginStandIn
+from tamaracktray_emulator.platform.store import PlatformStoreStandIn
+from tamaracktray_emulator.platform.worker import EngineStandIn, WorkerStandIn
+
+ENGINES = "engines"
+ORDERS = "orders"
+ZONE = "zone-a"
+REGIONS = "zone-a=region-a, zone-b=region-b"
+HOST = "studio.example"
+KEY = "key-1"
+TEAM = "team-1"
+
+# Ports that no other test of the suite uses; each instance has its own address.
+CALLER_PORT = 31_080
+READY_PORT = 31_081
+WORKER_PORT = 31_082
+PEER_PORT = 31_090
+PEER_PORTS = f"{PEER_PORT}, {PEER_PORT + 9}"
+STORE_PORT = 31_100
+
+_hosts = itertools.count(1)
+
+
+def next_host() -> str:
+    """Return a loopback address that no other instance of this process has."""
+    number = next(_hosts)
+    return f"127.9.{number // 250}.{number % 250 + 1}"
+
+
+class PlatformFleet:
+    """Stand-ins and processes of one test; routes and tenants may be changed."""
+
+    def __init__(self, **bounds: Any) -> None:
+        self.store = PlatformStoreStandIn(Address(next_host(), STORE_PORT))
+        self.origin = OriginStandIn(Address(next_host(), STORE_PORT))
+        self.bounds = BoundSettings(**bounds)
+        self.workers: dict[str, WorkerStandIn] = {}
+        self.entries: list[DirectEntryShell] = []
+        self.agents: list[DirectAgentShell] = []
+        self.version = 0
+        self.routes = [
+            build_route("talk", "stream", ENGINES),
+            build_route("look", "safe", ORDERS),
+            build_route("order", "unsafe", ORDERS, maxAttempts=1),
+        ]
+        self.tenants = [build_tenant(TEAM, KEY)]
+
+    async def start(self, *, entries: int = 1, zone: str = ZONE) -> None:
+        """Start the stand-ins and entries and wait until the entries are ready."""
+        for stand_in in (self.store, self.origin):
+            await self.open(stand_in)
+        self.configure()
+        for _ in range(entries):
+            await self.add_entry(zone)
+        await self.until(lambda: all(e.state.is_informed for e in self.entries))
+
+    async def open(self, stand_in: Any) -> None:
+        """Serve a stand-in."""
+        await stand_in.server.open()
+        await curio.spawn(stand_in.serve, daemon=True)
+
+    def configure(self) -> None:
+        """Write a configuration with the present routes and tenants."""
+        self.version += 1
+        services = [
+            build_engine_service(ENGINES),
+            build_plain_service(ORDERS),
+            {
+                "name": "origin",
+                "origin": str(self.origin.server.address),
+                "zone": ZONE,
+                "linkMbps": 7.3,
+                "maxConnections": 48,
+            },
+        ]
+        document = build_configuration(
+            self.version, self.routes, services, self.tenants
+        )
+        self.store.write("config", "main", document)
+
+    async def add_entry(self, zone: str = ZONE) -> DirectEntryShell:
+        """Start an entry."""
+        number = len(self.entries)
+        settings = self._build_settings(f"entry-{number}", Role.ENTRY, zone)
+        shell = DirectEntryShell(Path("unused"), settings, PlatformDeployment())
+        self.entries.append(shell)
+        await curio.spawn(shell.serve, daemon=True)
+        return shell
+
+    async def add_worker(
+        self, name: str, zone: str = ZONE, **fields: Any
+    ) -> WorkerStandIn:
+        """Start a plain worker and list it."""
+        worker = WorkerStandIn(Address(next_host(), WORKER_PORT), name, ORDERS)
+        self.workers[name] = worker
+        await self.open(worker)
+        self.list_worker(worker, zone, **fields)
+        return worker
+
+    async def add_engine(
+        self, name: str, version: int = 1, zone: str = ZONE, **fields: Any
+    ) -> EngineStandIn:
+        """Start an engine that holds a version, 0 for none, and list it."""
+        engine = EngineStandIn(Address(next_host(), WORKER_PORT), name, ENGINES)
+        engine.version = version
+        self.workers[name] = engine
+        await self.open(engine)
+        self.list_worker(engine, zone, **fields)
+        return engine
+
+    def list_worker(
+        self, worker: WorkerStandIn, zone: str = ZONE, **fields: Any
+    ) -> None:
+        """Write a worker's entry into the store."""
+        self.store.write("servers", worker.id, worker.describe(zone, **fields))
+
+    async def add_agent(
+        self, engine: EngineStandIn, zone: str = ZONE
+    ) -> DirectAgentShell:
+        """Start the agent beside an engine."""
+        address = engine.server.address
+        engine_settings = EngineSettings(str(address), ENGINES, report_s=0.05)
+        settings = self._build_settings(
+            f"agent-{len(self.agents)}",
+            Role.AGENT,
+            zone,
+            ip=address.host,
+            engine=engine_settings,
+        )
+        shell = DirectAgentShell(Path("unused"), settings, PlatformDeployment())
+        self.agents.append(shell)
+        await curio.spawn(shell.serve, daemon=True)
+        return shell
+
+    def _build_settings(
+        self,
+        name: str,
+        role: Role,
+        zone: str,
+        ip: str = "",
+        engine: EngineSettings | None = None,
+    ) -> DirectSettings:
+        ip = ip or next_host()
+        seeds = ", ".join(f"{shell.own_address}" for shell in self.entries[:3])
+        return DirectSettings(
+            DirectNodeSettings(role, name, zone, REGIONS, ip),
+            ListenSettings(PEER_PORTS, f"{ip}:{CALLER_PORT}", f"{ip}:{READY_PORT}", 0),
+            StoreSettings(str(self.store.server.address), timeout_s=0.5, watch_s=5.0),
+            DirectPeerSettings(seeds),
+            engine or EngineSettings(),
+            self.bounds,
+            DirectLogSettings(),
+        )
+
+    async def until(self, condition: Callable[[], Any], timeout_s: float = 5.0) -> None:
+        """Wait for a condition; fail when it does not come about."""
+        deadline = time.monotonic() + timeout_s
+        while not condition():
+            assert time.monotonic() < deadline, "the condition did not come about"
+            await curio.sleep(0.01)
+
+    async def call(
+        self,
+        path: str,
+        request_id: str = "id-1",
+        *,
+        entry: int = 0,
+        key: str = KEY,
+        method: str = "POST",
+        body: bytes = b"",
+        headers: list[tuple[str, str]] | None = None,
+        wait_ms: int = 2_000,
+    ) -> Reply:
+        """Make a caller's request; raise ``AssertionError`` when it gets no answer."""
+        all_headers = [
+            ("host", HOST),
+            ("x-tamaracktray-request-id", request_id),
+            ("x-tamaracktray-deadline-ms", str(wait_ms)),
+            ("x-tamaracktray-model", "kiln-1"),
+            ("x-tamaracktray-token-usage", "100,20"),
+            *(headers or []),
+        ]
+        if key:
+            all_headers.append(("authorization", f"Token {key}"))
+        address = Address.parse(self.entries[entry].settings.listen.callers)
+        reply = await fetch_as(address, method, path, all_headers, body)
+        assert isinstance(reply, Reply), reply
+        return reply
+
+
+async def fetch_as(
+    address: Address, method: str, path: str, headers: list, body: bytes = b""
+) -> Reply | str:
+    """Make a request that names its host; return the reply or what went wrong."""
+    fetched = await fetch(
+        address, method, path, headers, body, timeout_s=10.0, is_host_given=True
+    )
+    return fetched.value_or(None) or fetched.failure().message
+
+
+def run_fleet(test: Callable[[PlatformFleet], Awaitable[None]], **bounds: Any) -> None:
+    """Run a test with a fleet of its own."""
+
+    async def main() -> None:
+        await test(PlatformFleet(**bounds))
+
+    curio.run(main)
--- /dev/null
+++ b/tests/test_platform_calls.py
@@ -0,0 +1,290 @@
+"""Callers' requests through real sockets, against stand-ins of the platform."""
+
+import curio
+import pytest
+
+from platforms import KEY, ORDERS, PlatformFleet, fetch_as, run_fleet
+from tamaracktray.http import Reply
+from tamaracktray.types import Address
+from tamaracktray_emulator.platform.documents import build_route, build_tenant
+from tamaracktray_emulator.platform.worker import EVENTS, Mode
+
+EVENT_TEXT = "".join(f"id: {n}\ndata: token {n}\n\n" for n in range(1, EVENTS + 1))
+
+
+def runs_of(fleet: PlatformFleet, request_id: str) -> int:
+    return sum(
+        len(worker.runs.get(request_id, [])) for worker in fleet.workers.values()
+    )
+
+
+class TestPath:
+    def test_plain_answer_comes_back_unchanged(self):
+        async def scenario(fleet: PlatformFleet) -> None:
+            await fleet.start()
+            worker = await fleet.add_worker("w-1")
+            await fleet.until(lambda: fleet.entries[0].state.roster.records_by_id)
+            reply = await fleet.call("/order/1", body=b"a bowl")
+            assert (reply.status, reply.body) == (200, b"answer of w-1")
+            assert reply.headers["x-tamaracktray-server-signature"] == "sig.w-1"
+            (seen,) = worker.runs["id-1"]
+            assert seen["host"] == "studio.example"
+            assert seen["x-tamaracktray-tenant"] == "team-1"
+            assert seen["x-tamaracktray-expect-instance"] == "w-1"
+            assert 0 < int(seen["x-tamaracktray-deadline-ms"]) <= 2_000
+            assert "authorization" not in seen
+
+        run_fleet(scenario)
+
+    def test_callers_cannot_set_what_the_system_sets(self):
+        async def scenario(fleet: PlatformFleet) -> None:
+            await fleet.start()
+            worker = await fleet.add_worker("w-1")
+            await fleet.until(lambda: fleet.entries[0].state.roster.records_by_id)
+            forged = [
+                ("x-tamaracktray-tenant", "team-2"),
+                ("x-tamaracktray-expect-instance", "w-9"),
+                ("x-tamaracktray-request-priority", "0"),
+                ("path", "10.0.0.1:80=0-16"),
+                ("x-custom", "kept"),
+            ]
+            reply = await fleet.call("/order/1", headers=forged)
+            assert reply.status == 200
+            (seen,) = worker.runs["id-1"]
+            assert seen["x-tamaracktray-tenant"] == "team-1"
+            assert seen["x-custom"] == "kept"
+            assert "path" not in seen
+            assert "x-tamaracktray-request-priority" not in seen
+
+        run_fleet(scenario)
+
+    def test_stream_comes_back_event_by_event(self):
+        async def scenario(fleet: PlatformFleet) -> None:
+            await fleet.start()
+            await fleet.add_engine("e-1")
+            await fleet.until(lambda: fleet.entries[0].state.roster.records_by_id)
+            reply = await fleet.call("/talk/1")
+            assert (reply.status, reply.body.decode()) == (200, EVENT_TEXT)
+            assert reply.headers["x-tamaracktray-weight-versions"] == "1"
+
+        run_fleet(scenario)
+
+    @pytest.mark.parametrize(
+        ("path", "key", "status"),
+        [("/none/1", KEY, 404), ("/order/1", "bad", 401), ("/order/1", "", 401)],
+    )
+    def test_final_refusals(self, path, key, status):
+        async def scenario(fleet: PlatformFleet) -> None:
+            await fleet.start()
+            await fleet.add_worker("w-1")
+            await fleet.until(lambda: fleet.entries[0].state.roster.records_by_id)
+            assert (await fleet.call(path, key=key)).status == status
+
+        run_fleet(scenario)
+
+    def test_nobody_to_ask_is_refused_at_once_with_a_time_to_return(self):
+        async def scenario(fleet: PlatformFleet) -> None:
+            await fleet.start()
+            reply = await curio.timeout_after(0.5, fleet.call("/order/1"))
+            assert reply.status == 503
+            assert float(reply.headers["retry-after"]) > 0
+
+        run_fleet(scenario)
+
+    def test_process_without_configuration_answers_503(self):
+        async def scenario(fleet: PlatformFleet) -> None:
+            await fleet.add_entry()
+            await curio.sleep(0.05)
+            reply = await fleet.call("/none/1")
+            assert reply.status == 503
+
+        run_fleet(scenario)
+
+
+# How a worker misbehaves, and what callers of a safe, an unsafe route may get.
+MISBEHAVIOURS = [
+    (Mode.FULL, 200, 503),
+    (Mode.FAILING, 200, 500),
+    (Mode.CUTTING, 200, 502),
+    (Mode.CROSSED, 200, 502),
+    (Mode.UNSIGNED, 200, 502),
+]
+
+
+class TestMisbehaviour:
+    @pytest.mark.parametrize(("mode", "safe", "unsafe"), MISBEHAVIOURS)
+    def test_one_bad_worker(self, mode, safe, unsafe):
+        async def scenario(fleet: PlatformFleet) -> None:
+            await fleet.start()
+            bad = await fleet.add_worker("w-1")
+            bad.mode = mode
+            await fleet.until(lambda: fleet.entries[0].state.roster.records_by_id)
+            reply = await fleet.call("/order/1", "unsafe-1")
+            assert reply.status == unsafe
+            assert runs_of(fleet, "unsafe-1") <= 1
+            if reply.status in (429, 503):
+                assert runs_of(fleet, "unsafe-1") == 0
+            await fleet.add_worker("w-2")
+            await fleet.until(
+                lambda: len(fleet.entries[0].state.roster.records_by_id) == 2
+            )
+            reply = await fleet.call("/look/1", "safe-1", method="GET")
+            assert (reply.status, reply.body) == (safe, b"answer of w-2")
+
+        run_fleet(scenario)
+
+    def test_stranger_at_a_listed_address_runs_nothing(self):
+        async def scenario(fleet: PlatformFleet) -> None:
+            await fleet.start()
+            worker = await fleet.add_worker("w-1")
+            worker.id = "stranger"
+            await fleet.until(lambda: fleet.entries[0].state.roster.records_by_id)
+            reply = await fleet.call("/order/1")
+            assert reply.status == 503
+            assert runs_of(fleet, "id-1") == 0
+
+        run_fleet(scenario)
+
+    def test_cut_stream_is_resumed_at_whole_events(self):
+        async def scenario(fleet: PlatformFleet) -> None:
+            await fleet.start()
+            engines = [await fleet.add_engine(f"e-{n}") for n in range(2)]
+            await fleet.until(
+                lambda: len(fleet.entries[0].state.roster.records_by_id) == 2
+            )
+            for engine in engines:
+                engine.mode = Mode.CUTTING
+                engine.cut_after = 3
+            first_id = fleet.entries[0]
+            reply_task = await curio.spawn(fleet.call, "/talk/1")
+            await fleet.until(lambda: any(engine.runs for engine in engines))
+            other = next(engine for engine in engines if not engine.runs)
+            other.mode = Mode.GOOD
+            reply = await reply_task.join()
+            assert reply.body.decode() == EVENT_TEXT
+            assert first_id.state.gateway.pending_by_id == {}
+
+        run_fleet(scenario)
+
+    def test_hanging_worker_costs_a_safe_call_little(self):
+        async def scenario(fleet: PlatformFleet) -> None:
+            fleet.routes = [build_route("look", "safe", ORDERS, targetLatencyMs=50)]
+            await fleet.start()
+            hanging = await fleet.add_worker("w-1")
+            hanging.mode = Mode.HANGING
+            await fleet.until(lambda: fleet.entries[0].state.roster.records_by_id)
+            task = await curio.spawn(
+                lambda: fleet.call("/look/1", method="GET", wait_ms=3_000)
+            )
+            await fleet.until(lambda: hanging.runs)
+            await fleet.add_worker("w-2")
+            reply = await task.join()
+            assert (reply.status, reply.body) == (200, b"answer of w-2")
+
+        run_fleet(scenario)
+
+    def test_unsafe_call_is_answered_when_its_time_is_over(self):
+        async def scenario(fleet: PlatformFleet) -> None:
+            await fleet.start()
+            hanging = await fleet.add_worker("w-1")
+            hanging.mode = Mode.HANGING
+            await fleet.until(lambda: fleet.entries[0].state.roster.records_by_id)
+            reply = await fleet.call("/order/1", wait_ms=300)
+            assert reply.status == 504
+            assert runs_of(fleet, "id-1") == 1
+
+        run_fleet(scenario)
+
+
+class TestCallersThatLeave:
+    def test_work_stops_when_the_caller_is_gone(self):
+        async def scenario(fleet: PlatformFleet) -> None:
+            await fleet.start()
+            engine = await fleet.add_engine("e-1")
+            await fleet.until(lambda: fleet.entries[0].state.roster.records_by_id)
+            task = await curio.spawn(fleet.call, "/talk/1")
+            await fleet.until(lambda: engine.runs)
+            await task.cancel()
+            gateway = fleet.entries[0].state.gateway
+            await fleet.until(lambda: not gateway.pending_by_id, 0.5)
+            assert gateway.loads_by_id["e-1"].in_flight == 0
+            await curio.sleep(0.2)
+            assert engine.finished == []
+
+        run_fleet(scenario)
+
+    def test_two_requests_on_one_connection(self):
+        async def scenario(fleet: PlatformFleet) -> None:
+            await fleet.start()
+            await fleet.add_worker("w-1")
+            await fleet.until(lambda: fleet.entries[0].state.roster.records_by_id)
+            address = Address.parse(fleet.entries[0].settings.listen.callers)
+            client = await curio.open_connection(address.host, address.port)
+            text = (
+                "GET /look/{n} HTTP/1.1\r\nhost: studio.example\r\n"
+                "x-tamaracktray-request-id: r{n}\r\n"
+                f"authorization: Token {KEY}\r\n\r\n"
+            )
+            both = text.format(n=1) + text.format(n=2)
+            await client.sendall(both.encode())
+            received = b""
+            while received.count(b"answer of w-1") < 2:
+                received += await curio.timeout_after(2.0, client.recv(65_536))
+            assert received.index(b"r1") < received.index(b"r2")
+
+        run_fleet(scenario)
+
+
+class TestTeams:
+    def test_new_keys_and_routes_come_into_force(self):
+        async def scenario(fleet: PlatformFleet) -> None:
+            await fleet.start()
+            await fleet.add_worker("w-1")
+            await fleet.until(lambda: fleet.entries[0].state.roster.records_by_id)
+            fleet.routes.append(build_route("new", "safe", ORDERS))
+            fleet.tenants.append(build_tenant("team-2", "key-2"))
+            fleet.configure()
+            version = fleet.version
+            await fleet.until(
+                lambda: fleet.entries[0].state.index.table.version == version
+            )
+            reply = await fleet.call("/new/1", key="key-2", method="GET")
+            assert reply.status == 200
+            (seen,) = fleet.workers["w-1"].runs["id-1"]
+            assert seen["x-tamaracktray-tenant"] == "team-2"
+
+        run_fleet(scenario)
+
+    def test_regions_of_a_team_bind(self):
+        async def scenario(fleet: PlatformFleet) -> None:
+            fleet.tenants = [build_tenant("t", KEY, allowedRegions=["region-b"])]
+            await fleet.start()
+            await fleet.add_worker("near")
+            await fleet.add_worker("far", zone="zone-b")
+            await fleet.until(
+                lambda: len(fleet.entries[0].state.roster.records_by_id) == 2
+            )
+            for number in range(4):
+                reply = await fleet.call("/look/1", f"id-{number}", method="GET")
+                assert reply.body == b"answer of far"
+
+        run_fleet(scenario)
+
+
+class TestReadiness:
+    def test_ready_once_informed(self):
+        async def scenario(fleet: PlatformFleet) -> None:
+            entry = await fleet.add_entry()
+            await curio.sleep(0.05)
+            address = Address.parse(entry.settings.listen.readiness)
+            before = await fetch_as(address, "GET", "/readyz", [("host", "h")])
+            assert isinstance(before, Reply)
+            assert before.status == 503
+            for stand_in in (fleet.store, fleet.origin):
+                await fleet.open(stand_in)
+            fleet.configure()
+            await fleet.until(lambda: entry.state.is_informed)
+            after = await fetch_as(address, "GET", "/readyz", [("host", "h")])
+            assert after.status == 200
+
+        run_fleet(scenario)
--- /dev/null
+++ b/tests/test_platform_versions.py
@@ -0,0 +1,175 @@
+"""Versions brought into engines through entries, with faults on the way."""
+
+import curio
+import pytest
+
+from platforms import PlatformFleet, run_fleet
+from tamaracktray_emulator.platform.documents import CHUNKS, ENGINE_MODEL
+from tamaracktray_emulator.platform.origin import list_digests, make_chunk
+
+
+def name_version(fleet: PlatformFleet, version: int) -> None:
+    document = {"model": ENGINE_MODEL, "version": version}
+    fleet.store.write("versions", ENGINE_MODEL, document)
+
+
+async def start(fleet: PlatformFleet, engines: int, version: int = 1, entries: int = 1):
+    await fleet.start(entries=entries)
+    made = [await fleet.add_engine(f"e-{n}", version) for n in range(engines)]
+    for engine in made:
+        await fleet.add_agent(engine)
+    return made
+
+
+class TestRollout:
+    def test_every_engine_loads_the_whole_version(self):
+        async def scenario(fleet: PlatformFleet) -> None:
+            engines = await start(fleet, 3)
+            await curio.sleep(0.2)
+            name_version(fleet, 2)
+            await fleet.until(lambda: all(e.version == 2 for e in engines), 8.0)
+            for engine in engines:
+                assert engine.loaded_digests == list_digests(2)
+                assert len(engine.orders) == 1
+
+        run_fleet(scenario, version_ms=3_000.0)
+
+    def test_origin_sends_about_one_copy(self):
+        async def scenario(fleet: PlatformFleet) -> None:
+            engines = await start(fleet, 4, entries=2)
+            await fleet.until(
+                lambda: all(entry.state.members_by_name for entry in fleet.entries)
+            )
+            name_version(fleet, 2)
+            await fleet.until(lambda: all(e.version == 2 for e in engines), 8.0)
+            assert fleet.origin.chunks_sent <= CHUNKS * 1.2
+
+        run_fleet(scenario, version_ms=3_000.0)
+
+    def test_engines_swap_in_two_waves(self):
+        async def scenario(fleet: PlatformFleet) -> None:
+            engines = await start(fleet, 4)
+            await fleet.until(
+                lambda: all(
+                    len(agent.state.roster.records_by_id) == 4 for agent in fleet.agents
+                )
+            )
+            name_version(fleet, 2)
+            await fleet.until(lambda: any(e.version == 2 for e in engines))
+            await curio.sleep(0.5)
+            assert sum(e.version == 2 for e in engines) == 2
+            await fleet.until(lambda: all(e.version == 2 for e in engines), 8.0)
+
+        run_fleet(scenario, version_ms=4_000.0)
+
+    def test_two_versions_in_quick_succession_end_at_the_newest(self):
+        async def scenario(fleet: PlatformFleet) -> None:
+            engines = await start(fleet, 2)
+            name_version(fleet, 2)
+            await curio.sleep(0.05)
+            name_version(fleet, 3)
+            await fleet.until(lambda: all(e.version == 3 for e in engines), 8.0)
+            assert all(e.loaded_digests == list_digests(3) for e in engines)
+
+        run_fleet(scenario, version_ms=3_000.0)
+
+    def test_calls_begin_on_the_due_version_only(self):
+        async def scenario(fleet: PlatformFleet) -> None:
+            await fleet.start()
+            old = await fleet.add_engine("old", 1)
+            await fleet.until(lambda: fleet.entries[0].state.roster.records_by_id)
+            name_version(fleet, 2)
+            assert (await fleet.call("/talk/1")).status == 200
+            await curio.sleep(1.1)
+            assert (await fleet.call("/talk/1", "id-2")).status == 503
+            assert "id-2" not in old.runs
+
+        run_fleet(scenario, version_ms=1_500.0)
+
+
+class TestEmptyEngines:
+    def test_added_engine_is_brought_into_service(self):
+        async def scenario(fleet: PlatformFleet) -> None:
+            (engine,) = await start(fleet, 1, version=0)
+            await fleet.until(lambda: engine.version == 1, 8.0)
+            assert engine.loaded_digests == list_digests(1)
+            gateway = fleet.entries[0].state.gateway
+            await fleet.until(lambda: gateway.loads_by_id["e-0"].find_version("kiln-1"))
+            assert (await fleet.call("/talk/1")).status == 200
+
+        run_fleet(scenario)
+
+    def test_restarted_engine_uses_what_is_still_staged(self):
+        async def scenario(fleet: PlatformFleet) -> None:
+            await fleet.start()
+            engine = await fleet.add_engine("e-1")
+            engine.staged = {index: make_chunk(1, index) for index in range(CHUNKS)}
+            agent = await fleet.add_agent(engine)
+            await fleet.until(lambda: agent.state.staging.report is not None)
+            engine.restart()
+            await fleet.until(lambda: engine.version == 1 and not engine.is_busy)
+            assert engine.loaded_digests == list_digests(1)
+            assert fleet.origin.chunks_sent == 0
+
+        run_fleet(scenario)
+
+    def test_weights_wait_in_memory_for_a_late_engine(self):
+        async def scenario(fleet: PlatformFleet) -> None:
+            await fleet.start()
+            engine = await fleet.add_engine("e-1", 0)
+            staged = engine.answer
+
+            async def be_absent(request, responder) -> None:
+                await responder.abort()
+
+            engine.answer = be_absent
+            agent = await fleet.add_agent(engine)
+            held = agent.state.staging.held
+            await fleet.until(lambda: len(held) == CHUNKS)
+            engine.answer = staged
+            await fleet.until(lambda: engine.version == 1, 2.0)
+
+        run_fleet(scenario)
+
+
+class TestSpoiltWeights:
+    @pytest.mark.parametrize("count", [1, CHUNKS])
+    def test_spoilt_chunks_of_the_origin_are_fetched_again(self, count):
+        async def scenario(fleet: PlatformFleet) -> None:
+            (engine,) = await start(fleet, 1)
+            fleet.origin.spoilt = set(range(count))
+            fleet.origin.is_manifest_spoilt = True
+            name_version(fleet, 2)
+            await fleet.until(lambda: engine.version == 2, 8.0)
+            assert engine.loaded_digests == list_digests(2)
+
+        run_fleet(scenario, version_ms=2_000.0)
+
+    def test_chunk_that_rots_in_the_stage_is_staged_again(self):
+        async def scenario(fleet: PlatformFleet) -> None:
+            engines = await start(fleet, 2)
+            name_version(fleet, 2)
+            waiting = lambda: [  # noqa: E731
+                agent
+                for agent in fleet.agents
+                if agent.state.staging.step.value == "turn"
+            ]
+            await fleet.until(waiting)
+            engine = engines[fleet.agents.index(waiting()[0])]
+            engine.staged[3] = b"rotten"
+            await fleet.until(lambda: all(e.version == 2 for e in engines), 8.0)
+            assert engine.loaded_digests == list_digests(2)
+
+        run_fleet(scenario, version_ms=4_500.0)
+
+    def test_origin_that_is_down_is_waited_for(self):
+        async def scenario(fleet: PlatformFleet) -> None:
+            (engine,) = await start(fleet, 1)
+            fleet.origin.is_down = True
+            name_version(fleet, 2)
+            await curio.sleep(1.0)
+            assert engine.version == 1
+            fleet.origin.is_down = False
+            await fleet.until(lambda: engine.version == 2, 8.0)
+
+        run_fleet(scenario, version_ms=2_000.0)
--- /dev/null
+++ b/tests/test_routes.py
@@ -0,0 +1,177 @@
+"""Routes, teams, and the call that a request makes."""
+
+import pytest
+from returns.result import Failure, Success
+
+from tamaracktray.http import Request
+from tamaracktray.intake import build_call, join_regions, order_services
+from tamaracktray.protocol import CallerFields
+from tamaracktray.routes import (
+    Backend,
+    RepeatKind,
+    Route,
+    RouteIndex,
+    RoutingTable,
+    Team,
+)
+
+
+def route(name: str, host: str = "h", prefix: str = "/", **fields) -> Route:
+    defaults = {
+        "kind": RepeatKind.SAFE,
+        "backends": (Backend("orders"),),
+        "timeout_s": 2.0,
+        "target_latency_s": 0.1,
+    }
+    return Route(name=name, host=host, path_prefix=prefix, **{**defaults, **fields})
+
+
+def index(*routes: Route, teams: tuple[Team, ...] = ()) -> RouteIndex:
+    return RouteIndex(RoutingTable(1, routes, {}, teams))
+
+
+def request(host: str = "h", target: str = "/a/b", body: bytes = b"") -> Request:
+    return Request("GET", target, target, {}, {"host": host}, body)
+
+
+class TestRouteIndex:
+    @pytest.mark.parametrize(
+        ("path", "expected"),
+        [
+            ("/a/b/c", "deep"),
+            ("/a/b/", "deep"),
+            ("/a/b", "shallow"),
+            ("/a/x", "shallow"),
+            ("/x", None),
+            ("/", None),
+            ("", None),
+        ],
+    )
+    def test_longest_prefix_wins(self, path, expected):
+        routes = index(route("shallow", prefix="/a/"), route("deep", prefix="/a/b/"))
+        found = routes.find_route("h", path)
+        assert (found.name if found else None) == expected
+
+    def test_root_prefix_takes_the_rest(self):
+        routes = index(route("root"), route("deep", prefix="/a/"))
+        assert routes.find_route("h", "/b").name == "root"
+
+    def test_other_hosts_have_no_route(self):
+        assert index(route("root")).find_route("other", "/") is None
+
+    def test_keys_are_needed_once_there_are_teams(self):
+        assert not index(route("root")).needs_keys
+        assert index(route("root"), teams=(Team("t", ("k",)),)).needs_keys
+
+
+class TestIdempotence:
+    @pytest.mark.parametrize(
+        ("kind", "is_resumable", "expected"),
+        [
+            (RepeatKind.SAFE, False, True),
+            (RepeatKind.UNSAFE, False, False),
+            (RepeatKind.UNSAFE, True, False),
+            (RepeatKind.STREAM, False, False),
+            (RepeatKind.STREAM, True, True),
+        ],
+    )
+    def test_follows_from_the_kind(self, kind, is_resumable, expected):
+        made = route("r", kind=kind, is_resumable=is_resumable)
+        assert made.is_idempotent is expected
+
+
+class TestBuildCall:
+    TEAMS = (Team("a-team", ("good",), priority=3), Team("plain", ("other",)))
+
+    def build(self, routes: RouteIndex, key: str = "", **fields):
+        caller = CallerFields("id-1", key=key, **fields)
+        return build_call(10.0, routes, request(), caller)
+
+    @pytest.mark.parametrize(
+        ("key", "is_public", "status"),
+        [
+            ("", False, 401),
+            ("bad", False, 401),
+            ("good", False, None),
+            ("", True, None),
+            ("bad", True, None),
+        ],
+    )
+    def test_keys(self, key, is_public, status):
+        routes = index(route("r", is_public=is_public), teams=self.TEAMS)
+        built = self.build(routes, key)
+        assert (built.failure().status if isinstance(built, Failure) else None) == (
+            status
+        )
+
+    def test_no_route_comes_before_no_key(self):
+        routes = index(route("r", host="other"), teams=self.TEAMS)
+        assert self.build(routes).failure().status == 404
+
+    def test_host_is_compared_without_port_and_case(self):
+        caller = CallerFields("id-1")
+        built = build_call(0.0, index(route("r")), request(host="H:8080"), caller)
+        assert isinstance(built, Success)
+
+    @pytest.mark.parametrize(
+        ("wait_s", "deadline"), [(None, 12.0), (1.0, 11.0), (9.0, 12.0)]
+    )
+    def test_deadline_is_the_nearer_of_caller_and_route(self, wait_s, deadline):
+        call = self.build(index(route("r")), wait_s=wait_s).unwrap()
+        assert call.deadline == deadline
+
+    @pytest.mark.parametrize(("key", "priority"), [("good", 3), ("other", 7)])
+    def test_priority_of_the_team_comes_first(self, key, priority):
+        routes = index(route("r", priority=7), teams=self.TEAMS)
+        assert self.build(routes, key).unwrap().priority == priority
+
+    def test_equal_requests_share_a_fingerprint(self):
+        routes = index(route("r"))
+        bodies = (b"x", b"x", b"y")
+        calls = [
+            build_call(0.0, routes, request(body=body), CallerFields(str(number)))
+            for number, body in enumerate(bodies)
+        ]
+        prints = [call.unwrap().fingerprint for call in calls]
+        assert prints[0] == prints[1] != prints[2]
+        assert len({call.unwrap().id for call in calls}) == 3
+
+
+class TestRegions:
+    @pytest.mark.parametrize(
+        ("by_route", "by_team", "expected"),
+        [
+            ((), (), set()),
+            (("a",), (), {"a"}),
+            ((), ("b",), {"b"}),
+            (("a", "b"), ("b", "c"), {"b"}),
+        ],
+    )
+    def test_both_bind(self, by_route, by_team, expected):
+        team = Team("t", allowed_regions=by_team)
+        assert join_regions(route("r", allowed_regions=by_route), team) == expected
+
+    def test_nothing_in_common_allows_nothing(self):
+        team = Team("t", allowed_regions=("b",))
+        joined = join_regions(route("r", allowed_regions=("a",)), team)
+        assert joined
+        assert not joined & {"a", "b"}
+
+
+class TestOrderServices:
+    def test_shares_follow_the_weights(self):
+        split = (Backend("big", 90.0), Backend("small", 10.0))
+        drawn = [
+            order_services(route("r", backends=split), f"id-{number}")[0]
+            for number in range(2_000)
+        ]
+        assert 0.87 < drawn.count("big") / len(drawn) < 0.93
+
+    def test_draw_is_the_same_everywhere(self):
+        split = (Backend("a", 1.0), Backend("b", 1.0))
+        made = route("r", backends=split)
+        assert order_services(made, "id") == order_services(made, "id")
+
+    def test_weight_zero_gets_nothing(self):
+        split = (Backend("a", 1.0), Backend("b", 0.0))
+        assert order_services(route("r", backends=split), "id") == ("a",)
