Fetch named versions ahead at entries and close connections in an orderly shutdown

Cause: agents asked for chunks that entries then fetched one by one, so a transfer took 7.2 s where the link allows 5.4 s, and the version under way was left out for the next although nobody could serve in between. A process that had got SIGTERM went on taking calls on kept connections and cut them at the end of its grace.

--- a/src/tamaracktray/chunk_relay.py
+++ b/src/tamaracktray/chunk_relay.py
@@ -1,5 +1,8 @@
 """Hands the chunks of versions from the origin on to agents, each fetched once."""
 
+from collections import deque
+from collections.abc import Callable
+
 import curio
 import msgspec
 import structlog
@@ -26,6 +29,15 @@
 
 MANIFEST_TRIES = 6
 
+# Reads of a chunk from the origin before a caller is told that it failed.
+ORIGIN_TRIES = 2
+
+# Chunks that an entry fetches ahead at a time: the origin's link is kept busy by two.
+PREFETCH_PARALLEL = 2
+
+# Pause after a part could not be fetched ahead, in seconds.
+PREFETCH_RETRY_S = 0.1
+
 
 class VersionKey(msgspec.Struct, frozen=True):
     """A version of a model."""
@@ -116,19 +128,27 @@
     """The chunks that one entry holds, and how it gets those that it lacks.
 
     ``find_upstream`` returns the peer to ask for a part, ``None`` for the origin.
+    ``is_first`` tells whether this entry is the first of its region for a part.
     """
 
     __slots__ = (
         "_chunk_by_part",
         "_find_upstream",
+        "_is_first",
         "_manifest_by_key",
         "_open_origin",
         "_pending_by_part",
         "bytes_from_origin",
     )
 
-    def __init__(self, find_upstream, open_origin) -> None:
+    def __init__(
+        self,
+        find_upstream: Callable[[str], Address | None],
+        is_first: Callable[[str], bool],
+        open_origin: Callable[[], VersionOrigin | None],
+    ) -> None:
         self._find_upstream = find_upstream
+        self._is_first = is_first
         self._open_origin = open_origin
         self._manifest_by_key: dict[VersionKey, Manifest] = {}
         self._chunk_by_part: dict[tuple[VersionKey, int], bytes] = {}
@@ -155,6 +175,41 @@
             return
         await responder.respond(200, [], encoded.unwrap())
 
+    async def prefetch(self, key: VersionKey) -> None:
+        """Fetch the parts that this entry hands on first, before anybody asks."""
+        manifest = await self.find_manifest(key)
+        while isinstance(manifest, Failure):
+            await curio.sleep(PREFETCH_RETRY_S)
+            if self._is_outdated(key):
+                return
+            manifest = await self.find_manifest(key)
+        waiting = deque(range(len(manifest.unwrap().chunks)))
+        async with curio.TaskGroup() as group:
+            for _ in range(PREFETCH_PARALLEL):
+                await group.spawn(self._prefetch_some, key, waiting)
+        structlog.get_logger().info(
+            "version fetched",
+            model=key.model,
+            version=key.version,
+            bytes_from_origin=self.bytes_from_origin,
+        )
+
+    async def _prefetch_some(self, key: VersionKey, waiting: deque[int]) -> None:
+        while waiting and not self._is_outdated(key):
+            index = waiting.popleft()
+            if not self._is_first(f"{key.path}/{index}"):
+                continue
+            found = await self.find_chunk(key, index)
+            if isinstance(found, Failure):
+                waiting.appendleft(index)
+                await curio.sleep(PREFETCH_RETRY_S)
+
+    def _is_outdated(self, key: VersionKey) -> bool:
+        return any(
+            other.model == key.model and other.version > key.version
+            for other in self._manifest_by_key
+        )
+
     async def find_manifest(self, key: VersionKey) -> Result[Manifest, WeightError]:
         """Return a manifest, fetched if need be."""
         known = self._manifest_by_key.get(key)
@@ -228,12 +283,16 @@
     async def _read_origin(
         self, key: VersionKey, index: int, digest: str
     ) -> Result[bytes, WeightError]:
-        origin = self._open_origin()
-        if origin is None:
-            return Failure(WeightError("the origin is not known yet"))
-        read = await read_origin_chunk(origin, key, index, digest)
-        if isinstance(read, Success):
-            self.bytes_from_origin += len(read.unwrap())
+        """Read a chunk from the origin, again if the answer was spoilt."""
+        read: Result[bytes, WeightError] = Failure(WeightError("not tried"))
+        for _ in range(ORIGIN_TRIES):
+            origin = self._open_origin()
+            if origin is None:
+                return Failure(WeightError("the origin is not known yet"))
+            read = await read_origin_chunk(origin, key, index, digest)
+            if isinstance(read, Success):
+                self.bytes_from_origin += len(read.unwrap())
+                break
         return read
 
     def _forget_old(self, newest: VersionKey) -> None:
--- a/src/tamaracktray/chunk_sources.py
+++ b/src/tamaracktray/chunk_sources.py
@@ -17,6 +17,19 @@
     return sorted(members, key=lambda member: hash_text(f"{key}\n{member.name}"))
 
 
+def find_first(
+    own: Member, peers: Iterable[Member], region_by_zone: dict[str, str], key: str
+) -> Member:
+    """Return the entry of the own region that fetches a chunk for the others."""
+    own_region = region_by_zone.get(own.zone, "")
+    local = [
+        member
+        for member in [own, *peers]
+        if region_by_zone.get(member.zone, "") == own_region
+    ]
+    return rank_members(key, local)[0]
+
+
 def choose_upstream(
     own: Member,
     peers: Iterable[Member],
@@ -27,12 +40,7 @@
     """Return the entry that an entry asks for a chunk, ``None`` for the origin."""
     everybody = [own, *peers]
     own_region = region_by_zone.get(own.zone, "")
-    local = [
-        member
-        for member in everybody
-        if region_by_zone.get(member.zone, "") == own_region
-    ]
-    first = rank_members(key, local)[0]
+    first = find_first(own, peers, region_by_zone, key)
     if first.name != own.name:
         return first.address
     if own_region == origin_region:
--- a/src/tamaracktray/direct.py
+++ b/src/tamaracktray/direct.py
@@ -72,6 +72,18 @@
 VERSION_MARGIN_S = 0.5
 
 
+# Time after SIGTERM in which callers may still come, in seconds: the balancer asks once
+# a second and takes a process out after two misses.
+ROTATION_S = 2.2
+
+# Time before the platform kills a process that leaves, in seconds, by which it exits.
+EXIT_MARGIN_S = 0.3
+
+
+# Time in which the own watch should bring what a peer knows already, in seconds.
+PULL_DELAY_S = 0.25
+
+
 class Naming(msgspec.Struct, frozen=True):
     """When this process learned that a version was named, in monotonic seconds."""
 
@@ -132,6 +144,17 @@
     address: Address
 
 
+class CloseIdle(Effect, frozen=True):
+    """Close callers' connections on which nothing is under way."""
+
+
+class PrefetchVersion(Effect, frozen=True):
+    """Fetch a version that has just been named, before agents ask for it."""
+
+    model: str
+    version: int
+
+
 class ApplyRouting(Effect, frozen=True):
     """A new routing table is in force."""
 
@@ -142,18 +165,23 @@
     ``outage_end`` is when the store last answered after a failure; a failure since then
     is not over while ``is_store_lost``. ``namings_by_model`` tells of each version of a
     model's weights that may still be due when this process learned of its naming.
-    ``has_versions`` tells that the named versions were read once. ``served`` names the
-    service of the engine beside an agent.
+    ``newer_peer`` knows changes that the own watch must bring until ``pull_deadline``.
+    A process that leaves takes no new calls from ``close_deadline`` on and exits at
+    ``exit_deadline`` at the latest, before ``grace_s`` is over. ``has_versions`` tells
+    that the named versions were read once. ``served`` names the service of the engine
+    beside an agent.
     """
 
     __slots__ = (
         "beacons",
+        "close_deadline",
         "contact_s",
         "evacuated_zones",
         "exit_deadline",
         "gateway",
         "has_versions",
         "index",
+        "grace_s",
         "is_leaving",
         "is_store_lost",
         "knowledge",
@@ -161,7 +189,9 @@
         "members_by_name",
         "name",
         "namings_by_model",
+        "newer_peer",
         "outage_end",
+        "pull_deadline",
         "own_engine",
         "region_by_zone",
         "role",
@@ -182,6 +212,7 @@
         *,
         version_bound_s: float,
         contact_s: float,
+        grace_s: float,
         quarantine_s: float,
     ) -> None:
         self.name = name
@@ -202,7 +233,11 @@
         self.members_by_name: dict[str, Member] = {}
         self.outage_end = 0.0
         self.is_store_lost = False
+        self.newer_peer = ""
+        self.pull_deadline = 0.0
         self.is_leaving = False
+        self.grace_s = grace_s
+        self.close_deadline = 0.0
         self.exit_deadline = 0.0
         self.gateway: GatewayState | None = None
         self.staging: StagingState | None = None
@@ -313,6 +348,7 @@
 
 
 def _follow_versions(state: DirectState, now: float) -> list[Effect]:
+    effects: list[Effect] = []
     for target in _values(state, Collection.VERSIONS):
         known = state.target_by_model.get(target.model)
         if known is not None and known.version >= target.version:
@@ -324,8 +360,10 @@
             named_at += state.contact_s - state.version_bound_s
         namings = state.namings_by_model.setdefault(target.model, [])
         namings.append(Naming(target.version, named_at))
+        if state.gateway is not None:
+            effects.append(PrefetchVersion(target.model, target.version))
     state.has_versions = True
-    return _follow_own_version(state, now)
+    return effects + _follow_own_version(state, now)
 
 
 def _follow_own_version(state: DirectState, now: float) -> list[Effect]:
@@ -393,7 +431,7 @@
     if not state.beacons.accept(beacon):
         return []
     effects: list[Effect] = []
-    if state.knowledge.find_missing(beacon.changed_by_collection):
+    if _is_behind(state, event.now, beacon):
         effects.append(PullSnapshots(event.sender))
     if state.knowledge.select_newer(beacon.revision_by_collection):
         effects.append(AnswerBeacon(event.sender))
@@ -406,6 +444,24 @@
     return effects + fill_room(_gateway_context(state, event.now), event.now)
 
 
+def _is_behind(state: DirectState, now: float, beacon: Beacon) -> bool:
+    """Tell whether the own watch has failed to bring a change that a peer knows.
+
+    A watch is a little later than another all the time, which is no reason to ask.
+    """
+    if not state.knowledge.find_missing(beacon.changed_by_collection):
+        if beacon.name == state.newer_peer:
+            state.newer_peer = ""
+        return False
+    if not state.newer_peer:
+        state.newer_peer = beacon.name
+        state.pull_deadline = now + PULL_DELAY_S
+    if now < state.pull_deadline and state.is_informed:
+        return False
+    state.newer_peer = ""
+    return True
+
+
 def _note_status(state: DirectState, now: float, beacon: Beacon) -> None:
     status = beacon.status
     if status is None or state.gateway is None:
@@ -426,17 +482,28 @@
         effects.extend(handle_gateway_tick(context, event.now))
     if state.staging is not None:
         effects.extend(advance(state.staging, event.now))
-    if state.is_leaving and event.now >= state.exit_deadline and _is_idle(state):
-        effects.append(Exit())
+    if state.is_leaving:
+        effects.extend(_leave(state, event.now))
     return effects
 
 
-def _is_idle(state: DirectState) -> bool:
-    return state.gateway is None or not state.gateway.pending_by_id
+def _leave(state: DirectState, now: float) -> list[Effect]:
+    """Close what is idle once no caller comes any more, and exit when all is done."""
+    if state.gateway is None or now >= state.exit_deadline:
+        return [Exit()]
+    if now < state.close_deadline:
+        return []
+    if state.gateway.pending_by_id:
+        return [CloseIdle()]
+    return [CloseIdle(), Exit()]
 
 
 def _on_shutdown(state: DirectState, event: ShutdownRequested) -> list[Effect]:
+    if state.is_leaving:
+        return []
     state.is_leaving = True
+    state.close_deadline = event.now + min(ROTATION_S, state.grace_s / 2)
+    state.exit_deadline = event.now + state.grace_s - EXIT_MARGIN_S
     return []
 
 
@@ -447,7 +514,7 @@
         state.gateway,
         build_surroundings(state, now),
         state.ledger,
-        state.is_leaving,
+        state.is_leaving and now >= state.close_deadline,
     )
 
 
--- a/src/tamaracktray/direct_entry.py
+++ b/src/tamaracktray/direct_entry.py
@@ -21,10 +21,10 @@
     RelayFailure,
     SendCall,
 )
-from tamaracktray.chunk_relay import VERSIONS_PATH, ChunkRelay
-from tamaracktray.chunk_sources import choose_upstream
+from tamaracktray.chunk_relay import VERSIONS_PATH, ChunkRelay, VersionKey
+from tamaracktray.chunk_sources import choose_upstream, find_first
 from tamaracktray.deployment import Deployment
-from tamaracktray.direct import ApplyRouting, Member
+from tamaracktray.direct import ApplyRouting, CloseIdle, Member, PrefetchVersion
 from tamaracktray.direct_sections import DirectSettings
 from tamaracktray.direct_shell import DirectShell, register_member
 from tamaracktray.effects import Effect
@@ -118,13 +118,15 @@
                 bounds.cold_burst,
             )
         )
-        self._relay = ChunkRelay(self._find_upstream, self.open_origin)
+        self._relay = ChunkRelay(self._find_upstream, self._is_first, self.open_origin)
         self._open_by_id: dict[str, OpenCall] = {}
         self._callers = HttpServer(
             Address.parse(settings.listen.callers),
             self.handle_caller,
             cancels_abandoned=True,
         )
+        self.add_performer(PrefetchVersion, self._prefetch)
+        self.add_performer(CloseIdle, self._close_idle)
         for effect in (SendCall, RefuseCall, CutCall, RelayFailure):
             self.add_performer(effect, self._deliver)
 
@@ -156,13 +158,25 @@
             return
         await super().handle_peer(request, responder)
 
-    def _find_upstream(self, key: str) -> Address | None:
+    @property
+    def _own_member(self) -> Member:
         node = self.settings.node
+        return Member(node.name, node.zone, self.own_address)
+
+    def _is_first(self, key: str) -> bool:
+        peers = self.state.members_by_name.values()
+        own = self._own_member
+        return find_first(own, peers, self.state.region_by_zone, key) == own
+
+    async def _prefetch(self, effect: PrefetchVersion) -> None:
+        await self.spawn(self._relay.prefetch, VersionKey(effect.model, effect.version))
+
+    def _find_upstream(self, key: str) -> Address | None:
         index = self.state.index
         origin = None if index is None else index.table.find_origin()
         origin_zone = "" if origin is None else origin.origin_zone
         return choose_upstream(
-            Member(node.name, node.zone, self.own_address),
+            self._own_member,
             self.state.members_by_name.values(),
             self.state.region_by_zone,
             self.state.region_by_zone.get(origin_zone, ""),
@@ -171,9 +185,7 @@
 
     async def _register(self) -> None:
         """Let peers find this entry."""
-        node = self.settings.node
-        member = Member(node.name, node.zone, self.own_address)
-        while await register_member(self, member) is not None:
+        while await register_member(self, self._own_member) is not None:
             await curio.sleep(RegisterDelay * self.random.uniform(0.5, 1.5))
         while True:
             await curio.sleep(3600.0)
@@ -204,6 +216,9 @@
             limits.header_timeout_s,
         )
 
+    async def _close_idle(self, effect: CloseIdle) -> None:
+        await self._callers.close_idle()
+
     async def handle_readiness(self, request: Request, responder: Responder) -> None:
         """Tell whether this entry takes new connections."""
         is_ready = self.state.is_informed and not self.state.is_leaving
--- a/src/tamaracktray/direct_shell.py
+++ b/src/tamaracktray/direct_shell.py
@@ -90,6 +90,7 @@
             settings.region_by_zone,
             version_bound_s=bounds.version_ms / 1_000.0,
             contact_s=bounds.contact_ms / 1_000.0,
+            grace_s=bounds.grace_s,
             quarantine_s=bounds.quarantine_s,
         )
         self.store = deployment.open_store(
--- a/src/tamaracktray/gateway.py
+++ b/src/tamaracktray/gateway.py
@@ -36,6 +36,7 @@
 # ends one of its calls.
 BUSY_RETRY_S = 0.1
 NO_ENDPOINT_RETRY_S = 0.5
+LEAVING_RETRY_S = 0.02
 
 # Part of the fleet's bounds that is spent, so that stale counts stay within the rest.
 SAFE_SHARE = 0.5
@@ -125,12 +126,15 @@
 
 
 class GatewayContext(msgspec.Struct):
-    """The parts of the process state that the gateway reads."""
+    """The parts of the process state that the gateway reads.
+
+    A process that ``is_closing`` takes no new calls.
+    """
 
     state: GatewayState
     around: Surroundings
     ledger: CrashLedger
-    is_leaving: bool
+    is_closing: bool
 
 
 def follow_roster(
@@ -170,6 +174,8 @@
     """Send a call, let it wait for room, or refuse it."""
     state = context.state
     call = event.call
+    if context.is_closing:
+        return [RefuseCall(call.id, refuse_leaving())]
     for service in call.services:
         state.find_budget(service).earn()
     release = context.ledger.find_release(event.now, call.fingerprint)
@@ -402,6 +408,17 @@
     )
 
 
+def refuse_leaving() -> Refusal:
+    """Return the refusal of a process that shuts down; another takes the call now."""
+    return Refusal(
+        ErrorCode.LEAVING,
+        "this entry is shutting down",
+        RunState.NOT_RUN,
+        503,
+        LEAVING_RETRY_S,
+    )
+
+
 def refuse_busy() -> Refusal:
     """Return the refusal of a call for which no endpoint has room."""
     return Refusal(
--- a/src/tamaracktray/staging.py
+++ b/src/tamaracktray/staging.py
@@ -37,8 +37,7 @@
 # Engines that swap at different times, so that some always serve.
 WAVES = 2
 
-# A newer version is started at once if it can be there this long before the bound of
-# the one under way, in seconds.
+# Time that ordering and loading take after the last chunk, in seconds.
 SKIP_MARGIN_S = 1.0
 
 FIRST_VERSION = 1
@@ -166,7 +165,6 @@
         "manifest",
         "manifest_attempts",
         "named_at",
-        "retry_deadline_by_index",
         "started_at",
         "version",
     )
@@ -179,7 +177,6 @@
         self.manifest_attempts = 0
         self.in_flight: set[int] = set()
         self.attempts_by_index: dict[int, int] = {}
-        self.retry_deadline_by_index: dict[int, float] = {}
 
     @property
     def digests(self) -> list[str]:
@@ -199,6 +196,7 @@
 
     __slots__ = (
         "current",
+        "fetch_retry_deadline",
         "following",
         "held",
         "is_checking",
@@ -236,6 +234,7 @@
         self.is_ordering = False
         self.is_manifest_asked = False
         self.manifest_retry_deadline = 0.0
+        self.fetch_retry_deadline = 0.0
         self.order_retry_deadline = 0.0
 
     @property
@@ -282,8 +281,8 @@
 def _may_skip(state: StagingState, now: float) -> bool:
     """Tell whether the version under way may be left out for the next one.
 
-    It may as long as its order has not been given and the next version can be there
-    before calls must not begin on older versions than the one left out.
+    Once a version is due and not there, nobody is served. The version is left out if
+    that makes the time without service no longer.
     """
     work = state.current
     if work is None or state.step in (Step.TURN, Step.ORDER, Step.LOADING):
@@ -291,14 +290,16 @@
     total = len(work.digests)
     missing = len(_list_missing(state, work)) if total else 1
     done_share = 1.0 - missing / max(total, 1)
-    spent_s = max(now - work.started_at, RETRY_S)
-    deadline = work.named_at + state.version_bound_s - SKIP_MARGIN_S
     if done_share <= 0.0:
         return True
-    whole_s = spent_s / done_share
-    if now + whole_s <= deadline:
-        return True
-    return now + (1.0 - done_share) * whole_s > deadline
+    whole_s = max(now - work.started_at, RETRY_S) / done_share
+    left_s = (1.0 - done_share) * whole_s
+    deadline = work.named_at + state.version_bound_s - SKIP_MARGIN_S
+    next_deadline = now + state.version_bound_s - SKIP_MARGIN_S
+    gap_if_skipped = max(now + whole_s - deadline, 0.0)
+    gap_if_finished = max(now + left_s - deadline, 0.0)
+    gap_if_finished += max(now + left_s + whole_s - next_deadline, 0.0)
+    return gap_if_skipped <= gap_if_finished
 
 
 def _list_missing(state: StagingState, work: VersionWork) -> list[int]:
@@ -377,7 +378,7 @@
         return advance(state, event.now)
     attempts = work.attempts_by_index.get(event.index, 0) + 1
     work.attempts_by_index[event.index] = attempts
-    work.retry_deadline_by_index[event.index] = event.now + RETRY_S
+    state.fetch_retry_deadline = event.now + RETRY_S
     return advance(state, event.now)
 
 
@@ -489,6 +490,8 @@
 def _fetch(state: StagingState, now: float) -> list[Effect]:
     """Fetch missing chunks, those of the version under way first."""
     effects: list[Effect] = []
+    if now < state.fetch_retry_deadline:
+        return effects
     if state.report is not None and not state.is_stage_known:
         # What the stage holds already need not be fetched.
         return effects
@@ -505,8 +508,6 @@
                 return effects
             if index in work.in_flight:
                 continue
-            if work.retry_deadline_by_index.get(index, 0.0) > now:
-                continue
             work.in_flight.add(index)
             busy += 1
             attempt = work.attempts_by_index.get(index, 0)
--- a/tests/test_platform_calls.py
+++ b/tests/test_platform_calls.py
@@ -1,11 +1,17 @@
 """Callers' requests through real sockets, against stand-ins of the platform."""
 
+import time
+
 import curio
 import pytest
 
+from gateways import Gateway, build_call, engine
 from platforms import KEY, ORDERS, PlatformFleet, fetch_as, run_fleet
+from tamaracktray.calls import CallArrived
+from tamaracktray.events import ShutdownRequested
+from tamaracktray.gateway import handle_call
 from tamaracktray.http import Reply
-from tamaracktray.types import Address
+from tamaracktray.types import Address, RunState
 from tamaracktray_emulator.platform.documents import build_route, build_tenant
 from tamaracktray_emulator.platform.worker import EVENTS, Mode
 
@@ -148,17 +154,17 @@
     def test_cut_stream_is_resumed_at_whole_events(self):
         async def scenario(fleet: PlatformFleet) -> None:
             await fleet.start()
-            engines = [await fleet.add_engine(f"e-{n}") for n in range(2)]
+            made = [await fleet.add_engine(f"e-{n}") for n in range(2)]
             await fleet.until(
                 lambda: len(fleet.entries[0].state.roster.records_by_id) == 2
             )
-            for engine in engines:
-                engine.mode = Mode.CUTTING
-                engine.cut_after = 3
+            for one in made:
+                one.mode = Mode.CUTTING
+                one.cut_after = 3
             first_id = fleet.entries[0]
             reply_task = await curio.spawn(fleet.call, "/talk/1")
-            await fleet.until(lambda: any(engine.runs for engine in engines))
-            other = next(engine for engine in engines if not engine.runs)
+            await fleet.until(lambda: any(one.runs for one in made))
+            other = next(one for one in made if not one.runs)
             other.mode = Mode.GOOD
             reply = await reply_task.join()
             assert reply.body.decode() == EVENT_TEXT
@@ -200,16 +206,16 @@
     def test_work_stops_when_the_caller_is_gone(self):
         async def scenario(fleet: PlatformFleet) -> None:
             await fleet.start()
-            engine = await fleet.add_engine("e-1")
+            running_at = await fleet.add_engine("e-1")
             await fleet.until(lambda: fleet.entries[0].state.roster.records_by_id)
             task = await curio.spawn(fleet.call, "/talk/1")
-            await fleet.until(lambda: engine.runs)
+            await fleet.until(lambda: running_at.runs)
             await task.cancel()
             gateway = fleet.entries[0].state.gateway
             await fleet.until(lambda: not gateway.pending_by_id, 0.5)
             assert gateway.loads_by_id["e-1"].in_flight == 0
             await curio.sleep(0.2)
-            assert engine.finished == []
+            assert running_at.finished == []
 
         run_fleet(scenario)
 
@@ -288,3 +294,32 @@
             assert after.status == 200
 
         run_fleet(scenario)
+
+
+class TestShutdown:
+    def test_running_answers_are_finished_and_late_callers_are_sent_on(self):
+        async def scenario(fleet: PlatformFleet) -> None:
+            await fleet.start()
+            await fleet.add_engine("e-1")
+            entry = fleet.entries[0]
+            await fleet.until(lambda: entry.state.roster.records_by_id)
+            address = Address.parse(entry.settings.listen.callers)
+            idle = await curio.open_connection(address.host, address.port)
+            running = await curio.spawn(fleet.call, "/talk/1")
+            await fleet.until(lambda: entry.state.gateway.pending_by_id)
+            await entry.dispatch(ShutdownRequested(time.monotonic()))
+            assert not entry.state.is_informed or entry.state.is_leaving
+            in_rotation = await fleet.call("/talk/2", "id-2")
+            assert in_rotation.status == 200
+            assert in_rotation.headers["connection"] == "close"
+            assert (await running.join()).body.decode() == EVENT_TEXT
+            assert await curio.timeout_after(4.0, idle.recv(1)) == b""
+
+        run_fleet(scenario)
+
+    def test_calls_after_the_rotation_are_refused(self):
+        gateway = Gateway(engine("a"))
+        context = gateway.context
+        context.is_closing = True
+        (effect,) = handle_call(context, CallArrived(0.0, build_call("1")))
+        assert (effect.refusal.status, effect.refusal.run) == (503, RunState.NOT_RUN)
