Share version floors between peers, follow less in agents, prefer near endpoints

Cause: an entry that was killed after two namings knew the newest only, so it sent calls to version 1 when version 2 was due. Agents watched every change of the endpoints, each pass of an order or report opened a connection, and calls crossed regions without need. A request whose caller had closed already was handed on.

Beacons tell which versions are due; agents follow routing, versions and members and read the endpoints at a naming; the own engine is reached over one kept connection; a closed connection is noticed before its request is handled.

--- a/deploy/build.sh
+++ b/deploy/build.sh
@@ -5,6 +5,8 @@
     rm -rf "$DEPS"
     python3 -m pip install --quiet --disable-pip-version-check --target "$DEPS" .
     rm -rf build src/*.egg-info
+    # structlog would load rich, which only the command line uses, into every process.
+    rm -rf "$DEPS/rich" "$DEPS"/rich-*
     touch "$DEPS/.installed"
 fi
 rm -rf "$DEPS/tamaracktray" "$DEPS/tamaracktray_emulator"
--- a/src/tamaracktray/beacons.py
+++ b/src/tamaracktray/beacons.py
@@ -14,9 +14,9 @@
 
 
 class EndpointStatus(msgspec.Struct, frozen=True, array_like=True):
-    """What an agent says of its engine, newer than the platform's list."""
+    """What an agent says of the engine at ``address``, newer than the list."""
 
-    endpoint_id: str
+    address: str
     is_swapping: bool
     version_by_model: dict[str, int]
 
@@ -27,6 +27,7 @@
     ``incarnation`` changes with every start of the process and ``number`` grows with
     every beacon. ``revision_by_collection`` tells up to which revision the sender knows
     each collection and ``changed_by_collection`` since which it is as it is.
+    ``version_floor_by_model`` tells which versions are due.
     """
 
     name: str
@@ -36,6 +37,7 @@
     changed_by_collection: dict[Collection, int]
     in_flight_by_endpoint: dict[str, int] = {}
     status: EndpointStatus | None = None
+    version_floor_by_model: dict[str, int] = {}
     is_leaving: bool = False
 
 
--- a/src/tamaracktray/direct.py
+++ b/src/tamaracktray/direct.py
@@ -5,7 +5,7 @@
 peers, and every decision that follows from it is made here without sockets or clocks.
 """
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from typing import Any
 
 import msgspec
@@ -84,11 +84,19 @@
 PULL_DELAY_S = 0.25
 
 
+# Time after which a process that has just started stops waiting for peers to tell it
+# which versions are due, in seconds.
+FLOOR_WAIT_S = 1.5
+
+
 class Naming(msgspec.Struct, frozen=True):
-    """When this process learned that a version was named, in monotonic seconds."""
+    """When a version was named, in monotonic seconds.
+
+    ``named_at`` is ``None`` for a version that was named before the process started.
+    """
 
     version: int
-    named_at: float
+    named_at: float | None
 
 
 class Member(msgspec.Struct, frozen=True):
@@ -155,6 +163,12 @@
     version: int
 
 
+class ReadCollection(Effect, frozen=True):
+    """Read a collection that is not followed once from the store."""
+
+    collection: Collection
+
+
 class ApplyRouting(Effect, frozen=True):
     """A new routing table is in force."""
 
@@ -165,6 +179,8 @@
     ``outage_end`` is when the store last answered after a failure; a failure since then
     is not over while ``is_store_lost``. ``namings_by_model`` tells of each version of a
     model's weights that may still be due when this process learned of its naming.
+    ``peer_floor_by_model`` are versions that peers say are due; a version of which only
+    peers can tell counts as due from ``floor_deadline`` on, which each peer puts off.
     ``newer_peer`` knows changes that the own watch must bring until ``pull_deadline``.
     A process that leaves takes no new calls from ``close_deadline`` on and exits at
     ``exit_deadline`` at the latest, before ``grace_s`` is over. ``has_versions`` tells
@@ -175,8 +191,8 @@
     __slots__ = (
         "beacons",
         "close_deadline",
-        "contact_s",
         "evacuated_zones",
+        "floor_deadline",
         "exit_deadline",
         "gateway",
         "has_versions",
@@ -193,6 +209,7 @@
         "outage_end",
         "pull_deadline",
         "own_engine",
+        "peer_floor_by_model",
         "region_by_zone",
         "role",
         "roster",
@@ -209,9 +226,10 @@
         role: Role,
         zone: str,
         region_by_zone: dict[str, str],
+        followed: Iterable[Collection] = tuple(Collection),
         *,
+        now: float,
         version_bound_s: float,
-        contact_s: float,
         grace_s: float,
         quarantine_s: float,
     ) -> None:
@@ -220,8 +238,7 @@
         self.zone = zone
         self.region_by_zone = region_by_zone
         self.version_bound_s = version_bound_s
-        self.contact_s = contact_s
-        self.knowledge = Knowledge()
+        self.knowledge = Knowledge(followed)
         self.roster = Roster(LAPSE_HOLD_S)
         self.ledger = CrashLedger(quarantine_s)
         self.beacons = BeaconFilter()
@@ -229,6 +246,8 @@
         self.evacuated_zones: frozenset[str] = frozenset()
         self.target_by_model: dict[str, VersionTarget] = {}
         self.has_versions = False
+        self.peer_floor_by_model: dict[str, int] = {}
+        self.floor_deadline = now + FLOOR_WAIT_S
         self.namings_by_model: dict[str, list[Naming]] = {}
         self.members_by_name: dict[str, Member] = {}
         self.outage_end = 0.0
@@ -247,17 +266,7 @@
     @property
     def is_informed(self) -> bool:
         """Tell whether enough is known to answer callers."""
-        snapshots = self.knowledge.by_collection
-        needed = (Collection.ROUTING, Collection.ENDPOINTS, Collection.EVACUATIONS)
-        known = all(snapshots[collection].revision for collection in needed)
-        return known and self.index is not None
-
-    def find_own_record(self) -> EndpointRecord | None:
-        """Return the record of the engine beside an agent."""
-        for record in self.roster.records_by_id.values():
-            if record.address == self.own_engine:
-                return record
-        return None
+        return self.knowledge.is_complete and self.index is not None
 
     @property
     def services_by_name(self) -> dict[str, Service]:
@@ -335,6 +344,8 @@
 
 
 def _apply_roster(state: DirectState, now: float) -> list[Effect]:
+    if state.staging is not None:
+        state.staging.wave = _rank_own_engine(state) % WAVES
     if state.gateway is None:
         return []
     context = _gateway_context(state, now)
@@ -354,14 +365,14 @@
         if known is not None and known.version >= target.version:
             continue
         state.target_by_model[target.model] = target
-        named_at = now
-        if not state.has_versions:
-            # A process that starts cannot tell how long ago the version was named.
-            named_at += state.contact_s - state.version_bound_s
+        # A process that starts cannot tell how long ago the version was named.
+        named_at = now if state.has_versions else None
         namings = state.namings_by_model.setdefault(target.model, [])
         namings.append(Naming(target.version, named_at))
         if state.gateway is not None:
             effects.append(PrefetchVersion(target.model, target.version))
+    if state.staging is not None and state.has_versions:
+        effects.append(ReadCollection(Collection.ENDPOINTS))
     state.has_versions = True
     return effects + _follow_own_version(state, now)
 
@@ -376,8 +387,9 @@
     model = service.engine.models[0].name
     target = state.target_by_model.get(model, VersionTarget(model, FIRST_VERSION))
     namings = state.namings_by_model.get(model)
-    named_at = namings[-1].named_at if namings else now
-    state.staging.wave = _rank_own_engine(state) % WAVES
+    named_at = namings[-1].named_at if namings else None
+    if named_at is None:
+        named_at = now
     return name_version(state.staging, now, model, target.version, named_at)
 
 
@@ -437,6 +449,7 @@
         effects.append(AnswerBeacon(event.sender))
     if state.gateway is None:
         return effects
+    _note_floors(state, event.now, beacon)
     _note_status(state, event.now, beacon)
     for load in state.gateway.loads_by_id.values():
         count = beacon.in_flight_by_endpoint.get(load.record.id, 0)
@@ -462,14 +475,22 @@
     return True
 
 
+def _note_floors(state: DirectState, now: float, beacon: Beacon) -> None:
+    """Follow a peer that has seen namings which this process has missed."""
+    if beacon.status is None:
+        state.floor_deadline = now + FLOOR_WAIT_S
+    for model, version in beacon.version_floor_by_model.items():
+        known = state.peer_floor_by_model.get(model, 0)
+        state.peer_floor_by_model[model] = max(known, version)
+
+
 def _note_status(state: DirectState, now: float, beacon: Beacon) -> None:
     status = beacon.status
     if status is None or state.gateway is None:
         return
-    load = state.gateway.loads_by_id.get(status.endpoint_id)
-    if load is None:
-        return
-    load.note_status(now, status.is_swapping, status.version_by_model)
+    for load in state.gateway.loads_by_id.values():
+        if str(load.record.address) == status.address:
+            load.note_status(now, status.is_swapping, status.version_by_model)
 
 
 def _on_tick(state: DirectState, event: Tick) -> list[Effect]:
@@ -525,26 +546,36 @@
         state.region_by_zone,
         state.evacuated_zones,
         state.services_by_name,
-        _list_version_floors(state, now),
+        list_version_floors(state, now),
     )
 
 
-def _list_version_floors(state: DirectState, now: float) -> dict[str, int]:
+def list_version_floors(state: DirectState, now: float) -> dict[str, int]:
     """Return the oldest version on which calls may begin, by model.
 
     A version is owed ``version_bound_s`` after its naming, also when a newer one has
     been named since. A call may begin a moment after it was sent.
     """
-    floors: dict[str, int] = {}
-    bound_s = state.version_bound_s - VERSION_MARGIN_S
+    floors = dict(state.peer_floor_by_model)
     for model, namings in state.namings_by_model.items():
-        due = [item.version for item in namings if now - item.named_at >= bound_s]
+        due = [item.version for item in namings if _is_due(state, now, item)]
         if due:
-            floors[model] = due[-1]
+            floors[model] = max(floors.get(model, 0), due[-1])
             namings[:] = [item for item in namings if item.version >= due[-1]]
     return floors
 
 
+def _is_due(state: DirectState, now: float, naming: Naming) -> bool:
+    """Tell whether calls may begin on this version and newer ones only.
+
+    Of a version that was named before the process started only peers can tell; while
+    there are none, it counts as due.
+    """
+    if naming.named_at is None:
+        return now >= state.floor_deadline
+    return now - naming.named_at >= state.version_bound_s - VERSION_MARGIN_S
+
+
 def _with_gateway(
     handle: Callable[[GatewayContext, Any], list[Effect]],
 ) -> Callable[[DirectState, Any], list[Effect]]:
--- a/src/tamaracktray/direct_agent.py
+++ b/src/tamaracktray/direct_agent.py
@@ -22,6 +22,7 @@
 from tamaracktray.direct_sections import DirectSettings
 from tamaracktray.direct_shell import DirectShell
 from tamaracktray.exceptions import WeightError
+from tamaracktray.snapshots import Collection
 from tamaracktray.staging import (
     CheckStage,
     ChunkArrived,
@@ -49,7 +50,12 @@
 
 
 class DirectAgentShell(DirectShell):
-    """Runs an agent."""
+    """Runs an agent.
+
+    It need not know of every change of the endpoints or availability zones.
+    """
+
+    followed = (Collection.ROUTING, Collection.VERSIONS, Collection.MEMBERS)
 
     def __init__(
         self, path: Path, settings: DirectSettings, deployment: Deployment
@@ -92,11 +98,11 @@
 
     def _build_status(self) -> EndpointStatus | None:
         staging = self.state.staging
-        record = self.state.find_own_record()
-        if record is None or staging.report is None:
+        if staging.report is None:
             return None
         versions = {model.name: model.version for model in staging.report.models}
-        return EndpointStatus(record.id, staging.is_swapping, versions)
+        address = str(self.state.own_engine)
+        return EndpointStatus(address, staging.is_swapping, versions)
 
     async def _run_reports(self) -> None:
         """Read the engine's report again and again."""
--- a/src/tamaracktray/direct_entry.py
+++ b/src/tamaracktray/direct_entry.py
@@ -24,7 +24,13 @@
 from tamaracktray.chunk_relay import VERSIONS_PATH, ChunkRelay, VersionKey
 from tamaracktray.chunk_sources import choose_upstream, find_first
 from tamaracktray.deployment import Deployment
-from tamaracktray.direct import ApplyRouting, CloseIdle, Member, PrefetchVersion
+from tamaracktray.direct import (
+    ApplyRouting,
+    CloseIdle,
+    Member,
+    PrefetchVersion,
+    list_version_floors,
+)
 from tamaracktray.direct_sections import DirectSettings
 from tamaracktray.direct_shell import DirectShell, register_member
 from tamaracktray.effects import Effect
@@ -148,8 +154,11 @@
             for load in self.state.gateway.loads_by_id.values()
             if load.in_flight
         }
-        beacon = super().build_beacon()
-        return msgspec.structs.replace(beacon, in_flight_by_endpoint=counts)
+        return msgspec.structs.replace(
+            super().build_beacon(),
+            in_flight_by_endpoint=counts,
+            version_floor_by_model=list_version_floors(self.state, time.monotonic()),
+        )
 
     @override
     async def handle_peer(self, request: Request, responder: Responder) -> None:
--- a/src/tamaracktray/direct_shell.py
+++ b/src/tamaracktray/direct_shell.py
@@ -22,6 +22,7 @@
     CollectionListed,
     DirectState,
     PullSnapshots,
+    ReadCollection,
     SnapshotsReceived,
     StoreLost,
     reduce_direct,
@@ -52,6 +53,7 @@
 # Pause between two watches of a collection, so that changes which come together cost
 # one call, in seconds.
 SETTLE_S = 0.05
+SETTLE_S_BY_COLLECTION = {Collection.ENDPOINTS: 0.2}
 
 # Longest call to a peer, in seconds.
 PEER_TIMEOUT_S = 1.0
@@ -72,7 +74,12 @@
 
 
 class DirectShell(Runtime):
-    """Runs one process that follows the platform's store."""
+    """Runs one process that follows the platform's store.
+
+    ``followed`` are the collections that it watches all the time.
+    """
+
+    followed: tuple[Collection, ...] = tuple(Collection)
 
     def __init__(
         self, path: Path, settings: DirectSettings, deployment: Deployment
@@ -88,8 +95,9 @@
             settings.node.role,
             settings.node.zone,
             settings.region_by_zone,
+            self.followed,
+            now=time.monotonic(),
             version_bound_s=bounds.version_ms / 1_000.0,
-            contact_s=bounds.contact_ms / 1_000.0,
             grace_s=bounds.grace_s,
             quarantine_s=bounds.quarantine_s,
         )
@@ -105,6 +113,7 @@
         )
         self.add_performer(ApplyRouting, self.apply_routing)
         self.add_performer(PullSnapshots, self._start_pull)
+        self.add_performer(ReadCollection, self._read_collection)
         self.add_performer(AnswerBeacon, self._answer_beacon)
 
     @override
@@ -118,7 +127,7 @@
 
     @override
     def list_loops(self) -> list[Callable[[], Awaitable[None]]]:
-        watches = [self._build_watch(collection) for collection in Collection]
+        watches = [self._build_watch(collection) for collection in self.followed]
         return [self._run_ticks, self._run_datagrams, self._run_beacons, *watches]
 
     @override
@@ -273,7 +282,7 @@
                         "store regained", collection=collection.value, lost_s=lost_s
                     )
                 failed_at = 0.0
-                await curio.sleep(SETTLE_S)
+                await curio.sleep(SETTLE_S_BY_COLLECTION.get(collection, SETTLE_S))
                 continue
             if isinstance(failure, RevisionExpiredError):
                 self.log.info("history expired", collection=collection.value)
@@ -296,6 +305,18 @@
         for address in self.settings.seed_addresses:
             await self._start_pull(PullSnapshots(address))
 
+    async def _read_collection(self, effect: ReadCollection) -> None:
+        await self.spawn(self._read_once, effect.collection)
+
+    async def _read_once(self, collection: Collection) -> None:
+        failure = await self._list(collection)
+        if failure is not None:
+            self.log.info(
+                "collection not read",
+                collection=collection.value,
+                error=failure.message,
+            )
+
     async def _list(self, collection: Collection) -> PlatformError | None:
         listed = await self.store.list(collection)
         if isinstance(listed, Failure):
--- a/src/tamaracktray/http.py
+++ b/src/tamaracktray/http.py
@@ -264,6 +264,8 @@
             if request is None:
                 return
             if self._cancels_abandoned:
+                if _is_closed(client):
+                    return
                 await self._handle_watched(request, responder, connection, client)
             else:
                 await self._handle(request, responder)
@@ -323,6 +325,19 @@
             self._active -= 1
 
 
+def _is_closed(client: curio.io.Socket) -> bool:
+    """Tell whether the client has closed, without taking anything from the socket.
+
+    A process that was held up finds requests whose senders have given up long ago.
+    """
+    try:
+        return not client._socket.recv(1, socket_module.MSG_PEEK)
+    except BlockingIOError:
+        return False
+    except OSError:
+        return True
+
+
 async def _watch_client(
     connection: h11.Connection, client: curio.io.Socket, handler: curio.Task
 ) -> None:
--- a/src/tamaracktray/placement.py
+++ b/src/tamaracktray/placement.py
@@ -33,8 +33,9 @@
 STATUS_S = 1.5
 
 # Calls by which another availability zone or region must be emptier than the own one.
-ZONE_DISTANCE = 0.5
-REGION_DISTANCE = 1.0
+# An engine is hardly slower with more calls, while links between regions are thin.
+ZONE_DISTANCE = 1.0
+REGION_DISTANCE = 5.0
 
 
 class EndpointLoad:
--- a/src/tamaracktray/platform/engine.py
+++ b/src/tamaracktray/platform/engine.py
@@ -12,7 +12,7 @@
     VersionOrigin,
 )
 from tamaracktray.exceptions import TransportError, WeightError
-from tamaracktray.exchange import fetch
+from tamaracktray.exchange import KeptClient, fetch
 from tamaracktray.http import Headers, Reply
 from tamaracktray.platform.documents import read_manifest, read_report
 from tamaracktray.types import Address
@@ -39,16 +39,17 @@
 
 
 class PlatformEngine(StagingEngine):
-    """Reaches the model engine on the own instance."""
+    """Reaches the model engine on the own instance, over one connection."""
 
-    __slots__ = ("_address",)
+    __slots__ = ("_address", "_client")
 
     def __init__(self, address: Address) -> None:
         self._address = address
+        self._client = KeptClient(address)
 
     @override
     async def read_report(self) -> Result[EngineReport, TransportError]:
-        reply = await fetch(self._address, "GET", "/report", timeout_s=LOCAL_TIMEOUT_S)
+        reply = await self._client.fetch("GET", "/report", timeout_s=LOCAL_TIMEOUT_S)
         if isinstance(reply, Failure):
             return reply
         answer = reply.unwrap()
@@ -103,8 +104,7 @@
     async def _call(
         self, method: str, target: str, body: bytes = b""
     ) -> Result[Reply, WeightError]:
-        reply = await fetch(
-            self._address,
+        reply = await self._client.fetch(
             method,
             target,
             OCTETS if body else None,
--- a/src/tamaracktray/snapshots.py
+++ b/src/tamaracktray/snapshots.py
@@ -77,11 +77,12 @@
 
 
 class Knowledge:
-    """The snapshots of one process."""
+    """The snapshots of one process, which keeps the ``followed`` ones up to date."""
 
-    __slots__ = ("by_collection",)
+    __slots__ = ("by_collection", "followed")
 
-    def __init__(self) -> None:
+    def __init__(self, followed: Iterable[Collection] = tuple(Collection)) -> None:
+        self.followed = tuple(followed)
         self.by_collection: dict[Collection, Snapshot] = {
             collection: Snapshot() for collection in Collection
         }
@@ -94,12 +95,14 @@
         self.by_collection[collection] = snapshot
         return snapshot.changed_revision > known.revision or not known.revision
 
+    @property
+    def is_complete(self) -> bool:
+        """Tell whether something is known of every followed collection."""
+        return all(self.by_collection[name].revision for name in self.followed)
+
     def list_revisions(self) -> dict[Collection, int]:
-        """Return up to which revision each collection is known."""
-        return {
-            collection: snapshot.revision
-            for collection, snapshot in self.by_collection.items()
-        }
+        """Return up to which revision each followed collection is known."""
+        return {name: self.by_collection[name].revision for name in self.followed}
 
     def list_changes(self) -> dict[Collection, int]:
         """Return since which revision each collection is as it is."""
@@ -111,8 +114,8 @@
     def find_missing(self, changed_by_collection: Mapping[Collection, int]) -> bool:
         """Tell whether a peer knows a change that this process does not."""
         return any(
-            changed > self.by_collection[collection].revision
-            for collection, changed in changed_by_collection.items()
+            changed_by_collection.get(name, 0) > self.by_collection[name].revision
+            for name in self.followed
         )
 
     def select_newer(
@@ -120,7 +123,7 @@
     ) -> dict[Collection, Snapshot]:
         """Return the snapshots with changes that a peer at these revisions misses."""
         return {
-            collection: snapshot
-            for collection, snapshot in self.by_collection.items()
-            if snapshot.changed_revision > revision_by_collection.get(collection, 0)
+            collection: self.by_collection[collection]
+            for collection, revision in revision_by_collection.items()
+            if self.by_collection[collection].changed_revision > revision
         }
--- a/tests/test_platform_versions.py
+++ b/tests/test_platform_versions.py
@@ -94,7 +94,9 @@
             await fleet.until(lambda: engine.version == 1, 8.0)
             assert engine.loaded_digests == list_digests(1)
             gateway = fleet.entries[0].state.gateway
-            await fleet.until(lambda: gateway.loads_by_id["e-0"].find_version("kiln-1"))
+            await fleet.until(lambda: "e-0" in gateway.loads_by_id, 2.0)
+            load = gateway.loads_by_id["e-0"]
+            await fleet.until(lambda: load.find_version(ENGINE_MODEL))
             assert (await fleet.call("/talk/1")).status == 200
 
         run_fleet(scenario)
--- a/tests/test_snapshots.py
+++ b/tests/test_snapshots.py
@@ -73,6 +73,7 @@
         knowledge = Knowledge()
         knowledge.merge(Collection.ROUTING, Snapshot().replace_all([item("a", 9)], 9))
         assert not knowledge.find_missing({Collection.ROUTING: 9})
+        assert not Knowledge([Collection.MEMBERS]).find_missing({Collection.ROUTING: 9})
         assert knowledge.find_missing({Collection.ROUTING: 10})
 
     @given(st.permutations(range(1, 7)))
