--- a/src/tamaracktray/beacons.py
+++ b/src/tamaracktray/beacons.py
@@ -14,11 +14,16 @@
 
 
 class EndpointStatus(msgspec.Struct, frozen=True, array_like=True):
-    """What an agent says of the engine at ``address``, newer than the list."""
+    """What an agent says of the engine at ``address``, newer than the list.
+
+    ``swap_in_s`` is the time until its order to load another version, ``None`` if there
+    is no such plan.
+    """
 
     address: str
     is_swapping: bool
     version_by_model: dict[str, int]
+    swap_in_s: float | None = None
 
 
 class Beacon(msgspec.Struct, frozen=True, array_like=True):
--- a/src/tamaracktray/calls.py
+++ b/src/tamaracktray/calls.py
@@ -8,6 +8,9 @@
 from tamaracktray.routes import Route
 from tamaracktray.types import Address, Refusal
 
+# Prompt tokens that count as much as one output token in the size of a call.
+OUTPUT_SIZE = 10.0
+
 
 class Call(msgspec.Struct, frozen=True):
     """One request of a caller on a route.
@@ -16,8 +19,8 @@
     are the services that may take it, the drawn one first. ``deadline`` is the
     monotonic time at which the caller, or the route, gives up. An empty ``regions``
     allows all. Token counts are 0 for calls without a prompt; ``output_tokens`` is the
-    estimate of what will be generated. ``fingerprint`` is equal for equal requests of
-    one caller.
+    estimate of what will be generated and ``max_output`` its bound. ``fingerprint`` is
+    equal for equal requests of one caller.
     """
 
     id: str
@@ -32,10 +35,16 @@
     model: str = ""
     prompt_tokens: int = 0
     output_tokens: int = 0
+    max_output: int = 0
     session: str = ""
     fingerprint: str = ""
     last_event_id: str = ""
 
+    @property
+    def size(self) -> float:
+        """Return the size by which operators compare calls of a route."""
+        return self.prompt_tokens + OUTPUT_SIZE * self.max_output
+
 
 class CallArrived(Event, frozen=True):
     """A caller's request was read and belongs to a route."""
@@ -117,6 +126,12 @@
     view: FleetView = FleetView()
 
 
+class AbandonAttempt(Effect, frozen=True):
+    """Give up the attempt under way, so that the call can go elsewhere."""
+
+    call_id: str
+
+
 class CutCall(Effect, frozen=True):
     """Break off an answer that has begun and cannot be completed."""
 
--- a/src/tamaracktray/direct.py
+++ b/src/tamaracktray/direct.py
@@ -379,7 +379,8 @@
 
 def _follow_own_version(state: DirectState, now: float) -> list[Effect]:
     """Let an agent work towards the version of its engine's model."""
-    if state.staging is None:
+    if state.staging is None or not state.is_informed:
+        # Without its peers an agent would draw everything from the origin.
         return []
     service = state.services_by_name.get(state.served)
     if service is None or service.engine is None or not service.engine.models:
@@ -419,7 +420,7 @@
     }
     if state.gateway is not None:
         state.gateway.peers = len(state.members_by_name)
-    return _apply_roster(state, now)
+    return _apply_roster(state, now) + _follow_own_version(state, now)
 
 
 _FOLLOWER_BY_COLLECTION: dict[
@@ -490,7 +491,9 @@
         return
     for load in state.gateway.loads_by_id.values():
         if str(load.record.address) == status.address:
-            load.note_status(now, status.is_swapping, status.version_by_model)
+            load.note_status(
+                now, status.is_swapping, status.version_by_model, status.swap_in_s
+            )
 
 
 def _on_tick(state: DirectState, event: Tick) -> list[Effect]:
@@ -500,7 +503,7 @@
         effects.extend(_apply_roster(state, event.now))
     if state.gateway is not None:
         context = _gateway_context(state, event.now)
-        effects.extend(handle_gateway_tick(context, event.now))
+        effects.extend(handle_gateway_tick(context, event.now, event.heard))
     if state.staging is not None:
         effects.extend(advance(state.staging, event.now))
     if state.is_leaving:
--- a/src/tamaracktray/direct_agent.py
+++ b/src/tamaracktray/direct_agent.py
@@ -38,6 +38,7 @@
     StageChecked,
     StagePart,
     StagingState,
+    plan_swap,
 )
 from tamaracktray.types import Address
 from tamaracktray.weights import Manifest, digest_bytes
@@ -64,7 +65,7 @@
         self.state.staging = StagingState(settings.bounds.version_ms / 1_000.0)
         self.state.served = settings.engine.service
         self._chunk_by_digest: dict[str, bytes] = {}
-        self._told: EndpointStatus | None = None
+        self._told: tuple = ()
         address = settings.engine.address
         self._engine = None
         if address:
@@ -102,7 +103,8 @@
             return None
         versions = {model.name: model.version for model in staging.report.models}
         address = str(self.state.own_engine)
-        return EndpointStatus(address, staging.is_swapping, versions)
+        swap_in_s = plan_swap(staging, time.monotonic())
+        return EndpointStatus(address, staging.is_swapping, versions, swap_in_s)
 
     async def _run_reports(self) -> None:
         """Read the engine's report again and again."""
@@ -121,9 +123,10 @@
     async def _tell_status(self) -> None:
         """Tell entries at once when the engine's state has changed."""
         status = self._build_status()
-        if status == self._told:
+        told = (status and (status.is_swapping, status.version_by_model),)
+        if told == self._told:
             return
-        self._told = status
+        self._told = told
         self.log.info(
             "engine",
             step=self.state.staging.step.value,
--- a/src/tamaracktray/direct_entry.py
+++ b/src/tamaracktray/direct_entry.py
@@ -11,6 +11,7 @@
 
 from tamaracktray.beacons import Beacon
 from tamaracktray.calls import (
+    AbandonAttempt,
     Call,
     CallArrived,
     CallAttemptEnded,
@@ -35,6 +36,7 @@
 from tamaracktray.direct_shell import DirectShell, register_member
 from tamaracktray.effects import Effect
 from tamaracktray.event_stream import EventBuffer
+from tamaracktray.events import Tick
 from tamaracktray.exchange import Exchange, open_exchange
 from tamaracktray.gateway import GatewayBounds, GatewayState
 from tamaracktray.http import (
@@ -84,14 +86,15 @@
 class OpenCall:
     """A call with what its answer needs.
 
-    ``buffer`` holds a stream across attempts. ``failure`` is the last whole answer by
-    which an endpoint said that it failed.
+    ``exchange`` is the attempt under way. ``buffer`` holds a stream across attempts.
+    ``failure`` is the last whole answer by which an endpoint said that it failed.
     """
 
     __slots__ = (
         "buffer",
         "call",
         "decisions",
+        "exchange",
         "failure",
         "is_head_sent",
         "request",
@@ -105,6 +108,7 @@
         self.decisions: curio.Queue = curio.Queue()
         self.buffer = EventBuffer()
         self.failure: HeldAnswer | None = None
+        self.exchange: Exchange | None = None
         self.is_head_sent = False
 
 
@@ -126,11 +130,13 @@
         )
         self._relay = ChunkRelay(self._find_upstream, self._is_first, self.open_origin)
         self._open_by_id: dict[str, OpenCall] = {}
+        self._heard: set[str] = set()
         self._callers = HttpServer(
             Address.parse(settings.listen.callers),
             self.handle_caller,
             cancels_abandoned=True,
         )
+        self.add_performer(AbandonAttempt, self._abandon)
         self.add_performer(PrefetchVersion, self._prefetch)
         self.add_performer(CloseIdle, self._close_idle)
         for effect in (SendCall, RefuseCall, CutCall, RelayFailure):
@@ -192,6 +198,19 @@
             key,
         )
 
+    @override
+    def build_tick(self) -> Tick:
+        heard = frozenset(self._heard)
+        self._heard.clear()
+        return Tick(time.monotonic(), heard=heard)
+
+    async def _abandon(self, effect: AbandonAttempt) -> None:
+        open_call = self._open_by_id.get(effect.call_id)
+        if open_call is None or open_call.exchange is None:
+            return
+        self._log_request("attempt given up", open_call.call.request_id)
+        open_call.exchange.give_up()
+
     async def _register(self) -> None:
         """Let peers find this entry."""
         while await register_member(self, self._own_member) is not None:
@@ -413,9 +432,11 @@
             phase = AttemptPhase.SENT if error.sent else AttemptPhase.NOT_SENT
             return _end(decision, phase, detail=error.message)
         exchange = opened.unwrap()
+        open_call.exchange = exchange
         try:
             return await self._read_answer(open_call, decision, exchange)
         finally:
+            open_call.exchange = None
             await exchange.close()
 
     async def _read_answer(
@@ -425,7 +446,9 @@
         head = await exchange.read_head(_silence_bound(call))
         if isinstance(head, Failure):
             detail = head.failure().message
-            return _end(decision, AttemptPhase.SENT, is_reset=True, detail=detail)
+            is_reset = not exchange.is_given_up
+            return _end(decision, AttemptPhase.SENT, is_reset=is_reset, detail=detail)
+        self._heard.add(decision.endpoint_id)
         fields = self.deployment.protocol.read_answer(exchange.headers)
         if fields.is_not_run or exchange.status == MISDIRECTED:
             detail = f"not run ({exchange.status})"
@@ -474,11 +497,12 @@
                 return _end(
                     decision,
                     AttemptPhase.CUT if open_call.is_head_sent else AttemptPhase.SENT,
-                    is_reset=True,
+                    is_reset=not exchange.is_given_up,
                     last_event_id=buffer.last_event_id,
                     detail=read.failure().message,
                 )
             data = read.unwrap()
+            self._heard.add(decision.endpoint_id)
             whole = buffer.feed(data) if data else buffer.take_rest()
             if whole and not is_started:
                 is_started = True
--- a/src/tamaracktray/direct_shell.py
+++ b/src/tamaracktray/direct_shell.py
@@ -217,10 +217,14 @@
                 BeaconHeard(time.monotonic(), decoded.unwrap(), address)
             )
 
+    def build_tick(self) -> Tick:
+        """Return the next tick."""
+        return Tick(time.monotonic())
+
     async def _run_ticks(self) -> None:
         while True:
             await curio.sleep(TICK_S)
-            await self.dispatch(Tick(time.monotonic()))
+            await self.dispatch(self.build_tick())
             if self.logs is not None:
                 self.logs.flush()
 
--- a/src/tamaracktray/events.py
+++ b/src/tamaracktray/events.py
@@ -27,10 +27,12 @@
 class Tick(Event, frozen=True):
     """Time has passed; deadlines are checked.
 
-    ``draw`` is a random number, from which the reducer takes all chance.
+    ``draw`` is a random number, from which the reducer takes all chance. ``heard`` are
+    the endpoints that sent something since the last tick.
     """
 
     draw: int = 0
+    heard: frozenset[str] = frozenset()
 
 
 class ObjectsReceived(Event, frozen=True):
--- a/src/tamaracktray/exchange.py
+++ b/src/tamaracktray/exchange.py
@@ -4,6 +4,7 @@
 difference between a whole body and one that was cut.
 """
 
+import contextlib
 import socket as socket_module
 
 import curio
@@ -49,6 +50,7 @@
         "_connection",
         "_early_head",
         "_is_ended",
+        "is_given_up",
         "_socket",
         "headers",
         "raw_headers",
@@ -59,6 +61,7 @@
         self._connection = connection
         self._socket = socket
         self._is_ended = False
+        self.is_given_up = False
         self._early_head: h11.Event | None = None
         self.status = 0
         self.headers: dict[str, str] = {}
@@ -160,6 +163,12 @@
                 message = f"answer exceeds {max_bytes} bytes"
                 return Failure(TransportError(message, sent=True))
 
+    def give_up(self) -> None:
+        """End the connection under the task that reads from it."""
+        self.is_given_up = True
+        with contextlib.suppress(OSError):
+            self._socket.shutdown(socket_module.SHUT_RDWR)
+
     async def close(self) -> None:
         """Close the connection; an unfinished answer is given up."""
         await self._socket.close()
--- a/src/tamaracktray/gateway.py
+++ b/src/tamaracktray/gateway.py
@@ -4,6 +4,7 @@
 
 from tamaracktray.budgets import PermitBucket, RepeatBudget
 from tamaracktray.calls import (
+    AbandonAttempt,
     Call,
     CallArrived,
     CallAttemptEnded,
@@ -15,7 +16,10 @@
     RelayFailure,
     SendCall,
 )
+from tamaracktray.costs import estimate_cost
 from tamaracktray.effects import Effect
+from tamaracktray.fairness import ServedRate, SizeBands
+from tamaracktray.hashing import hash_text
 from tamaracktray.outcomes import AttemptPhase
 from tamaracktray.placement import (
     EndpointLoad,
@@ -32,10 +36,27 @@
 # Connections that one call may try in vain, beside its attempts.
 MAX_UNREACHABLE = 3
 
-# When a refused caller should come back, in seconds: about the time in which an engine
-# ends one of its calls.
+# When a refused caller should come back while most are served, in seconds: soon enough
+# to meet its objective, about the time in which an engine ends one of its calls.
 BUSY_RETRY_S = 0.1
+
+# When it should come back while most are refused, in seconds. Returning at once would
+# meet the same lack of room, which seldom lasts longer than a change of version or the
+# loss of an instance does.
+SCARCE_RETRY_S = 1.0
+SCARCE_SPREAD_S = 1.0
+
+# Share of calls that find room below which room is scarce.
+SCARCE_SHARE = 0.5
+
 NO_ENDPOINT_RETRY_S = 0.5
+
+# Silence of an endpoint after which its calls go elsewhere, in seconds: before the
+# first part of an answer, and within a stream, whose reader knows pauses.
+GIVE_UP_S = 0.5
+GIVE_UP_STREAM_S = 0.7
+
+HASH_RANGE = 2**64
 LEAVING_RETRY_S = 0.02
 
 # Part of the fleet's bounds that is spent, so that stale counts stay within the rest.
@@ -60,18 +81,20 @@
 
     ``may_have_run`` is set once an attempt was sent and did not promise that the call
     was not run; from then on no answer may promise it. ``endpoint_id`` names where an
-    attempt is under way. ``version`` is that of the weights which began a stream.
+    attempt, sent at ``sent_at``, is under way; ``is_abandoned`` tells that it is being
+    given up. ``version`` is that of the weights which began a stream.
     """
 
     __slots__ = (
         "attempts",
         "call",
-        "crashes",
         "endpoint_id",
         "has_failed_answer",
+        "is_abandoned",
         "is_started",
         "last_event_id",
         "may_have_run",
+        "sent_at",
         "tried",
         "unreachable",
         "version",
@@ -85,6 +108,8 @@
         self.may_have_run = False
         self.has_failed_answer = False
         self.is_started = False
+        self.is_abandoned = False
+        self.sent_at = 0.0
         self.last_event_id = call.last_event_id
         self.version = 0
         self.tried: set[str] = set()
@@ -94,11 +119,13 @@
     """The calls and endpoint loads of one entry."""
 
     __slots__ = (
+        "bands_by_route",
         "bounds",
         "budget_by_service",
         "loads_by_id",
         "peers",
         "pending_by_id",
+        "room_by_service",
         "waiting",
     )
 
@@ -109,6 +136,20 @@
         self.pending_by_id: dict[str, PendingCall] = {}
         self.waiting = WaitingLine()
         self.budget_by_service: dict[str, RepeatBudget] = {}
+        self.bands_by_route: dict[str, SizeBands] = {}
+        self.room_by_service: dict[str, ServedRate] = {}
+
+    def find_bands(self, route: str) -> SizeBands:
+        """Return the size bands of a route."""
+        return self.bands_by_route.setdefault(route, SizeBands())
+
+    def note_outcome(self, call: Call, *, is_served: bool) -> None:
+        """Take in whether a call was served."""
+        room = self.room_by_service.setdefault(call.services[0], ServedRate())
+        room.note(is_served=is_served)
+        if call.size:
+            bands = self.find_bands(call.route.name)
+            bands.note_outcome(call.size, is_served=is_served)
 
     def find_budget(self, service: str) -> RepeatBudget:
         """Return the own part of a service's budget for repeats."""
@@ -178,6 +219,8 @@
         return [RefuseCall(call.id, refuse_leaving())]
     for service in call.services:
         state.find_budget(service).earn()
+    if call.size:
+        state.find_bands(call.route.name).note_size(call.size)
     release = context.ledger.find_release(event.now, call.fingerprint)
     if release is not None:
         return [RefuseCall(call.id, _refuse_crashing(release - event.now))]
@@ -229,12 +272,20 @@
     return fill_room(context, event.now)
 
 
-def handle_gateway_tick(context: GatewayContext, now: float) -> list[Effect]:
-    """Send calls that found room and refuse those that have waited long enough."""
+def handle_gateway_tick(
+    context: GatewayContext, now: float, heard: frozenset[str]
+) -> list[Effect]:
+    """Send calls that found room and refuse those that have waited long enough.
+
+    ``heard`` are the endpoints that sent something since the last tick.
+    """
     state = context.state
-    for load in state.loads_by_id.values():
+    for endpoint_id, load in state.loads_by_id.items():
         load.expire_status(now)
-    effects = fill_room(context, now)
+        if endpoint_id in heard:
+            load.heard_at = now
+    effects = _give_up_silent(context, now)
+    effects.extend(fill_room(context, now))
     for call in state.waiting.remove_expired(now):
         pending = state.pending_by_id.get(call.id)
         if pending is not None:
@@ -242,6 +293,35 @@
     return effects
 
 
+def _give_up_silent(context: GatewayContext, now: float) -> list[Effect]:
+    """Take calls away from endpoints that have gone silent."""
+    state = context.state
+    silence_by_id = {
+        endpoint_id: load.measure_silence(now)
+        for endpoint_id, load in state.loads_by_id.items()
+        if load.measure_silence(now) > GIVE_UP_S
+    }
+    if not silence_by_id:
+        return []
+    effects: list[Effect] = []
+    for pending in state.pending_by_id.values():
+        silence = silence_by_id.get(pending.endpoint_id, 0.0)
+        bound = GIVE_UP_STREAM_S if pending.is_started else GIVE_UP_S
+        if silence <= bound or pending.is_abandoned:
+            continue
+        call = pending.call
+        has_attempts = pending.attempts < call.route.max_attempts
+        if not call.route.is_idempotent or not has_attempts:
+            continue
+        if now - pending.sent_at <= bound:
+            continue
+        if _choose(context, now, pending, pending.endpoint_id) is None:
+            continue
+        pending.is_abandoned = True
+        effects.append(AbandonAttempt(call.id))
+    return effects
+
+
 def fill_room(context: GatewayContext, now: float) -> list[Effect]:
     """Send waiting calls, in order, to endpoints with room."""
     state = context.state
@@ -262,7 +342,7 @@
 
 
 def _choose(
-    context: GatewayContext, now: float, pending: PendingCall
+    context: GatewayContext, now: float, pending: PendingCall, passed_over: str = ""
 ) -> EndpointLoad | None:
     crashed = context.ledger.crashed_endpoints(now, pending.call.fingerprint)
     return choose_endpoint(
@@ -270,7 +350,7 @@
         pending.call,
         context.state.loads_by_id.values(),
         context.around,
-        pending.tried | crashed,
+        pending.tried | crashed | {passed_over},
     )
 
 
@@ -280,12 +360,28 @@
         return [_send(context, now, pending, load)]
     if not _has_eligible(context, pending):
         return _refuse(context, now, pending)
-    waiting = context.state.waiting
-    if not waiting.push(now, pending.call, is_resumed=pending.is_started):
+    call = pending.call
+    bands = context.state.find_bands(call.route.name)
+    is_waiting = context.state.waiting.push(
+        now,
+        call,
+        cost=_estimate_cost(context, call),
+        is_behind=call.size > 0 and bands.is_behind(call.size),
+        is_resumed=pending.is_started,
+    )
+    if not is_waiting:
         return _refuse(context, now, pending)
     return []
 
 
+def _estimate_cost(context: GatewayContext, call: Call) -> float:
+    """Return the part of an endpoint's time that a call takes, 0 if nobody can tell."""
+    service = context.around.services_by_name.get(call.services[0])
+    if service is None or service.engine is None:
+        return 0.0
+    return estimate_cost(call, service.engine)
+
+
 def _has_eligible(context: GatewayContext, pending: PendingCall) -> bool:
     return any(
         load.record.id not in pending.tried
@@ -301,6 +397,8 @@
     is_version_due = pending.call.model in context.around.version_floor_by_model
     pending.attempts += 1
     pending.endpoint_id = load.record.id
+    pending.sent_at = now
+    pending.is_abandoned = False
     running = load.count_running(now)
     load.note_sent(now)
     return SendCall(
@@ -332,6 +430,7 @@
     now = event.now
     if event.phase is AttemptPhase.ANSWERED:
         del context.state.pending_by_id[event.call_id]
+        context.state.note_outcome(pending.call, is_served=True)
         return []
     if event.phase is AttemptPhase.NOT_SENT:
         pending.attempts -= 1
@@ -387,6 +486,7 @@
     view = view_fleet(context, now, pending)
     context.state.pending_by_id.pop(call.id, None)
     context.state.waiting.remove(call.id)
+    context.state.note_outcome(call, is_served=False)
     if pending.is_started:
         return [CutCall(call.id, "the stream broke off and no endpoint can resume it")]
     if pending.has_failed_answer:
@@ -395,7 +495,16 @@
         return [RefuseCall(call.id, refuse_unanswered(), view)]
     if not _has_eligible(context, pending):
         return [RefuseCall(call.id, refuse_no_endpoint(), view)]
-    return [RefuseCall(call.id, refuse_busy(), view)]
+    return [RefuseCall(call.id, refuse_busy(_choose_return(context, call)), view)]
+
+
+def _choose_return(context: GatewayContext, call: Call) -> float:
+    """Return when a refused caller should come back, in seconds."""
+    room = context.state.room_by_service.get(call.services[0])
+    if room is None or room.value >= SCARCE_SHARE:
+        return BUSY_RETRY_S
+    # Callers who come back at the same moment would meet each other.
+    return SCARCE_RETRY_S + SCARCE_SPREAD_S * hash_text(call.request_id) / HASH_RANGE
 
 
 def refuse_unanswered() -> Refusal:
@@ -419,14 +528,14 @@
     )
 
 
-def refuse_busy() -> Refusal:
+def refuse_busy(retry_after_s: float) -> Refusal:
     """Return the refusal of a call for which no endpoint has room."""
     return Refusal(
         ErrorCode.OVERLOADED,
         "all endpoints are busy",
         RunState.NOT_RUN,
         503,
-        BUSY_RETRY_S,
+        retry_after_s,
     )
 
 
--- a/src/tamaracktray/intake.py
+++ b/src/tamaracktray/intake.py
@@ -72,6 +72,7 @@
         model=fields.model,
         prompt_tokens=fields.prompt_tokens,
         output_tokens=fields.expected_output or fields.max_output,
+        max_output=fields.max_output,
         session=fields.session,
         fingerprint=_digest_request(request, fields),
         last_event_id=fields.last_event_id,
--- a/src/tamaracktray/placement.py
+++ b/src/tamaracktray/placement.py
@@ -11,6 +11,7 @@
 
 from tamaracktray.budgets import PermitBucket
 from tamaracktray.calls import Call
+from tamaracktray.costs import estimate_duration
 from tamaracktray.roster import EndpointRecord
 from tamaracktray.routes import Service
 
@@ -25,6 +26,14 @@
 # Failures in a row after which an endpoint counts as unreachable or failing.
 FAILURES_TO_BLOCK = 2
 
+# Silence of an endpoint with calls under way after which others are preferred, in
+# seconds. An engine passes something on within a fifth of a second while it reads the
+# prompts of others.
+SILENT_S = 0.4
+
+# Time that a call may run beyond an engine's planned change of version, in seconds.
+SWAP_SLACK_S = 0.3
+
 # What a peer said of its calls counts for this long, in seconds.
 PEER_COUNT_S = 1.0
 
@@ -42,8 +51,10 @@
     """What this process knows of the load and health of one endpoint.
 
     ``in_flight`` counts the calls of this process. ``is_swapping`` tells that the
-    endpoint's agent has ordered it to load another version. What the agent says of the
-    versions counts before the list, which is older, until ``status_deadline``.
+    endpoint's agent has ordered it to load another version, and ``swap_at`` is when it
+    will. What the agent says of the versions counts before the list, which is older,
+    until ``status_deadline``. ``heard_at`` is when the endpoint last sent something, or
+    got a call while it had none.
     """
 
     __slots__ = (
@@ -51,11 +62,13 @@
         "blocked_deadline",
         "cold_budget",
         "failures",
+        "heard_at",
         "in_flight",
         "_version_by_model",
         "is_swapping",
         "record",
         "status_deadline",
+        "swap_at",
     )
 
     def __init__(self, record: EndpointRecord) -> None:
@@ -65,15 +78,22 @@
         self.blocked_deadline = 0.0
         self.cold_budget: PermitBucket | None = None
         self.is_swapping = False
+        self.swap_at: float | None = None
+        self.heard_at = 0.0
         self.status_deadline = 0.0
         self._version_by_model: dict[str, int] = {}
         self._peer_counts: dict[str, tuple[int, float]] = {}
 
     def note_status(
-        self, now: float, is_swapping: bool, version_by_model: dict[str, int]
+        self,
+        now: float,
+        is_swapping: bool,
+        version_by_model: dict[str, int],
+        swap_in_s: float | None = None,
     ) -> None:
         """Take in what the endpoint's agent says."""
         self.is_swapping = is_swapping
+        self.swap_at = None if swap_in_s is None else now + swap_in_s
         self.status_deadline = now + STATUS_S
         self._version_by_model = version_by_model
 
@@ -81,6 +101,7 @@
         """Go by the list again when the agent has been silent."""
         if now >= self.status_deadline:
             self.is_swapping = False
+            self.swap_at = None
             self._version_by_model = {}
 
     def find_version(self, model: str) -> int:
@@ -105,6 +126,8 @@
 
     def note_sent(self, now: float) -> None:
         """Count a call that is being sent."""
+        if not self.in_flight:
+            self.heard_at = now
         self.in_flight += 1
         if self.cold_budget is not None:
             self.cold_budget.take(now)
@@ -139,6 +162,10 @@
         """Avoid an endpoint that had no room until a call may have ended there."""
         self.blocked_deadline = max(self.blocked_deadline, now + FULL_BLOCK_S)
 
+    def measure_silence(self, now: float) -> float:
+        """Return how long the endpoint has been silent with calls under way."""
+        return now - self.heard_at if self.in_flight else 0.0
+
     def has_cold_permit(self, now: float) -> bool:
         """Tell whether the endpoint bears one more call this moment."""
         return self.cold_budget is None or self.cold_budget.has_permit(now)
@@ -220,19 +247,35 @@
     for service in call.services:
         candidates = [load for load in eligible if load.record.service == service]
         if candidates:
-            return _choose_emptiest(now, candidates, around)
+            return _choose_emptiest(now, call, candidates, around)
     return None
 
 
 def _choose_emptiest(
-    now: float, candidates: list[EndpointLoad], around: Surroundings
+    now: float, call: Call, candidates: list[EndpointLoad], around: Surroundings
 ) -> EndpointLoad | None:
     best: EndpointLoad | None = None
-    best_cost = 0.0
+    best_cost = (True, 0.0)
     for load in candidates:
         if not count_room(load, now):
             continue
-        cost = load.count_running(now) + around.measure_distance(load.record.zone)
+        distance = around.measure_distance(load.record.zone)
+        is_doubtful = load.measure_silence(now) > SILENT_S or _outlasts(
+            now, call, load, around
+        )
+        cost = (is_doubtful, load.count_running(now) + distance)
         if best is None or cost < best_cost:
             best, best_cost = load, cost
     return best
+
+
+def _outlasts(now: float, call: Call, load: EndpointLoad, around: Surroundings) -> bool:
+    """Tell whether a call would hold up an engine's planned change of version.
+
+    An engine takes nothing new from its order on until its longest call has ended.
+    """
+    service = around.services_by_name.get(load.record.service)
+    if load.swap_at is None or service is None or service.engine is None:
+        return False
+    end = now + estimate_duration(call, service.engine)
+    return end > load.swap_at + SWAP_SLACK_S
--- a/src/tamaracktray/runtime.py
+++ b/src/tamaracktray/runtime.py
@@ -29,6 +29,7 @@
         self.log = structlog.get_logger()
         self.metrics = metrics
         self.exit_code = 0
+        self.is_halted = False
         self.random = random.Random(secrets.randbits(64))
         self._done = curio.Event()
         self._performers: dict[type[Effect], Callable[[Any], Awaitable[None]]] = {
@@ -72,6 +73,9 @@
 
     async def spawn(self, function: Callable[..., Awaitable[None]], *args: Any) -> None:
         """Run a task in the background; a broken invariant stops the process."""
+        if self.is_halted:
+            # The kernel takes no new tasks while it cancels the old ones.
+            return
         await curio.spawn(self._guard, function, *args, daemon=True)
 
     async def run(self) -> None:
@@ -89,6 +93,7 @@
             await curio.spawn(self._run_loop, loop, daemon=True)
         self.log.info("started")
         await self._done.wait()
+        self.is_halted = True
         self.log.info("stopped")
         self.close()
 
--- a/src/tamaracktray/staging.py
+++ b/src/tamaracktray/staging.py
@@ -579,6 +579,28 @@
     return work.named_at + (last - work.named_at) * state.wave / (WAVES - 1)
 
 
+def plan_swap(state: StagingState, now: float) -> float | None:
+    """Return the time until the order to load, as far as it can be foreseen.
+
+    ``None`` means that the engine has no reason to swap, or serves nobody yet.
+    """
+    work = state.current
+    if work is None or not state.loaded_version or state.step is Step.DONE:
+        return None
+    if state.is_swapping:
+        return 0.0
+    total = len(work.digests)
+    if not total:
+        return None
+    missing = len(_list_missing(state, work))
+    arrived_s = 0.0
+    if missing:
+        if missing == total:
+            return None
+        arrived_s = (now - work.started_at) * missing / (total - missing)
+    return max(arrived_s, _turn(state, work) - now, 0.0)
+
+
 def _order(state: StagingState, now: float) -> list[Effect]:
     work = state.current
     if work is None or state.report is None or state.step is not Step.TURN:
--- a/src/tamaracktray/waiting.py
+++ b/src/tamaracktray/waiting.py
@@ -21,18 +21,25 @@
 
 
 class WaitingCall:
-    """A call with the time at which it must have found room."""
+    """A call with the time at which it must have found room and its place in line."""
 
     __slots__ = ("call", "deadline", "order")
 
-    def __init__(self, call: Call, deadline: float, order: tuple) -> None:
+    def __init__(
+        self, call: Call, deadline: float, order: tuple[bool, int, bool, float]
+    ) -> None:
         self.call = call
         self.deadline = deadline
         self.order = order
 
 
 class WaitingLine:
-    """The calls of one process that wait for room."""
+    """The calls of one process that wait for room.
+
+    Streams that broke off go first, then more urgent calls, then those of a size that
+    is served too seldom, then the ones that take up least of an endpoint's time: while
+    not all can be served, this serves most callers in time.
+    """
 
     __slots__ = ("_by_id",)
 
@@ -45,8 +52,16 @@
     def __contains__(self, call_id: str) -> bool:
         return call_id in self._by_id
 
-    def push(self, now: float, call: Call, *, is_resumed: bool = False) -> bool:
-        """Let a call wait; return whether it may. Resumed streams go first."""
+    def push(
+        self,
+        now: float,
+        call: Call,
+        *,
+        cost: float,
+        is_behind: bool = False,
+        is_resumed: bool = False,
+    ) -> bool:
+        """Let a call wait; return whether it may."""
         if len(self._by_id) >= MAX_WAITING:
             return False
         wait_s = call.route.target_latency_s * WAIT_SHARE or DEFAULT_WAIT_S
@@ -54,7 +69,7 @@
         deadline = min(end, call.deadline)
         if deadline <= now:
             return False
-        order = (not is_resumed, call.priority, call.arrived)
+        order = (not is_resumed, call.priority, not is_behind, cost)
         self._by_id[call.id] = WaitingCall(call, deadline, order)
         return True
 
@@ -64,7 +79,10 @@
 
     def list_ordered(self) -> list[Call]:
         """Return the waiting calls, the one to serve first at the front."""
-        ordered = sorted(self._by_id.values(), key=lambda waiting: waiting.order)
+        ordered = sorted(
+            self._by_id.values(),
+            key=lambda waiting: (waiting.order, waiting.call.arrived),
+        )
         return [waiting.call for waiting in ordered]
 
     def remove_expired(self, now: float) -> list[Call]:
@@ -73,7 +91,3 @@
         for call in expired:
             del self._by_id[call.id]
         return expired
-
-    def next_deadline(self) -> float | None:
-        """Return when the next call stops waiting, ``None`` when none waits."""
-        return min((item.deadline for item in self._by_id.values()), default=None)
--- a/tests/gateways.py
+++ b/tests/gateways.py
@@ -36,7 +36,16 @@
 SERVICES = {
     ENGINES: Service(
         ENGINES,
-        engine=EngineSpec(max_batch=4, models=(ModelSpec(MODEL),), layers=LAYERS),
+        engine=EngineSpec(
+            max_batch=4,
+            models=(ModelSpec(MODEL),),
+            layers=LAYERS,
+            stride=6,
+            step_s=0.007,
+            read_tokens_s=30_000.0,
+            usual_prompt=1_000.0,
+            usual_answer=100.0,
+        ),
     ),
     ORDERS: Service(ORDERS),
 }
@@ -119,6 +128,6 @@
     def leave(self, call: Call) -> list[Effect]:
         return handle_call_ended(self.context, CallEnded(self.now, call.id))
 
-    def tick(self, seconds: float) -> list[Effect]:
+    def tick(self, seconds: float, *heard: str) -> list[Effect]:
         self.now += seconds
-        return handle_gateway_tick(self.context, self.now)
+        return handle_gateway_tick(self.context, self.now, frozenset(heard))
--- a/tests/platforms.py
+++ b/tests/platforms.py
@@ -238,6 +238,11 @@
     """Run a test with a fleet of its own."""
 
     async def main() -> None:
-        await test(PlatformFleet(**bounds))
+        fleet = PlatformFleet(**bounds)
+        try:
+            await test(fleet)
+        finally:
+            for shell in [*fleet.entries, *fleet.agents]:
+                shell.is_halted = True
 
     curio.run(main)
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -18,13 +18,19 @@
     worker,
 )
 from tamaracktray.calls import (
+    AbandonAttempt,
     CallStarted,
     CutCall,
     RefuseCall,
     RelayFailure,
     SendCall,
 )
-from tamaracktray.gateway import handle_call_started
+from tamaracktray.gateway import (
+    BUSY_RETRY_S,
+    SCARCE_RETRY_S,
+    SCARCE_SPREAD_S,
+    handle_call_started,
+)
 from tamaracktray.outcomes import AttemptPhase
 from tamaracktray.routes import RepeatKind
 from tamaracktray.types import RunState
@@ -47,9 +53,10 @@
         assert {*first, *second} == {"a", "bb"}
 
     def test_near_endpoint_is_preferred_until_it_is_fuller(self):
-        gateway = Gateway(engine("a"), engine("far", zone="zone-c"))
-        taken = [sent(gateway.arrive(build_call(str(n))))[0] for n in range(4)]
-        assert taken[0] == "a"
+        near = engine("a", max_batch=8)
+        gateway = Gateway(near, engine("far", zone="zone-c", max_batch=8))
+        taken = [sent(gateway.arrive(build_call(str(n))))[0] for n in range(8)]
+        assert taken[:5] == ["a"] * 5
         assert "far" in taken
 
     @pytest.mark.parametrize(
@@ -344,3 +351,133 @@
         assert not gateway.state.pending_by_id
         assert not len(gateway.state.waiting)
         assert all(not load.in_flight for load in gateway.state.loads_by_id.values())
+
+
+class TestSilence:
+    def test_silent_endpoint_is_passed_over(self):
+        gateway = Gateway(engine("a"), engine("far", zone="zone-c"))
+        assert sent(gateway.arrive(build_call("1"))) == ["a"]
+        gateway.tick(0.45)
+        assert sent(gateway.arrive(build_call("2", now=0.45))) == ["far"]
+
+    def test_endpoint_that_is_heard_stays(self):
+        gateway = Gateway(engine("a"), engine("far", zone="zone-c"))
+        gateway.arrive(build_call("1"))
+        gateway.tick(0.3, "a")
+        gateway.tick(0.2, "a")
+        assert sent(gateway.arrive(build_call("2", now=0.5))) == ["a"]
+
+    def test_silent_endpoint_is_better_than_none(self):
+        gateway = Gateway(engine("a"))
+        gateway.arrive(build_call("1"))
+        gateway.tick(0.45)
+        assert sent(gateway.arrive(build_call("2", now=0.45))) == ["a"]
+
+    @pytest.mark.parametrize(
+        ("route", "make", "is_given_up"),
+        [(STREAM, engine, True), (SAFE, worker, True), (UNSAFE, worker, False)],
+    )
+    def test_calls_leave_a_silent_endpoint_if_they_may(self, route, make, is_given_up):
+        gateway = Gateway(make("a"), make("bb"))
+        call = build_call("1", route)
+        gateway.arrive(call)
+        effects = gateway.tick(0.6)
+        assert effects == ([AbandonAttempt(call.id)] if is_given_up else [])
+        assert gateway.tick(0.1) == []
+
+    def test_calls_stay_when_there_is_nowhere_else(self):
+        gateway = Gateway(engine("a"))
+        gateway.arrive(build_call("1"))
+        assert gateway.tick(0.6) == []
+
+
+class TestSwapPlans:
+    def plan(self, gateway: Gateway, name: str, swap_in_s: float) -> None:
+        gateway.load(name).note_status(0.0, False, {MODEL: 1}, swap_in_s)
+
+    def test_long_call_goes_where_it_holds_up_nobody(self):
+        gateway = Gateway(engine("a"), engine("far", zone="zone-c"))
+        self.plan(gateway, "a", 0.5)
+        long = build_call("1", output_tokens=400, prompt_tokens=1_000)
+        assert sent(gateway.arrive(long)) == ["far"]
+
+    def test_short_call_still_fits(self):
+        gateway = Gateway(engine("a"), engine("far", zone="zone-c"))
+        self.plan(gateway, "a", 0.5)
+        short = build_call("1", output_tokens=10, prompt_tokens=100)
+        assert sent(gateway.arrive(short)) == ["a"]
+
+    def test_long_call_is_not_refused_for_a_plan(self):
+        gateway = Gateway(engine("a"))
+        self.plan(gateway, "a", 0.1)
+        long = build_call("1", output_tokens=400, prompt_tokens=1_000)
+        assert sent(gateway.arrive(long)) == ["a"]
+
+
+class TestOrder:
+    def serve_one_by_one(self, gateway: Gateway, calls) -> list[str]:
+        """Return the order in which waiting calls are served at one place."""
+        first, *waiting = calls
+        gateway.arrive(first)
+        for call in waiting:
+            assert gateway.arrive(call) == []
+        served: list[str] = []
+        running = first
+        while len(served) < len(waiting):
+            effects = gateway.end(running, "a", AttemptPhase.ANSWERED)
+            (effect,) = effects
+            served.append(effect.call_id)
+            running = next(call for call in calls if call.id == effect.call_id)
+        return served
+
+    def test_short_calls_go_first(self):
+        gateway = Gateway(engine("a", max_batch=1))
+        calls = [
+            build_call(name, prompt_tokens=100, output_tokens=tokens, max_output=tokens)
+            for name, tokens in [("first", 50), ("long", 300), ("short", 20)]
+        ]
+        assert self.serve_one_by_one(gateway, calls) == ["short", "long"]
+
+    def test_returning_time_grows_while_room_is_scarce(self):
+        gateway = Gateway(engine("a", max_batch=1))
+        gateway.arrive(build_call("0"))
+        times: list[float] = []
+        for number in range(60):
+            gateway.arrive(build_call(f"c{number}", now=gateway.now))
+            effects = gateway.tick(0.2, "a")
+            times.extend(item.refusal.retry_after_s for item in effects)
+        assert times[0] == BUSY_RETRY_S
+        assert SCARCE_RETRY_S <= times[-1] <= SCARCE_RETRY_S + SCARCE_SPREAD_S
+
+
+class TestFairness:
+    def test_large_calls_are_served_at_least_half_as_often(self):
+        """Under twice the load that can be served, no size is left behind."""
+        served: dict[bool, int] = {True: 0, False: 0}
+        asked: dict[bool, int] = {True: 0, False: 0}
+        gateway = Gateway(engine("a", max_batch=1))
+        running = None
+        calls = {}
+        for step in range(4_000):
+            is_large = step % 10 == 0
+            tokens = 400 if is_large else 20 + step % 30
+            call = build_call(
+                f"c{step}",
+                now=gateway.now,
+                prompt_tokens=100,
+                output_tokens=tokens,
+                max_output=tokens,
+            )
+            calls[call.id] = call
+            asked[is_large] += 1
+            effects = gateway.arrive(call)
+            if running is not None and step % 2 == 0:
+                effects += gateway.end(running, "a", AttemptPhase.ANSWERED)
+                running = None
+            for effect in effects + gateway.tick(0.02, "a"):
+                if isinstance(effect, SendCall):
+                    running = calls[effect.call_id]
+                    served[running.output_tokens == 400] += 1
+        shares = {size: served[size] / asked[size] for size in served}
+        assert 0.3 < sum(served.values()) / 4_000 < 0.7
+        assert shares[True] >= 0.5 * (sum(served.values()) / 4_000)
--- a/tests/test_platform_versions.py
+++ b/tests/test_platform_versions.py
@@ -50,9 +50,7 @@
         async def scenario(fleet: PlatformFleet) -> None:
             engines = await start(fleet, 4)
             await fleet.until(
-                lambda: all(
-                    len(agent.state.roster.records_by_id) == 4 for agent in fleet.agents
-                )
+                lambda: all(agent.state.staging.report for agent in fleet.agents)
             )
             name_version(fleet, 2)
             await fleet.until(lambda: any(e.version == 2 for e in engines))
