--- a/src/tamaracktray/direct.py
+++ b/src/tamaracktray/direct.py
@@ -349,7 +349,7 @@
     if state.gateway is None:
         return []
     context = _gateway_context(state, now)
-    follow_roster(context, state.roster.records_by_id)
+    follow_roster(context, now, state.roster.records_by_id)
     return fill_room(context, now)
 
 
--- a/src/tamaracktray/gateway.py
+++ b/src/tamaracktray/gateway.py
@@ -179,7 +179,7 @@
 
 
 def follow_roster(
-    context: GatewayContext, records_by_id: dict[str, EndpointRecord]
+    context: GatewayContext, now: float, records_by_id: dict[str, EndpointRecord]
 ) -> None:
     """Follow the endpoints in use, keeping what is known of those that stay."""
     state = context.state
@@ -188,7 +188,10 @@
         load = state.loads_by_id.get(endpoint_id)
         if load is None or load.record.born_ms != record.born_ms:
             load = EndpointLoad(record)
-        load.record = record
+            load.cold_deadline = now + record.cold_s
+        if load.record is not record:
+            load.record = record
+            load.cold_deadline = now + record.cold_s
         service = context.around.services_by_name.get(record.service)
         _follow_cold_rate(state, load, service)
         loads[endpoint_id] = load
@@ -198,7 +201,11 @@
 def _follow_cold_rate(
     state: GatewayState, load: EndpointLoad, service: Service | None
 ) -> None:
-    """Bound what the own process sends in a second, as an endpoint may turn cold."""
+    """Bound what the own process sends to an endpoint while it is cold.
+
+    A warm one needs no such bound: no more calls are sent than it works on at a time,
+    which is fewer in a second than a cold one bears.
+    """
     if service is None or not service.cold_rate:
         load.cold_budget = None
         return
--- a/src/tamaracktray/placement.py
+++ b/src/tamaracktray/placement.py
@@ -61,6 +61,7 @@
         "_peer_counts",
         "blocked_deadline",
         "cold_budget",
+        "cold_deadline",
         "failures",
         "heard_at",
         "in_flight",
@@ -77,6 +78,7 @@
         self.failures = 0
         self.blocked_deadline = 0.0
         self.cold_budget: PermitBucket | None = None
+        self.cold_deadline = 0.0
         self.is_swapping = False
         self.swap_at: float | None = None
         self.heard_at = 0.0
@@ -129,7 +131,7 @@
         if not self.in_flight:
             self.heard_at = now
         self.in_flight += 1
-        if self.cold_budget is not None:
+        if self.cold_budget is not None and now < self.cold_deadline:
             self.cold_budget.take(now)
 
     def note_ended(self) -> None:
@@ -168,7 +170,9 @@
 
     def has_cold_permit(self, now: float) -> bool:
         """Tell whether the endpoint bears one more call this moment."""
-        return self.cold_budget is None or self.cold_budget.has_permit(now)
+        if self.cold_budget is None or now >= self.cold_deadline:
+            return True
+        return self.cold_budget.has_permit(now)
 
 
 class Surroundings(msgspec.Struct, frozen=True):
--- a/tests/gateways.py
+++ b/tests/gateways.py
@@ -33,9 +33,12 @@
 ZONE = "zone-a"
 REGION_BY_ZONE = {"zone-a": "region-a", "zone-b": "region-a", "zone-c": "region-c"}
 
+COLD_RATE = 36.0
+
 SERVICES = {
     ENGINES: Service(
         ENGINES,
+        cold_rate=COLD_RATE,
         engine=EngineSpec(
             max_batch=4,
             models=(ModelSpec(MODEL),),
@@ -111,7 +114,7 @@
         return GatewayContext(self.state, around, self.ledger, False)
 
     def follow(self, *records: EndpointRecord) -> None:
-        follow_roster(self.context, {record.id: record for record in records})
+        follow_roster(self.context, self.now, {record.id: record for record in records})
 
     def load(self, name: str):
         return self.state.loads_by_id[name]
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -5,6 +5,7 @@
 from hypothesis import strategies as st
 
 from gateways import (
+    COLD_RATE,
     ENGINES,
     MODEL,
     ORDERS,
@@ -481,3 +482,27 @@
         shares = {size: served[size] / asked[size] for size in served}
         assert 0.3 < sum(served.values()) / 4_000 < 0.7
         assert shares[True] >= 0.5 * (sum(served.values()) / 4_000)
+
+
+class TestColdEndpoints:
+    def send_for_a_second(self, peers: int, cold_s: float) -> int:
+        """Return how many calls one of several entries sends in one second."""
+        gateway = Gateway(engine("a", cold_s=cold_s, max_batch=16), peers=peers)
+        count = 0
+        for step in range(1_000):
+            call = build_call(f"c{step}", now=gateway.now)
+            for effect in gateway.arrive(call) + gateway.tick(0.001, "a"):
+                if isinstance(effect, SendCall):
+                    count += 1
+                    sent_call = build_call(effect.call_id)
+                    gateway.end(sent_call, "a", AttemptPhase.ANSWERED)
+        return count
+
+    @pytest.mark.parametrize("peers", [0, 3, 15])
+    def test_sum_over_all_entries_stays_within_the_bound(self, peers):
+        """Every entry offers a thousand calls a second to one cold endpoint."""
+        total = (peers + 1) * self.send_for_a_second(peers, cold_s=5.0)
+        assert total <= COLD_RATE * 1.5 + 5
+
+    def test_warm_endpoint_is_bound_by_its_batch_only(self):
+        assert self.send_for_a_second(3, cold_s=0.0) > COLD_RATE
