--- /dev/null
+++ b/src/tamaracktray/call_log.py
@@ -0,0 +1,144 @@
+"""What is logged and counted of callers' requests: one line for each decision.
+
+Every line carries the caller's request id, so that a failed request can be followed
+from its id to the decision that failed it and to what that decision was based on.
+"""
+
+import time
+
+import msgspec
+import structlog
+
+from tamaracktray.calls import Call, CallAttemptEnded, RefuseCall, SendCall
+from tamaracktray.metrics import Metrics
+from tamaracktray.snapshots import Collection, Knowledge
+from tamaracktray.types import Refusal
+
+MS_DIGITS = 4
+
+
+class CallLog:
+    """Writes the lines and metrics of one entry."""
+
+    __slots__ = ("_knowledge", "_log", "_metrics")
+
+    def __init__(self, knowledge: Knowledge, metrics: Metrics) -> None:
+        self._knowledge = knowledge
+        self._log = structlog.get_logger()
+        self._metrics = metrics
+
+    def note_rejected(self, request_id: str, refusal: Refusal, routing: int) -> None:
+        """Note a request that makes no call: no route, no key, no configuration.
+
+        ``routing`` is the version of the routing table in force, 0 for none.
+        """
+        self._metrics.count("calls_refused", code=refusal.code.value)
+        self._write(
+            "refused",
+            request_id,
+            status=refusal.status,
+            code=refusal.code.value,
+            run=refusal.run.value,
+            retry_after_s=refusal.retry_after_s,
+            routing=routing,
+        )
+
+    def note_arrived(self, call: Call) -> None:
+        """Count a call."""
+        self._metrics.count("calls", kind=call.route.kind.value)
+
+    def note_attempt(self, call: Call, decision: SendCall, routing: int) -> None:
+        """Note to which endpoint a call is sent, and what is known of it."""
+        now = time.monotonic()
+        self._metrics.count("attempts", number=str(decision.attempt))
+        self._metrics.time("call_wait", now - call.arrived)
+        snapshots = self._knowledge.by_collection
+        self._write(
+            "attempt",
+            call.request_id,
+            number=decision.attempt,
+            route=call.route.name,
+            team=call.team,
+            endpoint=decision.endpoint_id,
+            running=decision.running,
+            version=decision.version,
+            after_event=decision.last_event_id,
+            waited_s=round(now - call.arrived, MS_DIGITS),
+            left_s=round(call.deadline - now, MS_DIGITS),
+            routing=routing,
+            endpoints_revision=snapshots[Collection.ENDPOINTS].revision,
+        )
+
+    def note_first_part(self, call: Call) -> None:
+        """Measure the time to the first part of an answer."""
+        passed_s = time.monotonic() - call.arrived
+        self._metrics.time("first_part", passed_s, kind=call.route.kind.value)
+
+    def note_attempt_end(self, call: Call, ended: CallAttemptEnded) -> None:
+        """Note how an attempt ended."""
+        passed_s = ended.now - call.arrived
+        self._metrics.count("attempt_ends", phase=ended.phase.value)
+        if ended.phase.is_answer:
+            self._metrics.time("answer", passed_s, kind=call.route.kind.value)
+        self._write(
+            "attempt ended",
+            call.request_id,
+            endpoint=ended.endpoint_id,
+            phase=ended.phase.value,
+            status=ended.status,
+            after_s=round(passed_s, MS_DIGITS),
+            last_event=ended.last_event_id,
+            detail=ended.detail,
+        )
+
+    def note_given_up(self, call: Call) -> None:
+        """Note that an attempt at a silent endpoint is being given up."""
+        self._metrics.count("attempts_given_up")
+        self._write("attempt given up", call.request_id, reason="endpoint is silent")
+
+    def note_refused(self, call: Call, decision: RefuseCall) -> None:
+        """Note a refusal and what it was based on."""
+        refusal = decision.refusal
+        self._metrics.count("calls_refused", code=refusal.code.value)
+        self._write(
+            "refused",
+            call.request_id,
+            status=refusal.status,
+            code=refusal.code.value,
+            run=refusal.run.value,
+            retry_after_s=refusal.retry_after_s,
+            waited_s=round(time.monotonic() - call.arrived, MS_DIGITS),
+            route=call.route.name,
+            **msgspec.to_builtins(decision.view),
+        )
+
+    def note_late(self, call: Call, refusal: Refusal | None) -> None:
+        """Note that the time of a call was over; ``None`` if its stream was cut."""
+        self._metrics.count("calls_late")
+        self._write(
+            "time over",
+            call.request_id,
+            status=0 if refusal is None else refusal.status,
+            run="run" if refusal is None else refusal.run.value,
+            waited_s=round(time.monotonic() - call.arrived, MS_DIGITS),
+        )
+
+    def note_failure_relayed(self, call: Call, status: int) -> None:
+        """Note that an endpoint's own failure is passed on."""
+        self._metrics.count("failures_passed_on")
+        self._write("failure passed on", call.request_id, status=status)
+
+    def note_cut(self, call: Call, reason: str) -> None:
+        """Note that an answer was broken off."""
+        self._metrics.count("answers_cut")
+        self._write("answer cut", call.request_id, reason=reason)
+
+    def note_caller_gone(self, call: Call) -> None:
+        """Note that the caller closed its connection."""
+        self._metrics.count("callers_gone")
+        waited_s = round(time.monotonic() - call.arrived, MS_DIGITS)
+        self._write("caller gone", call.request_id, waited_s=waited_s)
+
+    def _write(self, event: str, request_id: str, **inputs: object) -> None:
+        """Write a line about a request; such lines are bounded in number."""
+        self._log.info(event, request=request_id, request_line=True, **inputs)
--- a/src/tamaracktray/direct_shell.py
+++ b/src/tamaracktray/direct_shell.py
@@ -33,9 +33,9 @@
 from tamaracktray.events import Event, Tick
 from tamaracktray.exceptions import ConflictError, PlatformError, RevisionExpiredError
 from tamaracktray.exchange import fetch
-from tamaracktray.http import HttpServer, Request, Responder
+from tamaracktray.http import Headers, HttpServer, Request, Responder
 from tamaracktray.logs import Logs, configure_logs
-from tamaracktray.metrics import NullMetrics
+from tamaracktray.metrics import ExposedMetrics, Metrics, NullMetrics
 from tamaracktray.objects import StoredObject
 from tamaracktray.roster import EndpointRecord
 from tamaracktray.routes import RoutingTable
@@ -62,6 +62,7 @@
 IDLE_BEACON_S = 0.5
 
 SNAPSHOTS_PATH = "/snapshots"
+METRICS_TYPE: Headers = [("content-type", "text/plain; version=0.0.4")]
 MAX_DATAGRAM_BYTES = 65_507
 
 VALUE_TYPE_BY_COLLECTION: dict[Collection, type] = {
@@ -84,7 +85,7 @@
     def __init__(
         self, path: Path, settings: DirectSettings, deployment: Deployment
     ) -> None:
-        super().__init__(NullMetrics())
+        super().__init__(_build_metrics(settings))
         self.path = path
         self.settings = settings
         self.deployment = deployment
@@ -123,7 +124,12 @@
 
     @override
     def build_servers(self) -> list[HttpServer]:
-        return [HttpServer(self.own_address, self.handle_peer)]
+        servers = [HttpServer(self.own_address, self.handle_peer)]
+        port = self.settings.listen.metrics_port
+        if port:
+            address = Address(self.own_address.host, port)
+            servers.append(HttpServer(address, self.handle_metrics))
+        return servers
 
     @override
     def list_loops(self) -> list[Callable[[], Awaitable[None]]]:
@@ -165,6 +171,19 @@
             return
         await responder.respond(404, [])
 
+    def set_gauges(self) -> None:
+        """Set the gauges that a reader of the metrics is about to see."""
+        for collection in self.followed:
+            snapshot = self.state.knowledge.by_collection[collection]
+            name = collection.value
+            self.metrics.gauge("known_revision", snapshot.revision, collection=name)
+        self.metrics.gauge("store_lost", float(self.state.is_store_lost))
+
+    async def handle_metrics(self, request: Request, responder: Responder) -> None:
+        """Hand out the counters, gauges and histograms as text."""
+        self.set_gauges()
+        await responder.respond(200, METRICS_TYPE, self.metrics.render())
+
     def build_beacon(self) -> Beacon:
         """Return what this process tells its peers now."""
         self._beacon_number += 1
@@ -291,6 +310,7 @@
             if isinstance(failure, RevisionExpiredError):
                 self.log.info("history expired", collection=collection.value)
                 continue
+            self.metrics.count("store_failures", collection=collection.value)
             await self._note_failure(collection, failure, is_first=not failed_at)
             failed_at = failed_at or now
             await curio.sleep(self.random.uniform(RETRY_MIN_S, RETRY_MAX_S))
@@ -322,6 +342,7 @@
             )
 
     async def _list(self, collection: Collection) -> PlatformError | None:
+        self.metrics.count("store_calls", kind="list")
         listed = await self.store.list(collection)
         if isinstance(listed, Failure):
             return listed.failure()
@@ -336,6 +357,7 @@
     async def _watch(self, collection: Collection) -> PlatformError | None:
         revision = self.state.knowledge.by_collection[collection].revision
         watch_s = self.settings.store.watch_s
+        self.metrics.count("store_calls", kind="watch")
         watched = await self.store.watch(collection, revision, watch_s)
         if isinstance(watched, Failure):
             return watched.failure()
@@ -368,6 +390,10 @@
     return msgspec.structs.replace(snapshot, objects_by_name=objects)
 
 
+def _build_metrics(settings: DirectSettings) -> Metrics:
+    return ExposedMetrics() if settings.listen.metrics_port else NullMetrics()
+
+
 async def register_member(shell: DirectShell, member: object) -> PlatformError | None:
     """Write the own entry among the members, over one of an earlier start."""
     collection = Collection.MEMBERS
--- a/src/tamaracktray/exchange.py
+++ b/src/tamaracktray/exchange.py
@@ -163,11 +163,11 @@
                 message = f"answer exceeds {max_bytes} bytes"
                 return Failure(TransportError(message, sent=True))
 
-    def give_up(self) -> None:
+    async def give_up(self) -> None:
         """End the connection under the task that reads from it."""
         self.is_given_up = True
         with contextlib.suppress(OSError):
-            self._socket.shutdown(socket_module.SHUT_RDWR)
+            await self._socket.shutdown(socket_module.SHUT_RDWR)
 
     async def close(self) -> None:
         """Close the connection; an unfinished answer is given up."""
--- a/src/tamaracktray/gateway.py
+++ b/src/tamaracktray/gateway.py
@@ -139,6 +139,21 @@
         self.bands_by_route: dict[str, SizeBands] = {}
         self.room_by_service: dict[str, ServedRate] = {}
 
+    def count_in_flight(self) -> dict[str, int]:
+        """Return the own calls at each endpoint that has any."""
+        return {
+            endpoint_id: load.in_flight
+            for endpoint_id, load in self.loads_by_id.items()
+            if load.in_flight
+        }
+
+    def may_have_run(self, call_id: str) -> bool:
+        """Tell whether an endpoint may have run a call, or may run it still."""
+        pending = self.pending_by_id.get(call_id)
+        if pending is None:
+            return True
+        return pending.may_have_run or bool(pending.endpoint_id)
+
     def find_bands(self, route: str) -> SizeBands:
         """Return the size bands of a route."""
         return self.bands_by_route.setdefault(route, SizeBands())
@@ -535,6 +550,24 @@
     )
 
 
+def refuse_late(may_have_run: bool) -> Refusal:
+    """Return the error for a call whose time is over."""
+    if may_have_run:
+        return Refusal(
+            ErrorCode.TIMED_OUT,
+            "the endpoint did not answer in time",
+            RunState.UNKNOWN,
+            504,
+        )
+    return Refusal(
+        ErrorCode.DEADLINE_EXCEEDED,
+        "the deadline passed before the request could run",
+        RunState.NOT_RUN,
+        503,
+        BUSY_RETRY_S,
+    )
+
+
 def refuse_busy(retry_after_s: float) -> Refusal:
     """Return the refusal of a call for which no endpoint has room."""
     return Refusal(
--- a/src/tamaracktray/outcomes.py
+++ b/src/tamaracktray/outcomes.py
@@ -16,6 +16,11 @@
     ANSWERED = "answered"
     CUT = "cut"
 
+    @property
+    def is_answer(self) -> bool:
+        """Tell whether the caller got a whole answer."""
+        return self is AttemptPhase.ANSWERED
+
 
 class ClaimOutcome(str, Enum):
     """Result of claiming an idempotency key."""
--- a/src/tamaracktray/platform/wire.py
+++ b/src/tamaracktray/platform/wire.py
@@ -118,10 +118,10 @@
         return headers
 
     @override
-    def read_answer(self, headers: dict[str, str]) -> AnswerFields:
+    def read_answer(self, status: int, headers: dict[str, str]) -> AnswerFields:
         return AnswerFields(
             headers.get(REQUEST_ID, ""),
-            NOT_RUN in headers,
+            NOT_RUN in headers or status == MISDIRECTED,
             SIGNATURE in headers,
             _read_int(headers.get(VERSION, "")) or 0,
         )
--- a/src/tamaracktray/protocol.py
+++ b/src/tamaracktray/protocol.py
@@ -69,8 +69,8 @@
         """Return the headers to send to an endpoint, without those that frame."""
 
     @abstractmethod
-    def read_answer(self, headers: dict[str, str]) -> AnswerFields:
-        """Return what the endpoint says in the headers of its answer."""
+    def read_answer(self, status: int, headers: dict[str, str]) -> AnswerFields:
+        """Return what the endpoint says in the status and headers of its answer."""
 
     @abstractmethod
     def select_answer(self, headers: RawHeaders) -> RawHeaders:
--- /dev/null
+++ b/src/tamaracktray/relaying.py
@@ -0,0 +1,306 @@
+"""One attempt of a call: sending it to an endpoint and relaying the answer."""
+
+import time
+from collections.abc import Awaitable, Callable
+
+import curio
+import msgspec
+from returns.result import Failure
+
+from tamaracktray.calls import Call, CallAttemptEnded, CallStarted, SendCall
+from tamaracktray.event_stream import EventBuffer
+from tamaracktray.exchange import Exchange, open_exchange
+from tamaracktray.http import RawHeaders, Request, Responder
+from tamaracktray.outcomes import AttemptPhase
+from tamaracktray.protocol import AnswerFields, AttemptFields, RequestProtocol
+from tamaracktray.routes import RepeatKind
+
+# Longest wait for a connection to an endpoint, in seconds: a full queue of connections
+# drops the first packet, which is sent again only after a second.
+CONNECT_TIMEOUT_S = 0.4
+
+# Longest silence of a stream before it is resumed elsewhere, in seconds; callers give
+# up after two.
+STALL_S = 1.0
+
+# Part of the latency objective after which a call that may run again is worth giving up
+# at an endpoint that has said nothing.
+SILENT_OBJECTIVES = 4.0
+
+# Largest answer that is held back as a whole, in bytes. A larger one is relayed as it
+# comes and can no longer be asked for again.
+MAX_HELD_BYTES = 262_144
+
+# An answer that ends within this time of its route's timeout is still passed on.
+TIMEOUT_GRACE_S = 0.05
+
+# Statuses by which an entry promises that a request was not run. An endpoint that
+# answers one of them without that promise has run the request and failed.
+PROMISING_STATUSES = frozenset({408, 421, 429, 503})
+
+
+class HeldAnswer(msgspec.Struct, frozen=True):
+    """A whole answer of an endpoint that has not been passed on."""
+
+    status: int
+    headers: RawHeaders
+    body: bytes
+
+
+class OpenCall:
+    """A call with what its answer needs.
+
+    ``decisions`` are the reducer's effects on the call. ``exchange`` is the attempt
+    under way. ``buffer`` holds a stream across attempts. ``failure`` is the last whole
+    answer by which an endpoint said that it failed.
+    """
+
+    __slots__ = (
+        "buffer",
+        "call",
+        "decisions",
+        "exchange",
+        "failure",
+        "is_head_sent",
+        "request",
+        "responder",
+    )
+
+    def __init__(self, call: Call, request: Request, responder: Responder) -> None:
+        self.call = call
+        self.request = request
+        self.responder = responder
+        self.decisions: curio.Queue = curio.Queue()
+        self.buffer = EventBuffer()
+        self.failure: HeldAnswer | None = None
+        self.exchange: Exchange | None = None
+        self.is_head_sent = False
+
+
+class CallRelay:
+    """Carries out attempts.
+
+    ``heard`` collects the endpoints that sent something. ``take_start`` is told of the
+    first part of each answer. With ``closes_connections`` callers are told to come back
+    on a new connection.
+    """
+
+    __slots__ = ("_protocol", "_take_start", "closes_connections", "heard")
+
+    def __init__(
+        self,
+        protocol: RequestProtocol,
+        take_start: Callable[[CallStarted], Awaitable[None]],
+    ) -> None:
+        self._protocol = protocol
+        self._take_start = take_start
+        self.heard: set[str] = set()
+        self.closes_connections = False
+
+    async def attempt(
+        self, open_call: OpenCall, decision: SendCall
+    ) -> CallAttemptEnded:
+        """Send a call to an endpoint, relay the answer and return how it ended."""
+        request = open_call.request
+        opened = await open_exchange(
+            decision.address,
+            request.method,
+            request.target,
+            self._build_headers(open_call, decision),
+            request.body,
+            connect_timeout_s=CONNECT_TIMEOUT_S,
+            is_host_given=True,
+        )
+        if isinstance(opened, Failure):
+            error = opened.failure()
+            phase = AttemptPhase.SENT if error.sent else AttemptPhase.NOT_SENT
+            return _end(decision, phase, detail=error.message)
+        exchange = opened.unwrap()
+        open_call.exchange = exchange
+        try:
+            return await self._read_answer(open_call, decision, exchange)
+        finally:
+            open_call.exchange = None
+            await exchange.close()
+
+    async def respond(self, responder: Responder, answer: HeldAnswer) -> None:
+        """Pass a whole answer on."""
+        headers = self._select_headers(answer.headers)
+        await responder.respond(answer.status, headers, answer.body)
+
+    def _build_headers(self, open_call: OpenCall, decision: SendCall) -> RawHeaders:
+        call = open_call.call
+        fields = AttemptFields(
+            decision.endpoint_id,
+            call.team,
+            call.deadline - time.monotonic(),
+            decision.version,
+            decision.urgency,
+            decision.last_event_id,
+        )
+        return self._protocol.build_attempt(open_call.request, fields)
+
+    def _select_headers(self, headers: RawHeaders) -> RawHeaders:
+        selected = self._protocol.select_answer(headers)
+        if self.closes_connections:
+            selected.append((b"connection", b"close"))
+        return selected
+
+    async def _read_answer(
+        self, open_call: OpenCall, decision: SendCall, exchange: Exchange
+    ) -> CallAttemptEnded:
+        call = open_call.call
+        head = await exchange.read_head(_bound_silence(call))
+        if isinstance(head, Failure):
+            return _end_broken(decision, exchange, head.failure().message)
+        self.heard.add(decision.endpoint_id)
+        fields = self._protocol.read_answer(exchange.status, exchange.headers)
+        if fields.is_not_run:
+            detail = f"not run ({exchange.status})"
+            return _end(decision, AttemptPhase.REFUSED, exchange.status, detail=detail)
+        if fields.request_id != call.request_id:
+            detail = "the answer belongs to another request"
+            return _end(decision, AttemptPhase.SENT, detail=detail)
+        is_success = 200 <= exchange.status < 300
+        if is_success and not fields.is_signed:
+            detail = "the answer is not signed"
+            return _end(decision, AttemptPhase.SENT, detail=detail)
+        if is_success and call.route.kind is RepeatKind.STREAM:
+            return await self._relay_stream(open_call, decision, exchange, fields)
+        return await self._relay_whole(open_call, decision, exchange)
+
+    async def _relay_whole(
+        self, open_call: OpenCall, decision: SendCall, exchange: Exchange
+    ) -> CallAttemptEnded:
+        """Relay an answer once it is complete, or as it comes if it is large."""
+        body = bytearray()
+        while len(body) <= MAX_HELD_BYTES:
+            read = await exchange.read_data(_bound_silence(open_call.call))
+            if isinstance(read, Failure):
+                return _end_broken(decision, exchange, read.failure().message)
+            data = read.unwrap()
+            if not data:
+                answer = HeldAnswer(exchange.status, exchange.raw_headers, bytes(body))
+                return await self._pass_on(open_call, decision, answer)
+            body += data
+        return await self._relay_large(open_call, decision, exchange, bytes(body))
+
+    async def _pass_on(
+        self, open_call: OpenCall, decision: SendCall, answer: HeldAnswer
+    ) -> CallAttemptEnded:
+        """Pass a success on, and keep a failure until it is final."""
+        if answer.status in PROMISING_STATUSES:
+            return _end(decision, AttemptPhase.FAILED, answer.status)
+        if answer.status >= 500:
+            open_call.failure = answer
+            return _end(decision, AttemptPhase.FAILED, answer.status)
+        await self.respond(open_call.responder, answer)
+        return _end(decision, AttemptPhase.ANSWERED, answer.status)
+
+    async def _relay_large(
+        self,
+        open_call: OpenCall,
+        decision: SendCall,
+        exchange: Exchange,
+        data: bytes,
+    ) -> CallAttemptEnded:
+        while data:
+            await self._send_part(open_call, exchange, data)
+            read = await exchange.read_data(_bound_silence(open_call.call))
+            if isinstance(read, Failure):
+                return _end_broken(decision, exchange, read.failure().message, "")
+            data = read.unwrap()
+        await open_call.responder.finish()
+        return _end(decision, AttemptPhase.ANSWERED, exchange.status)
+
+    async def _relay_stream(
+        self,
+        open_call: OpenCall,
+        decision: SendCall,
+        exchange: Exchange,
+        fields: AnswerFields,
+    ) -> CallAttemptEnded:
+        """Relay a stream by whole events, so that another endpoint can go on."""
+        buffer = open_call.buffer
+        buffer.take_rest()
+        is_started = False
+        while True:
+            read = await exchange.read_data(STALL_S)
+            if isinstance(read, Failure):
+                last_event_id = buffer.last_event_id if open_call.is_head_sent else None
+                message = read.failure().message
+                return _end_broken(decision, exchange, message, last_event_id)
+            data = read.unwrap()
+            self.heard.add(decision.endpoint_id)
+            whole = buffer.feed(data) if data else buffer.take_rest()
+            if whole and not is_started:
+                is_started = True
+                await self._take_start(_start(decision, fields))
+            if whole or not data:
+                await self._send_part(open_call, exchange, whole)
+            if not data:
+                await open_call.responder.finish()
+                return _end(decision, AttemptPhase.ANSWERED, exchange.status)
+
+    async def _send_part(
+        self, open_call: OpenCall, exchange: Exchange, data: bytes
+    ) -> None:
+        responder = open_call.responder
+        if not open_call.is_head_sent:
+            open_call.is_head_sent = True
+            headers = self._select_headers(exchange.raw_headers)
+            await responder.send_head(exchange.status, headers)
+        if data:
+            await responder.send_data(data)
+
+
+def _bound_silence(call: Call) -> float:
+    """Return how long an endpoint may be silent before its answer, in seconds.
+
+    Only a call that may run again is worth giving up early.
+    """
+    left_s = max(call.deadline - time.monotonic(), 0.0) + TIMEOUT_GRACE_S
+    if not call.route.is_idempotent:
+        return left_s
+    return min(left_s, max(SILENT_OBJECTIVES * call.route.target_latency_s, STALL_S))
+
+
+def _start(decision: SendCall, fields: AnswerFields) -> CallStarted:
+    return CallStarted(
+        time.monotonic(), decision.call_id, decision.endpoint_id, fields.version
+    )
+
+
+def _end(
+    decision: SendCall, phase: AttemptPhase, status: int = 0, *, detail: str = ""
+) -> CallAttemptEnded:
+    return CallAttemptEnded(
+        time.monotonic(),
+        decision.call_id,
+        decision.endpoint_id,
+        phase,
+        status,
+        detail=detail,
+    )
+
+
+def _end_broken(
+    decision: SendCall,
+    exchange: Exchange,
+    detail: str,
+    last_event_id: str | None = None,
+) -> CallAttemptEnded:
+    """Return the end of an attempt whose answer did not come or broke off.
+
+    ``last_event_id`` is ``None`` if the caller has got nothing of the answer yet.
+    """
+    phase = AttemptPhase.SENT if last_event_id is None else AttemptPhase.CUT
+    return CallAttemptEnded(
+        time.monotonic(),
+        decision.call_id,
+        decision.endpoint_id,
+        phase,
+        is_reset=not exchange.is_given_up,
+        last_event_id=last_event_id or "",
+        detail=detail,
+    )
--- a/src/tamaracktray/runtime.py
+++ b/src/tamaracktray/runtime.py
@@ -32,6 +32,8 @@
         self.is_halted = False
         self.random = random.Random(secrets.randbits(64))
         self._done = curio.Event()
+        self._servers: list[HttpServer] = []
+        self._loop_tasks: list[curio.Task] = []
         self._performers: dict[type[Effect], Callable[[Any], Awaitable[None]]] = {
             Exit: self._exit
         }
@@ -74,7 +76,6 @@
     async def spawn(self, function: Callable[..., Awaitable[None]], *args: Any) -> None:
         """Run a task in the background; a broken invariant stops the process."""
         if self.is_halted:
-            # The kernel takes no new tasks while it cancels the old ones.
             return
         await curio.spawn(self._guard, function, *args, daemon=True)
 
@@ -85,18 +86,30 @@
 
     async def serve(self) -> None:
         """Serve until the process has been asked to stop and is idle."""
-        servers = self.build_servers()
-        for server in servers:
+        self._servers = self.build_servers()
+        for server in self._servers:
             await server.open()
         await self.prepare()
-        for loop in [*self.list_loops(), *(server.serve for server in servers)]:
-            await curio.spawn(self._run_loop, loop, daemon=True)
+        for loop in [*self.list_loops(), *(server.serve for server in self._servers)]:
+            task = await curio.spawn(self._run_loop, loop, daemon=True)
+            self._loop_tasks.append(task)
         self.log.info("started")
         await self._done.wait()
-        self.is_halted = True
+        await self.halt()
         self.log.info("stopped")
         self.close()
 
+    async def halt(self) -> None:
+        """Cancel what goes on in the background and start nothing new.
+
+        The kernel accepts no new tasks while it shuts down.
+        """
+        self.is_halted = True
+        for task in self._loop_tasks:
+            await task.cancel(blocking=False)
+        for server in self._servers:
+            await server.close_connections()
+
     async def stop(self) -> None:
         """End the process now."""
         await self._done.set()
--- a/tests/platforms.py
+++ b/tests/platforms.py
@@ -74,6 +74,7 @@
         self.entries: list[DirectEntryShell] = []
         self.agents: list[DirectAgentShell] = []
         self.version = 0
+        self._stand_ins: list[tuple[curio.Task, Any]] = []
         self.routes = [
             build_route("talk", "stream", ENGINES),
             build_route("look", "safe", ORDERS),
@@ -90,10 +91,19 @@
             await self.add_entry(zone)
         await self.until(lambda: all(e.state.is_informed for e in self.entries))
 
+    async def stop(self) -> None:
+        """End everything in the background."""
+        for shell in [*self.entries, *self.agents]:
+            await shell.halt()
+        for task, stand_in in self._stand_ins:
+            await task.cancel(blocking=False)
+            await stand_in.server.close_connections()
+
     async def open(self, stand_in: Any) -> None:
         """Serve a stand-in."""
         await stand_in.server.open()
-        await curio.spawn(stand_in.serve, daemon=True)
+        task = await curio.spawn(stand_in.serve, daemon=True)
+        self._stand_ins.append((task, stand_in))
 
     def configure(self) -> None:
         """Write a configuration with the present routes and tenants."""
@@ -242,7 +252,6 @@
         try:
             await test(fleet)
         finally:
-            for shell in [*fleet.entries, *fleet.agents]:
-                shell.is_halted = True
+            await fleet.stop()
 
     curio.run(main)
--- a/tests/test_platform_calls.py
+++ b/tests/test_platform_calls.py
@@ -189,6 +189,23 @@
 
         run_fleet(scenario)
 
+    def test_frozen_engine_loses_its_streams_to_another(self):
+        async def scenario(fleet: PlatformFleet) -> None:
+            await fleet.start()
+            frozen = await fleet.add_engine("e-1")
+            frozen.mode = Mode.HANGING
+            gateway = fleet.entries[0].state.gateway
+            await fleet.until(lambda: gateway.loads_by_id)
+            task = await curio.spawn(fleet.call, "/talk/1")
+            await fleet.until(lambda: frozen.runs)
+            await fleet.add_engine("e-2", zone="zone-b")
+            began = time.monotonic()
+            reply = await task.join()
+            assert (reply.status, reply.body.decode()) == (200, EVENT_TEXT)
+            assert time.monotonic() - began < 1.0
+
+        run_fleet(scenario)
+
     def test_unsafe_call_is_answered_when_its_time_is_over(self):
         async def scenario(fleet: PlatformFleet) -> None:
             await fleet.start()
