Let calls wait only while they can still meet their objective

Cause: a fixed share of the objective let calls wait that could no longer begin in time, and callers who came back waited as if they had just come.

A call waits until its objective less the measured time to begin and its own reading, at most a quarter of it; what the caller has spent in earlier tries follows from how long it still waits.

--- a/src/tamaracktray/calls.py
+++ b/src/tamaracktray/calls.py
@@ -19,7 +19,8 @@
     are the services that may take it, the drawn one first. ``deadline`` is the
     monotonic time at which the caller, or the route, gives up. An empty ``regions``
     allows all. Token counts are 0 for calls without a prompt; ``output_tokens`` is the
-    estimate of what will be generated and ``max_output`` its bound. ``fingerprint`` is
+    estimate of what will be generated and ``max_output`` its bound. ``wait_s`` is how
+    long the caller says it waits, 0 if it does not. ``fingerprint`` is
     equal for equal requests of one caller.
     """
 
@@ -36,6 +37,7 @@
     prompt_tokens: int = 0
     output_tokens: int = 0
     max_output: int = 0
+    wait_s: float = 0.0
     session: str = ""
     fingerprint: str = ""
     last_event_id: str = ""
--- a/src/tamaracktray/fairness.py
+++ b/src/tamaracktray/fairness.py
@@ -16,7 +16,7 @@
 
 # A band is behind when it is served less often than this share of the route's rate. The
 # operators ask for a half; the margin covers what a process sees too late.
-BEHIND_SHARE = 0.8
+BEHIND_SHARE = 0.9
 
 # Weight of a new outcome in the rates; about the last 50 outcomes count.
 OUTCOME_WEIGHT = 0.02
--- a/src/tamaracktray/gateway.py
+++ b/src/tamaracktray/gateway.py
@@ -16,7 +16,7 @@
     RelayFailure,
     SendCall,
 )
-from tamaracktray.costs import estimate_cost
+from tamaracktray.costs import estimate_cost, estimate_reading
 from tamaracktray.effects import Effect
 from tamaracktray.fairness import ServedRate, SizeBands
 from tamaracktray.hashing import hash_text
@@ -38,7 +38,7 @@
 
 # When a refused caller should come back while most are served, in seconds: soon enough
 # to meet its objective, about the time in which an engine ends one of its calls.
-BUSY_RETRY_S = 0.1
+BUSY_RETRY_S = 0.06
 
 # When it should come back while most are refused, in seconds. Returning at once would
 # meet the same lack of room, which seldom lasts longer than a change of version or the
@@ -51,6 +51,10 @@
 
 NO_ENDPOINT_RETRY_S = 0.5
 
+# Weight of a new measurement in the mean time to the begin of an answer; about the last
+# 20 count.
+START_DELAY_WEIGHT = 0.05
+
 # Silence of an endpoint after which its calls go elsewhere, in seconds: before the
 # first part of an answer, and within a stream, whose reader knows pauses.
 GIVE_UP_S = 0.5
@@ -82,7 +86,8 @@
     ``may_have_run`` is set once an attempt was sent and did not promise that the call
     was not run; from then on no answer may promise it. ``endpoint_id`` names where an
     attempt, sent at ``sent_at``, is under way; ``is_abandoned`` tells that it is being
-    given up. ``version`` is that of the weights which began a stream.
+    given up. ``spent_s`` is what the caller has waited in earlier tries. ``version`` is
+    that of the weights which began a stream.
     """
 
     __slots__ = (
@@ -95,6 +100,7 @@
         "last_event_id",
         "may_have_run",
         "sent_at",
+        "spent_s",
         "tried",
         "unreachable",
         "version",
@@ -110,6 +116,7 @@
         self.is_started = False
         self.is_abandoned = False
         self.sent_at = 0.0
+        self.spent_s = 0.0
         self.last_event_id = call.last_event_id
         self.version = 0
         self.tried: set[str] = set()
@@ -123,9 +130,11 @@
         "bounds",
         "budget_by_service",
         "loads_by_id",
+        "longest_wait_by_route",
         "peers",
         "pending_by_id",
         "room_by_service",
+        "start_delay_by_service",
         "waiting",
     )
 
@@ -137,7 +146,27 @@
         self.waiting = WaitingLine()
         self.budget_by_service: dict[str, RepeatBudget] = {}
         self.bands_by_route: dict[str, SizeBands] = {}
+        self.longest_wait_by_route: dict[str, float] = {}
         self.room_by_service: dict[str, ServedRate] = {}
+        self.start_delay_by_service: dict[str, float] = {}
+
+    def measure_spent(self, call: Call) -> float:
+        """Return how long the caller has waited in earlier tries, in seconds.
+
+        Callers say how long they will wait yet. The longest wait on a route is what its
+        callers begin with, so one that waits less has been here before.
+        """
+        if not call.wait_s:
+            return 0.0
+        longest = max(self.longest_wait_by_route.get(call.route.name, 0.0), call.wait_s)
+        self.longest_wait_by_route[call.route.name] = longest
+        return longest - call.wait_s
+
+    def note_start(self, service: str, delay_s: float) -> None:
+        """Take in how long an answer took to begin, beyond reading its prompt."""
+        known = self.start_delay_by_service.get(service, delay_s)
+        known += START_DELAY_WEIGHT * (delay_s - known)
+        self.start_delay_by_service[service] = known
 
     def count_in_flight(self) -> dict[str, int]:
         """Return the own calls at each endpoint that has any."""
@@ -247,6 +276,7 @@
     if release is not None:
         return [RefuseCall(call.id, _refuse_crashing(release - event.now))]
     pending = PendingCall(call)
+    pending.spent_s = state.measure_spent(call)
     state.pending_by_id[call.id] = pending
     return _place(context, event.now, pending)
 
@@ -255,6 +285,8 @@
     """Note that an answer has begun, after which it can only go on."""
     pending = context.state.pending_by_id.get(event.call_id)
     if pending is not None:
+        if not pending.is_started:
+            _note_start(context, event.now, pending)
         pending.is_started = True
         pending.version = event.version or pending.version
     load = context.state.loads_by_id.get(event.endpoint_id)
@@ -263,6 +295,13 @@
     return []
 
 
+def _note_start(context: GatewayContext, now: float, pending: PendingCall) -> None:
+    call = pending.call
+    reading_s = _estimate_reading(context, call)
+    delay_s = max(now - pending.sent_at - reading_s, 0.0)
+    context.state.note_start(call.services[0], delay_s)
+
+
 def handle_attempt_ended(
     context: GatewayContext, event: CallAttemptEnded
 ) -> list[Effect]:
@@ -388,6 +427,8 @@
         now,
         call,
         cost=_estimate_cost(context, call),
+        start_s=_estimate_start(context, call),
+        spent_s=pending.spent_s,
         is_behind=call.size > 0 and bands.is_behind(call.size),
         is_resumed=pending.is_started,
     )
@@ -404,6 +445,19 @@
     return estimate_cost(call, service.engine)
 
 
+def _estimate_reading(context: GatewayContext, call: Call) -> float:
+    service = context.around.services_by_name.get(call.services[0])
+    if service is None or service.engine is None:
+        return 0.0
+    return estimate_reading(call, service.engine)
+
+
+def _estimate_start(context: GatewayContext, call: Call) -> float:
+    """Return the time from sending a call to the begin of its answer, in seconds."""
+    delay_s = context.state.start_delay_by_service.get(call.services[0], 0.0)
+    return delay_s + _estimate_reading(context, call)
+
+
 def _has_eligible(context: GatewayContext, pending: PendingCall) -> bool:
     return any(
         load.record.id not in pending.tried
--- a/src/tamaracktray/intake.py
+++ b/src/tamaracktray/intake.py
@@ -73,6 +73,7 @@
         prompt_tokens=fields.prompt_tokens,
         output_tokens=fields.expected_output or fields.max_output,
         max_output=fields.max_output,
+        wait_s=fields.wait_s or 0.0,
         session=fields.session,
         fingerprint=_digest_request(request, fields),
         last_event_id=fields.last_event_id,
--- a/src/tamaracktray/waiting.py
+++ b/src/tamaracktray/waiting.py
@@ -6,10 +6,9 @@
 
 from tamaracktray.calls import Call
 
-# Share of the latency objective that a call may spend waiting for room.
-WAIT_SHARE = 0.35
-
-# Longest wait of a call whose route has no latency objective, in seconds.
+# Longest wait for room as a share of the latency objective, and of a call whose route
+# has none, in seconds.
+MAX_WAIT_SHARE = 0.25
 DEFAULT_WAIT_S = 0.2
 
 # Time in which a stream that broke off must find another endpoint, in seconds; callers
@@ -58,14 +57,21 @@
         call: Call,
         *,
         cost: float,
+        start_s: float = 0.0,
+        spent_s: float = 0.0,
         is_behind: bool = False,
         is_resumed: bool = False,
     ) -> bool:
-        """Let a call wait; return whether it may."""
+        """Let a call wait; return whether it may.
+
+        ``start_s`` is the time that its answer will need to begin once it is sent, and
+        ``spent_s`` what its caller has waited in earlier tries.
+        """
         if len(self._by_id) >= MAX_WAITING:
             return False
-        wait_s = call.route.target_latency_s * WAIT_SHARE or DEFAULT_WAIT_S
-        end = now + RESUME_WAIT_S if is_resumed else call.arrived + wait_s
+        end = (
+            now + RESUME_WAIT_S if is_resumed else _find_latest(call, start_s, spent_s)
+        )
         deadline = min(end, call.deadline)
         if deadline <= now:
             return False
@@ -91,3 +97,12 @@
         for call in expired:
             del self._by_id[call.id]
         return expired
+
+
+def _find_latest(call: Call, start_s: float, spent_s: float) -> float:
+    """Return when a call must be sent so that it can meet its objective."""
+    objective_s = call.route.target_latency_s
+    if not objective_s:
+        return call.arrived + DEFAULT_WAIT_S
+    wait_s = min(objective_s - start_s, objective_s * MAX_WAIT_SHARE)
+    return call.arrived - spent_s + wait_s
