Let engines take turns one by one and tell entries of an order before it is given

Cause: half of the engines were ordered to load at one moment and entries learned of it up to a quarter of a second later, so calls waited behind loads; long calls held engines up for 1.5 to 2.6 s. Found in the agents' lines of orders and loads.

Turns spread over the last part of the bound, zones mixed; a call goes where it holds up a planned change least.

--- a/src/tamaracktray/direct.py
+++ b/src/tamaracktray/direct.py
@@ -41,7 +41,6 @@
 from tamaracktray.snapshots import Collection, Knowledge, Snapshot
 from tamaracktray.staging import (
     FIRST_VERSION,
-    WAVES,
     ChunkArrived,
     ChunkStaged,
     EngineSeen,
@@ -345,7 +344,7 @@
 
 def _apply_roster(state: DirectState, now: float) -> list[Effect]:
     if state.staging is not None:
-        state.staging.wave = _rank_own_engine(state) % WAVES
+        state.staging.turn_share = _find_turn(state)
     if state.gateway is None:
         return []
     context = _gateway_context(state, now)
@@ -394,21 +393,29 @@
     return name_version(state.staging, now, model, target.version, named_at)
 
 
-def _rank_own_engine(state: DirectState) -> int:
-    """Return the rank of the own engine among those of its service.
+def _find_turn(state: DirectState) -> float:
+    """Return the place of the own engine among those of its service, from 0 to 1.
 
-    The ranks alternate between the engines of an availability zone.
+    Neighbours in this order stand in different availability zones as far as possible.
     """
-    records = [
-        record
-        for record in state.roster.records_by_id.values()
-        if record.service == state.served
-    ]
-    records.sort(key=lambda record: (record.zone, hash_text(record.id)))
-    for rank, record in enumerate(records):
+    names_by_zone: dict[str, list[str]] = {}
+    own_id = ""
+    for record in state.roster.records_by_id.values():
+        if record.service != state.served:
+            continue
+        names_by_zone.setdefault(record.zone, []).append(record.id)
         if record.address == state.own_engine:
-            return rank
-    return 0
+            own_id = record.id
+    order: list[tuple[float, str]] = []
+    for names in names_by_zone.values():
+        names.sort(key=hash_text)
+        order.extend(
+            ((place + 0.5) / len(names), name) for place, name in enumerate(names)
+        )
+    ranked = [name for _, name in sorted(order)]
+    if own_id not in ranked or len(ranked) < 2:
+        return 0.0
+    return ranked.index(own_id) / (len(ranked) - 1)
 
 
 def _follow_members(state: DirectState, now: float) -> list[Effect]:
--- a/src/tamaracktray/direct_agent.py
+++ b/src/tamaracktray/direct_agent.py
@@ -46,6 +46,10 @@
 # Time between reads of the report while an order is being carried out, in seconds.
 SWAP_REPORT_S = 0.05
 
+# Time in which entries learn of an order before it is given, and in which calls that
+# they have just sent arrive, in seconds.
+NOTICE_S = 0.03
+
 # Entries to ask in vain before the origin itself is asked.
 MAX_ENTRIES_ASKED = 3
 
@@ -218,6 +222,9 @@
 
     async def _order_start(self, effect: OrderStart) -> None:
         order = effect.order
+        # Calls that arrive after the order wait for the load, so entries hear first.
+        await self._tell_status()
+        await curio.sleep(NOTICE_S)
         answered = await self._engine.start(order)
         outcome = answered.value_or(None)
         self.log.info(
--- a/src/tamaracktray/placement.py
+++ b/src/tamaracktray/placement.py
@@ -31,8 +31,8 @@
 # prompts of others.
 SILENT_S = 0.4
 
-# Time that a call may run beyond an engine's planned change of version, in seconds.
-SWAP_SLACK_S = 0.3
+# Overruns of an engine's planned change of version that count as equal, in seconds.
+OVERRUN_STEP_S = 0.25
 
 # What a peer said of its calls counts for this long, in seconds.
 PEER_COUNT_S = 1.0
@@ -259,27 +259,27 @@
     now: float, call: Call, candidates: list[EndpointLoad], around: Surroundings
 ) -> EndpointLoad | None:
     best: EndpointLoad | None = None
-    best_cost = (True, 0.0)
+    best_cost = (True, 0, 0.0)
     for load in candidates:
         if not count_room(load, now):
             continue
         distance = around.measure_distance(load.record.zone)
-        is_doubtful = load.measure_silence(now) > SILENT_S or _outlasts(
-            now, call, load, around
-        )
-        cost = (is_doubtful, load.count_running(now) + distance)
+        is_silent = load.measure_silence(now) > SILENT_S
+        overrun = int(_measure_overrun(now, call, load, around) / OVERRUN_STEP_S)
+        cost = (is_silent, overrun, load.count_running(now) + distance)
         if best is None or cost < best_cost:
             best, best_cost = load, cost
     return best
 
 
-def _outlasts(now: float, call: Call, load: EndpointLoad, around: Surroundings) -> bool:
-    """Tell whether a call would hold up an engine's planned change of version.
+def _measure_overrun(
+    now: float, call: Call, load: EndpointLoad, around: Surroundings
+) -> float:
+    """Return for how long a call would hold up a planned change of version, in seconds.
 
     An engine takes nothing new from its order on until its longest call has ended.
     """
     service = around.services_by_name.get(load.record.service)
     if load.swap_at is None or service is None or service.engine is None:
-        return False
-    end = now + estimate_duration(call, service.engine)
-    return end > load.swap_at + SWAP_SLACK_S
+        return 0.0
+    return max(now + estimate_duration(call, service.engine) - load.swap_at, 0.0)
--- a/src/tamaracktray/staging.py
+++ b/src/tamaracktray/staging.py
@@ -34,8 +34,9 @@
 # seconds: they end what is running first.
 SWAP_RESERVE_S = 1.1
 
-# Engines that swap at different times, so that some always serve.
-WAVES = 2
+# When the first engine is ordered to load, as a share of the bound of a rollout: about
+# when the weights can have arrived. The others follow one by one until the last.
+FIRST_TURN_SHARE = 0.7
 
 # Time that ordering and loading take after the last chunk, in seconds.
 SKIP_MARGIN_S = 1.0
@@ -213,13 +214,13 @@
         "stage_by_index",
         "step",
         "version_bound_s",
-        "wave",
+        "turn_share",
     )
 
     def __init__(self, version_bound_s: float) -> None:
         self.version_bound_s = version_bound_s
         self.model = ""
-        self.wave = 0
+        self.turn_share = 0.0
         self.report: EngineReport | None = None
         self.last_seen = 0.0
         self.step = Step.DONE
@@ -571,12 +572,14 @@
 def _turn(state: StagingState, work: VersionWork) -> float:
     """Return when the engine may be ordered to load.
 
-    An engine without the model serves nobody, so nothing is gained by waiting.
+    Engines take turns, so that some serve while others end what they run. An engine
+    without the model serves nobody, so nothing is gained by waiting.
     """
-    if state.wave == 0 or not state.loaded_version:
+    if not state.loaded_version:
         return work.started_at
-    last = work.named_at + state.version_bound_s - SWAP_RESERVE_S
-    return work.named_at + (last - work.named_at) * state.wave / (WAVES - 1)
+    first_s = state.version_bound_s * FIRST_TURN_SHARE
+    last_s = state.version_bound_s - SWAP_RESERVE_S
+    return work.named_at + first_s + max(last_s - first_s, 0.0) * state.turn_share
 
 
 def plan_swap(state: StagingState, now: float) -> float | None:
