Leave out engines that hold nothing or have started again, and those that answer 421

Cause: after a loss of power the store lists engines as they were for up to three heartbeats. Found in the lines of attempts by their outcome; ruled out: full engines (running 0).

An agent's word on its engine now counts as a whole, with the engine's start; an endpoint that answers 421 is left out until its entry or its agent says something newer, at most 1.5 s.

--- a/src/tamaracktray/beacons.py
+++ b/src/tamaracktray/beacons.py
@@ -17,13 +17,14 @@
     """What an agent says of the engine at ``address``, newer than the list.
 
     ``swap_in_s`` is the time until its order to load another version, ``None`` if there
-    is no such plan.
+    is no such plan. ``born_ms`` is the Unix time of the engine's start in milliseconds.
     """
 
     address: str
     is_swapping: bool
     version_by_model: dict[str, int]
     swap_in_s: float | None = None
+    born_ms: int = 0
 
 
 class Beacon(msgspec.Struct, frozen=True, array_like=True):
--- a/src/tamaracktray/direct.py
+++ b/src/tamaracktray/direct.py
@@ -499,7 +499,11 @@
     for load in state.gateway.loads_by_id.values():
         if str(load.record.address) == status.address:
             load.note_status(
-                now, status.is_swapping, status.version_by_model, status.swap_in_s
+                now,
+                status.is_swapping,
+                status.version_by_model,
+                status.swap_in_s,
+                status.born_ms,
             )
 
 
--- a/src/tamaracktray/direct_agent.py
+++ b/src/tamaracktray/direct_agent.py
@@ -108,7 +108,13 @@
         versions = {model.name: model.version for model in staging.report.models}
         address = str(self.state.own_engine)
         swap_in_s = plan_swap(staging, time.monotonic())
-        return EndpointStatus(address, staging.is_swapping, versions, swap_in_s)
+        return EndpointStatus(
+            address,
+            staging.is_swapping,
+            versions,
+            swap_in_s,
+            staging.report.born_ms,
+        )
 
     async def _run_reports(self) -> None:
         """Read the engine's report again and again."""
--- a/src/tamaracktray/gateway.py
+++ b/src/tamaracktray/gateway.py
@@ -234,7 +234,7 @@
             load = EndpointLoad(record)
             load.cold_deadline = now + record.cold_s
         if load.record is not record:
-            load.record = record
+            load.follow_record(record)
             load.cold_deadline = now + record.cold_s
         service = context.around.services_by_name.get(record.service)
         _follow_cold_rate(state, load, service)
@@ -494,6 +494,8 @@
         load.note_success()
     elif event.phase is AttemptPhase.NOT_SENT:
         load.note_unreachable(event.now)
+    elif event.phase is AttemptPhase.MISDIRECTED:
+        load.note_misdirected(event.now)
     elif event.phase is AttemptPhase.REFUSED:
         load.note_full(event.now)
     else:
@@ -516,7 +518,7 @@
             return _refuse(context, now, pending)
         return _place(context, now, pending)
     pending.tried.add(event.endpoint_id)
-    if event.phase is not AttemptPhase.REFUSED:
+    if not event.phase.is_not_run:
         pending.may_have_run = True
         pending.has_failed_answer = event.phase is AttemptPhase.FAILED
         if event.is_reset:
--- a/src/tamaracktray/outcomes.py
+++ b/src/tamaracktray/outcomes.py
@@ -6,16 +6,23 @@
 class AttemptPhase(str, Enum):
     """How far one attempt of an entry came.
 
-    ``FAILED`` is an endpoint's own whole answer that says it failed.
+    ``FAILED`` is an endpoint's own whole answer that says it failed. ``MISDIRECTED`` is
+    the refusal of an endpoint that is not the expected one, or not of that version.
     """
 
     NOT_SENT = "not_sent"
     SENT = "sent"
     REFUSED = "refused"
+    MISDIRECTED = "misdirected"
     FAILED = "failed"
     ANSWERED = "answered"
     CUT = "cut"
 
+    @property
+    def is_not_run(self) -> bool:
+        """Tell whether the endpoint promised that the request was not run."""
+        return self in (AttemptPhase.REFUSED, AttemptPhase.MISDIRECTED)
+
     @property
     def is_answer(self) -> bool:
         """Tell whether the caller got a whole answer."""
--- a/src/tamaracktray/placement.py
+++ b/src/tamaracktray/placement.py
@@ -41,6 +41,11 @@
 # a second.
 STATUS_S = 1.5
 
+# Time for which an endpoint that was not the expected one, or not of the expected
+# version, gets nothing unless something newer is heard of it, in seconds: the list is
+# up to three heartbeats behind.
+MISDIRECTED_S = 1.5
+
 # Calls by which another availability zone or region must be emptier than the own one.
 # An engine is hardly slower with more calls, while links between regions are thin.
 ZONE_DISTANCE = 1.0
@@ -53,8 +58,9 @@
     ``in_flight`` counts the calls of this process. ``is_swapping`` tells that the
     endpoint's agent has ordered it to load another version, and ``swap_at`` is when it
     will. What the agent says of the versions counts before the list, which is older,
-    until ``status_deadline``. ``heard_at`` is when the endpoint last sent something, or
-    got a call while it had none.
+    until ``status_deadline``. ``is_outdated`` tells that the endpoint is known not to be
+    as the list has it, until ``outdated_deadline``. ``heard_at`` is when the endpoint
+    last sent something, or got a call while it had none.
     """
 
     __slots__ = (
@@ -66,7 +72,9 @@
         "heard_at",
         "in_flight",
         "_version_by_model",
+        "is_outdated",
         "is_swapping",
+        "outdated_deadline",
         "record",
         "status_deadline",
         "swap_at",
@@ -83,7 +91,9 @@
         self.swap_at: float | None = None
         self.heard_at = 0.0
         self.status_deadline = 0.0
-        self._version_by_model: dict[str, int] = {}
+        self.is_outdated = False
+        self.outdated_deadline = 0.0
+        self._version_by_model: dict[str, int] | None = None
         self._peer_counts: dict[str, tuple[int, float]] = {}
 
     def note_status(
@@ -92,8 +102,19 @@
         is_swapping: bool,
         version_by_model: dict[str, int],
         swap_in_s: float | None = None,
+        born_ms: int = 0,
     ) -> None:
-        """Take in what the endpoint's agent says."""
+        """Take in what the agent says of the endpoint at this address.
+
+        ``born_ms`` is when the endpoint started, 0 if that is not known. An endpoint
+        that has started again since it was listed holds nothing of before.
+        """
+        if born_ms > self.record.born_ms > 0:
+            self._note_outdated(now)
+            return
+        if 0 < born_ms < self.record.born_ms:
+            return
+        self.is_outdated = False
         self.is_swapping = is_swapping
         self.swap_at = None if swap_in_s is None else now + swap_in_s
         self.status_deadline = now + STATUS_S
@@ -104,13 +125,19 @@
         if now >= self.status_deadline:
             self.is_swapping = False
             self.swap_at = None
-            self._version_by_model = {}
+            self._version_by_model = None
+        if now >= self.outdated_deadline:
+            self.is_outdated = False
+
+    def follow_record(self, record: EndpointRecord) -> None:
+        """Follow a change of the endpoint's entry in the list."""
+        self.record = record
+        self.is_outdated = False
 
     def find_version(self, model: str) -> int:
         """Return the version of a model that the endpoint holds as a whole, or 0."""
-        told = self._version_by_model.get(model)
-        if told is not None:
-            return told
+        if self._version_by_model is not None:
+            return self._version_by_model.get(model, 0)
         held = self.record.find_model(model)
         return 0 if held is None else held.version
 
@@ -164,6 +191,14 @@
         """Avoid an endpoint that had no room until a call may have ended there."""
         self.blocked_deadline = max(self.blocked_deadline, now + FULL_BLOCK_S)
 
+    def note_misdirected(self, now: float) -> None:
+        """Avoid an endpoint that said it is not the one that the list has there."""
+        self._note_outdated(now)
+
+    def _note_outdated(self, now: float) -> None:
+        self.is_outdated = True
+        self.outdated_deadline = now + MISDIRECTED_S
+
     def measure_silence(self, now: float) -> float:
         """Return how long the endpoint has been silent with calls under way."""
         return now - self.heard_at if self.in_flight else 0.0
@@ -206,6 +241,8 @@
     record = load.record
     if record.service not in call.services or record.is_draining:
         return False
+    if load.is_outdated:
+        return False
     if record.zone in around.evacuated_zones:
         return False
     if call.regions and around.region_by_zone.get(record.zone) not in call.regions:
--- a/src/tamaracktray/platform/wire.py
+++ b/src/tamaracktray/platform/wire.py
@@ -119,9 +119,11 @@
 
     @override
     def read_answer(self, status: int, headers: dict[str, str]) -> AnswerFields:
+        is_misdirected = status == MISDIRECTED
         return AnswerFields(
             headers.get(REQUEST_ID, ""),
-            NOT_RUN in headers or status == MISDIRECTED,
+            NOT_RUN in headers or is_misdirected,
+            is_misdirected,
             SIGNATURE in headers,
             _read_int(headers.get(VERSION, "")) or 0,
         )
--- a/src/tamaracktray/protocol.py
+++ b/src/tamaracktray/protocol.py
@@ -47,12 +47,15 @@
 class AnswerFields(msgspec.Struct, frozen=True):
     """What an endpoint says about its answer.
 
-    ``is_not_run`` promises that the request was not run. ``is_signed`` tells that the
-    answer comes from an endpoint. ``version`` is that of the weights, 0 if not told.
+    ``is_not_run`` promises that the request was not run; ``is_misdirected`` tells that
+    the endpoint is not the expected one, or not of the expected version. ``is_signed``
+    tells that the answer comes from an endpoint. ``version`` is that of the weights, 0
+    if not told.
     """
 
     request_id: str = ""
     is_not_run: bool = False
+    is_misdirected: bool = False
     is_signed: bool = False
     version: int = 0
 
--- a/src/tamaracktray/relaying.py
+++ b/src/tamaracktray/relaying.py
@@ -157,7 +157,10 @@
         fields = self._protocol.read_answer(exchange.status, exchange.headers)
         if fields.is_not_run:
             detail = f"not run ({exchange.status})"
-            return _end(decision, AttemptPhase.REFUSED, exchange.status, detail=detail)
+            phase = AttemptPhase.REFUSED
+            if fields.is_misdirected:
+                phase = AttemptPhase.MISDIRECTED
+            return _end(decision, phase, exchange.status, detail=detail)
         if fields.request_id != call.request_id:
             detail = "the answer belongs to another request"
             return _end(decision, AttemptPhase.SENT, detail=detail)
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -33,8 +33,9 @@
     handle_call_started,
 )
 from tamaracktray.outcomes import AttemptPhase
+from tamaracktray.placement import MISDIRECTED_S
 from tamaracktray.routes import RepeatKind
-from tamaracktray.types import RunState
+from tamaracktray.types import ErrorCode, RunState
 
 
 def sent(effects) -> list[str]:
@@ -125,6 +126,63 @@
         )
         assert gateway.arrive(build_call("2"))[0].version == 2
 
+    def test_engine_that_holds_nothing_gets_nothing(self):
+        gateway = Gateway(engine("a", version=2))
+        gateway.load("a").note_status(0.0, is_swapping=False, version_by_model={})
+        answer = refusal(gateway.arrive(build_call("1")))
+        assert answer.code is ErrorCode.NO_ENDPOINT
+
+    def test_engine_started_since_it_was_listed_gets_nothing(self):
+        gateway = Gateway(engine("a", born_ms=1_000), engine("b", born_ms=1_000))
+        gateway.load("a").note_status(0.0, False, {MODEL: 1}, born_ms=2_000)
+        taken = [gateway.arrive(build_call(str(n))) for n in range(3)]
+        assert {sent(effects)[0] for effects in taken} == {"b"}
+
+    def test_word_of_a_past_life_does_not_count(self):
+        gateway = Gateway(engine("a", born_ms=2_000))
+        gateway.load("a").note_status(0.0, True, {}, born_ms=1_000)
+        assert sent(gateway.arrive(build_call("1"))) == ["a"]
+
+
+class TestMisdirected:
+    """An endpoint that is not as listed is left out until something new is known."""
+
+    def misdirect(self, gateway: Gateway):
+        call = build_call("1")
+        gateway.arrive(call)
+        return gateway.end(call, "a", AttemptPhase.MISDIRECTED, status=421)
+
+    def test_next_calls_are_refused_at_once_as_not_run(self):
+        gateway = Gateway(engine("a"))
+        assert refusal(self.misdirect(gateway)).run is RunState.NOT_RUN
+        answer = refusal(gateway.arrive(build_call("2")))
+        assert answer.code is ErrorCode.NO_ENDPOINT
+
+    def test_unsafe_call_goes_on_since_it_was_not_run(self):
+        gateway = Gateway(worker("a"), worker("b", max_batch=1))
+        call = build_call("1", UNSAFE)
+        gateway.arrive(call)
+        effects = gateway.end(call, "a", AttemptPhase.MISDIRECTED, status=421)
+        assert sent(effects) == ["b"]
+
+    def test_new_entry_in_the_list_ends_it(self):
+        gateway = Gateway(engine("a"))
+        self.misdirect(gateway)
+        gateway.follow(engine("a", sequence=1))
+        assert sent(gateway.arrive(build_call("2"))) == ["a"]
+
+    def test_word_of_the_agent_ends_it(self):
+        gateway = Gateway(engine("a"))
+        self.misdirect(gateway)
+        gateway.load("a").note_status(0.0, False, {MODEL: 1})
+        assert sent(gateway.arrive(build_call("2"))) == ["a"]
+
+    def test_it_ends_by_itself(self):
+        gateway = Gateway(engine("a"))
+        self.misdirect(gateway)
+        gateway.tick(MISDIRECTED_S)
+        assert sent(gateway.arrive(build_call("2", now=gateway.now))) == ["a"]
+
 
 class TestRoom:
     def test_no_more_than_the_batch(self):
@@ -339,7 +397,7 @@
         while effects and isinstance(effects[0], SendCall):
             phase = phases[sends % len(phases)]
             sends += 1
-            runs += phase not in (AttemptPhase.NOT_SENT, AttemptPhase.REFUSED)
+            runs += phase is not AttemptPhase.NOT_SENT and not phase.is_not_run
             effects = gateway.end(call, effects[0].endpoint_id, phase)
             if not effects:
                 effects = gateway.tick(1.0)
