Let callers whom no endpoint may serve come back later, spread, and within their time

Cause: they were told to come back after 0.5 s, while a change of version, a crash or a loss of power takes one to three; they have one return, so most were refused again. Ruled out: letting them wait at the entry, which holds back what cannot be served.

They are told 1.4 to 2.0 s, never more than the third of their time that they keep.

--- a/src/tamaracktray/direct_agent.py
+++ b/src/tamaracktray/direct_agent.py
@@ -214,6 +214,7 @@
 
     async def _check_stage(self, effect: CheckStage) -> None:
         """Read staged chunks back; an empty digest stands for one that is not there."""
+        started = time.monotonic()
         digest_by_index: dict[int, str] = {}
         listed = await self._engine.list_staged(effect.model)
         staged = set(listed.value_or([]))
@@ -224,7 +225,11 @@
             read = await self._engine.read_chunk(effect.model, index)
             if isinstance(read, Success):
                 digest_by_index[index] = digest_bytes(read.unwrap())
-        await self.dispatch(StageChecked(time.monotonic(), digest_by_index))
+        now = time.monotonic()
+        self.log.info(
+            "stage checked", chunks=len(effect.indices), took_s=round(now - started, 3)
+        )
+        await self.dispatch(StageChecked(now, digest_by_index))
 
     async def _order_start(self, effect: OrderStart) -> None:
         order = effect.order
--- a/src/tamaracktray/gateway.py
+++ b/src/tamaracktray/gateway.py
@@ -49,7 +49,15 @@
 # Share of calls that find room below which room is scarce.
 SCARCE_SHARE = 0.5
 
-NO_ENDPOINT_RETRY_S = 0.5
+# When a caller should come back that no endpoint may serve at all, in seconds. A change
+# of version, a crash or a lost instance seldom takes less, and its objective is missed
+# in any case; callers come back spread over the second value.
+NO_ENDPOINT_RETRY_S = 1.4
+NO_ENDPOINT_SPREAD_S = 0.6
+
+# Part of the time left after which callers do not come back: they wait no longer than
+# a third of it.
+LONGEST_RETURN_SHARE = 1 / 3
 
 # Weight of a new measurement in the mean time to the begin of an answer; about the last
 # 20 count.
@@ -572,17 +580,32 @@
     if pending.may_have_run:
         return [RefuseCall(call.id, refuse_unanswered(), view)]
     if not _has_eligible(context, pending):
-        return [RefuseCall(call.id, refuse_no_endpoint(), view)]
-    return [RefuseCall(call.id, refuse_busy(_choose_return(context, call)), view)]
+        retry_after_s = _spread_return(
+            now, call, NO_ENDPOINT_RETRY_S, NO_ENDPOINT_SPREAD_S
+        )
+        return [RefuseCall(call.id, refuse_no_endpoint(retry_after_s), view)]
+    retry_after_s = _choose_return(context, now, call)
+    return [RefuseCall(call.id, refuse_busy(retry_after_s), view)]
 
 
-def _choose_return(context: GatewayContext, call: Call) -> float:
-    """Return when a refused caller should come back, in seconds."""
+def _choose_return(context: GatewayContext, now: float, call: Call) -> float:
+    """Return when a caller that met no room should come back, in seconds."""
     room = context.state.room_by_service.get(call.services[0])
     if room is None or room.value >= SCARCE_SHARE:
         return BUSY_RETRY_S
-    # Callers who come back at the same moment would meet each other.
-    return SCARCE_RETRY_S + SCARCE_SPREAD_S * hash_text(call.request_id) / HASH_RANGE
+    return _spread_return(now, call, SCARCE_RETRY_S, SCARCE_SPREAD_S)
+
+
+def _spread_return(now: float, call: Call, least_s: float, spread_s: float) -> float:
+    """Return a time to come back that the caller keeps, in seconds.
+
+    Callers who come back at the same moment would meet each other.
+    """
+    return_s = least_s + spread_s * hash_text(call.request_id) / HASH_RANGE
+    if not call.wait_s:
+        return return_s
+    left_s = call.arrived + call.wait_s - now
+    return max(min(return_s, left_s * LONGEST_RETURN_SHARE), BUSY_RETRY_S)
 
 
 def refuse_unanswered() -> Refusal:
@@ -635,14 +658,14 @@
     )
 
 
-def refuse_no_endpoint() -> Refusal:
+def refuse_no_endpoint(retry_after_s: float) -> Refusal:
     """Return the refusal of a call that no endpoint may run now."""
     return Refusal(
         ErrorCode.NO_ENDPOINT,
         "no endpoint can take the request now",
         RunState.NOT_RUN,
         503,
-        NO_ENDPOINT_RETRY_S,
+        retry_after_s,
     )
 
 
--- a/src/tamaracktray/placement.py
+++ b/src/tamaracktray/placement.py
@@ -58,8 +58,8 @@
     ``in_flight`` counts the calls of this process. ``is_swapping`` tells that the
     endpoint's agent has ordered it to load another version, and ``swap_at`` is when it
     will. What the agent says of the versions counts before the list, which is older,
-    until ``status_deadline``. ``is_outdated`` tells that the endpoint is known not to be
-    as the list has it, until ``outdated_deadline``. ``heard_at`` is when the endpoint
+    until ``status_deadline``. ``is_outdated`` tells that the list is known to be wrong
+    about the endpoint, until ``outdated_deadline``. ``heard_at`` is when the endpoint
     last sent something, or got a call while it had none.
     """
 
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -28,6 +28,7 @@
 )
 from tamaracktray.gateway import (
     BUSY_RETRY_S,
+    NO_ENDPOINT_RETRY_S,
     SCARCE_RETRY_S,
     SCARCE_SPREAD_S,
     handle_call_started,
@@ -508,6 +509,21 @@
         assert times[0] == BUSY_RETRY_S
         assert SCARCE_RETRY_S <= times[-1] <= SCARCE_RETRY_S + SCARCE_SPREAD_S
 
+    def test_return_is_put_off_while_no_endpoint_may_serve(self):
+        """A version is due that nobody holds yet; callers come back later, spread."""
+        gateway = Gateway(engine("a", version=1))
+        gateway.floors = {MODEL: 2}
+        calls = [build_call(f"c{number}", wait_s=6.0) for number in range(50)]
+        times = [refusal(gateway.arrive(call)).retry_after_s for call in calls]
+        assert min(times) >= NO_ENDPOINT_RETRY_S
+        assert max(times) <= 6.0 / 3
+        assert max(times) - min(times) > 0.3
+
+    def test_return_is_never_later_than_callers_wait(self):
+        gateway = Gateway()
+        answer = refusal(gateway.arrive(build_call("1", SAFE, wait_s=2.4)))
+        assert answer.retry_after_s == pytest.approx(0.8)
+
 
 class TestFairness:
     def test_large_calls_are_served_at_least_half_as_often(self):
