Take chunks from peers that answer, ask the origin sparingly, feed idle engines faster

Added engines waited for chunks that entries fetched one by one. Found in the lines of parts and orders.

Peers that are silent or did not answer are passed over, members that are long silent no longer count when bounds are shared out, agents ask the origin at one attempt in 16, entries pause after it failed, and an engine without a model gets 4 chunks at a time. A frozen entry in a rollout failed as a test before; the test of the origin's return passed before too.

--- a/src/tamaracktray/chunk_relay.py
+++ b/src/tamaracktray/chunk_relay.py
@@ -1,7 +1,8 @@
 """Hands the chunks of versions from the origin on to agents, each fetched once."""
 
+import time
 from collections import deque
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 
 import curio
 import msgspec
@@ -9,18 +10,33 @@
 from returns.result import Failure, Result, Success
 
 from tamaracktray.engines import VersionOrigin
-from tamaracktray.exceptions import WeightError
+from tamaracktray.exceptions import SourceLostError, WeightError
 from tamaracktray.exchange import fetch
 from tamaracktray.http import Request, Responder
 from tamaracktray.types import Address
 from tamaracktray.weights import MAX_CHUNK_BYTES, Manifest, verify_chunk
 
 VERSIONS_PATH = "/versions/"
+MANIFEST_PART = "/manifest"
 
 # Longest call to a peer for a chunk, in seconds: the chunk may have to come from the
 # origin first, over a link that all agents share.
 PEER_CHUNK_TIMEOUT_S = 3.0
 
+# Longest wait for a connection to a peer, in seconds: a peer that lives takes one in
+# milliseconds, and another source is there.
+PEER_CONNECT_S = 0.4
+
+# Pause after a call to the origin failed, in which nobody else asks it, in seconds.
+ORIGIN_PAUSE_S = 0.1
+
+# Peers that are asked in vain for a part before the origin is.
+MAX_PEERS_ASKED = 3
+
+# Refusals by peers that live after which the origin is asked directly once, in case a
+# peer is cut off from the origin alone.
+REFUSALS_PER_ORIGIN_CALL = 16
+
 # Versions of which chunks are kept: the newest and the one that it replaces.
 KEPT_VERSIONS = 2
 
@@ -51,15 +67,27 @@
         return f"{VERSIONS_PATH}{self.model}/{self.version}"
 
 
+def read_version_key(path: str) -> VersionKey | None:
+    """Return the version that a peer's call is about, ``None`` if it names none."""
+    parts = path.removeprefix(VERSIONS_PATH).split("/")
+    if len(parts) != 3 or not parts[1].isdigit():
+        return None
+    return VersionKey(parts[0], int(parts[1]))
+
+
 async def read_peer_manifest(
     address: Address, key: VersionKey
 ) -> Result[Manifest, WeightError]:
     """Ask a peer for a manifest."""
     reply = await fetch(
-        address, "GET", f"{key.path}/manifest", timeout_s=PEER_CHUNK_TIMEOUT_S
+        address,
+        "GET",
+        key.path + MANIFEST_PART,
+        timeout_s=PEER_CHUNK_TIMEOUT_S,
+        connect_timeout_s=PEER_CONNECT_S,
     )
     if isinstance(reply, Failure):
-        return Failure(WeightError(reply.failure().message))
+        return Failure(SourceLostError(reply.failure().message))
     answer = reply.unwrap()
     if answer.status != 200:
         return Failure(WeightError(f"{address} answered {answer.status}"))
@@ -79,9 +107,10 @@
         f"{key.path}/{index}",
         timeout_s=PEER_CHUNK_TIMEOUT_S,
         max_bytes=MAX_CHUNK_BYTES,
+        connect_timeout_s=PEER_CONNECT_S,
     )
     if isinstance(reply, Failure):
-        return Failure(WeightError(reply.failure().message))
+        return Failure(SourceLostError(reply.failure().message))
     answer = reply.unwrap()
     if answer.status != 200:
         return Failure(WeightError(f"{address} answered {answer.status}"))
@@ -129,6 +158,7 @@
 
     ``find_upstream`` returns the peer to ask for a part, ``None`` for the origin.
     ``is_first`` tells whether this entry is the first of its region for a part.
+    ``note_lost`` is told of peers that do not answer, so that others are chosen.
     """
 
     __slots__ = (
@@ -136,8 +166,12 @@
         "_find_upstream",
         "_is_first",
         "_manifest_by_key",
+        "_note_lost",
         "_open_origin",
+        "_origin_deadline",
         "_pending_by_part",
+        "_prefetching",
+        "_refusals",
         "bytes_from_origin",
     )
 
@@ -146,10 +180,15 @@
         find_upstream: Callable[[str], Address | None],
         is_first: Callable[[str], bool],
         open_origin: Callable[[], VersionOrigin | None],
+        note_lost: Callable[[Address], Awaitable[None]],
     ) -> None:
         self._find_upstream = find_upstream
         self._is_first = is_first
         self._open_origin = open_origin
+        self._note_lost = note_lost
+        self._origin_deadline = 0.0
+        self._refusals = 0
+        self._prefetching: set[VersionKey] = set()
         self._manifest_by_key: dict[VersionKey, Manifest] = {}
         self._chunk_by_part: dict[tuple[VersionKey, int], bytes] = {}
         self._pending_by_part: dict[tuple[VersionKey, int], _Pending] = {}
@@ -157,16 +196,13 @@
 
     async def handle(self, request: Request, responder: Responder) -> None:
         """Answer a peer that asks for a part of a version."""
-        parts = request.path.removeprefix(VERSIONS_PATH).split("/")
-        if len(parts) != 3 or not parts[1].isdigit():
-            await responder.respond(404, [])
-            return
-        key = VersionKey(parts[0], int(parts[1]))
-        if parts[2] == "manifest":
+        key = read_version_key(request.path)
+        part = request.path.rpartition("/")[2]
+        if key is not None and request.path.endswith(MANIFEST_PART):
             manifest = await self.find_manifest(key)
             encoded = manifest.map(msgspec.msgpack.encode)
-        elif parts[2].isdigit():
-            encoded = await self.find_chunk(key, int(parts[2]))
+        elif key is not None and part.isdigit():
+            encoded = await self.find_chunk(key, int(part))
         else:
             await responder.respond(404, [])
             return
@@ -177,6 +213,9 @@
 
     async def prefetch(self, key: VersionKey) -> None:
         """Fetch the parts that this entry hands on first, before anybody asks."""
+        if key in self._prefetching:
+            return
+        self._prefetching.add(key)
         manifest = await self.find_manifest(key)
         while isinstance(manifest, Failure):
             await curio.sleep(PREFETCH_RETRY_S)
@@ -242,15 +281,14 @@
         return pending.result
 
     async def _fetch_manifest(self, key: VersionKey) -> Result[Manifest, WeightError]:
-        upstream = self._find_upstream(f"{key.path}/manifest")
-        read: Result[Manifest, WeightError] = Failure(WeightError("no upstream"))
-        if upstream is not None:
-            read = await read_peer_manifest(upstream, key)
-        if isinstance(read, Failure):
-            origin = self._open_origin()
-            if origin is None:
-                return Failure(WeightError("the origin is not known yet"))
-            read = await read_origin_manifest(origin, key)
+        part = key.path + MANIFEST_PART
+
+        async def read_peer(upstream: Address) -> Result[Manifest, WeightError]:
+            return await read_peer_manifest(upstream, key)
+
+        read = await self._read_upstream(part, read_peer)
+        if read is None:
+            read = await self._read_origin_manifest(key)
         if isinstance(read, Success):
             self._manifest_by_key[key] = read.unwrap()
             self._forget_old(key)
@@ -268,11 +306,12 @@
         if index >= len(chunks):
             return Failure(WeightError(f"version {key.version} has no chunk {index}"))
         digest = chunks[index]
-        upstream = self._find_upstream(f"{key.path}/{index}")
-        read: Result[bytes, WeightError] = Failure(WeightError("no upstream"))
-        if upstream is not None:
-            read = await read_peer_chunk(upstream, key, index, digest)
-        if isinstance(read, Failure):
+
+        async def read_peer(upstream: Address) -> Result[bytes, WeightError]:
+            return await read_peer_chunk(upstream, key, index, digest)
+
+        read = await self._read_upstream(f"{key.path}/{index}", read_peer)
+        if read is None:
             read = await self._read_origin(key, index, digest)
         if isinstance(read, Success):
             self._chunk_by_part[key, index] = read.unwrap()
@@ -280,6 +319,41 @@
             _log_failure(key, str(index), read.failure())
         return read
 
+    async def _read_upstream(
+        self, part: str, read_peer: Callable[[Address], Awaitable[Result]]
+    ) -> Result | None:
+        """Ask the peer that hands a part on; return ``None`` if the origin is to be.
+
+        A peer that lives and has not got the part asks the origin itself. Only now and
+        then does its caller do so too: the origin's link is the narrowest.
+        """
+        for _ in range(MAX_PEERS_ASKED):
+            upstream = self._find_upstream(part)
+            if upstream is None:
+                return None
+            read = await read_peer(upstream)
+            if isinstance(read, Success):
+                return read
+            if isinstance(read.failure(), SourceLostError):
+                await self._note_lost(upstream)
+                continue
+            self._refusals += 1
+            return None if self._refusals % REFUSALS_PER_ORIGIN_CALL == 0 else read
+        return None
+
+    async def _read_origin_manifest(
+        self, key: VersionKey
+    ) -> Result[Manifest, WeightError]:
+        origin = self._open_origin()
+        if origin is None:
+            return Failure(WeightError("the origin is not known yet"))
+        if time.monotonic() < self._origin_deadline:
+            return Failure(WeightError("the origin has just failed"))
+        read = await read_origin_manifest(origin, key)
+        if isinstance(read, Failure):
+            self._origin_deadline = time.monotonic() + ORIGIN_PAUSE_S
+        return read
+
     async def _read_origin(
         self, key: VersionKey, index: int, digest: str
     ) -> Result[bytes, WeightError]:
@@ -289,10 +363,13 @@
             origin = self._open_origin()
             if origin is None:
                 return Failure(WeightError("the origin is not known yet"))
+            if time.monotonic() < self._origin_deadline:
+                return Failure(WeightError("the origin has just failed"))
             read = await read_origin_chunk(origin, key, index, digest)
             if isinstance(read, Success):
                 self.bytes_from_origin += len(read.unwrap())
-                break
+                return read
+        self._origin_deadline = time.monotonic() + ORIGIN_PAUSE_S
         return read
 
     def _forget_old(self, newest: VersionKey) -> None:
@@ -303,6 +380,7 @@
         for version in versions[:-KEPT_VERSIONS]:
             old = VersionKey(newest.model, version)
             del self._manifest_by_key[old]
+            self._prefetching.discard(old)
             for part in [part for part in self._chunk_by_part if part[0] == old]:
                 del self._chunk_by_part[part]
 
@@ -310,6 +388,7 @@
 def _log_failure(key: VersionKey, part: str, error: WeightError) -> None:
     structlog.get_logger().info(
         "part not fetched",
+        request_line=True,
         model=key.model,
         version=key.version,
         part=part,
--- a/src/tamaracktray/chunk_sources.py
+++ b/src/tamaracktray/chunk_sources.py
@@ -7,10 +7,17 @@
 
 from collections.abc import Iterable
 
-from tamaracktray.direct import Member
 from tamaracktray.hashing import hash_text
+from tamaracktray.peers import Member
 from tamaracktray.types import Address
 
+# Entries that an agent asks in turn.
+MAX_ENTRIES_ASKED = 3
+
+# Attempts at a chunk of which one goes to the origin, in case the entries that answer
+# are cut off from it. The origin's link is too narrow for every agent.
+ATTEMPTS_PER_ORIGIN_CALL = 16
+
 
 def rank_members(key: str, members: Iterable[Member]) -> list[Member]:
     """Return members by rendezvous hash with ``key``, the first to ask first."""
@@ -68,3 +75,17 @@
 
     ranked = rank_members(key, members)
     return [member.address for member in sorted(ranked, key=measure)]
+
+
+def choose_source(entries: list[Address], attempt: int) -> Address | None:
+    """Return the entry that an agent asks at an attempt, ``None`` for the origin.
+
+    ``entries`` are those that may answer, the nearest first.
+    """
+    if (
+        not entries
+        or attempt % ATTEMPTS_PER_ORIGIN_CALL == ATTEMPTS_PER_ORIGIN_CALL - 1
+    ):
+        return None
+    asked = entries[:MAX_ENTRIES_ASKED]
+    return asked[attempt % len(asked)]
--- a/src/tamaracktray/direct.py
+++ b/src/tamaracktray/direct.py
@@ -34,6 +34,7 @@
 )
 from tamaracktray.hashing import hash_text
 from tamaracktray.objects import StoredObject
+from tamaracktray.peers import Member, Peers
 from tamaracktray.placement import Surroundings
 from tamaracktray.quarantine import CrashLedger
 from tamaracktray.roster import EndpointRecord, Roster
@@ -98,14 +99,6 @@
     named_at: float | None
 
 
-class Member(msgspec.Struct, frozen=True):
-    """An entry as its peers know it; ``address`` takes beacons and peers' calls."""
-
-    name: str
-    zone: str
-    address: Address
-
-
 class CollectionListed(Event, frozen=True):
     """The whole content of a collection was read from the store."""
 
@@ -139,6 +132,12 @@
     sender: Address
 
 
+class PeerLost(Event, frozen=True):
+    """A call to a peer got no answer."""
+
+    address: Address
+
+
 class PullSnapshots(Effect, frozen=True):
     """Ask a peer for the snapshots that are newer than the own ones."""
 
@@ -201,7 +200,6 @@
         "is_store_lost",
         "knowledge",
         "ledger",
-        "members_by_name",
         "name",
         "namings_by_model",
         "newer_peer",
@@ -209,6 +207,7 @@
         "pull_deadline",
         "own_engine",
         "peer_floor_by_model",
+        "peers",
         "region_by_zone",
         "role",
         "roster",
@@ -248,7 +247,7 @@
         self.peer_floor_by_model: dict[str, int] = {}
         self.floor_deadline = now + FLOOR_WAIT_S
         self.namings_by_model: dict[str, list[Naming]] = {}
-        self.members_by_name: dict[str, Member] = {}
+        self.peers = Peers(expects_beacons=role is Role.ENTRY)
         self.outage_end = 0.0
         self.is_store_lost = False
         self.newer_peer = ""
@@ -422,11 +421,8 @@
     members = [
         msgspec.convert(value, Member) for value in _values(state, Collection.MEMBERS)
     ]
-    state.members_by_name = {
-        member.name: member for member in members if member.name != state.name
-    }
-    if state.gateway is not None:
-        state.gateway.peers = len(state.members_by_name)
+    others = [member for member in members if member.name != state.name]
+    state.peers.follow(now, others)
     return _apply_roster(state, now) + _follow_own_version(state, now)
 
 
@@ -450,6 +446,10 @@
     beacon = event.beacon
     if not state.beacons.accept(beacon):
         return []
+    if beacon.is_leaving:
+        state.peers.note_lost(event.now, event.sender)
+    else:
+        state.peers.note_heard(event.now, event.sender)
     effects: list[Effect] = []
     if _is_behind(state, event.now, beacon):
         effects.append(PullSnapshots(event.sender))
@@ -465,6 +465,11 @@
     return effects + fill_room(_gateway_context(state, event.now), event.now)
 
 
+def _on_peer_lost(state: DirectState, event: PeerLost) -> list[Effect]:
+    state.peers.note_lost(event.now, event.address)
+    return []
+
+
 def _is_behind(state: DirectState, now: float, beacon: Beacon) -> bool:
     """Tell whether the own watch has failed to bring a change that a peer knows.
 
@@ -513,6 +518,7 @@
     if state.roster.expire(event.now):
         effects.extend(_apply_roster(state, event.now))
     if state.gateway is not None:
+        state.gateway.peers = len(state.peers.list_active(event.now))
         context = _gateway_context(state, event.now)
         effects.extend(handle_gateway_tick(context, event.now, event.heard))
     if state.staging is not None:
@@ -614,6 +620,7 @@
     SnapshotsReceived: _on_snapshots,
     StoreLost: _on_store_lost,
     BeaconHeard: _on_beacon,
+    PeerLost: _on_peer_lost,
     ShutdownRequested: _on_shutdown,
     CallArrived: _with_gateway(handle_call),
     CallStarted: _with_gateway(handle_call_started),
--- a/src/tamaracktray/direct_agent.py
+++ b/src/tamaracktray/direct_agent.py
@@ -17,11 +17,11 @@
     read_peer_chunk,
     read_peer_manifest,
 )
-from tamaracktray.chunk_sources import list_sources
+from tamaracktray.chunk_sources import choose_source, list_sources
 from tamaracktray.deployment import Deployment
 from tamaracktray.direct_sections import DirectSettings
 from tamaracktray.direct_shell import DirectShell
-from tamaracktray.exceptions import WeightError
+from tamaracktray.exceptions import SourceLostError, WeightError
 from tamaracktray.snapshots import Collection
 from tamaracktray.staging import (
     CheckStage,
@@ -50,9 +50,6 @@
 # they have just sent arrive, in seconds.
 NOTICE_S = 0.03
 
-# Entries to ask in vain before the origin itself is asked.
-MAX_ENTRIES_ASKED = 3
-
 
 class DirectAgentShell(DirectShell):
     """Runs an agent.
@@ -145,19 +142,15 @@
         )
         await self.tell_peers()
 
-    def _list_entries(self, key: str) -> list[Address]:
-        return list_sources(
+    def _choose_entry(self, key: str, attempt: int) -> Address | None:
+        """Return the entry to ask at an attempt, ``None`` for the origin."""
+        entries = list_sources(
             self.state.zone,
-            self.state.members_by_name.values(),
+            self.state.peers.list_trusted(time.monotonic()),
             self.state.region_by_zone,
             key,
-        )[:MAX_ENTRIES_ASKED]
-
-    def _choose_entry(self, key: str, attempt: int) -> Address | None:
-        """Return the entry to ask at an attempt, ``None`` for the origin."""
-        entries = self._list_entries(key)
-        position = attempt % (len(entries) + 1)
-        return entries[position] if position < len(entries) else None
+        )
+        return choose_source(entries, attempt)
 
     async def _read_manifest(self, effect: ReadManifest) -> None:
         key = VersionKey(effect.model, effect.version)
@@ -169,8 +162,10 @@
         elif origin is not None:
             read = await read_origin_manifest(origin, key)
         if isinstance(read, Failure):
+            await self._note_failure_at(entry, read.failure())
             self.log.info(
                 "manifest not read",
+                request_line=True,
                 version=effect.version,
                 source=str(entry or "origin"),
                 error=read.failure().message,
@@ -190,8 +185,10 @@
         if isinstance(read, Success):
             self._chunk_by_digest[effect.digest] = read.unwrap()
         else:
+            await self._note_failure_at(entry, read.failure())
             self.log.info(
                 "chunk not fetched",
+                request_line=True,
                 version=effect.version,
                 index=effect.index,
                 source=str(entry or "origin"),
@@ -202,6 +199,10 @@
             ChunkArrived(time.monotonic(), effect.version, effect.index, is_good)
         )
 
+    async def _note_failure_at(self, entry: Address | None, error: WeightError) -> None:
+        if entry is not None and isinstance(error, SourceLostError):
+            await self.note_peer_lost(entry)
+
     async def _stage_part(self, effect: StagePart) -> None:
         data = self._chunk_by_digest[effect.digest]
         staged = await self._engine.write_chunk(effect.model, effect.index, data)
--- a/src/tamaracktray/direct_entry.py
+++ b/src/tamaracktray/direct_entry.py
@@ -21,13 +21,18 @@
     RelayFailure,
     SendCall,
 )
-from tamaracktray.chunk_relay import VERSIONS_PATH, ChunkRelay, VersionKey
+from tamaracktray.chunk_relay import (
+    MANIFEST_PART,
+    VERSIONS_PATH,
+    ChunkRelay,
+    VersionKey,
+    read_version_key,
+)
 from tamaracktray.chunk_sources import choose_upstream, find_first
 from tamaracktray.deployment import Deployment
 from tamaracktray.direct import (
     ApplyRouting,
     CloseIdle,
-    Member,
     PrefetchVersion,
     list_version_floors,
 )
@@ -40,6 +45,7 @@
 from tamaracktray.intake import build_call, refuse_uninformed
 from tamaracktray.messages import encode_refusal
 from tamaracktray.outcomes import AttemptPhase
+from tamaracktray.peers import Member
 from tamaracktray.relaying import CallRelay, OpenCall
 from tamaracktray.types import Address, Refusal
 
@@ -65,7 +71,7 @@
         )
         self._call_log = CallLog(self.state.knowledge, self.metrics)
         self._chunk_relay = ChunkRelay(
-            self._find_upstream, self._is_first, self.open_origin
+            self._find_upstream, self._is_first, self.open_origin, self.note_peer_lost
         )
         self._call_relay = CallRelay(deployment.protocol, self._take_start)
         self._open_by_id: dict[str, OpenCall] = {}
@@ -122,6 +128,10 @@
     @override
     async def handle_peer(self, request: Request, responder: Responder) -> None:
         if request.path.startswith(VERSIONS_PATH):
+            key = read_version_key(request.path)
+            if key is not None and not request.path.endswith(MANIFEST_PART):
+                # Who asks for one chunk will ask for all of them.
+                await self.spawn(self._chunk_relay.prefetch, key)
             await self._chunk_relay.handle(request, responder)
             return
         await super().handle_peer(request, responder)
@@ -259,7 +269,7 @@
         return Member(node.name, node.zone, self.own_address)
 
     def _is_first(self, key: str) -> bool:
-        peers = self.state.members_by_name.values()
+        peers = self.state.peers.list_trusted(time.monotonic())
         own = self._own_member
         return find_first(own, peers, self.state.region_by_zone, key) == own
 
@@ -269,7 +279,7 @@
         origin_zone = "" if origin is None else origin.origin_zone
         return choose_upstream(
             self._own_member,
-            self.state.members_by_name.values(),
+            self.state.peers.list_trusted(time.monotonic()),
             self.state.region_by_zone,
             self.state.region_by_zone.get(origin_zone, ""),
             key,
--- a/src/tamaracktray/direct_shell.py
+++ b/src/tamaracktray/direct_shell.py
@@ -21,6 +21,7 @@
     CollectionChanged,
     CollectionListed,
     DirectState,
+    PeerLost,
     PullSnapshots,
     ReadCollection,
     SnapshotsReceived,
@@ -208,9 +209,14 @@
 
     async def tell_peers(self) -> None:
         """Send a beacon to every entry."""
-        for member in list(self.state.members_by_name.values()):
+        for member in list(self.state.peers.members_by_name.values()):
             await self.send_beacon(member.address)
 
+    async def note_peer_lost(self, address: Address) -> None:
+        """Choose other peers for a while than one that did not answer."""
+        self.log.info("peer lost", peer=str(address))
+        await self.dispatch(PeerLost(time.monotonic(), address))
+
     async def _answer_beacon(self, effect: AnswerBeacon) -> None:
         await self.send_beacon(effect.address)
 
--- a/src/tamaracktray/exceptions.py
+++ b/src/tamaracktray/exceptions.py
@@ -74,3 +74,7 @@
 
 class WeightError(TamaracktrayError):
     """Weights that are missing, corrupt or refused by the engine."""
+
+
+class SourceLostError(WeightError):
+    """A source of weights that did not answer; ask another one."""
--- a/src/tamaracktray/exchange.py
+++ b/src/tamaracktray/exchange.py
@@ -234,10 +234,15 @@
     body: bytes = b"",
     *,
     timeout_s: float = 5.0,
+    connect_timeout_s: float | None = None,
     max_bytes: int = 4 * 1_048_576,
     is_host_given: bool = False,
 ) -> Result[Reply, TransportError]:
-    """Send one request and return its whole answer within ``timeout_s`` seconds."""
+    """Send one request and return its whole answer within ``timeout_s`` seconds.
+
+    ``connect_timeout_s`` is at most half of that, which tells an unsent request from an
+    unanswered one.
+    """
     exchange = _fetch(
         address,
         method,
@@ -245,6 +250,7 @@
         headers or [],
         body,
         timeout_s,
+        min(connect_timeout_s or timeout_s, timeout_s / 2),
         max_bytes,
         is_host_given,
     )
@@ -262,17 +268,17 @@
     headers: Headers,
     body: bytes,
     timeout_s: float,
+    connect_timeout_s: float,
     max_bytes: int,
     is_host_given: bool,
 ) -> Result[Reply, TransportError]:
-    # A shorter bound on the connection tells an unsent request from an unanswered one.
     opened = await open_exchange(
         address,
         method,
         target,
         headers,
         body,
-        connect_timeout_s=timeout_s / 2,
+        connect_timeout_s=connect_timeout_s,
         is_host_given=is_host_given,
     )
     if isinstance(opened, Failure):
--- /dev/null
+++ b/src/tamaracktray/peers.py
@@ -0,0 +1,91 @@
+"""Which peers can be relied on, from what they send and from calls to them that fail.
+
+Members never leave the platform's list by themselves, so a peer that was lost for good
+can only be told by its silence.
+"""
+
+from collections.abc import Iterable
+
+import msgspec
+
+from tamaracktray.types import Address
+
+# Silence after which a peer that sends beacons is not asked for anything, in seconds:
+# more than two of the beacons that it sends at least.
+SILENT_S = 1.3
+
+# Silence after which a peer no longer counts as one that uses the endpoints, in
+# seconds. A peer cut off from this process alone goes on using them for a while.
+GONE_S = 12.0
+
+# Time for which a peer that did not answer is not asked again, in seconds.
+AVOID_S = 2.0
+
+
+class Member(msgspec.Struct, frozen=True):
+    """An entry as its peers know it; ``address`` takes beacons and peers' calls."""
+
+    name: str
+    zone: str
+    address: Address
+
+
+class Peers:
+    """The entries that a process knows, without itself.
+
+    With ``expects_beacons`` silence tells that a peer is lost.
+    """
+
+    __slots__ = (
+        "_avoid_deadline_by_address",
+        "_expects_beacons",
+        "_heard_at_by_address",
+        "members_by_name",
+    )
+
+    def __init__(self, *, expects_beacons: bool) -> None:
+        self._expects_beacons = expects_beacons
+        self._heard_at_by_address: dict[Address, float] = {}
+        self._avoid_deadline_by_address: dict[Address, float] = {}
+        self.members_by_name: dict[str, Member] = {}
+
+    def follow(self, now: float, members: Iterable[Member]) -> None:
+        """Follow a new list; a peer seen for the first time counts as heard."""
+        self.members_by_name = {member.name: member for member in members}
+        for member in self.members_by_name.values():
+            self._heard_at_by_address.setdefault(member.address, now)
+
+    def note_heard(self, now: float, address: Address) -> None:
+        """Note that a peer sent something."""
+        self._heard_at_by_address[address] = now
+        self._avoid_deadline_by_address.pop(address, None)
+
+    def note_lost(self, now: float, address: Address) -> None:
+        """Note that a call to a peer got no answer."""
+        self._avoid_deadline_by_address[address] = now + AVOID_S
+
+    def list_trusted(self, now: float) -> list[Member]:
+        """Return the peers that will probably answer."""
+        return [
+            member
+            for member in self.members_by_name.values()
+            if self._is_trusted(now, member.address)
+        ]
+
+    def list_active(self, now: float) -> list[Member]:
+        """Return the peers that may be using the endpoints."""
+        return [
+            member
+            for member in self.members_by_name.values()
+            if self._measure_silence(now, member.address) < GONE_S
+        ]
+
+    def _is_trusted(self, now: float, address: Address) -> bool:
+        if now < self._avoid_deadline_by_address.get(address, 0.0):
+            return False
+        return self._measure_silence(now, address) < SILENT_S
+
+    def _measure_silence(self, now: float, address: Address) -> float:
+        if not self._expects_beacons:
+            return 0.0
+        return now - self._heard_at_by_address.get(address, now)
--- a/src/tamaracktray/staging.py
+++ b/src/tamaracktray/staging.py
@@ -19,6 +19,10 @@
 # lengthen the queue in which callers' requests wait.
 MAX_IN_FLIGHT = 2
 
+# Chunks in transfer at a time to an engine that serves nobody yet. More of them hide
+# the time in which entries fetch what they lack.
+MAX_IN_FLIGHT_IDLE = 4
+
 # A staged chunk that was read back within this time needs no other check before the
 # order, in seconds.
 CHECK_VALID_S = 2.0
@@ -501,11 +505,12 @@
         for work in (state.current, state.following)
         if work is not None
     )
+    bound = MAX_IN_FLIGHT if state.loaded_version else MAX_IN_FLIGHT_IDLE
     for work in (state.current, state.following):
         if work is None or work.manifest is None:
             continue
         for index in _list_missing(state, work):
-            if busy >= MAX_IN_FLIGHT:
+            if busy >= bound:
                 return effects
             if index in work.in_flight:
                 continue
--- a/tests/test_platform_versions.py
+++ b/tests/test_platform_versions.py
@@ -3,7 +3,8 @@
 import curio
 import pytest
 
-from platforms import PlatformFleet, run_fleet
+from platforms import PEER_PORT, ZONE, PlatformFleet, next_host, run_fleet
+from tamaracktray.types import Address
 from tamaracktray_emulator.platform.documents import CHUNKS, ENGINE_MODEL
 from tamaracktray_emulator.platform.origin import list_digests, make_chunk
 
@@ -38,7 +39,7 @@
         async def scenario(fleet: PlatformFleet) -> None:
             engines = await start(fleet, 4, entries=2)
             await fleet.until(
-                lambda: all(entry.state.members_by_name for entry in fleet.entries)
+                lambda: all(e.state.peers.members_by_name for e in fleet.entries)
             )
             name_version(fleet, 2)
             await fleet.until(lambda: all(e.version == 2 for e in engines), 8.0)
@@ -89,6 +90,48 @@
         run_fleet(scenario, version_ms=1_500.0)
 
 
+class TestSources:
+    """Chunks come from entries that answer, and the origin is asked sparingly."""
+
+    def test_return_of_the_origin_is_not_met_by_all_agents_at_once(self):
+        async def scenario(fleet: PlatformFleet) -> None:
+            engines = await start(fleet, 4, entries=2)
+            await fleet.until(
+                lambda: all(e.state.peers.members_by_name for e in fleet.entries)
+            )
+            fleet.origin.is_down = True
+            name_version(fleet, 2)
+            await curio.sleep(1.5)
+            fleet.origin.is_down = False
+            await fleet.until(lambda: all(e.version == 2 for e in engines), 8.0)
+            assert fleet.origin.chunks_sent <= CHUNKS * 1.2
+
+        run_fleet(scenario, version_ms=3_000.0)
+
+    @pytest.mark.parametrize("is_silent", [True, False])
+    def test_lost_entry_does_not_hold_up_a_rollout(self, is_silent):
+        """An entry that is still listed would hand half of the chunks on."""
+
+        async def scenario(fleet: PlatformFleet) -> None:
+            (engine,) = await start(fleet, 1)
+            ghost = Address(next_host(), PEER_PORT)
+            listener = None
+            if is_silent:
+                listener = curio.network.tcp_server_socket(ghost.host, ghost.port)
+            address = {"host": ghost.host, "port": ghost.port}
+            document = {"name": "ghost", "zone": ZONE, "address": address}
+            fleet.store.write("members", "ghost", document)
+            await fleet.until(
+                lambda: "ghost" in fleet.agents[0].state.peers.members_by_name
+            )
+            name_version(fleet, 2)
+            await fleet.until(lambda: engine.version == 2, 4.5)
+            if listener is not None:
+                await listener.close()
+
+        run_fleet(scenario, version_ms=1_500.0)
+
+
 class TestEmptyEngines:
     def test_added_engine_is_brought_into_service(self):
         async def scenario(fleet: PlatformFleet) -> None:
