Spread changes of version up to the bound, and split the work on two versions in a row

Cause: turns ended 1.1 s before the bound of a rollout, so nearly all engines were out of service at one time; with a second version named 4 s later all engines changed at 32.0 s, since their links carry two versions in 11 s only. Found in the lines of orders. Ruled out: the check of the stage (15 ms), the origin's link.

Turns go from the arrival of the weights to 0.6 s before the bound. Where both versions would leave no time for turns, every other engine leaves the older one out and loads the newer at once, as its old one is due by then; the others have changed 1.5 s before.

--- a/src/tamaracktray/direct.py
+++ b/src/tamaracktray/direct.py
@@ -32,7 +32,6 @@
     handle_call_started,
     handle_gateway_tick,
 )
-from tamaracktray.hashing import hash_text
 from tamaracktray.objects import StoredObject
 from tamaracktray.peers import Member, Peers
 from tamaracktray.placement import Surroundings
@@ -42,14 +41,6 @@
 from tamaracktray.snapshots import Collection, Knowledge, Snapshot
 from tamaracktray.staging import (
     FIRST_VERSION,
-    ChunkArrived,
-    ChunkStaged,
-    EngineSeen,
-    EngineSilent,
-    ManifestRead,
-    OrderAnswered,
-    StageChecked,
-    StagingState,
     advance,
     handle_chunk_arrived,
     handle_chunk_staged,
@@ -60,6 +51,17 @@
     handle_stage_checked,
     name_version,
 )
+from tamaracktray.staging_events import (
+    ChunkArrived,
+    ChunkStaged,
+    EngineSeen,
+    EngineSilent,
+    ManifestRead,
+    OrderAnswered,
+    StageChecked,
+)
+from tamaracktray.staging_state import StagingState, Turn
+from tamaracktray.swap_turns import choose_turn
 from tamaracktray.types import Address, Role
 
 # A store that has answered for this long counts as back for good, in seconds. Entries
@@ -343,7 +345,7 @@
 
 def _apply_roster(state: DirectState, now: float) -> list[Effect]:
     if state.staging is not None:
-        state.staging.turn_share = _find_turn(state)
+        state.staging.turn = _find_turn(state)
     if state.gateway is None:
         return []
     context = _gateway_context(state, now)
@@ -392,29 +394,14 @@
     return name_version(state.staging, now, model, target.version, named_at)
 
 
-def _find_turn(state: DirectState) -> float:
-    """Return the place of the own engine among those of its service, from 0 to 1.
-
-    Neighbours in this order stand in different availability zones as far as possible.
-    """
-    names_by_zone: dict[str, list[str]] = {}
-    own_id = ""
-    for record in state.roster.records_by_id.values():
-        if record.service != state.served:
-            continue
-        names_by_zone.setdefault(record.zone, []).append(record.id)
-        if record.address == state.own_engine:
-            own_id = record.id
-    order: list[tuple[float, str]] = []
-    for names in names_by_zone.values():
-        names.sort(key=hash_text)
-        order.extend(
-            ((place + 0.5) / len(names), name) for place, name in enumerate(names)
-        )
-    ranked = [name for _, name in sorted(order)]
-    if own_id not in ranked or len(ranked) < 2:
-        return 0.0
-    return ranked.index(own_id) / (len(ranked) - 1)
+def _find_turn(state: DirectState) -> Turn:
+    """Return the turn of the own engine."""
+    records = list(state.roster.records_by_id.values())
+    lives = [item for item in records if item.address == state.own_engine]
+    if not lives:
+        return Turn()
+    newest = max(lives, key=lambda record: record.born_ms)
+    return choose_turn(records, state.served, newest.id)
 
 
 def _follow_members(state: DirectState, now: float) -> list[Effect]:
--- a/src/tamaracktray/direct_agent.py
+++ b/src/tamaracktray/direct_agent.py
@@ -23,7 +23,7 @@
 from tamaracktray.direct_shell import DirectShell
 from tamaracktray.exceptions import SourceLostError, WeightError
 from tamaracktray.snapshots import Collection
-from tamaracktray.staging import (
+from tamaracktray.staging_events import (
     CheckStage,
     ChunkArrived,
     ChunkStaged,
@@ -37,9 +37,9 @@
     ReadManifest,
     StageChecked,
     StagePart,
-    StagingState,
-    plan_swap,
 )
+from tamaracktray.staging_state import StagingState
+from tamaracktray.swap_turns import plan_swap
 from tamaracktray.types import Address
 from tamaracktray.weights import Manifest, digest_bytes
 
--- a/src/tamaracktray/staging.py
+++ b/src/tamaracktray/staging.py
@@ -6,14 +6,32 @@
 service as soon as it has been handed the weights.
 """
 
-from enum import Enum
-
-import msgspec
-
 from tamaracktray.effects import Effect
-from tamaracktray.engines import EngineReport, OrderOutcome, StartOrder
-from tamaracktray.events import Event
-from tamaracktray.weights import Manifest
+from tamaracktray.engines import OrderOutcome, StartOrder
+from tamaracktray.staging_events import (
+    CheckStage,
+    ChunkArrived,
+    ChunkStaged,
+    EngineSeen,
+    EngineSilent,
+    FetchPart,
+    KeepChunks,
+    ManifestRead,
+    OrderAnswered,
+    OrderStart,
+    ReadManifest,
+    StageChecked,
+    StagePart,
+)
+from tamaracktray.staging_state import (
+    StagedChunk,
+    StagingState,
+    Step,
+    VersionWork,
+    is_staged,
+    list_missing,
+)
+from tamaracktray.swap_turns import find_turn, may_skip
 
 # Chunks in transfer at a time. A link is kept busy by two, and a third would only
 # lengthen the queue in which callers' requests wait.
@@ -34,228 +52,9 @@
 # An engine that does not answer for this long is gone, in seconds.
 ENGINE_SILENCE_S = 1.0
 
-# Time before the bound of a rollout by which the last engines are ordered to load, in
-# seconds: they end what is running first.
-SWAP_RESERVE_S = 1.1
-
-# When the first engine is ordered to load, as a share of the bound of a rollout: about
-# when the weights can have arrived. The others follow one by one until the last.
-FIRST_TURN_SHARE = 0.7
-
-# Time that ordering and loading take after the last chunk, in seconds.
-SKIP_MARGIN_S = 1.0
-
 FIRST_VERSION = 1
 
 
-class Step(str, Enum):
-    """How far the work on a version has come."""
-
-    MANIFEST = "manifest"
-    CHUNKS = "chunks"
-    CHECK = "check"
-    TURN = "turn"
-    ORDER = "order"
-    LOADING = "loading"
-    DONE = "done"
-
-
-class ManifestRead(Event, frozen=True):
-    """The manifest of a version was read, or could not be."""
-
-    version: int
-    manifest: Manifest | None
-
-
-class ChunkArrived(Event, frozen=True):
-    """A chunk was fetched and verified, or could not be."""
-
-    version: int
-    index: int
-    is_good: bool
-
-
-class ChunkStaged(Event, frozen=True):
-    """A chunk was handed to the engine, or could not be."""
-
-    index: int
-    digest: str
-    is_good: bool
-
-
-class StageChecked(Event, frozen=True):
-    """Staged chunks were read back; ``digest_by_index`` tells what lies there."""
-
-    digest_by_index: dict[int, str]
-
-
-class EngineSeen(Event, frozen=True):
-    """The engine answered with a report."""
-
-    report: EngineReport
-
-
-class EngineSilent(Event, frozen=True):
-    """The engine did not answer."""
-
-
-class OrderAnswered(Event, frozen=True):
-    """The engine answered an order; ``None`` when no answer came."""
-
-    version: int
-    outcome: OrderOutcome | None
-
-
-class ReadManifest(Effect, frozen=True):
-    """Read the manifest of a version."""
-
-    model: str
-    version: int
-    attempt: int
-
-
-class FetchPart(Effect, frozen=True):
-    """Fetch one chunk into memory and verify it."""
-
-    model: str
-    version: int
-    index: int
-    digest: str
-    attempt: int
-
-
-class StagePart(Effect, frozen=True):
-    """Hand a chunk from memory to the engine."""
-
-    model: str
-    index: int
-    digest: str
-
-
-class CheckStage(Effect, frozen=True):
-    """Read staged chunks back."""
-
-    model: str
-    indices: list[int]
-
-
-class OrderStart(Effect, frozen=True):
-    """Order the engine to load what is staged."""
-
-    order: StartOrder
-
-
-class KeepChunks(Effect, frozen=True):
-    """Forget all chunks in memory but these."""
-
-    digests: frozenset[str]
-
-
-class StagedChunk(msgspec.Struct, frozen=True):
-    """What lies at one position of the engine's stage, and when that was seen."""
-
-    digest: str
-    checked_at: float
-
-
-class VersionWork:
-    """The work on one version.
-
-    ``attempts_by_index`` counts failed fetches.
-    """
-
-    __slots__ = (
-        "attempts_by_index",
-        "in_flight",
-        "manifest",
-        "manifest_attempts",
-        "named_at",
-        "started_at",
-        "version",
-    )
-
-    def __init__(self, version: int, named_at: float, now: float) -> None:
-        self.version = version
-        self.named_at = named_at
-        self.started_at = now
-        self.manifest: Manifest | None = None
-        self.manifest_attempts = 0
-        self.in_flight: set[int] = set()
-        self.attempts_by_index: dict[int, int] = {}
-
-    @property
-    def digests(self) -> list[str]:
-        """Return the digests of the chunks, none while the manifest is unknown."""
-        return [] if self.manifest is None else self.manifest.chunks
-
-
-class StagingState:
-    """State of the versions of one agent.
-
-    ``is_probed`` tells that the engine was asked at least once. ``stage_by_index`` is
-    what lies in its stage, as far as that is known; ``is_stage_known`` tells that it
-    was read, which is worth its time only for an engine that has lost its model.
-    ``held`` are the digests of the chunks in memory. ``following`` is the version after
-    the one that is being worked on.
-    """
-
-    __slots__ = (
-        "current",
-        "fetch_retry_deadline",
-        "following",
-        "held",
-        "is_checking",
-        "is_manifest_asked",
-        "is_ordering",
-        "is_probed",
-        "is_stage_known",
-        "is_staging",
-        "last_seen",
-        "manifest_retry_deadline",
-        "model",
-        "order_retry_deadline",
-        "report",
-        "stage_by_index",
-        "step",
-        "version_bound_s",
-        "turn_share",
-    )
-
-    def __init__(self, version_bound_s: float) -> None:
-        self.version_bound_s = version_bound_s
-        self.model = ""
-        self.turn_share = 0.0
-        self.report: EngineReport | None = None
-        self.last_seen = 0.0
-        self.step = Step.DONE
-        self.current: VersionWork | None = None
-        self.following: VersionWork | None = None
-        self.held: set[str] = set()
-        self.stage_by_index: dict[int, StagedChunk] = {}
-        self.is_probed = False
-        self.is_stage_known = False
-        self.is_checking = False
-        self.is_staging = False
-        self.is_ordering = False
-        self.is_manifest_asked = False
-        self.manifest_retry_deadline = 0.0
-        self.fetch_retry_deadline = 0.0
-        self.order_retry_deadline = 0.0
-
-    @property
-    def is_swapping(self) -> bool:
-        """Tell whether the engine takes no new work because of an order."""
-        if self.step in (Step.ORDER, Step.LOADING):
-            return True
-        return self.report is not None and self.report.is_busy
-
-    @property
-    def loaded_version(self) -> int:
-        """Return the version that the engine holds of the model, 0 for none."""
-        held = None if self.report is None else self.report.find_model(self.model)
-        return 0 if held is None else held.version
-
-
 def name_version(
     state: StagingState, now: float, model: str, version: int, named_at: float
 ) -> list[Effect]:
@@ -267,8 +66,11 @@
     newest = state.following or state.current
     if newest is not None and newest.version >= version:
         return advance(state, now)
-    work = VersionWork(version, named_at, now)
-    if state.current is None or state.step is Step.DONE or _may_skip(state, now):
+    work = VersionWork(version, now, named_at + state.version_bound_s)
+    if state.current is None or state.step is Step.DONE:
+        _begin(state, work)
+    elif may_skip(state, now):
+        work.due_at = min(work.due_at, state.current.due_at)
         _begin(state, work)
     else:
         state.following = work
@@ -283,44 +85,6 @@
     state.manifest_retry_deadline = 0.0
 
 
-def _may_skip(state: StagingState, now: float) -> bool:
-    """Tell whether the version under way may be left out for the next one.
-
-    Once a version is due and not there, nobody is served. The version is left out if
-    that makes the time without service no longer.
-    """
-    work = state.current
-    if work is None or state.step in (Step.TURN, Step.ORDER, Step.LOADING):
-        return False
-    total = len(work.digests)
-    missing = len(_list_missing(state, work)) if total else 1
-    done_share = 1.0 - missing / max(total, 1)
-    if done_share <= 0.0:
-        return True
-    whole_s = max(now - work.started_at, RETRY_S) / done_share
-    left_s = (1.0 - done_share) * whole_s
-    deadline = work.named_at + state.version_bound_s - SKIP_MARGIN_S
-    next_deadline = now + state.version_bound_s - SKIP_MARGIN_S
-    gap_if_skipped = max(now + whole_s - deadline, 0.0)
-    gap_if_finished = max(now + left_s - deadline, 0.0)
-    gap_if_finished += max(now + left_s + whole_s - next_deadline, 0.0)
-    return gap_if_skipped <= gap_if_finished
-
-
-def _list_missing(state: StagingState, work: VersionWork) -> list[int]:
-    """Return the positions whose chunk is neither staged nor in memory."""
-    return [
-        index
-        for index, digest in enumerate(work.digests)
-        if digest not in state.held and not _is_staged(state, index, digest)
-    ]
-
-
-def _is_staged(state: StagingState, index: int, digest: str) -> bool:
-    staged = state.stage_by_index.get(index)
-    return staged is not None and staged.digest == digest
-
-
 def handle_engine_seen(state: StagingState, event: EngineSeen) -> list[Effect]:
     """Follow the engine's report."""
     before = state.report
@@ -509,7 +273,7 @@
     for work in (state.current, state.following):
         if work is None or work.manifest is None:
             continue
-        for index in _list_missing(state, work):
+        for index in list_missing(state, work):
             if busy >= bound:
                 return effects
             if index in work.in_flight:
@@ -530,7 +294,7 @@
     if state.is_staging or state.step not in (Step.CHUNKS, Step.CHECK):
         return []
     for index, digest in enumerate(work.digests):
-        if _is_staged(state, index, digest) or digest not in state.held:
+        if is_staged(state, index, digest) or digest not in state.held:
             continue
         state.is_staging = True
         return [StagePart(state.model, index, digest)]
@@ -553,9 +317,10 @@
         if state.step is Step.TURN:
             state.step = Step.CHUNKS
         return []
-    if state.step is not Step.TURN:
-        state.step = Step.TURN
-    if now < _turn(state, work):
+    state.step = Step.TURN
+    if work.staged_at is None:
+        work.staged_at = now
+    if now < find_turn(state, work, work.staged_at):
         return []
     stale = [
         index
@@ -570,52 +335,19 @@
 
 def _is_all_staged(state: StagingState, work: VersionWork) -> bool:
     return all(
-        _is_staged(state, index, digest) for index, digest in enumerate(work.digests)
+        is_staged(state, index, digest) for index, digest in enumerate(work.digests)
     )
 
 
-def _turn(state: StagingState, work: VersionWork) -> float:
-    """Return when the engine may be ordered to load.
-
-    Engines take turns, so that some serve while others end what they run. An engine
-    without the model serves nobody, so nothing is gained by waiting.
-    """
-    if not state.loaded_version:
-        return work.started_at
-    first_s = state.version_bound_s * FIRST_TURN_SHARE
-    last_s = state.version_bound_s - SWAP_RESERVE_S
-    return work.named_at + first_s + max(last_s - first_s, 0.0) * state.turn_share
-
-
-def plan_swap(state: StagingState, now: float) -> float | None:
-    """Return the time until the order to load, as far as it can be foreseen.
-
-    ``None`` means that the engine has no reason to swap, or serves nobody yet.
-    """
-    work = state.current
-    if work is None or not state.loaded_version or state.step is Step.DONE:
-        return None
-    if state.is_swapping:
-        return 0.0
-    total = len(work.digests)
-    if not total:
-        return None
-    missing = len(_list_missing(state, work))
-    arrived_s = 0.0
-    if missing:
-        if missing == total:
-            return None
-        arrived_s = (now - work.started_at) * missing / (total - missing)
-    return max(arrived_s, _turn(state, work) - now, 0.0)
-
-
 def _order(state: StagingState, now: float) -> list[Effect]:
     work = state.current
     if work is None or state.report is None or state.step is not Step.TURN:
         return []
     if state.is_checking or state.is_ordering or state.report.is_busy:
         return []
-    if now < max(_turn(state, work), state.order_retry_deadline):
+    if work.staged_at is None or now < state.order_retry_deadline:
+        return []
+    if now < find_turn(state, work, work.staged_at):
         return []
     if not _is_all_staged(state, work):
         return []
