Reset connections of requests that are given up

Cause: an ordinary close goes on sending what a broken link holds up, so an endpoint may begin a request long after its caller has left. Three tests failed first.

--- a/src/tamaracktray/exchange.py
+++ b/src/tamaracktray/exchange.py
@@ -6,6 +6,7 @@
 
 import contextlib
 import socket as socket_module
+import struct
 
 import curio
 import h11
@@ -30,6 +31,9 @@
 # For reads that a surrounding timeout bounds, in seconds.
 NO_TIMEOUT_S = 3_600.0
 
+# The value of SO_LINGER that drops unsent bytes: on, for no time.
+RESET_ON_CLOSE = struct.pack("ii", 1, 0)
+
 CONNECTION_OPTIONS = (
     (socket_module.IPPROTO_TCP, socket_module.TCP_NODELAY, 1),
     (socket_module.SOL_SOCKET, socket_module.SO_KEEPALIVE, 1),
@@ -164,13 +168,15 @@
                 return Failure(TransportError(message, sent=True))
 
     async def give_up(self) -> None:
-        """End the connection under the task that reads from it."""
+        """End the connection under the task that reads from it, which closes it."""
         self.is_given_up = True
         with contextlib.suppress(OSError):
-            await self._socket.shutdown(socket_module.SHUT_RDWR)
+            await self._socket.shutdown(socket_module.SHUT_RD)
 
     async def close(self) -> None:
         """Close the connection; an unfinished answer is given up."""
+        if not self._is_ended:
+            _discard_unsent(self._socket)
         await self._socket.close()
 
 
@@ -205,14 +211,28 @@
     try:
         await curio.timeout_after(connect_timeout_s, socket.sendall(payload))
     except (OSError, curio.TaskTimeout) as error:
+        _discard_unsent(socket)
         await socket.close()
         return Failure(TransportError(f"request was cut: {error}", sent=True))
     except curio.CancelledError:
+        _discard_unsent(socket)
         await socket.close()
         raise
     return Success(Exchange(connection, socket))
 
 
+def _discard_unsent(socket: curio.io.Socket) -> None:
+    """Let closing reset the connection.
+
+    An ordinary close goes on sending what a broken link holds up, so that the server
+    would begin a request long after it was given up.
+    """
+    with contextlib.suppress(OSError):
+        socket.setsockopt(
+            socket_module.SOL_SOCKET, socket_module.SO_LINGER, RESET_ON_CLOSE
+        )
+
+
 async def _connect(address: Address) -> curio.io.Socket:
     """Open a connection whose loss is noticed within seconds, also while it is idle."""
     socket = curio.socket.socket(socket_module.AF_INET, socket_module.SOCK_STREAM)
--- a/tests/test_http.py
+++ b/tests/test_http.py
@@ -152,3 +152,59 @@
             return exchange.is_framed
 
         assert serve(echo, client)
+
+
+class TestGivingUp:
+    """What is given up is not sent on later, as a reset tells the server."""
+
+    def end_unanswered(self, give_up) -> str:
+        """Return how the server sees the end of a connection that it never answers."""
+
+        async def main() -> str:
+            listener = curio.network.tcp_server_socket("127.0.0.1", 0)
+            address = Address("127.0.0.1", listener.getsockname()[1])
+            ends: list[str] = []
+
+            async def serve_once() -> None:
+                client, _ = await listener.accept()
+                await client.recv(4_096)
+                try:
+                    ends.append("closed" if not await client.recv(1) else "data")
+                except ConnectionResetError:
+                    ends.append("reset")
+                await client.close()
+
+            server = await curio.spawn(serve_once)
+            await give_up(address)
+            await server.join()
+            await listener.close()
+            return ends[0]
+
+        return curio.run(main)
+
+    def test_exchange_without_an_answer_is_reset(self):
+        async def close(address: Address) -> None:
+            opened = await open_exchange(address, "POST", "/", [], b"data")
+            await opened.unwrap().close()
+
+        assert self.end_unanswered(close) == "reset"
+
+    def test_caller_that_leaves_resets_the_attempt(self):
+        async def cancel(address: Address) -> None:
+            task = await curio.spawn(fetch, address, "POST", "/", None, b"data")
+            await curio.sleep(0.05)
+            await task.cancel()
+
+        assert self.end_unanswered(cancel) == "reset"
+
+    def test_attempt_that_is_taken_away_is_reset(self):
+        async def give_up(address: Address) -> None:
+            opened = await open_exchange(address, "POST", "/", [], b"data")
+            exchange = opened.unwrap()
+            reader = await curio.spawn(exchange.read_head, 5.0)
+            await curio.sleep(0.05)
+            await exchange.give_up()
+            await reader.join()
+            await exchange.close()
+
+        assert self.end_unanswered(give_up) == "reset"
