Let two entries of a region read the configuration, and count namings from the first seen

Agents read the configuration once, from an entry. Of the entries of a region that reach the store two read it and tell the others at once; while changes keep coming they list the newest state instead of watching. Peers tell how long ago versions were named. Tests on reads, takeover and ages; a test that staged chunks were read back again now waits for the last engine in turn, since a chunk that rots just before an order cannot be seen.

--- a/src/tamaracktray/beacons.py
+++ b/src/tamaracktray/beacons.py
@@ -33,7 +33,9 @@
     ``incarnation`` changes with every start of the process and ``number`` grows with
     every beacon. ``revision_by_collection`` tells up to which revision the sender knows
     each collection and ``changed_by_collection`` since which it is as it is.
-    ``version_floor_by_model`` tells which versions are due.
+    ``version_floor_by_model`` tells which versions are due, ``naming_ages_by_model``
+    how long ago, in seconds, versions were named. ``has_store`` tells whether the
+    sender reaches the platform's store.
     """
 
     name: str
@@ -44,6 +46,8 @@
     in_flight_by_endpoint: dict[str, int] = {}
     status: EndpointStatus | None = None
     version_floor_by_model: dict[str, int] = {}
+    naming_ages_by_model: dict[str, list[tuple[int, float]]] = {}
+    has_store: bool = True
     is_leaving: bool = False
 
 
--- a/src/tamaracktray/chunk_sources.py
+++ b/src/tamaracktray/chunk_sources.py
@@ -7,8 +7,7 @@
 
 from collections.abc import Iterable
 
-from tamaracktray.hashing import hash_text
-from tamaracktray.peers import Member
+from tamaracktray.peers import Member, rank_members
 from tamaracktray.types import Address
 
 # Entries that an agent asks in turn.
@@ -19,11 +18,6 @@
 ATTEMPTS_PER_ORIGIN_CALL = 16
 
 
-def rank_members(key: str, members: Iterable[Member]) -> list[Member]:
-    """Return members by rendezvous hash with ``key``, the first to ask first."""
-    return sorted(members, key=lambda member: hash_text(f"{key}\n{member.name}"))
-
-
 def find_first(
     own: Member, peers: Iterable[Member], region_by_zone: dict[str, str], key: str
 ) -> Member:
--- a/src/tamaracktray/direct.py
+++ b/src/tamaracktray/direct.py
@@ -21,6 +21,7 @@
 from tamaracktray.engines import VersionTarget
 from tamaracktray.events import Event, ShutdownRequested, Tick
 from tamaracktray.exceptions import InvariantError
+from tamaracktray.following import is_follower, list_local
 from tamaracktray.gateway import (
     GatewayContext,
     GatewayState,
@@ -32,6 +33,7 @@
     handle_call_started,
     handle_gateway_tick,
 )
+from tamaracktray.namings import Namings
 from tamaracktray.objects import StoredObject
 from tamaracktray.peers import Member, Peers
 from tamaracktray.placement import Surroundings
@@ -69,11 +71,6 @@
 LAPSE_HOLD_S = 2.0
 
 
-# Time before a version is due from which calls go to it only, in seconds: a call may
-# wait that long at its endpoint before it begins.
-VERSION_MARGIN_S = 0.5
-
-
 # Time after SIGTERM in which callers may still come, in seconds: the balancer asks once
 # a second and takes a process out after two misses.
 ROTATION_S = 2.2
@@ -82,23 +79,10 @@
 EXIT_MARGIN_S = 0.3
 
 
-# Time in which the own watch should bring what a peer knows already, in seconds.
-PULL_DELAY_S = 0.25
-
-
-# Time after which a process that has just started stops waiting for peers to tell it
-# which versions are due, in seconds.
-FLOOR_WAIT_S = 1.5
-
-
-class Naming(msgspec.Struct, frozen=True):
-    """When a version was named, in monotonic seconds.
-
-    ``named_at`` is ``None`` for a version that was named before the process started.
-    """
-
-    version: int
-    named_at: float | None
+# Time in which the own watch should bring what a peer knows already, in seconds. Links
+# to peers in other regions are thin, so they are asked later.
+LOCAL_PULL_DELAY_S = 0.25
+REMOTE_PULL_DELAY_S = 0.7
 
 
 class CollectionListed(Event, frozen=True):
@@ -152,6 +136,10 @@
     address: Address
 
 
+class TellPeers(Effect, frozen=True):
+    """Tell all peers at once what this process knows."""
+
+
 class CloseIdle(Effect, frozen=True):
     """Close callers' connections on which nothing is under way."""
 
@@ -177,11 +165,8 @@
     """Whole state of one process.
 
     ``outage_end`` is when the store last answered after a failure; a failure since then
-    is not over while ``is_store_lost``. ``namings_by_model`` tells of each version of a
-    model's weights that may still be due when this process learned of its naming.
-    ``peer_floor_by_model`` are versions that peers say are due; a version of which only
-    peers can tell counts as due from ``floor_deadline`` on, which each peer puts off.
-    ``newer_peer`` knows changes that the own watch must bring until ``pull_deadline``.
+    is not over while ``is_store_lost``. ``newer_peer`` knows changes that the own watch
+    has not brought, ``behind_since`` a moment.
     A process that leaves takes no new calls from ``close_deadline`` on and exits at
     ``exit_deadline`` at the latest, before ``grace_s`` is over. ``has_versions`` tells
     that the named versions were read once. ``served`` names the service of the engine
@@ -190,9 +175,9 @@
 
     __slots__ = (
         "beacons",
+        "behind_since",
         "close_deadline",
         "evacuated_zones",
-        "floor_deadline",
         "exit_deadline",
         "gateway",
         "has_versions",
@@ -203,12 +188,10 @@
         "knowledge",
         "ledger",
         "name",
-        "namings_by_model",
+        "namings",
         "newer_peer",
         "outage_end",
-        "pull_deadline",
         "own_engine",
-        "peer_floor_by_model",
         "peers",
         "region_by_zone",
         "role",
@@ -216,7 +199,6 @@
         "served",
         "staging",
         "target_by_model",
-        "version_bound_s",
         "zone",
     )
 
@@ -227,6 +209,7 @@
         zone: str,
         region_by_zone: dict[str, str],
         followed: Iterable[Collection] = tuple(Collection),
+        initial: Iterable[Collection] = (),
         *,
         now: float,
         version_bound_s: float,
@@ -237,8 +220,7 @@
         self.role = role
         self.zone = zone
         self.region_by_zone = region_by_zone
-        self.version_bound_s = version_bound_s
-        self.knowledge = Knowledge(followed)
+        self.knowledge = Knowledge(followed, initial)
         self.roster = Roster(LAPSE_HOLD_S)
         self.ledger = CrashLedger(quarantine_s)
         self.beacons = BeaconFilter()
@@ -246,14 +228,12 @@
         self.evacuated_zones: frozenset[str] = frozenset()
         self.target_by_model: dict[str, VersionTarget] = {}
         self.has_versions = False
-        self.peer_floor_by_model: dict[str, int] = {}
-        self.floor_deadline = now + FLOOR_WAIT_S
-        self.namings_by_model: dict[str, list[Naming]] = {}
+        self.namings = Namings(now, version_bound_s)
         self.peers = Peers(expects_beacons=role is Role.ENTRY)
         self.outage_end = 0.0
         self.is_store_lost = False
         self.newer_peer = ""
-        self.pull_deadline = 0.0
+        self.behind_since = 0.0
         self.is_leaving = False
         self.grace_s = grace_s
         self.close_deadline = 0.0
@@ -300,7 +280,11 @@
     if state.is_store_lost:
         state.is_store_lost = False
         state.outage_end = now
-    return _take(state, now, {collection: snapshot})
+    effects = _take(state, now, {collection: snapshot})
+    if collection is Collection.ROUTING and state.gateway is not None and effects:
+        # Peers that do not read the configuration themselves wait for this.
+        effects.append(TellPeers())
+    return effects
 
 
 def _on_snapshots(state: DirectState, event: SnapshotsReceived) -> list[Effect]:
@@ -367,11 +351,11 @@
         state.target_by_model[target.model] = target
         # A process that starts cannot tell how long ago the version was named.
         named_at = now if state.has_versions else None
-        namings = state.namings_by_model.setdefault(target.model, [])
-        namings.append(Naming(target.version, named_at))
+        state.namings.add(target.model, target.version, named_at)
         if state.gateway is not None:
             effects.append(PrefetchVersion(target.model, target.version))
-    if state.staging is not None and state.has_versions:
+    if state.staging is not None and state.target_by_model:
+        # The turn of the engine follows from the list of its service's endpoints.
         effects.append(ReadCollection(Collection.ENDPOINTS))
     state.has_versions = True
     return effects + _follow_own_version(state, now)
@@ -387,8 +371,8 @@
         return []
     model = service.engine.models[0].name
     target = state.target_by_model.get(model, VersionTarget(model, FIRST_VERSION))
-    namings = state.namings_by_model.get(model)
-    named_at = namings[-1].named_at if namings else None
+    naming = state.namings.find_newest(model)
+    named_at = naming.named_at if naming is not None else None
     if named_at is None:
         named_at = now
     return name_version(state.staging, now, model, target.version, named_at)
@@ -424,6 +408,18 @@
 }
 
 
+def reads_store(state: DirectState, now: float, collection: Collection) -> bool:
+    """Tell whether this process itself reads a collection from the store."""
+    if collection is not Collection.ROUTING:
+        return True
+    if not state.knowledge.by_collection[collection].revision:
+        return True
+    informed = state.peers.list_informed(now)
+    return is_follower(
+        state.name, list_local(state.zone, informed, state.region_by_zone)
+    )
+
+
 def _on_store_lost(state: DirectState, event: StoreLost) -> list[Effect]:
     state.is_store_lost = True
     return []
@@ -436,7 +432,7 @@
     if beacon.is_leaving:
         state.peers.note_lost(event.now, event.sender)
     else:
-        state.peers.note_heard(event.now, event.sender)
+        state.peers.note_heard(event.now, event.sender, has_store=beacon.has_store)
     effects: list[Effect] = []
     if _is_behind(state, event.now, beacon):
         effects.append(PullSnapshots(event.sender))
@@ -444,7 +440,10 @@
         effects.append(AnswerBeacon(event.sender))
     if state.gateway is None:
         return effects
-    _note_floors(state, event.now, beacon)
+    if beacon.status is None:
+        state.namings.note_peer(
+            event.now, beacon.version_floor_by_model, beacon.naming_ages_by_model
+        )
     _note_status(state, event.now, beacon)
     for load in state.gateway.loads_by_id.values():
         count = beacon.in_flight_by_endpoint.get(load.record.id, 0)
@@ -458,32 +457,32 @@
 
 
 def _is_behind(state: DirectState, now: float, beacon: Beacon) -> bool:
-    """Tell whether the own watch has failed to bring a change that a peer knows.
+    """Tell whether to ask a peer for a change that the own watch has not brought.
 
-    A watch is a little later than another all the time, which is no reason to ask.
+    A watch is a little later than another all the time, which is no reason to ask. The
+    configuration is asked for at once where the process leaves its reading to others.
     """
-    if not state.knowledge.find_missing(beacon.changed_by_collection):
+    missing = state.knowledge.list_missing(beacon.changed_by_collection)
+    if not missing:
         if beacon.name == state.newer_peer:
             state.newer_peer = ""
         return False
+    if not state.is_informed:
+        return True
     if not state.newer_peer:
         state.newer_peer = beacon.name
-        state.pull_deadline = now + PULL_DELAY_S
-    if now < state.pull_deadline and state.is_informed:
+        state.behind_since = now
+    peer = state.peers.members_by_name.get(beacon.name)
+    is_local = bool(peer and list_local(state.zone, [peer], state.region_by_zone))
+    delay_s = LOCAL_PULL_DELAY_S if is_local else REMOTE_PULL_DELAY_S
+    if is_local and Collection.ROUTING in missing:
+        delay_s = 0.0 if not reads_store(state, now, Collection.ROUTING) else delay_s
+    if now - state.behind_since < delay_s:
         return False
     state.newer_peer = ""
     return True
 
 
-def _note_floors(state: DirectState, now: float, beacon: Beacon) -> None:
-    """Follow a peer that has seen namings which this process has missed."""
-    if beacon.status is None:
-        state.floor_deadline = now + FLOOR_WAIT_S
-    for model, version in beacon.version_floor_by_model.items():
-        known = state.peer_floor_by_model.get(model, 0)
-        state.peer_floor_by_model[model] = max(known, version)
-
-
 def _note_status(state: DirectState, now: float, beacon: Beacon) -> None:
     status = beacon.status
     if status is None or state.gateway is None:
@@ -553,36 +552,10 @@
         state.region_by_zone,
         state.evacuated_zones,
         state.services_by_name,
-        list_version_floors(state, now),
+        state.namings.list_floors(now),
     )
 
 
-def list_version_floors(state: DirectState, now: float) -> dict[str, int]:
-    """Return the oldest version on which calls may begin, by model.
-
-    A version is owed ``version_bound_s`` after its naming, also when a newer one has
-    been named since. A call may begin a moment after it was sent.
-    """
-    floors = dict(state.peer_floor_by_model)
-    for model, namings in state.namings_by_model.items():
-        due = [item.version for item in namings if _is_due(state, now, item)]
-        if due:
-            floors[model] = max(floors.get(model, 0), due[-1])
-            namings[:] = [item for item in namings if item.version >= due[-1]]
-    return floors
-
-
-def _is_due(state: DirectState, now: float, naming: Naming) -> bool:
-    """Tell whether calls may begin on this version and newer ones only.
-
-    Of a version that was named before the process started only peers can tell; while
-    there are none, it counts as due.
-    """
-    if naming.named_at is None:
-        return now >= state.floor_deadline
-    return now - naming.named_at >= state.version_bound_s - VERSION_MARGIN_S
-
-
 def _with_gateway(
     handle: Callable[[GatewayContext, Any], list[Effect]],
 ) -> Callable[[DirectState, Any], list[Effect]]:
--- a/src/tamaracktray/direct_agent.py
+++ b/src/tamaracktray/direct_agent.py
@@ -1,5 +1,6 @@
 """The agent that brings versions of weights into the engine on its instance."""
 
+import itertools
 import time
 from collections.abc import Awaitable, Callable
 from pathlib import Path
@@ -51,13 +52,21 @@
 NOTICE_S = 0.03
 
 
+# Tries to take the configuration from entries before the store is asked, and the pause
+# between them in seconds.
+ROUTING_ATTEMPTS = 6
+ROUTING_RETRY_S = 0.15
+
+
 class DirectAgentShell(DirectShell):
     """Runs an agent.
 
-    It need not know of every change of the endpoints or availability zones.
+    It need not know of every change of the configuration, the endpoints or the
+    availability zones.
     """
 
-    followed = (Collection.ROUTING, Collection.VERSIONS, Collection.MEMBERS)
+    followed = (Collection.VERSIONS, Collection.MEMBERS)
+    initial = (Collection.ROUTING,)
 
     def __init__(
         self, path: Path, settings: DirectSettings, deployment: Deployment
@@ -89,9 +98,21 @@
 
     @override
     def list_loops(self) -> list[Callable[[], Awaitable[None]]]:
-        loops = super().list_loops()
+        loops = [*super().list_loops(), self._obtain_routing]
         return [*loops, self._run_reports] if self._engine is not None else loops
 
+    async def _obtain_routing(self) -> None:
+        """Take the configuration from an entry near by, else from the store."""
+        for attempt in itertools.count():
+            if self.state.index is not None:
+                return
+            entry = self._choose_entry(Collection.ROUTING.value, attempt)
+            if attempt >= ROUTING_ATTEMPTS:
+                await self.read_once(Collection.ROUTING)
+            elif entry is not None:
+                await self.pull(entry)
+            await curio.sleep(ROUTING_RETRY_S)
+
     @override
     def build_beacon(self) -> Beacon:
         return msgspec.structs.replace(
--- a/src/tamaracktray/direct_entry.py
+++ b/src/tamaracktray/direct_entry.py
@@ -34,7 +34,6 @@
     ApplyRouting,
     CloseIdle,
     PrefetchVersion,
-    list_version_floors,
 )
 from tamaracktray.direct_sections import DirectSettings
 from tamaracktray.direct_shell import DirectShell, register_member
@@ -105,10 +104,12 @@
 
     @override
     def build_beacon(self) -> Beacon:
+        now = time.monotonic()
         return msgspec.structs.replace(
             super().build_beacon(),
             in_flight_by_endpoint=self.state.gateway.count_in_flight(),
-            version_floor_by_model=list_version_floors(self.state, time.monotonic()),
+            version_floor_by_model=self.state.namings.list_floors(now),
+            naming_ages_by_model=self.state.namings.list_ages(now),
         )
 
     @override
--- a/src/tamaracktray/direct_shell.py
+++ b/src/tamaracktray/direct_shell.py
@@ -1,6 +1,7 @@
 """The part of a process that follows the platform's store which touches sockets."""
 
 import gc
+import itertools
 import socket as socket_module
 import sys
 import time
@@ -26,6 +27,8 @@
     ReadCollection,
     SnapshotsReceived,
     StoreLost,
+    TellPeers,
+    reads_store,
     reduce_direct,
 )
 from tamaracktray.direct_sections import DirectSettings, load_direct_settings
@@ -54,7 +57,20 @@
 # Pause between two watches of a collection, so that changes which come together cost
 # one call, in seconds.
 SETTLE_S = 0.05
-SETTLE_S_BY_COLLECTION = {Collection.ENDPOINTS: 0.2}
+SETTLE_S_BY_COLLECTION = {Collection.ENDPOINTS: 0.2, Collection.ROUTING: 0.4}
+
+# Changes that one watch of the configuration may bring before the next read lists its
+# newest state only: each change carries it as a whole.
+MAX_WATCHED_CHANGES = 1
+
+# Pause before a process that leaves the reading to others looks again whether it still
+# may, in seconds.
+FOLLOWER_CHECK_S = 0.2
+
+# Time that the store has to tell a new process what it needs before the seeds are
+# asked, and the pause between them, in seconds.
+SEED_DELAY_S = 0.3
+SEED_RETRY_S = 0.05
 
 # Longest call to a peer, in seconds.
 PEER_TIMEOUT_S = 1.0
@@ -78,10 +94,12 @@
 class DirectShell(Runtime):
     """Runs one process that follows the platform's store.
 
-    ``followed`` are the collections that it watches all the time.
+    ``followed`` are the collections that it keeps up to date, ``initial`` those that it
+    reads once.
     """
 
     followed: tuple[Collection, ...] = tuple(Collection)
+    initial: tuple[Collection, ...] = ()
 
     def __init__(
         self, path: Path, settings: DirectSettings, deployment: Deployment
@@ -98,6 +116,7 @@
             settings.node.zone,
             settings.region_by_zone,
             self.followed,
+            self.initial,
             now=time.monotonic(),
             version_bound_s=bounds.version_ms / 1_000.0,
             grace_s=bounds.grace_s,
@@ -117,6 +136,7 @@
         self.add_performer(PullSnapshots, self._start_pull)
         self.add_performer(ReadCollection, self._read_collection)
         self.add_performer(AnswerBeacon, self._answer_beacon)
+        self.add_performer(TellPeers, self._tell_peers)
 
     @override
     def reduce(self, event: Event) -> list[Effect]:
@@ -135,13 +155,17 @@
     @override
     def list_loops(self) -> list[Callable[[], Awaitable[None]]]:
         watches = [self._build_watch(collection) for collection in self.followed]
-        return [self._run_ticks, self._run_datagrams, self._run_beacons, *watches]
+        return [
+            self._run_ticks,
+            self._run_datagrams,
+            self._run_beacons,
+            self._ask_seeds,
+            *watches,
+        ]
 
     @override
     async def prepare(self) -> None:
         self._datagrams.bind((self.own_address.host, self.own_address.port))
-        for address in self.settings.seed_addresses:
-            await self._start_pull(PullSnapshots(address))
 
     @override
     async def reload(self) -> None:
@@ -195,6 +219,7 @@
             self._beacon_number,
             knowledge.list_revisions(),
             knowledge.list_changes(),
+            has_store=not self.state.is_store_lost,
             is_leaving=self.state.is_leaving,
         )
 
@@ -217,9 +242,22 @@
         self.log.info("peer lost", peer=str(address))
         await self.dispatch(PeerLost(time.monotonic(), address))
 
+    async def _tell_peers(self, effect: TellPeers) -> None:
+        await self.tell_peers()
+
     async def _answer_beacon(self, effect: AnswerBeacon) -> None:
         await self.send_beacon(effect.address)
 
+    async def _ask_seeds(self) -> None:
+        """Take what the store does not tell from peers, as long as it is not known."""
+        await curio.sleep(SEED_DELAY_S)
+        seeds = itertools.cycle(self.settings.seed_addresses)
+        for address in seeds:
+            if self.state.is_informed:
+                return
+            await self.pull(address)
+            await curio.sleep(SEED_RETRY_S)
+
     async def _run_beacons(self) -> None:
         while True:
             await curio.sleep(IDLE_BEACON_S * self.random.uniform(0.8, 1.2))
@@ -266,11 +304,11 @@
         if effect.address in self._pulls:
             return
         self._pulls.add(effect.address)
-        await self.spawn(self._pull, effect.address)
+        await self.spawn(self.pull, effect.address)
 
-    async def _pull(self, address: Address) -> None:
+    async def pull(self, address: Address) -> None:
         """Take the snapshots that a peer has newer."""
-        known = msgspec.msgpack.encode(self.state.knowledge.list_revisions())
+        known = msgspec.msgpack.encode(self.state.knowledge.list_wanted())
         try:
             reply = await fetch(
                 address, "POST", SNAPSHOTS_PATH, None, known, timeout_s=PEER_TIMEOUT_S
@@ -294,15 +332,28 @@
 
     async def _follow(self, collection: Collection) -> None:
         """Follow a collection by one long poll after another."""
-        is_listed = False
+        is_listed = is_stormy = False
         failed_at = 0.0
         while True:
+            if not reads_store(self.state, time.monotonic(), collection):
+                is_listed = False
+                await curio.sleep(FOLLOWER_CHECK_S)
+                continue
             if not is_listed:
+                before = self._find_change(collection)
                 failure = await self._list(collection)
                 is_listed = failure is None
+                if is_stormy:
+                    # As long as every list brings a change, a watch would bring more.
+                    is_stormy = is_listed and self._find_change(collection) != before
+                    is_listed = is_listed and not is_stormy
             else:
-                failure = await self._watch(collection)
-                is_listed = not isinstance(failure, RevisionExpiredError)
+                failure, changes = await self._watch(collection)
+                is_stormy = (
+                    collection is Collection.ROUTING and changes > MAX_WATCHED_CHANGES
+                )
+                is_expired = isinstance(failure, RevisionExpiredError)
+                is_listed = not is_stormy and not is_expired
             now = time.monotonic()
             if failure is None:
                 if failed_at:
@@ -321,24 +372,23 @@
             failed_at = failed_at or now
             await curio.sleep(self.random.uniform(RETRY_MIN_S, RETRY_MAX_S))
 
+    def _find_change(self, collection: Collection) -> int:
+        return self.state.knowledge.by_collection[collection].changed_revision
+
     async def _note_failure(
         self, collection: Collection, failure: PlatformError, *, is_first: bool
     ) -> None:
         await self.dispatch(StoreLost(time.monotonic()))
-        if not is_first:
-            return
-        self.log.warning(
-            "store lost", collection=collection.value, error=failure.message
-        )
-        if self.state.is_informed:
-            return
-        for address in self.settings.seed_addresses:
-            await self._start_pull(PullSnapshots(address))
+        if is_first:
+            self.log.warning(
+                "store lost", collection=collection.value, error=failure.message
+            )
 
     async def _read_collection(self, effect: ReadCollection) -> None:
-        await self.spawn(self._read_once, effect.collection)
+        await self.spawn(self.read_once, effect.collection)
 
-    async def _read_once(self, collection: Collection) -> None:
+    async def read_once(self, collection: Collection) -> None:
+        """Read a collection from the store, if it answers."""
         failure = await self._list(collection)
         if failure is not None:
             self.log.info(
@@ -360,20 +410,21 @@
         )
         return None
 
-    async def _watch(self, collection: Collection) -> PlatformError | None:
+    async def _watch(self, collection: Collection) -> tuple[PlatformError | None, int]:
+        """Wait for changes; return what failed and how many changes came."""
         revision = self.state.knowledge.by_collection[collection].revision
         watch_s = self.settings.store.watch_s
         self.metrics.count("store_calls", kind="watch")
         watched = await self.store.watch(collection, revision, watch_s)
         if isinstance(watched, Failure):
-            return watched.failure()
+            return watched.failure(), 0
         changes = watched.unwrap()
         await self.dispatch(
             CollectionChanged(
                 time.monotonic(), collection, changes.items, changes.revision
             )
         )
-        return None
+        return None, len(changes.items)
 
 
 def decode_snapshots(body: bytes) -> dict[Collection, Snapshot]:
--- /dev/null
+++ b/src/tamaracktray/namings.py
@@ -0,0 +1,107 @@
+"""When versions of weights were named, and which of them are due.
+
+A version is owed within a bound after its naming, also when a newer one has been named
+since. Processes tell each other how long ago they learned of a naming, so that one that
+started later, or was cut off meanwhile, counts from the same moment.
+"""
+
+from collections.abc import Mapping
+
+import msgspec
+
+# Time before a version is due from which calls go to it only, in seconds: a call may
+# wait that long at its endpoint before it begins.
+VERSION_MARGIN_S = 0.5
+
+# Time after which a process that has just started stops waiting for peers to tell it
+# which versions are due, in seconds.
+FLOOR_WAIT_S = 1.5
+
+# Versions and how long ago they were named in seconds, by model.
+Ages = Mapping[str, list[tuple[int, float]]]
+
+
+class Naming(msgspec.Struct, frozen=True):
+    """When a version was named, in monotonic seconds.
+
+    ``named_at`` is ``None`` for a version that was named before the process started.
+    """
+
+    version: int
+    named_at: float | None
+
+
+class Namings:
+    """The namings that one process knows of.
+
+    Versions that only peers can tell the age of count as due from a deadline on, which
+    every peer that is heard puts off.
+    """
+
+    __slots__ = (
+        "_bound_s",
+        "_floor_deadline",
+        "_namings_by_model",
+        "_peer_floor_by_model",
+    )
+
+    def __init__(self, now: float, bound_s: float) -> None:
+        self._bound_s = bound_s
+        self._floor_deadline = now + FLOOR_WAIT_S
+        self._namings_by_model: dict[str, list[Naming]] = {}
+        self._peer_floor_by_model: dict[str, int] = {}
+
+    def add(self, model: str, version: int, named_at: float | None) -> None:
+        """Take in a naming newer than all others of the model."""
+        namings = self._namings_by_model.setdefault(model, [])
+        namings.append(Naming(version, named_at))
+
+    def note_peer(self, now: float, floors: Mapping[str, int], ages: Ages) -> None:
+        """Follow a peer that has seen namings which this process saw later or not."""
+        self._floor_deadline = now + FLOOR_WAIT_S
+        for model, version in floors.items():
+            known = self._peer_floor_by_model.get(model, 0)
+            self._peer_floor_by_model[model] = max(known, version)
+        for model, versions in ages.items():
+            for version, age_s in versions:
+                self._move_back(model, version, now - age_s)
+
+    def _move_back(self, model: str, version: int, named_at: float) -> None:
+        """Count a naming from the earliest moment at which anybody saw it."""
+        namings = self._namings_by_model.get(model, [])
+        for place, naming in enumerate(namings):
+            if naming.version != version:
+                continue
+            if naming.named_at is None or named_at < naming.named_at:
+                namings[place] = Naming(version, named_at)
+
+    def find_newest(self, model: str) -> Naming | None:
+        """Return the newest naming of a model."""
+        namings = self._namings_by_model.get(model)
+        return namings[-1] if namings else None
+
+    def list_floors(self, now: float) -> dict[str, int]:
+        """Return the oldest version on which calls may begin, by model."""
+        floors = dict(self._peer_floor_by_model)
+        for model, namings in self._namings_by_model.items():
+            due = [item.version for item in namings if self._is_due(now, item)]
+            if due:
+                floors[model] = max(floors.get(model, 0), due[-1])
+                namings[:] = [item for item in namings if item.version >= due[-1]]
+        return floors
+
+    def list_ages(self, now: float) -> dict[str, list[tuple[int, float]]]:
+        """Return what peers should know of the namings."""
+        return {
+            model: [
+                (item.version, now - item.named_at)
+                for item in namings
+                if item.named_at is not None
+            ]
+            for model, namings in self._namings_by_model.items()
+        }
+
+    def _is_due(self, now: float, naming: Naming) -> bool:
+        if naming.named_at is None:
+            return now >= self._floor_deadline
+        return now - naming.named_at >= self._bound_s - VERSION_MARGIN_S
--- a/src/tamaracktray/peers.py
+++ b/src/tamaracktray/peers.py
@@ -8,6 +8,7 @@
 
 import msgspec
 
+from tamaracktray.hashing import hash_text
 from tamaracktray.types import Address
 
 # Silence after which a peer that sends beacons is not asked for anything, in seconds:
@@ -30,6 +31,11 @@
     address: Address
 
 
+def rank_members(key: str, members: Iterable[Member]) -> list[Member]:
+    """Return members by rendezvous hash with ``key``, the first to ask first."""
+    return sorted(members, key=lambda member: hash_text(f"{key}\n{member.name}"))
+
+
 class Peers:
     """The entries that a process knows, without itself.
 
@@ -40,6 +46,7 @@
         "_avoid_deadline_by_address",
         "_expects_beacons",
         "_heard_at_by_address",
+        "_storeless",
         "members_by_name",
     )
 
@@ -47,6 +54,7 @@
         self._expects_beacons = expects_beacons
         self._heard_at_by_address: dict[Address, float] = {}
         self._avoid_deadline_by_address: dict[Address, float] = {}
+        self._storeless: set[Address] = set()
         self.members_by_name: dict[str, Member] = {}
 
     def follow(self, now: float, members: Iterable[Member]) -> None:
@@ -55,9 +63,15 @@
         for member in self.members_by_name.values():
             self._heard_at_by_address.setdefault(member.address, now)
 
-    def note_heard(self, now: float, address: Address) -> None:
-        """Note that a peer sent something."""
+    def note_heard(
+        self, now: float, address: Address, *, has_store: bool = True
+    ) -> None:
+        """Note that a peer sent something, and whether it reaches the store."""
         self._heard_at_by_address[address] = now
+        if has_store:
+            self._storeless.discard(address)
+        else:
+            self._storeless.add(address)
         self._avoid_deadline_by_address.pop(address, None)
 
     def note_lost(self, now: float, address: Address) -> None:
@@ -72,6 +86,14 @@
             if self._is_trusted(now, member.address)
         ]
 
+    def list_informed(self, now: float) -> list[Member]:
+        """Return the trusted peers that reach the platform's store."""
+        return [
+            member
+            for member in self.list_trusted(now)
+            if member.address not in self._storeless
+        ]
+
     def list_active(self, now: float) -> list[Member]:
         """Return the peers that may be using the endpoints."""
         return [
--- a/src/tamaracktray/snapshots.py
+++ b/src/tamaracktray/snapshots.py
@@ -77,12 +77,20 @@
 
 
 class Knowledge:
-    """The snapshots of one process, which keeps the ``followed`` ones up to date."""
+    """The snapshots of one process.
 
-    __slots__ = ("by_collection", "followed")
+    It keeps the ``followed`` ones up to date; the ``initial`` ones are read once.
+    """
+
+    __slots__ = ("by_collection", "followed", "initial")
 
-    def __init__(self, followed: Iterable[Collection] = tuple(Collection)) -> None:
+    def __init__(
+        self,
+        followed: Iterable[Collection] = tuple(Collection),
+        initial: Iterable[Collection] = (),
+    ) -> None:
         self.followed = tuple(followed)
+        self.initial = tuple(initial)
         self.by_collection: dict[Collection, Snapshot] = {
             collection: Snapshot() for collection in Collection
         }
@@ -97,13 +105,22 @@
 
     @property
     def is_complete(self) -> bool:
-        """Tell whether something is known of every followed collection."""
-        return all(self.by_collection[name].revision for name in self.followed)
+        """Tell whether something is known of every collection that is needed."""
+        needed = (*self.followed, *self.initial)
+        return all(self.by_collection[name].revision for name in needed)
 
     def list_revisions(self) -> dict[Collection, int]:
         """Return up to which revision each followed collection is known."""
         return {name: self.by_collection[name].revision for name in self.followed}
 
+    def list_wanted(self) -> dict[Collection, int]:
+        """Return what to ask a peer for, with the revisions known already."""
+        wanted = self.list_revisions()
+        for collection in self.initial:
+            if not self.by_collection[collection].revision:
+                wanted[collection] = 0
+        return wanted
+
     def list_changes(self) -> dict[Collection, int]:
         """Return since which revision each collection is as it is."""
         return {
@@ -111,12 +128,15 @@
             for collection, snapshot in self.by_collection.items()
         }
 
-    def find_missing(self, changed_by_collection: Mapping[Collection, int]) -> bool:
-        """Tell whether a peer knows a change that this process does not."""
-        return any(
-            changed_by_collection.get(name, 0) > self.by_collection[name].revision
+    def list_missing(
+        self, changed_by_collection: Mapping[Collection, int]
+    ) -> list[Collection]:
+        """Return the followed collections of which a peer knows a newer change."""
+        return [
+            name
             for name in self.followed
-        )
+            if changed_by_collection.get(name, 0) > self.by_collection[name].revision
+        ]
 
     def select_newer(
         self, revision_by_collection: Mapping[Collection, int]
--- /dev/null
+++ b/tests/test_following.py
@@ -0,0 +1,150 @@
+"""Who reads the configuration from the store, and when versions count as named."""
+
+import curio
+
+from platforms import PlatformFleet, run_fleet
+from tamaracktray.following import FOLLOWERS_PER_REGION, is_follower, list_local
+from tamaracktray.namings import FLOOR_WAIT_S, VERSION_MARGIN_S, Namings
+from tamaracktray.peers import Member
+from tamaracktray.types import Address
+
+REGION_BY_ZONE = {"zone-a": "region-a", "zone-b": "region-a", "zone-c": "region-c"}
+MODEL = "kiln"
+BOUND_S = 8.0
+
+
+def member(name: str, zone: str = "zone-a") -> Member:
+    return Member(name, zone, Address("10.0.0.1", 1_000 + len(name)))
+
+
+class TestFollowers:
+    def test_few_entries_of_a_region_read_the_configuration(self):
+        members = [member(f"entry-{number}") for number in range(9)]
+        followers = [
+            own.name
+            for own in members
+            if is_follower(own.name, [item for item in members if item != own])
+        ]
+        assert len(followers) == FOLLOWERS_PER_REGION
+
+    def test_another_takes_over_for_one_that_is_lost(self):
+        members = [member(f"entry-{number}") for number in range(9)]
+
+        def find(left: list[Member]) -> set[str]:
+            return {
+                own.name
+                for own in left
+                if is_follower(own.name, [item for item in left if item != own])
+            }
+
+        first = find(members)
+        lost = next(item for item in members if item.name in first)
+        second = find([item for item in members if item != lost])
+        assert len(second) == FOLLOWERS_PER_REGION
+        assert len(second - first) == 1
+
+    def test_only_the_own_region_counts(self):
+        members = [member("a"), member("b", "zone-b"), member("c", "zone-c")]
+        local = list_local("zone-a", members, REGION_BY_ZONE)
+        assert [item.name for item in local] == ["a", "b"]
+
+    def test_change_reaches_entries_and_agents_through_few_reads(self):
+        async def scenario(fleet: PlatformFleet) -> None:
+            await fleet.start(entries=5)
+            engine = await fleet.add_engine("e-1")
+            agent = await fleet.add_agent(engine)
+            states = [entry.state for entry in fleet.entries]
+            await fleet.until(
+                lambda: all(len(s.peers.members_by_name) == 4 for s in states)
+            )
+            await fleet.until(lambda: agent.state.is_informed)
+            await curio.sleep(1.0)
+            reads = CountedReads(fleet)
+            fleet.configure()
+            version = fleet.version
+            await fleet.until(
+                lambda: all(s.index.table.version == version for s in states), 2.0
+            )
+            assert reads.count <= 2 * FOLLOWERS_PER_REGION
+            assert agent.state.index.table.version < version
+
+        run_fleet(scenario)
+
+    def test_storm_of_changes_costs_no_read_for_each(self):
+        async def scenario(fleet: PlatformFleet) -> None:
+            await fleet.start()
+            reads = CountedReads(fleet)
+            for _ in range(60):
+                fleet.configure()
+                await curio.sleep(0.03)
+            version = fleet.version
+            state = fleet.entries[0].state
+            await fleet.until(lambda: state.index.table.version == version, 2.0)
+            assert reads.bodies <= 20
+
+        run_fleet(scenario)
+
+
+class CountedReads:
+    """Counts the reads of the configuration, and the configurations they carry."""
+
+    def __init__(self, fleet: PlatformFleet) -> None:
+        self.count = 0
+        self.bodies = 0
+        for shell in [*fleet.entries, *fleet.agents]:
+            self._follow(shell.store)
+
+    def _follow(self, store) -> None:
+        for name in ("list", "watch"):
+            setattr(store, name, self._wrap(getattr(store, name)))
+
+    def _wrap(self, read):
+        async def counted(collection, *args):
+            answer = await read(collection, *args)
+            if collection == "routing":
+                self.count += 1
+                self.bodies += len(answer.unwrap().items)
+            return answer
+
+        return counted
+
+
+class TestNamings:
+    def test_version_is_due_before_the_bound(self):
+        namings = Namings(0.0, BOUND_S)
+        namings.add(MODEL, 2, 1.0)
+        due_at = 1.0 + BOUND_S - VERSION_MARGIN_S
+        assert namings.list_floors(due_at - 0.01) == {}
+        assert namings.list_floors(due_at) == {MODEL: 2}
+
+    def test_naming_learned_late_counts_from_where_a_peer_saw_it(self):
+        namings = Namings(0.0, BOUND_S)
+        namings.add(MODEL, 2, 6.0)
+        namings.note_peer(6.5, {}, {MODEL: [(2, 6.0)]})
+        assert namings.list_floors(0.5 + BOUND_S - VERSION_MARGIN_S) == {MODEL: 2}
+
+    def test_peer_that_saw_it_later_changes_nothing(self):
+        namings = Namings(0.0, BOUND_S)
+        namings.add(MODEL, 2, 1.0)
+        namings.note_peer(6.5, {}, {MODEL: [(2, 0.1)]})
+        assert namings.list_ages(7.0) == {MODEL: [(2, 6.0)]}
+
+    def test_new_process_learns_the_age_of_a_naming(self):
+        namings = Namings(10.0, BOUND_S)
+        namings.add(MODEL, 2, None)
+        namings.note_peer(10.5, {}, {MODEL: [(2, 3.0)]})
+        assert namings.list_floors(10.0 + FLOOR_WAIT_S) == {}
+        assert namings.list_floors(7.5 + BOUND_S) == {MODEL: 2}
+
+    def test_older_version_stays_due_when_a_newer_one_is_named(self):
+        namings = Namings(0.0, BOUND_S)
+        namings.add(MODEL, 2, 0.0)
+        namings.add(MODEL, 3, 4.0)
+        assert namings.list_floors(BOUND_S) == {MODEL: 2}
+        assert namings.list_floors(4.0 + BOUND_S) == {MODEL: 3}
+
+    def test_versions_of_unknown_age_are_due_when_no_peer_tells(self):
+        namings = Namings(0.0, BOUND_S)
+        namings.add(MODEL, 2, None)
+        assert namings.list_floors(FLOOR_WAIT_S - 0.1) == {}
+        assert namings.list_floors(FLOOR_WAIT_S) == {MODEL: 2}
--- a/tests/test_platform_knowledge.py
+++ b/tests/test_platform_knowledge.py
@@ -33,8 +33,8 @@
     def test_process_that_the_store_refuses_learns_from_a_peer(self):
         async def scenario(fleet: PlatformFleet) -> None:
             await fleet.start(entries=2)
-            await fleet.until(lambda: fleet.entries[0].state.members_by_name)
-            await fleet.until(lambda: fleet.entries[1].state.members_by_name)
+            await fleet.until(lambda: fleet.entries[0].state.peers.members_by_name)
+            await fleet.until(lambda: fleet.entries[1].state.peers.members_by_name)
             StoreFilter(fleet, 0).cut()
             fleet.store.faults.outage = Outage.RESET
             await curio.sleep(0.1)
@@ -92,7 +92,7 @@
             await fleet.start()
             engine = await fleet.add_engine("e-1")
             agent = await fleet.add_agent(engine)
-            await fleet.until(lambda: agent.state.members_by_name)
+            await fleet.until(lambda: agent.state.peers.members_by_name)
             address = agent.store._address
             agent.store._address = type(address)(address.host, 9)
             fleet.store.faults.outage = Outage.RESET
--- a/tests/test_platform_versions.py
+++ b/tests/test_platform_versions.py
@@ -196,10 +196,13 @@
         async def scenario(fleet: PlatformFleet) -> None:
             engines = await start(fleet, 2)
             name_version(fleet, 2)
+            # The agent whose turn is last has to wait, so what it staged must be read
+            # again before the order.
             waiting = lambda: [  # noqa: E731
                 agent
                 for agent in fleet.agents
                 if agent.state.staging.step.value == "turn"
+                and agent.state.staging.turn.share == 1.0
             ]
             await fleet.until(waiting)
             engine = engines[fleet.agents.index(waiting()[0])]
--- a/tests/test_snapshots.py
+++ b/tests/test_snapshots.py
@@ -72,9 +72,9 @@
     def test_tells_when_a_peer_knows_more(self):
         knowledge = Knowledge()
         knowledge.merge(Collection.ROUTING, Snapshot().replace_all([item("a", 9)], 9))
-        assert not knowledge.find_missing({Collection.ROUTING: 9})
-        assert not Knowledge([Collection.MEMBERS]).find_missing({Collection.ROUTING: 9})
-        assert knowledge.find_missing({Collection.ROUTING: 10})
+        assert not knowledge.list_missing({Collection.ROUTING: 9})
+        assert not Knowledge([Collection.MEMBERS]).list_missing({Collection.ROUTING: 9})
+        assert knowledge.list_missing({Collection.ROUTING: 10})
 
     @given(st.permutations(range(1, 7)))
     def test_any_order_ends_at_the_newest(self, order):
