Let versions of unknown age become due although other new processes are heard

Cause: a process that does not know how long ago a version was named waits 1.5 s for peers to tell; every beacon put that off, also those of peers that had just started too. Beacons tell ages now, so nothing needs to put the deadline off. The test failed first.

--- a/src/tamaracktray/namings.py
+++ b/src/tamaracktray/namings.py
@@ -13,8 +13,8 @@
 # wait that long at its endpoint before it begins.
 VERSION_MARGIN_S = 0.5
 
-# Time after which a process that has just started stops waiting for peers to tell it
-# which versions are due, in seconds.
+# Time in which peers tell a process that has just started how old the namings are, in
+# seconds: three of the beacons that each sends at least.
 FLOOR_WAIT_S = 1.5
 
 # Versions and how long ago they were named in seconds, by model.
@@ -34,8 +34,8 @@
 class Namings:
     """The namings that one process knows of.
 
-    Versions that only peers can tell the age of count as due from a deadline on, which
-    every peer that is heard puts off.
+    Versions that only peers can tell the age of count as due from a deadline on, if none
+    has told it by then: all processes may have started anew.
     """
 
     __slots__ = (
@@ -58,7 +58,6 @@
 
     def note_peer(self, now: float, floors: Mapping[str, int], ages: Ages) -> None:
         """Follow a peer that has seen namings which this process saw later or not."""
-        self._floor_deadline = now + FLOOR_WAIT_S
         for model, version in floors.items():
             known = self._peer_floor_by_model.get(model, 0)
             self._peer_floor_by_model[model] = max(known, version)
--- a/tests/test_following.py
+++ b/tests/test_following.py
@@ -134,6 +134,7 @@
         namings.add(MODEL, 2, None)
         namings.note_peer(10.5, {}, {MODEL: [(2, 3.0)]})
         assert namings.list_floors(10.0 + FLOOR_WAIT_S) == {}
+        assert namings.list_floors(7.5 + BOUND_S - VERSION_MARGIN_S - 0.1) == {}
         assert namings.list_floors(7.5 + BOUND_S) == {MODEL: 2}
 
     def test_older_version_stays_due_when_a_newer_one_is_named(self):
@@ -143,6 +144,14 @@
         assert namings.list_floors(BOUND_S) == {MODEL: 2}
         assert namings.list_floors(4.0 + BOUND_S) == {MODEL: 3}
 
+    def test_peers_that_know_no_age_do_not_put_it_off(self):
+        """All processes have just started and tell each other so again and again."""
+        namings = Namings(0.0, BOUND_S)
+        namings.add(MODEL, 2, None)
+        for step in range(1, 10):
+            namings.note_peer(step * 0.5, {}, {})
+        assert namings.list_floors(FLOOR_WAIT_S) == {MODEL: 2}
+
     def test_versions_of_unknown_age_are_due_when_no_peer_tells(self):
         namings = Namings(0.0, BOUND_S)
         namings.add(MODEL, 2, None)
