Deal homes among all entries, of engines that can serve, and read endpoints less often

Engines without a model were dealt out as well.

Engines that can serve are dealt evenly over all entries: within a region first, what a region has beyond its share to entries that have less. The list of endpoints is read at most twice a second; a watch every 0.2 s was most of the calls to the store.

--- a/src/tamaracktray/direct.py
+++ b/src/tamaracktray/direct.py
@@ -25,6 +25,7 @@
 from tamaracktray.gateway import (
     GatewayContext,
     GatewayState,
+    deal_homes,
     fill_room,
     follow_roster,
     handle_attempt_ended,
@@ -33,7 +34,7 @@
     handle_call_started,
     handle_gateway_tick,
 )
-from tamaracktray.homes import find_homes
+from tamaracktray.homes import Place
 from tamaracktray.namings import Namings
 from tamaracktray.objects import StoredObject
 from tamaracktray.peers import Member, Peers
@@ -86,6 +87,11 @@
 REMOTE_PULL_DELAY_S = 0.7
 
 
+# Time after which homes are dealt out anew, in seconds: agents tell of changes of
+# version meanwhile.
+HOMES_INTERVAL_S = 0.1
+
+
 class CollectionListed(Event, frozen=True):
     """The whole content of a collection was read from the store."""
 
@@ -184,6 +190,7 @@
         "has_versions",
         "index",
         "grace_s",
+        "homes_deadline",
         "is_leaving",
         "is_store_lost",
         "knowledge",
@@ -242,6 +249,7 @@
         self.exit_deadline = 0.0
         self.gateway: GatewayState | None = None
         self.staging: StagingState | None = None
+        self.homes_deadline = 0.0
         self.trusted_names: tuple[str, ...] = ()
         self.served = ""
         self.own_engine: Address | None = None
@@ -335,12 +343,11 @@
         state.staging.turn = _find_turn(state)
     if state.gateway is None:
         return []
-    state.gateway.home_ids = find_homes(
-        state.name,
-        state.zone,
-        state.peers.list_trusted(now),
-        state.roster.records_by_id.values(),
-        state.region_by_zone,
+    regions = state.region_by_zone
+    peers = state.peers.list_trusted(now)
+    state.gateway.entries = (
+        Place(state.name, regions.get(state.zone, "")),
+        *(Place(peer.name, regions.get(peer.zone, "")) for peer in peers),
     )
     context = _gateway_context(state, now)
     follow_roster(context, now, state.roster.records_by_id)
@@ -520,6 +527,9 @@
             state.trusted_names = trusted
             effects.extend(_apply_roster(state, event.now))
         context = _gateway_context(state, event.now)
+        if event.now >= state.homes_deadline:
+            state.homes_deadline = event.now + HOMES_INTERVAL_S
+            deal_homes(context)
         effects.extend(handle_gateway_tick(context, event.now, event.heard))
     if state.staging is not None:
         effects.extend(advance(state.staging, event.now))
--- a/src/tamaracktray/direct_shell.py
+++ b/src/tamaracktray/direct_shell.py
@@ -57,7 +57,7 @@
 # Pause between two watches of a collection, so that changes which come together cost
 # one call, in seconds.
 SETTLE_S = 0.05
-SETTLE_S_BY_COLLECTION = {Collection.ENDPOINTS: 0.2, Collection.ROUTING: 0.4}
+SETTLE_S_BY_COLLECTION = {Collection.ENDPOINTS: 0.5, Collection.ROUTING: 0.4}
 
 # Changes that one watch of the configuration may bring before the next read lists its
 # newest state only: each change carries it as a whole.
--- a/src/tamaracktray/gateway.py
+++ b/src/tamaracktray/gateway.py
@@ -21,6 +21,7 @@
 from tamaracktray.effects import Effect
 from tamaracktray.fairness import ServedRate, SizeBands
 from tamaracktray.hashing import hash_text
+from tamaracktray.homes import Place, find_homes
 from tamaracktray.outcomes import AttemptPhase
 from tamaracktray.placement import (
     EndpointLoad,
@@ -140,13 +141,14 @@
 class GatewayState:
     """The calls and endpoint loads of the entry ``name``.
 
-    ``home_ids`` are the engines whose home it is.
+    ``home_ids`` are the engines whose home it is among the ``entries`` that answer.
     """
 
     __slots__ = (
         "bands_by_route",
         "bounds",
         "budget_by_service",
+        "entries",
         "home_ids",
         "loads_by_id",
         "longest_wait_by_route",
@@ -162,6 +164,7 @@
         self.name = name
         self.bounds = bounds
         self.peers = 0
+        self.entries: tuple[Place, ...] = ()
         self.home_ids: frozenset[str] = frozenset()
         self.loads_by_id: dict[str, EndpointLoad] = {}
         self.pending_by_id: dict[str, PendingCall] = {}
@@ -258,13 +261,42 @@
         if load.record is not record:
             load.follow_record(record)
             load.cold_deadline = now + record.cold_s
-        service = context.around.services_by_name.get(record.service)
+        loads[endpoint_id] = load
+    state.loads_by_id = loads
+    deal_homes(context)
+
+
+def deal_homes(context: GatewayContext) -> None:
+    """Follow which engines are at home here, of those that can serve now."""
+    state, services = context.state, context.around.services_by_name
+    if state.entries:
+        homes: set[str] = set()
+        for service in services.values():
+            if service.engine is not None:
+                usable = _list_usable(context, service)
+                homes.update(find_homes(state.name, state.entries, usable))
+        state.home_ids = frozenset(homes)
+    for endpoint_id, load in state.loads_by_id.items():
+        service = services.get(load.record.service)
         is_engine = service is not None and service.engine is not None
         is_home = endpoint_id in state.home_ids or not is_engine
         load.follow_home(state.name, is_home=is_home)
         _follow_cold_rate(state, load, service)
-        loads[endpoint_id] = load
-    state.loads_by_id = loads
+
+
+def _list_usable(context: GatewayContext, service: Service) -> list[Place]:
+    """Return the engines of a service that may be sent calls at all."""
+    around = context.around
+    models = [model.name for model in service.engine.models]
+    return [
+        Place(load.record.id, around.region_by_zone.get(load.record.zone, ""))
+        for load in context.state.loads_by_id.values()
+        if load.record.service == service.name
+        and not load.record.is_draining
+        and not load.is_outdated
+        and load.record.zone not in around.evacuated_zones
+        and any(load.find_version(model) for model in models)
+    ]
 
 
 def _follow_cold_rate(
--- a/src/tamaracktray/placement.py
+++ b/src/tamaracktray/placement.py
@@ -151,6 +151,8 @@
 
     def follow_home(self, entry: str, *, is_home: bool) -> None:
         """Follow whether the endpoint is at home at the own entry."""
+        if is_home == self.is_home and (is_home or self.borrow_distance):
+            return
         self.is_home = is_home
         spread = hash_text(f"{entry}\n{self.record.id}") / HASH_RANGE
         self.borrow_distance = 0.0
--- a/src/tamaracktray_emulator/admission.py
+++ b/src/tamaracktray_emulator/admission.py
@@ -37,9 +37,8 @@
     handle_call_started,
     handle_gateway_tick,
 )
-from tamaracktray.homes import find_homes
+from tamaracktray.homes import Place
 from tamaracktray.outcomes import AttemptPhase
-from tamaracktray.peers import Member
 from tamaracktray.placement import Surroundings
 from tamaracktray.quarantine import CrashLedger
 from tamaracktray.roster import EndpointRecord, LoadedModel
@@ -282,14 +281,10 @@
             )
             for number, name in enumerate(self._engines)
         }
-        peers = [
-            Member(f"entry-{number}", "zone", Address("10.0.0.2", number))
-            for number in range(self._plan.entries)
-            if f"entry-{number}" != name
-        ]
         if self._plan.has_homes:
-            state.home_ids = find_homes(
-                name, "zone", peers, records.values(), self._around.region_by_zone
+            state.entries = tuple(
+                Place(f"entry-{number}", "region")
+                for number in range(self._plan.entries)
             )
         else:
             state.home_ids = frozenset(records)
--- a/src/tamaracktray_emulator/main.py
+++ b/src/tamaracktray_emulator/main.py
@@ -32,6 +32,29 @@
     _serve(ObjectApiStandIn(_parse_loopback(listen)))
 
 
+@app.command()
+def soak(
+    seed: Annotated[int, typer.Option(help="First seed.")] = 1,
+    count: Annotated[int, typer.Option(help="Seeds to play.")] = 1,
+    duration_s: Annotated[float, typer.Option(help="Time with faults.")] = 20.0,
+    logs: Annotated[Path, typer.Option(help="Where logs go.")] = Path("target/soak"),
+) -> None:
+    """Play the real programs under random faults and check their promises."""
+    from tamaracktray_emulator.soak.plan import REPORT_HEAD, SoakPlan
+    from tamaracktray_emulator.soak.run import run_soak
+
+    typer.echo(REPORT_HEAD)
+    broken = 0
+    for number in range(seed, seed + count):
+        plan = SoakPlan(number, duration_s=duration_s)
+        report = run_soak(plan, logs / str(number))
+        typer.echo(report.format_row())
+        broken += len(report.violations)
+        for violation in report.violations:
+            typer.echo(f"{violation.promise} at {violation.at} s: {violation.detail}")
+    raise typer.Exit(1 if broken else 0)
+
+
 @app.command()
 def instance_list(listen: Listen) -> None:
     """Run the platform's instance list."""
--- /dev/null
+++ b/src/tamaracktray_emulator/soak/callers.py
@@ -0,0 +1,185 @@
+"""Callers that keep connections open and check what they are answered."""
+
+import random
+import time
+
+import curio
+import h11
+import msgspec
+
+from tamaracktray.types import Address
+from tamaracktray_emulator.platform.documents import ENGINE_MODEL
+from tamaracktray_emulator.platform.worker import EVENTS
+from tamaracktray_emulator.soak.record import Kind, SoakCall, SoakRecord
+
+HOST = "studio.example"
+READ_BYTES = 65_536
+SIGNATURE = "x-tamaracktray-server-signature"
+REQUEST_ID = "x-tamaracktray-request-id"
+
+# Longest wait of a caller for its whole answer, in seconds.
+DEADLINE_S = 3.0
+
+# Calls on one connection before a caller opens a new one.
+CALLS_PER_CONNECTION = 20
+
+PATH_BY_KIND = {Kind.SAFE: "/look/", Kind.UNSAFE: "/order/", Kind.STREAM: "/talk/"}
+KINDS = (Kind.SAFE, Kind.UNSAFE, Kind.STREAM, Kind.STREAM)
+
+
+class Answer(msgspec.Struct):
+    """A whole answer."""
+
+    status: int
+    headers: dict[str, str]
+    body: bytes
+
+
+class CallerConnection:
+    """One connection of a caller to an entry."""
+
+    def __init__(self, entry: str, address: Address) -> None:
+        self.entry = entry
+        self._address = address
+        self._socket: curio.io.Socket | None = None
+        self._state = h11.Connection(h11.CLIENT)
+        self.calls = 0
+
+    @property
+    def is_usable(self) -> bool:
+        """Tell whether another request may be sent."""
+        if self.calls >= CALLS_PER_CONNECTION:
+            return False
+        return self._socket is None or self._state.our_state is h11.IDLE
+
+    async def ask(
+        self, method: str, target: str, headers: list[tuple[str, str]], body: bytes
+    ) -> Answer | None:
+        """Send a request; return ``None`` if the connection ends without an answer."""
+        if self._socket is None:
+            self._socket = await curio.open_connection(
+                self._address.host, self._address.port
+            )
+        self.calls += 1
+        framing = [("host", HOST), ("content-length", str(len(body)))]
+        request = h11.Request(
+            method=method, target=target, headers=[*headers, *framing]
+        )
+        data = self._state.send(request) + self._state.send(h11.Data(data=body))
+        await self._socket.sendall(data + self._state.send(h11.EndOfMessage()))
+        return await self._read()
+
+    async def _read(self) -> Answer | None:
+        answer: Answer | None = None
+        while True:
+            event = self._state.next_event()
+            if event is h11.NEED_DATA:
+                self._state.receive_data(await self._socket.recv(READ_BYTES))
+            elif isinstance(event, h11.Response):
+                headers = {k.decode(): v.decode("latin-1") for k, v in event.headers}
+                answer = Answer(event.status_code, headers, b"")
+            elif isinstance(event, h11.Data) and answer is not None:
+                answer.body += bytes(event.data)
+            elif isinstance(event, h11.EndOfMessage):
+                if self._state.their_state is h11.DONE:
+                    self._state.start_next_cycle()
+                return answer
+            elif isinstance(event, h11.ConnectionClosed):
+                return None
+
+    async def close(self) -> None:
+        """Close the connection."""
+        if self._socket is not None:
+            await self._socket.close()
+
+
+class Callers:
+    """All callers of one soak; ``addresses_by_entry`` are where they connect."""
+
+    def __init__(
+        self, record: SoakRecord, seed: int, started: float, wait_s: float
+    ) -> None:
+        self.record = record
+        self.addresses_by_entry: dict[str, Address] = {}
+        self.key = ""
+        self.team = ""
+        self._random = random.Random(seed)
+        self._started = started
+        self._wait_s = wait_s
+        self._numbers = 0
+
+    async def run_caller(self) -> None:
+        """Call again and again, on connections that are kept."""
+        connection: CallerConnection | None = None
+        while True:
+            await curio.sleep(self._random.expovariate(1 / self._wait_s))
+            if connection is None or not connection.is_usable:
+                if connection is not None:
+                    await connection.close()
+                entry = self._random.choice(sorted(self.addresses_by_entry))
+                connection = CallerConnection(entry, self.addresses_by_entry[entry])
+            if not await self._call(connection):
+                await connection.close()
+                connection = None
+
+    async def _call(self, connection: CallerConnection) -> bool:
+        """Make one call; return whether the connection may be kept."""
+        call = self._build(connection.entry)
+        headers = [
+            (REQUEST_ID, call.id),
+            ("x-tamaracktray-deadline-ms", str(int(DEADLINE_S * 1_000))),
+            ("x-tamaracktray-model", ENGINE_MODEL),
+            ("x-tamaracktray-token-usage", "100,20"),
+            ("authorization", f"Token {self.key}"),
+        ]
+        method = "GET" if call.kind is Kind.SAFE else "POST"
+        try:
+            answer = await curio.timeout_after(
+                DEADLINE_S, connection.ask(method, call.target, headers, call.body)
+            )
+        except curio.TaskTimeout:
+            return False
+        except (OSError, h11.ProtocolError):
+            self._end(call)
+            call.cut_by = connection.entry
+            return False
+        self._end(call)
+        if answer is None:
+            call.cut_by = connection.entry
+            return False
+        call.status = answer.status
+        self.record.note_answer(call)
+        if 200 <= answer.status < 300:
+            self._check_success(call, answer)
+        return answer.headers.get("connection", "").lower() != "close"
+
+    def _build(self, entry: str) -> SoakCall:
+        self._numbers += 1
+        kind = self._random.choice(KINDS)
+        call_id = f"{self._numbers:08x}"
+        body = b"" if kind is Kind.SAFE else f"body of {call_id}".encode()
+        target = f"{PATH_BY_KIND[kind]}{call_id}"
+        now = time.monotonic() - self._started
+        call = SoakCall(call_id, kind, entry, target, body, self.team, now)
+        self.record.calls_by_id[call_id] = call
+        return call
+
+    def _end(self, call: SoakCall) -> None:
+        call.ended_at = time.monotonic() - self._started
+
+    def _check_success(self, call: SoakCall, answer: Answer) -> None:
+        """Check that a success is the whole answer of an endpoint to this request."""
+        signer = answer.headers.get(SIGNATURE, "").removeprefix("sig.")
+        runners = {run.endpoint for run in self.record.runs_by_id.get(call.id, [])}
+        is_own = answer.headers.get(REQUEST_ID) == call.id and signer in runners
+        if call.kind is Kind.STREAM:
+            ids = [
+                int(line.partition(b":")[2])
+                for line in answer.body.split(b"\n")
+                if line.startswith(b"id:")
+            ]
+            is_whole = ids == list(range(1, EVENTS + 1))
+        else:
+            is_whole = answer.body == b"answer of " + signer.encode()
+        self.record.check("answer is one's own", is_own, call.ended_at, call.id)
+        self.record.check("answer is whole", is_whole, call.ended_at, call.id)
--- /dev/null
+++ b/src/tamaracktray_emulator/soak/endpoints.py
@@ -0,0 +1,81 @@
+"""Endpoints that record what they run."""
+
+import time
+from typing import Any
+
+from typing_extensions import override
+
+from tamaracktray.http import Headers, Request, Responder
+from tamaracktray.types import Address
+from tamaracktray_emulator.platform.origin import list_digests
+from tamaracktray_emulator.platform.worker import EngineStandIn, WorkerStandIn
+from tamaracktray_emulator.soak.record import Run, SoakRecord
+
+TEAM_HEADER = "x-tamaracktray-tenant"
+REQUEST_ID = "x-tamaracktray-request-id"
+KEY_HEADER = "authorization"
+
+
+class _Recording:
+    """Writes a run into the record before the stand-in begins it."""
+
+    record: SoakRecord
+    zone: str
+    started: float
+    listed_address: Address
+
+    def note(self, request: Request, version: int = 0) -> None:
+        headers = request.headers
+        run = Run(
+            time.monotonic() - self.started,
+            self.id,
+            self.zone,
+            request.target,
+            request.body,
+            headers.get(TEAM_HEADER, ""),
+            KEY_HEADER in headers,
+            version,
+        )
+        self.record.note_run(headers.get(REQUEST_ID, ""), run)
+
+    def prepare(self, record: SoakRecord, zone: str, started: float) -> None:
+        self.record = record
+        self.zone = zone
+        self.started = started
+
+
+class SoakWorker(_Recording, WorkerStandIn):
+    """A plain worker."""
+
+    @override
+    async def run(
+        self, request: Request, responder: Responder, headers: Headers
+    ) -> None:
+        self.note(request)
+        await super().run(request, responder, headers)
+
+    @override
+    def describe(self, zone: str, **fields: Any) -> dict[str, Any]:
+        return super().describe(zone, address=str(self.listed_address), **fields)
+
+
+class SoakEngine(_Recording, EngineStandIn):
+    """A model engine, which checks that it only ever serves whole weights."""
+
+    @override
+    async def run(
+        self, request: Request, responder: Responder, headers: Headers
+    ) -> None:
+        self.note(request, self.version)
+        await super().run(request, responder, headers)
+
+    @override
+    async def _load(self, version: int) -> None:
+        await super()._load(version)
+        is_whole = self.loaded_digests == list_digests(version)
+        now = time.monotonic() - self.started
+        self.record.check("weights are whole", is_whole, now, f"{self.id} v{version}")
+
+    @override
+    def describe(self, zone: str, **fields: Any) -> dict[str, Any]:
+        return super().describe(zone, address=str(self.listed_address), **fields)
--- /dev/null
+++ b/src/tamaracktray_emulator/soak/plan.py
@@ -0,0 +1,57 @@
+"""What one soak plays, and what it found."""
+
+import msgspec
+
+
+class SoakPlan(msgspec.Struct, frozen=True):
+    """One soak; equal plans inject the same faults at the same times.
+
+    ``duration_s`` is the time with faults. ``rate`` is calls a second of all callers.
+    """
+
+    seed: int
+    duration_s: float = 20.0
+    entries: int = 3
+    engines: int = 3
+    workers: int = 3
+    callers: int = 12
+    rate: float = 60.0
+
+
+class Violation(msgspec.Struct, frozen=True):
+    """A promise that was not kept, at ``at`` seconds after the start."""
+
+    promise: str
+    at: float
+    detail: str
+
+
+class SoakReport(msgspec.Struct, frozen=True):
+    """What a soak did and found.
+
+    ``checked_by_promise`` counts how often each promise was checked.
+    """
+
+    seed: int
+    calls: int
+    served: int
+    refused: int
+    failed: int
+    faults: list[str]
+    checked_by_promise: dict[str, int]
+    violations: list[Violation]
+
+    def format_row(self) -> str:
+        """Return the report as a row of a table."""
+        broken = ", ".join(sorted({item.promise for item in self.violations})) or "none"
+        checks = sum(self.checked_by_promise.values())
+        return (
+            f"| {self.seed} | {len(self.faults)} | {self.calls} | {self.served} | "
+            f"{self.refused} | {self.failed} | {checks} | {broken} |"
+        )
+
+
+REPORT_HEAD = (
+    "| seed | faults | calls | served | refused | failed | checks | broken |\n"
+    "|---|---|---|---|---|---|---|---|"
+)
--- /dev/null
+++ b/src/tamaracktray_emulator/soak/works.py
@@ -0,0 +1,249 @@
+"""Planned work during a soak, with the promises that bound its effects in time."""
+
+import signal
+import time
+
+import curio
+from returns.result import Failure
+
+from tamaracktray.exchange import fetch
+from tamaracktray.http import Reply
+from tamaracktray.types import Address, Role
+from tamaracktray_emulator.platform.documents import build_route
+from tamaracktray_emulator.soak.callers import HOST, REQUEST_ID, Callers
+from tamaracktray_emulator.soak.calm import CalmLog
+from tamaracktray_emulator.soak.fleet import (
+    CALLER_PORT,
+    ORDERS,
+    STOP_TIMEOUT_S,
+    TEAM,
+    VERSION_BOUND_S,
+    ZONES,
+    SoakFleet,
+    build_random,
+)
+from tamaracktray_emulator.soak.record import Kind, SoakCall, SoakRecord
+
+# Bounds that the operators set, in seconds.
+CONFIG_BOUND_S = 2.0
+EVACUATION_BOUND_S = 5.0
+DRAIN_BOUND_S = 2.0
+CONTACT_S = 3.0
+
+MEAN_PAUSE_S = 1.5
+PROBE_TIMEOUT_S = 1.5
+
+
+class Works:
+    """Changes of the configuration, zones, versions, endpoints and processes."""
+
+    def __init__(
+        self, fleet: SoakFleet, calm: CalmLog, callers: Callers, record: SoakRecord
+    ) -> None:
+        self._fleet = fleet
+        self._calm = calm
+        self._callers = callers
+        self._record = record
+        self._random = build_random(fleet.plan, "works")
+        self._weights = 1
+        self._leaving: set[str] = set()
+
+    async def run(self) -> None:
+        """Begin one work after another; they may overlap."""
+        kinds = [
+            self._change_routes,
+            self._change_keys,
+            self._evacuate,
+            self._name_version,
+            self._drain,
+            self._terminate,
+            self._reload,
+        ]
+        async with curio.TaskGroup() as group:
+            while True:
+                await curio.sleep(self._random.expovariate(1 / MEAN_PAUSE_S))
+                await group.spawn(self._random.choice(kinds))
+
+    def _is_calm(self, start: float, end: float) -> bool:
+        return self._calm.is_calm(start - CONTACT_S, end)
+
+    async def _change_routes(self) -> None:
+        """Add a route; every entry in touch must serve it within the bound."""
+        name = f"extra-{self._fleet.version}"
+        self._fleet.routes = [
+            *self._fleet.routes[:3],
+            build_route(name, "safe", ORDERS),
+        ]
+        version = self._fleet.configure()
+        start = self._fleet.now
+        await curio.sleep(CONFIG_BOUND_S)
+        for entry in self._list_entries():
+            status = await self._probe(entry, f"/{name}/x", self._callers.key)
+            is_current = self._fleet.version == version
+            if is_current and self._is_calm(start, self._fleet.now):
+                held = status not in (401, 403, 404)
+                detail = f"{entry}: {status} on a route of version {version}"
+                self._record.check("change in force", held, self._fleet.now, detail)
+
+    async def _change_keys(self) -> None:
+        """Replace a key; the old one must be refused within the bound."""
+        old = self._callers.key
+        new = f"key-{self._fleet.version}"
+        self._fleet.keys = [old, new]
+        self._fleet.configure()
+        await curio.sleep(CONFIG_BOUND_S + 1.0)
+        self._callers.key = new
+        await curio.sleep(0.5)
+        if self._callers.key != new:
+            return
+        self._fleet.keys = [new]
+        self._fleet.configure()
+        start = self._fleet.now
+        await curio.sleep(CONFIG_BOUND_S)
+        for entry in self._list_entries():
+            status = await self._probe(entry, "/look/x", old)
+            if old in self._fleet.keys or not self._is_calm(start, self._fleet.now):
+                continue
+            held = status in (0, 401, 503)
+            detail = f"{entry}: {status} for a key that was taken away"
+            self._record.check("key taken away", held, self._fleet.now, detail)
+
+    async def _evacuate(self) -> None:
+        """Take a zone out; nothing may reach it after the bound."""
+        zone = self._random.choice(ZONES)
+        if ("evacuations", zone) in self._fleet.store.objects:
+            return
+        self._fleet.store.write("evacuations", zone, {})
+        start = self._fleet.now
+        await curio.sleep(EVACUATION_BOUND_S + 1.0)
+        end = self._fleet.now
+        self._fleet.store.remove("evacuations", zone)
+        self._check_silence(
+            "zone that is out", start, start + EVACUATION_BOUND_S, end, zone=zone
+        )
+
+    async def _name_version(self) -> None:
+        """Name weights; calls must begin on them after the bound."""
+        self._weights += 1
+        version = self._weights
+        self._fleet.name_version(version)
+        start = self._fleet.now
+        await curio.sleep(VERSION_BOUND_S + 1.5)
+        end = self._fleet.now
+        if not self._is_calm(start, end):
+            return
+        late = [
+            run
+            for runs in self._record.runs_by_id.values()
+            for run in runs
+            if run.version and start + VERSION_BOUND_S < run.at <= end
+        ]
+        for run in late:
+            held = run.version >= version
+            detail = f"{run.endpoint} on {run.version}, {version} was due"
+            self._record.check("version is due", held, run.at, detail)
+
+    async def _drain(self) -> None:
+        """Let a plain endpoint leave and come back under a new id."""
+        workers = [
+            item
+            for item in self._fleet.endpoints
+            if item.service == ORDERS and item.id not in self._leaving
+        ]
+        if len(workers) < 2:
+            return
+        worker = self._random.choice(workers)
+        self._leaving.add(worker.id)
+        old = worker.id
+        self._fleet.list_endpoint(worker, state="draining")
+        start = self._fleet.now
+        await curio.sleep(DRAIN_BOUND_S + 1.0)
+        end = self._fleet.now
+        self._check_silence(
+            "endpoint that leaves", start, start + DRAIN_BOUND_S, end, endpoint=old
+        )
+        self._fleet.store.remove("servers", old)
+        worker.id = f"{old.split('.')[0]}.{self._fleet.version}.{int(end * 10)}"
+        self._fleet.list_endpoint(worker)
+
+    def _check_silence(
+        self,
+        promise: str,
+        start: float,
+        bound: float,
+        end: float,
+        *,
+        zone: str = "",
+        endpoint: str = "",
+    ) -> None:
+        if not self._is_calm(start, end):
+            return
+        for call_id, runs in self._record.runs_by_id.items():
+            for run in runs:
+                if bound >= run.at or run.at > end:
+                    continue
+                is_reached = run.zone == zone or run.endpoint == endpoint
+                self._record.check(promise, not is_reached, run.at, call_id)
+
+    async def _terminate(self) -> None:
+        """Stop a process as planned; what it has read must be answered."""
+        daemon = self._random.choice(self._fleet.daemons)
+        if daemon.expected_end or daemon.process is None:
+            return
+        daemon.expected_end = True
+        start = self._fleet.now
+        self._fleet.send_signal(daemon, signal.SIGTERM)
+        has_ended = await self._fleet.wait_ended(daemon, STOP_TIMEOUT_S)
+        end = self._fleet.now
+        if self._is_calm(start, end):
+            detail = f"{daemon.name} after {end - start:.1f} s"
+            self._record.check("ends within its grace", has_ended, end, detail)
+            self._check_cuts(daemon.name, start, end)
+        if not has_ended:
+            self._fleet.send_signal(daemon, signal.SIGKILL)
+            await self._fleet.wait_ended(daemon, 2.0)
+        self._fleet.launch(daemon)
+
+    def _check_cuts(self, entry: str, start: float, end: float) -> None:
+        """Check that no request which reached an endpoint was cut by the shutdown."""
+        for call in self._record.calls_by_id.values():
+            if call.entry != entry or not start <= call.ended_at <= end + 0.1:
+                continue
+            has_run = bool(self._record.runs_by_id.get(call.id))
+            is_cut = bool(call.cut_by) and has_run
+            self._record.check("shutdown cuts nothing", not is_cut, start, call.id)
+
+    async def _reload(self) -> None:
+        daemon = self._random.choice(self._fleet.daemons)
+        self._fleet.send_signal(daemon, signal.SIGHUP)
+
+    def _list_entries(self) -> list[str]:
+        """Return the entries that should answer now."""
+        return [
+            daemon.name
+            for daemon in self._fleet.list_role(Role.ENTRY)
+            if not daemon.expected_end
+        ]
+
+    async def _probe(self, entry: str, target: str, key: str) -> int:
+        """Ask an entry directly; return the status, 0 without an answer."""
+        daemon = next(item for item in self._fleet.daemons if item.name == entry)
+        headers = [("host", HOST), ("authorization", f"Token {key}")]
+        call_id = f"probe-{time.monotonic_ns()}"
+        headers.append((REQUEST_ID, call_id))
+        self._record.calls_by_id[call_id] = SoakCall(
+            call_id, Kind.SAFE, entry, target, b"", TEAM, self._fleet.now
+        )
+        reply = await fetch(
+            Address(daemon.ip, CALLER_PORT),
+            "GET",
+            target,
+            headers,
+            timeout_s=PROBE_TIMEOUT_S,
+            is_host_given=True,
+        )
+        if isinstance(reply, Failure):
+            return 0
+        answer: Reply = reply.unwrap()
+        self._record.calls_by_id[call_id].status = answer.status
+        return answer.status
