--- a/src/tamaracktray/call_log.py
+++ b/src/tamaracktray/call_log.py
@@ -96,9 +96,10 @@
         self._metrics.count("attempts_given_up")
         self._write("attempt given up", call.request_id, reason="endpoint is silent")
 
-    def note_refused(self, call: Call, decision: RefuseCall) -> None:
+    def note_refused(self, call: Call, decision: RefuseCall, routing: int) -> None:
         """Note a refusal and what it was based on."""
         refusal = decision.refusal
+        snapshots = self._knowledge.by_collection
         self._metrics.count("calls_refused", code=refusal.code.value)
         self._write(
             "refused",
@@ -109,6 +110,9 @@
             retry_after_s=refusal.retry_after_s,
             waited_s=round(time.monotonic() - call.arrived, MS_DIGITS),
             route=call.route.name,
+            routing=routing,
+            endpoints_revision=snapshots[Collection.ENDPOINTS].revision,
+            zones_revision=snapshots[Collection.EVACUATIONS].revision,
             **msgspec.to_builtins(decision.view),
         )
 
--- a/src/tamaracktray/direct_entry.py
+++ b/src/tamaracktray/direct_entry.py
@@ -231,7 +231,8 @@
             await self._call_relay.respond(responder, failure)
             return
         if isinstance(decision, RefuseCall):
-            self._call_log.note_refused(call, decision)
+            version = self.state.index.table.version
+            self._call_log.note_refused(call, decision, version)
             await self._send_refusal(responder, decision.refusal)
             return
         reason = decision.reason if isinstance(decision, CutCall) else "no answer"
--- a/src/tamaracktray/settings_page.py
+++ b/src/tamaracktray/settings_page.py
@@ -3,6 +3,9 @@
 ``python -m tamaracktray.settings_page`` prints the page.
 """
 
+import msgspec
+
+from tamaracktray.direct_sections import DIRECT_SECTIONS
 from tamaracktray.settings import SECTIONS, FieldInfo, describe_section
 
 PAGE_HEAD = """\
@@ -15,10 +18,25 @@
 """
 
 
+DIRECT_HEAD = """\
+
+# Settings on the users' platform
+
+There `python -m tamaracktray.platform` reads the file that the variable
+`TAMARACKTRAY_NODE_FILE` names; the platform makes it from `deploy/node.ini` at every
+start and reload. An empty value stands for the default.
+"""
+
+
 def render_page() -> str:
     """Return the page as Markdown."""
-    parts = [PAGE_HEAD]
-    for name, section_type in SECTIONS.items():
+    direct = _render_sections(DIRECT_SECTIONS)
+    return PAGE_HEAD + _render_sections(SECTIONS) + DIRECT_HEAD + direct
+
+
+def _render_sections(sections: dict[str, type[msgspec.Struct]]) -> str:
+    parts: list[str] = []
+    for name, section_type in sections.items():
         parts.append(f"\n## [{name}]\n\n{section_type.__doc__}\n")
         parts.append("\n| key | accepted | default | meaning |\n|---|---|---|---|\n")
         parts.extend(_render_row(info) for info in describe_section(section_type))
--- a/src/tamaracktray_emulator/bench.py
+++ b/src/tamaracktray_emulator/bench.py
@@ -15,6 +15,13 @@
     TwoChoicesPolicy,
 )
 from tamaracktray.tables import format_table
+from tamaracktray.waiting import WaitingLine
+from tamaracktray_emulator.admission import (
+    AdmissionExperiment,
+    AdmissionPlan,
+    FirstComeLine,
+    NoLine,
+)
 from tamaracktray_emulator.distribution import (
     POLICIES,
     DistributionPlan,
@@ -51,6 +58,38 @@
 }
 
 
+# What one engine of the model works on with a full batch, in calls a second.
+ENGINE_RATE = 11.5
+
+ADMISSION_LOADS = (0.8, 1.0, 1.4)
+ADMISSION_S = 12.0
+UNBOUND_WINDOW = 48
+
+
+class FleetSize(msgspec.Struct, frozen=True):
+    """Entries before engines, which work on ``batch`` calls at a time."""
+
+    entries: int
+    engines: int
+    batch: int
+
+
+ADMISSION_SIZES = (FleetSize(4, 8, 16), FleetSize(16, 29, 12))
+
+
+class AdmissionRow(msgspec.Struct, frozen=True):
+    """What callers got of one line of the entries, as shares; times in seconds."""
+
+    name: str
+    entries: int
+    engines: int
+    load: float
+    worth: float
+    in_time: float
+    served: float
+    first_part_p95: float
+
+
 class BenchRow(msgspec.Struct, frozen=True):
     """Figures of one experiment; rates per second, times in seconds."""
 
@@ -104,6 +143,43 @@
     return [*reports, msgspec.structs.replace(report, policy="planner with faults")]
 
 
+def measure_admission(size: FleetSize) -> list[AdmissionRow]:
+    """Compare the entries' decisions before engines with simpler ones."""
+    lines: dict[str, tuple[type[WaitingLine], dict[str, object]]] = {
+        "system": (WaitingLine, {}),
+        "every engine shared": (WaitingLine, {"has_homes": False}),
+        "no line": (NoLine, {}),
+        "first come": (FirstComeLine, {}),
+        "no window": (WaitingLine, {"window": UNBOUND_WINDOW}),
+    }
+    rows: list[AdmissionRow] = []
+    for name, (line, fields) in lines.items():
+        for load in ADMISSION_LOADS:
+            options = {"window": size.batch, **fields}
+            plan = AdmissionPlan(
+                rate=load * size.engines * ENGINE_RATE,
+                engines=size.engines,
+                entries=size.entries,
+                batch=size.batch,
+                duration_s=ADMISSION_S,
+                **options,
+            )
+            report = AdmissionExperiment(plan, line).run()
+            rows.append(
+                AdmissionRow(
+                    name,
+                    size.entries,
+                    size.engines,
+                    load,
+                    report.worth,
+                    report.in_time,
+                    report.served,
+                    round(report.first_part_p95, 3),
+                )
+            )
+    return rows
+
+
 def build_row(name: str, load: float, plan: LoadPlan, report: LoadReport) -> BenchRow:
     """Return the figures of one report."""
     shares = [
@@ -139,12 +215,18 @@
     ]
     print("Distribution in unit rounds; amounts in copies")
     print(_format_rows(distribution_rows))
+    admission_rows = [
+        row for size in ADMISSION_SIZES for row in measure_admission(size)
+    ]
+    print("Admission before model engines; load as a multiple of what they work on")
+    print(_format_rows(admission_rows))
     commit = _read_commit()
     document = {
         "commit": commit,
         "measured_unix_s": int(time.time()),
         "load": msgspec.to_builtins(load_rows),
         "routing": msgspec.to_builtins(routing_rows),
+        "admission": msgspec.to_builtins(admission_rows),
         "distribution": msgspec.to_builtins(distribution_rows),
     }
     directory.mkdir(parents=True, exist_ok=True)
