--- a/src/tamaracktray/direct.py
+++ b/src/tamaracktray/direct.py
@@ -5,26 +5,40 @@
 peers, and every decision that follows from it is made here without sockets or clocks.
 """
 
-from collections.abc import Callable, Iterable
+from collections.abc import Callable
 from typing import Any
 
 import msgspec
 
-from tamaracktray.beacons import Beacon, BeaconFilter
+from tamaracktray.beacons import Beacon
 from tamaracktray.calls import (
     CallArrived,
     CallAttemptEnded,
     CallEnded,
     CallStarted,
 )
+from tamaracktray.direct_events import (
+    AnswerBeacon,
+    ApplyRouting,
+    BeaconHeard,
+    CloseIdle,
+    CollectionChanged,
+    CollectionListed,
+    PeerLost,
+    PrefetchVersion,
+    PullSnapshots,
+    ReadCollection,
+    SnapshotsReceived,
+    StoreLost,
+    TellPeers,
+)
+from tamaracktray.direct_state import DirectState
 from tamaracktray.effects import Effect, Exit
 from tamaracktray.engines import VersionTarget
 from tamaracktray.events import Event, ShutdownRequested, Tick
 from tamaracktray.exceptions import InvariantError
 from tamaracktray.following import is_follower, list_local
 from tamaracktray.gateway import (
-    GatewayContext,
-    GatewayState,
     deal_homes,
     fill_room,
     follow_roster,
@@ -34,15 +48,13 @@
     handle_call_started,
     handle_gateway_tick,
 )
+from tamaracktray.gateway_state import GatewayContext
 from tamaracktray.homes import Place
-from tamaracktray.namings import Namings
-from tamaracktray.objects import StoredObject
-from tamaracktray.peers import Member, Peers
+from tamaracktray.peers import Member
 from tamaracktray.placement import Surroundings
-from tamaracktray.quarantine import CrashLedger
-from tamaracktray.roster import EndpointRecord, Roster
-from tamaracktray.routes import RouteIndex, RoutingTable, Service
-from tamaracktray.snapshots import Collection, Knowledge, Snapshot
+from tamaracktray.roster import EndpointRecord
+from tamaracktray.routes import RouteIndex, RoutingTable
+from tamaracktray.snapshots import Collection, Snapshot
 from tamaracktray.staging import (
     FIRST_VERSION,
     advance,
@@ -66,12 +78,6 @@
 )
 from tamaracktray.staging_state import StagingState, Turn
 from tamaracktray.swap_turns import choose_turn
-from tamaracktray.types import Address, Role
-
-# A store that has answered for this long counts as back for good, in seconds. Entries
-# that lapsed in the outage are listed again within about two.
-LAPSE_HOLD_S = 2.0
-
 
 # Time after SIGTERM in which callers may still come, in seconds: the balancer asks once
 # a second and takes a process out after two misses.
@@ -92,179 +98,6 @@
 HOMES_INTERVAL_S = 0.1
 
 
-class CollectionListed(Event, frozen=True):
-    """The whole content of a collection was read from the store."""
-
-    collection: Collection
-    objects: list[StoredObject]
-    revision: int
-
-
-class CollectionChanged(Event, frozen=True):
-    """Changes of a collection up to ``revision`` came from the store."""
-
-    collection: Collection
-    changes: list[StoredObject]
-    revision: int
-
-
-class SnapshotsReceived(Event, frozen=True):
-    """A peer sent snapshots that are newer than the own ones."""
-
-    snapshot_by_collection: dict[Collection, Snapshot]
-
-
-class StoreLost(Event, frozen=True):
-    """A call to the store failed."""
-
-
-class BeaconHeard(Event, frozen=True):
-    """A peer's beacon arrived."""
-
-    beacon: Beacon
-    sender: Address
-
-
-class PeerLost(Event, frozen=True):
-    """A call to a peer got no answer."""
-
-    address: Address
-
-
-class PullSnapshots(Effect, frozen=True):
-    """Ask a peer for the snapshots that are newer than the own ones."""
-
-    address: Address
-
-
-class AnswerBeacon(Effect, frozen=True):
-    """Tell a peer that misses changes what this process knows."""
-
-    address: Address
-
-
-class TellPeers(Effect, frozen=True):
-    """Tell all peers at once what this process knows."""
-
-
-class CloseIdle(Effect, frozen=True):
-    """Close callers' connections on which nothing is under way."""
-
-
-class PrefetchVersion(Effect, frozen=True):
-    """Fetch a version that has just been named, before agents ask for it."""
-
-    model: str
-    version: int
-
-
-class ReadCollection(Effect, frozen=True):
-    """Read a collection that is not followed once from the store."""
-
-    collection: Collection
-
-
-class ApplyRouting(Effect, frozen=True):
-    """A new routing table is in force."""
-
-
-class DirectState:
-    """Whole state of one process.
-
-    ``outage_end`` is when the store last answered after a failure; a failure since then
-    is not over while ``is_store_lost``. ``newer_peer`` knows changes that the own watch
-    has not brought, ``behind_since`` a moment.
-    A process that leaves takes no new calls from ``close_deadline`` on and exits at
-    ``exit_deadline`` at the latest, before ``grace_s`` is over. ``has_versions`` tells
-    that the named versions were read once. ``served`` names the service of the engine
-    beside an agent.
-    """
-
-    __slots__ = (
-        "beacons",
-        "behind_since",
-        "close_deadline",
-        "evacuated_zones",
-        "exit_deadline",
-        "gateway",
-        "has_versions",
-        "index",
-        "grace_s",
-        "homes_deadline",
-        "is_leaving",
-        "is_store_lost",
-        "knowledge",
-        "ledger",
-        "name",
-        "namings",
-        "newer_peer",
-        "outage_end",
-        "own_engine",
-        "peers",
-        "region_by_zone",
-        "role",
-        "roster",
-        "served",
-        "staging",
-        "trusted_names",
-        "target_by_model",
-        "zone",
-    )
-
-    def __init__(
-        self,
-        name: str,
-        role: Role,
-        zone: str,
-        region_by_zone: dict[str, str],
-        followed: Iterable[Collection] = tuple(Collection),
-        initial: Iterable[Collection] = (),
-        *,
-        now: float,
-        version_bound_s: float,
-        grace_s: float,
-        quarantine_s: float,
-    ) -> None:
-        self.name = name
-        self.role = role
-        self.zone = zone
-        self.region_by_zone = region_by_zone
-        self.knowledge = Knowledge(followed, initial)
-        self.roster = Roster(LAPSE_HOLD_S)
-        self.ledger = CrashLedger(quarantine_s)
-        self.beacons = BeaconFilter()
-        self.index: RouteIndex | None = None
-        self.evacuated_zones: frozenset[str] = frozenset()
-        self.target_by_model: dict[str, VersionTarget] = {}
-        self.has_versions = False
-        self.namings = Namings(now, version_bound_s)
-        self.peers = Peers(expects_beacons=role is Role.ENTRY)
-        self.outage_end = 0.0
-        self.is_store_lost = False
-        self.newer_peer = ""
-        self.behind_since = 0.0
-        self.is_leaving = False
-        self.grace_s = grace_s
-        self.close_deadline = 0.0
-        self.exit_deadline = 0.0
-        self.gateway: GatewayState | None = None
-        self.staging: StagingState | None = None
-        self.homes_deadline = 0.0
-        self.trusted_names: tuple[str, ...] = ()
-        self.served = ""
-        self.own_engine: Address | None = None
-
-    @property
-    def is_informed(self) -> bool:
-        """Tell whether enough is known to answer callers."""
-        return self.knowledge.is_complete and self.index is not None
-
-    @property
-    def services_by_name(self) -> dict[str, Service]:
-        """Return what the operator says of the services."""
-        return {} if self.index is None else self.index.table.services_by_name
-
-
 def reduce_direct(state: DirectState, event: Event) -> tuple[DirectState, list[Effect]]:
     """Return the next state and the effects of one event."""
     handler = _HANDLER_BY_EVENT.get(type(event))
--- a/src/tamaracktray/direct_entry.py
+++ b/src/tamaracktray/direct_entry.py
@@ -31,22 +31,19 @@
 )
 from tamaracktray.chunk_sources import choose_upstream, find_first
 from tamaracktray.deployment import Deployment
-from tamaracktray.direct import (
-    ApplyRouting,
-    CloseIdle,
-    PrefetchVersion,
-)
+from tamaracktray.direct_events import ApplyRouting, CloseIdle, PrefetchVersion
 from tamaracktray.direct_sections import DirectSettings
 from tamaracktray.direct_shell import DirectShell, register_member
 from tamaracktray.effects import Effect
 from tamaracktray.events import Event, Tick
 from tamaracktray.following import list_local
-from tamaracktray.gateway import GatewayBounds, GatewayState, refuse_late
+from tamaracktray.gateway_state import GatewayBounds, GatewayState
 from tamaracktray.http import HttpLimits, HttpServer, Request, Responder
 from tamaracktray.intake import build_call, refuse_uninformed
 from tamaracktray.messages import encode_refusal
 from tamaracktray.outcomes import AttemptPhase
 from tamaracktray.peers import Member
+from tamaracktray.refusals import refuse_late
 from tamaracktray.relaying import CallRelay, OpenCall
 from tamaracktray.types import Address, Refusal
 
--- a/src/tamaracktray/direct_shell.py
+++ b/src/tamaracktray/direct_shell.py
@@ -15,23 +15,22 @@
 
 from tamaracktray.beacons import Beacon, decode_beacon, encode_beacon
 from tamaracktray.deployment import Deployment
-from tamaracktray.direct import (
+from tamaracktray.direct import reads_store, reduce_direct
+from tamaracktray.direct_events import (
     AnswerBeacon,
     ApplyRouting,
     BeaconHeard,
     CollectionChanged,
     CollectionListed,
-    DirectState,
     PeerLost,
     PullSnapshots,
     ReadCollection,
     SnapshotsReceived,
     StoreLost,
     TellPeers,
-    reads_store,
-    reduce_direct,
 )
 from tamaracktray.direct_sections import DirectSettings, load_direct_settings
+from tamaracktray.direct_state import DirectState
 from tamaracktray.effects import Effect
 from tamaracktray.engines import VersionOrigin, VersionTarget
 from tamaracktray.events import Event, Tick
--- a/src/tamaracktray/gateway.py
+++ b/src/tamaracktray/gateway.py
@@ -1,8 +1,6 @@
 """The reducer's part for entries that send calls straight to endpoints."""
 
-import msgspec
-
-from tamaracktray.budgets import PermitBucket, RepeatBudget
+from tamaracktray.budgets import PermitBucket
 from tamaracktray.calls import (
     AbandonAttempt,
     Call,
@@ -19,63 +17,48 @@
 )
 from tamaracktray.costs import estimate_cost, estimate_reading
 from tamaracktray.effects import Effect
-from tamaracktray.fairness import ServedRate, SizeBands
-from tamaracktray.hashing import hash_text
+from tamaracktray.gateway_state import (
+    SAFE_SHARE,
+    GatewayContext,
+    GatewayState,
+    PendingCall,
+)
 from tamaracktray.homes import Place, find_homes
 from tamaracktray.outcomes import AttemptPhase
 from tamaracktray.placement import (
     EndpointLoad,
-    Surroundings,
     choose_endpoint,
     is_eligible,
 )
-from tamaracktray.quarantine import CrashLedger
+from tamaracktray.refusals import (
+    BUSY_RETRY_S,
+    NO_ENDPOINT_RETRY_S,
+    NO_ENDPOINT_SPREAD_S,
+    SCARCE_RETRY_S,
+    SCARCE_SPREAD_S,
+    refuse_busy,
+    refuse_crashing,
+    refuse_leaving,
+    refuse_no_endpoint,
+    refuse_unanswered,
+    spread_return,
+)
 from tamaracktray.roster import EndpointRecord
 from tamaracktray.routes import Service
-from tamaracktray.types import ErrorCode, Refusal, RunState
-from tamaracktray.waiting import WaitingLine
 
 # Connections that one call may try in vain, beside its attempts.
 MAX_UNREACHABLE = 3
 
-# When a refused caller should come back while most are served, in seconds: soon enough
-# to meet its objective, about the time in which an engine ends one of its calls.
-BUSY_RETRY_S = 0.06
-
-# When it should come back while most are refused, in seconds. Returning at once would
-# meet the same lack of room, which seldom lasts longer than a change of version or the
-# loss of an instance does.
-SCARCE_RETRY_S = 1.0
-SCARCE_SPREAD_S = 1.0
 
 # Share of calls that find room below which room is scarce.
 SCARCE_SHARE = 0.5
 
-# When a caller should come back that no endpoint may serve at all, in seconds. A change
-# of version, a crash or a lost instance seldom takes less, and its objective is missed
-# in any case; callers come back spread over the second value.
-NO_ENDPOINT_RETRY_S = 1.4
-NO_ENDPOINT_SPREAD_S = 0.6
-
-# Part of the time left after which callers do not come back: they wait no longer than
-# a third of it.
-LONGEST_RETURN_SHARE = 1 / 3
-
-# Weight of a new measurement in the mean time to the begin of an answer; about the last
-# 20 count.
-START_DELAY_WEIGHT = 0.05
 
 # Silence of an endpoint after which its calls go elsewhere, in seconds: before the
 # first part of an answer, and within a stream, whose reader knows pauses.
 GIVE_UP_S = 0.5
 GIVE_UP_STREAM_S = 0.7
 
-HASH_RANGE = 2**64
-LEAVING_RETRY_S = 0.02
-
-# Part of the fleet's bounds that is spent, so that stale counts stay within the rest.
-SAFE_SHARE = 0.5
-
 
 # Entries that can share what a cold endpoint bears, each at least one call a second. In
 # a larger fleet its home alone sends it calls, or two while homes change.
@@ -83,170 +66,6 @@
 HOMES_AT_A_TIME = 2
 
 
-class GatewayBounds(msgspec.Struct, frozen=True):
-    """Bounds that hold for all processes together; times in seconds.
-
-    ``repeat_ratio`` and ``repeat_reserve`` bound repeats within ``repeat_window_s``.
-    ``cold_burst`` is what cold endpoints bear beyond their rate in a second.
-    """
-
-    repeat_ratio: float = 0.2
-    repeat_reserve: float = 100.0
-    repeat_window_s: float = 10.0
-    cold_burst: float = 5.0
-
-
-class PendingCall:
-    """A call that has no final answer yet.
-
-    ``may_have_run`` is set once an attempt was sent and did not promise that the call
-    was not run; from then on no answer may promise it. ``endpoint_id`` names where an
-    attempt, sent at ``sent_at``, is under way; ``is_abandoned`` tells that it is being
-    given up. ``spent_s`` is what the caller has waited in earlier tries. ``version`` is
-    that of the weights which began a stream.
-    """
-
-    __slots__ = (
-        "attempts",
-        "call",
-        "endpoint_id",
-        "has_failed_answer",
-        "is_abandoned",
-        "is_started",
-        "last_event_id",
-        "may_have_run",
-        "sent_at",
-        "spent_s",
-        "tried",
-        "unreachable",
-        "version",
-    )
-
-    def __init__(self, call: Call) -> None:
-        self.call = call
-        self.attempts = 0
-        self.unreachable = 0
-        self.endpoint_id = ""
-        self.may_have_run = False
-        self.has_failed_answer = False
-        self.is_started = False
-        self.is_abandoned = False
-        self.sent_at = 0.0
-        self.spent_s = 0.0
-        self.last_event_id = call.last_event_id
-        self.version = 0
-        self.tried: set[str] = set()
-
-
-class GatewayState:
-    """The calls and endpoint loads of the entry ``name``.
-
-    ``home_ids`` are the engines whose home it is among the ``entries`` that answer.
-    """
-
-    __slots__ = (
-        "bands_by_route",
-        "bounds",
-        "budget_by_service",
-        "entries",
-        "home_ids",
-        "loads_by_id",
-        "longest_wait_by_route",
-        "name",
-        "peers",
-        "pending_by_id",
-        "room_by_service",
-        "start_delay_by_service",
-        "waiting",
-    )
-
-    def __init__(self, name: str, bounds: GatewayBounds) -> None:
-        self.name = name
-        self.bounds = bounds
-        self.peers = 0
-        self.entries: tuple[Place, ...] = ()
-        self.home_ids: frozenset[str] = frozenset()
-        self.loads_by_id: dict[str, EndpointLoad] = {}
-        self.pending_by_id: dict[str, PendingCall] = {}
-        self.waiting = WaitingLine()
-        self.budget_by_service: dict[str, RepeatBudget] = {}
-        self.bands_by_route: dict[str, SizeBands] = {}
-        self.longest_wait_by_route: dict[str, float] = {}
-        self.room_by_service: dict[str, ServedRate] = {}
-        self.start_delay_by_service: dict[str, float] = {}
-
-    def measure_spent(self, call: Call) -> float:
-        """Return how long the caller has waited in earlier tries, in seconds.
-
-        Callers say how long they will wait yet. The longest wait on a route is what its
-        callers begin with, so one that waits less has been here before.
-        """
-        if not call.wait_s:
-            return 0.0
-        longest = max(self.longest_wait_by_route.get(call.route.name, 0.0), call.wait_s)
-        self.longest_wait_by_route[call.route.name] = longest
-        return longest - call.wait_s
-
-    def note_start(self, service: str, delay_s: float) -> None:
-        """Take in how long an answer took to begin, beyond reading its prompt."""
-        known = self.start_delay_by_service.get(service, delay_s)
-        known += START_DELAY_WEIGHT * (delay_s - known)
-        self.start_delay_by_service[service] = known
-
-    def count_in_flight(self) -> dict[str, int]:
-        """Return the own calls at each endpoint that has any."""
-        return {
-            endpoint_id: load.in_flight
-            for endpoint_id, load in self.loads_by_id.items()
-            if load.in_flight
-        }
-
-    def may_have_run(self, call_id: str) -> bool:
-        """Tell whether an endpoint may have run a call, or may run it still."""
-        pending = self.pending_by_id.get(call_id)
-        if pending is None:
-            return True
-        return pending.may_have_run or bool(pending.endpoint_id)
-
-    def find_bands(self, route: str) -> SizeBands:
-        """Return the size bands of a route."""
-        return self.bands_by_route.setdefault(route, SizeBands())
-
-    def note_outcome(self, call: Call, *, is_served: bool) -> None:
-        """Take in whether a call was served."""
-        room = self.room_by_service.setdefault(call.services[0], ServedRate())
-        room.note(is_served=is_served)
-        if call.size:
-            bands = self.find_bands(call.route.name)
-            bands.note_outcome(call.size, is_served=is_served)
-
-    def find_budget(self, service: str) -> RepeatBudget:
-        """Return the own part of a service's budget for repeats."""
-        budget = self.budget_by_service.get(service)
-        if budget is None:
-            bounds = self.bounds
-            share = SAFE_SHARE / (self.peers + 1)
-            budget = RepeatBudget(
-                bounds.repeat_ratio * SAFE_SHARE,
-                bounds.repeat_reserve * share * SAFE_SHARE,
-                bounds.repeat_window_s,
-            )
-            self.budget_by_service[service] = budget
-        return budget
-
-
-class GatewayContext(msgspec.Struct):
-    """The parts of the process state that the gateway reads.
-
-    A process that ``is_closing`` takes no new calls.
-    """
-
-    state: GatewayState
-    around: Surroundings
-    ledger: CrashLedger
-    is_closing: bool
-
-
 def follow_roster(
     context: GatewayContext, now: float, records_by_id: dict[str, EndpointRecord]
 ) -> None:
@@ -335,7 +154,7 @@
         state.find_bands(call.route.name).note_size(call.size)
     release = context.ledger.find_release(event.now, call.fingerprint)
     if release is not None:
-        return [RefuseCall(call.id, _refuse_crashing(release - event.now))]
+        return [RefuseCall(call.id, refuse_crashing(release - event.now))]
     pending = PendingCall(call)
     pending.spent_s = state.measure_spent(call)
     state.pending_by_id[call.id] = pending
@@ -634,7 +453,7 @@
     if pending.may_have_run:
         return [RefuseCall(call.id, refuse_unanswered(), view)]
     if not _has_eligible(context, pending):
-        retry_after_s = _spread_return(
+        retry_after_s = spread_return(
             now, call, NO_ENDPOINT_RETRY_S, NO_ENDPOINT_SPREAD_S
         )
         return [RefuseCall(call.id, refuse_no_endpoint(retry_after_s), view)]
@@ -647,87 +466,4 @@
     room = context.state.room_by_service.get(call.services[0])
     if room is None or room.value >= SCARCE_SHARE:
         return BUSY_RETRY_S
-    return _spread_return(now, call, SCARCE_RETRY_S, SCARCE_SPREAD_S)
-
-
-def _spread_return(now: float, call: Call, least_s: float, spread_s: float) -> float:
-    """Return a time to come back that the caller keeps, in seconds.
-
-    Callers who come back at the same moment would meet each other.
-    """
-    return_s = least_s + spread_s * hash_text(call.request_id) / HASH_RANGE
-    if not call.wait_s:
-        return return_s
-    left_s = call.arrived + call.wait_s - now
-    return max(min(return_s, left_s * LONGEST_RETURN_SHARE), BUSY_RETRY_S)
-
-
-def refuse_unanswered() -> Refusal:
-    """Return the error for a call that was sent and not answered as it should be."""
-    return Refusal(
-        ErrorCode.OUTCOME_UNKNOWN,
-        "the request was sent but not answered",
-        RunState.UNKNOWN,
-        502,
-    )
-
-
-def refuse_leaving() -> Refusal:
-    """Return the refusal of a process that shuts down; another takes the call now."""
-    return Refusal(
-        ErrorCode.LEAVING,
-        "this entry is shutting down",
-        RunState.NOT_RUN,
-        503,
-        LEAVING_RETRY_S,
-    )
-
-
-def refuse_late(may_have_run: bool) -> Refusal:
-    """Return the error for a call whose time is over."""
-    if may_have_run:
-        return Refusal(
-            ErrorCode.TIMED_OUT,
-            "the endpoint did not answer in time",
-            RunState.UNKNOWN,
-            504,
-        )
-    return Refusal(
-        ErrorCode.DEADLINE_EXCEEDED,
-        "the deadline passed before the request could run",
-        RunState.NOT_RUN,
-        503,
-        BUSY_RETRY_S,
-    )
-
-
-def refuse_busy(retry_after_s: float) -> Refusal:
-    """Return the refusal of a call for which no endpoint has room."""
-    return Refusal(
-        ErrorCode.OVERLOADED,
-        "all endpoints are busy",
-        RunState.NOT_RUN,
-        503,
-        retry_after_s,
-    )
-
-
-def refuse_no_endpoint(retry_after_s: float) -> Refusal:
-    """Return the refusal of a call that no endpoint may run now."""
-    return Refusal(
-        ErrorCode.NO_ENDPOINT,
-        "no endpoint can take the request now",
-        RunState.NOT_RUN,
-        503,
-        retry_after_s,
-    )
-
-
-def _refuse_crashing(left_s: float) -> Refusal:
-    return Refusal(
-        ErrorCode.QUARANTINED,
-        "this request crashed several endpoints and is refused for a while",
-        RunState.NOT_RUN,
-        503,
-        left_s,
-    )
+    return spread_return(now, call, SCARCE_RETRY_S, SCARCE_SPREAD_S)
--- /dev/null
+++ b/src/tamaracktray/gateway_state.py
@@ -0,0 +1,182 @@
+"""What an entry knows of the calls that it has taken."""
+
+import msgspec
+
+from tamaracktray.budgets import RepeatBudget
+from tamaracktray.calls import Call
+from tamaracktray.fairness import ServedRate, SizeBands
+from tamaracktray.homes import Place
+from tamaracktray.placement import EndpointLoad, Surroundings
+from tamaracktray.quarantine import CrashLedger
+from tamaracktray.waiting import WaitingLine
+
+# Weight of a new measurement in the mean time to the begin of an answer; about the last
+# 20 count.
+START_DELAY_WEIGHT = 0.05
+
+# Part of the fleet's bounds that is spent, so that stale counts stay within the rest.
+SAFE_SHARE = 0.5
+
+
+class GatewayBounds(msgspec.Struct, frozen=True):
+    """Bounds that hold for all processes together; times in seconds.
+
+    ``repeat_ratio`` and ``repeat_reserve`` bound repeats within ``repeat_window_s``.
+    ``cold_burst`` is what cold endpoints bear beyond their rate in a second.
+    """
+
+    repeat_ratio: float = 0.2
+    repeat_reserve: float = 100.0
+    repeat_window_s: float = 10.0
+    cold_burst: float = 5.0
+
+
+class PendingCall:
+    """A call that has no final answer yet.
+
+    ``may_have_run`` is set once an attempt was sent and did not promise that the call
+    was not run; from then on no answer may promise it. ``endpoint_id`` names where an
+    attempt, sent at ``sent_at``, is under way; ``is_abandoned`` tells that it is being
+    given up. ``spent_s`` is what the caller has waited in earlier tries. ``version`` is
+    that of the weights which began a stream.
+    """
+
+    __slots__ = (
+        "attempts",
+        "call",
+        "endpoint_id",
+        "has_failed_answer",
+        "is_abandoned",
+        "is_started",
+        "last_event_id",
+        "may_have_run",
+        "sent_at",
+        "spent_s",
+        "tried",
+        "unreachable",
+        "version",
+    )
+
+    def __init__(self, call: Call) -> None:
+        self.call = call
+        self.attempts = 0
+        self.unreachable = 0
+        self.endpoint_id = ""
+        self.may_have_run = False
+        self.has_failed_answer = False
+        self.is_started = False
+        self.is_abandoned = False
+        self.sent_at = 0.0
+        self.spent_s = 0.0
+        self.last_event_id = call.last_event_id
+        self.version = 0
+        self.tried: set[str] = set()
+
+
+class GatewayState:
+    """The calls and endpoint loads of the entry ``name``.
+
+    ``home_ids`` are the engines whose home it is among the ``entries`` that answer.
+    """
+
+    __slots__ = (
+        "bands_by_route",
+        "bounds",
+        "budget_by_service",
+        "entries",
+        "home_ids",
+        "loads_by_id",
+        "longest_wait_by_route",
+        "name",
+        "peers",
+        "pending_by_id",
+        "room_by_service",
+        "start_delay_by_service",
+        "waiting",
+    )
+
+    def __init__(self, name: str, bounds: GatewayBounds) -> None:
+        self.name = name
+        self.bounds = bounds
+        self.peers = 0
+        self.entries: tuple[Place, ...] = ()
+        self.home_ids: frozenset[str] = frozenset()
+        self.loads_by_id: dict[str, EndpointLoad] = {}
+        self.pending_by_id: dict[str, PendingCall] = {}
+        self.waiting = WaitingLine()
+        self.budget_by_service: dict[str, RepeatBudget] = {}
+        self.bands_by_route: dict[str, SizeBands] = {}
+        self.longest_wait_by_route: dict[str, float] = {}
+        self.room_by_service: dict[str, ServedRate] = {}
+        self.start_delay_by_service: dict[str, float] = {}
+
+    def measure_spent(self, call: Call) -> float:
+        """Return how long the caller has waited in earlier tries, in seconds.
+
+        Callers say how long they will wait yet. The longest wait on a route is what its
+        callers begin with, so one that waits less has been here before.
+        """
+        if not call.wait_s:
+            return 0.0
+        longest = max(self.longest_wait_by_route.get(call.route.name, 0.0), call.wait_s)
+        self.longest_wait_by_route[call.route.name] = longest
+        return longest - call.wait_s
+
+    def note_start(self, service: str, delay_s: float) -> None:
+        """Take in how long an answer took to begin, beyond reading its prompt."""
+        known = self.start_delay_by_service.get(service, delay_s)
+        known += START_DELAY_WEIGHT * (delay_s - known)
+        self.start_delay_by_service[service] = known
+
+    def count_in_flight(self) -> dict[str, int]:
+        """Return the own calls at each endpoint that has any."""
+        return {
+            endpoint_id: load.in_flight
+            for endpoint_id, load in self.loads_by_id.items()
+            if load.in_flight
+        }
+
+    def may_have_run(self, call_id: str) -> bool:
+        """Tell whether an endpoint may have run a call, or may run it still."""
+        pending = self.pending_by_id.get(call_id)
+        if pending is None:
+            return True
+        return pending.may_have_run or bool(pending.endpoint_id)
+
+    def find_bands(self, route: str) -> SizeBands:
+        """Return the size bands of a route."""
+        return self.bands_by_route.setdefault(route, SizeBands())
+
+    def note_outcome(self, call: Call, *, is_served: bool) -> None:
+        """Take in whether a call was served."""
+        room = self.room_by_service.setdefault(call.services[0], ServedRate())
+        room.note(is_served=is_served)
+        if call.size:
+            bands = self.find_bands(call.route.name)
+            bands.note_outcome(call.size, is_served=is_served)
+
+    def find_budget(self, service: str) -> RepeatBudget:
+        """Return the own part of a service's budget for repeats."""
+        budget = self.budget_by_service.get(service)
+        if budget is None:
+            bounds = self.bounds
+            share = SAFE_SHARE / (self.peers + 1)
+            budget = RepeatBudget(
+                bounds.repeat_ratio * SAFE_SHARE,
+                bounds.repeat_reserve * share * SAFE_SHARE,
+                bounds.repeat_window_s,
+            )
+            self.budget_by_service[service] = budget
+        return budget
+
+
+class GatewayContext(msgspec.Struct):
+    """The parts of the process state that the gateway reads.
+
+    A process that ``is_closing`` takes no new calls.
+    """
+
+    state: GatewayState
+    around: Surroundings
+    ledger: CrashLedger
+    is_closing: bool
--- a/src/tamaracktray/intake.py
+++ b/src/tamaracktray/intake.py
@@ -6,7 +6,7 @@
 from returns.result import Failure, Result, Success
 
 from tamaracktray.calls import Call
-from tamaracktray.hashing import hash_text
+from tamaracktray.hashing import HASH_RANGE, hash_text
 from tamaracktray.http import Request
 from tamaracktray.protocol import CallerFields
 from tamaracktray.routes import Route, RouteIndex, Team
@@ -15,7 +15,6 @@
 # When a caller should come back to a process that does not know its routes yet.
 UNINFORMED_RETRY_S = 0.5
 
-HASH_RANGE = 2**64
 
 _numbers = itertools.count(1)
 
--- a/src/tamaracktray/placement.py
+++ b/src/tamaracktray/placement.py
@@ -12,7 +12,7 @@
 from tamaracktray.budgets import PermitBucket
 from tamaracktray.calls import Call
 from tamaracktray.costs import estimate_duration
-from tamaracktray.hashing import hash_text
+from tamaracktray.hashing import HASH_RANGE, hash_text
 from tamaracktray.roster import EndpointRecord
 from tamaracktray.routes import Service
 
@@ -64,8 +64,6 @@
 BORROW_DISTANCE = 4.0
 BORROW_SPREAD = 3.0
 
-HASH_RANGE = 2**64
-
 
 class EndpointLoad:
     """What this process knows of the load and health of one endpoint.
--- /dev/null
+++ b/src/tamaracktray/refusals.py
@@ -0,0 +1,114 @@
+"""What callers are told when their request gets no answer of an endpoint."""
+
+from tamaracktray.calls import Call
+from tamaracktray.hashing import HASH_RANGE, hash_text
+from tamaracktray.types import ErrorCode, Refusal, RunState
+
+# When a refused caller should come back while most are served, in seconds: soon enough
+# to meet its objective, about the time in which an engine ends one of its calls.
+BUSY_RETRY_S = 0.06
+
+# When it should come back while most are refused, in seconds. Returning at once would
+# meet the same lack of room, which seldom lasts longer than a change of version or the
+# loss of an instance does.
+SCARCE_RETRY_S = 1.0
+SCARCE_SPREAD_S = 1.0
+
+
+# When a caller should come back that no endpoint may serve at all, in seconds. A change
+# of version, a crash or a lost instance seldom takes less, and its objective is missed
+# in any case; callers come back spread over the second value.
+NO_ENDPOINT_RETRY_S = 1.4
+NO_ENDPOINT_SPREAD_S = 0.6
+
+
+# Part of the time left after which callers do not come back: they wait no longer than
+# a third of it.
+LONGEST_RETURN_SHARE = 1 / 3
+
+
+LEAVING_RETRY_S = 0.02
+
+
+def spread_return(now: float, call: Call, least_s: float, spread_s: float) -> float:
+    """Return a time to come back that the caller keeps, in seconds.
+
+    Callers who come back at the same moment would meet each other.
+    """
+    return_s = least_s + spread_s * hash_text(call.request_id) / HASH_RANGE
+    if not call.wait_s:
+        return return_s
+    left_s = call.arrived + call.wait_s - now
+    return max(min(return_s, left_s * LONGEST_RETURN_SHARE), BUSY_RETRY_S)
+
+
+def refuse_unanswered() -> Refusal:
+    """Return the error for a call that was sent and not answered as it should be."""
+    return Refusal(
+        ErrorCode.OUTCOME_UNKNOWN,
+        "the request was sent but not answered",
+        RunState.UNKNOWN,
+        502,
+    )
+
+
+def refuse_leaving() -> Refusal:
+    """Return the refusal of a process that shuts down; another takes the call now."""
+    return Refusal(
+        ErrorCode.LEAVING,
+        "this entry is shutting down",
+        RunState.NOT_RUN,
+        503,
+        LEAVING_RETRY_S,
+    )
+
+
+def refuse_late(may_have_run: bool) -> Refusal:
+    """Return the error for a call whose time is over."""
+    if may_have_run:
+        return Refusal(
+            ErrorCode.TIMED_OUT,
+            "the endpoint did not answer in time",
+            RunState.UNKNOWN,
+            504,
+        )
+    return Refusal(
+        ErrorCode.DEADLINE_EXCEEDED,
+        "the deadline passed before the request could run",
+        RunState.NOT_RUN,
+        503,
+        BUSY_RETRY_S,
+    )
+
+
+def refuse_busy(retry_after_s: float) -> Refusal:
+    """Return the refusal of a call for which no endpoint has room."""
+    return Refusal(
+        ErrorCode.OVERLOADED,
+        "all endpoints are busy",
+        RunState.NOT_RUN,
+        503,
+        retry_after_s,
+    )
+
+
+def refuse_no_endpoint(retry_after_s: float) -> Refusal:
+    """Return the refusal of a call that no endpoint may run now."""
+    return Refusal(
+        ErrorCode.NO_ENDPOINT,
+        "no endpoint can take the request now",
+        RunState.NOT_RUN,
+        503,
+        retry_after_s,
+    )
+
+
+def refuse_crashing(left_s: float) -> Refusal:
+    """Return the refusal of a request that crashed endpoints, for ``left_s`` more."""
+    return Refusal(
+        ErrorCode.QUARANTINED,
+        "this request crashed several endpoints and is refused for a while",
+        RunState.NOT_RUN,
+        503,
+        left_s,
+    )
--- a/src/tamaracktray/settings_page.py
+++ b/src/tamaracktray/settings_page.py
@@ -22,9 +22,8 @@
 
 # Settings on the users' platform
 
-There `python -m tamaracktray.platform` reads the file that the variable
-`TAMARACKTRAY_NODE_FILE` names; the platform makes it from `deploy/node.ini` at every
-start and reload. An empty value stands for the default.
+There `python -m tamaracktray.platform` reads a file that the platform makes from
+`deploy/node.ini` at every start and reload. An empty value stands for the default.
 """
 
 
--- a/src/tamaracktray_emulator/admission.py
+++ b/src/tamaracktray_emulator/admission.py
@@ -26,9 +26,6 @@
 from tamaracktray.costs import estimate_cost
 from tamaracktray.effects import Effect
 from tamaracktray.gateway import (
-    GatewayBounds,
-    GatewayContext,
-    GatewayState,
     fill_room,
     follow_roster,
     handle_attempt_ended,
@@ -37,6 +34,7 @@
     handle_call_started,
     handle_gateway_tick,
 )
+from tamaracktray.gateway_state import GatewayBounds, GatewayContext, GatewayState
 from tamaracktray.homes import Place
 from tamaracktray.outcomes import AttemptPhase
 from tamaracktray.placement import Surroundings
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -26,15 +26,15 @@
     RelayFailure,
     SendCall,
 )
-from tamaracktray.gateway import (
+from tamaracktray.gateway import handle_call_started
+from tamaracktray.outcomes import AttemptPhase
+from tamaracktray.placement import MISDIRECTED_S
+from tamaracktray.refusals import (
     BUSY_RETRY_S,
     NO_ENDPOINT_RETRY_S,
     SCARCE_RETRY_S,
     SCARCE_SPREAD_S,
-    handle_call_started,
 )
-from tamaracktray.outcomes import AttemptPhase
-from tamaracktray.placement import MISDIRECTED_S
 from tamaracktray.routes import RepeatKind
 from tamaracktray.types import ErrorCode, RunState
 
