Hold reloads while a process starts, and give agents their service only

Reloads are blocked until the handler is there; the package loads its names lazily, so that this comes first. Tests failed first for the reload; the configuration's are new.

--- a/src/tamaracktray/__init__.py
+++ b/src/tamaracktray/__init__.py
@@ -1,9 +1,13 @@
 """Weight distribution for bursts: model weights into service under live load."""
 
-from tamaracktray.core import ProcessState, reduce
-from tamaracktray.exceptions import TamaracktrayError
-from tamaracktray.resources import Kind, Resource
-from tamaracktray.settings import Settings, load_settings
+from importlib import import_module
+from typing import TYPE_CHECKING, Any
+
+if TYPE_CHECKING:
+    from tamaracktray.core import ProcessState, reduce
+    from tamaracktray.exceptions import TamaracktrayError
+    from tamaracktray.resources import Kind, Resource
+    from tamaracktray.settings import Settings, load_settings
 
 __all__ = [
     "Kind",
@@ -14,3 +18,21 @@
     "load_settings",
     "reduce",
 ]
+
+_MODULE_BY_NAME = {
+    "Kind": "resources",
+    "ProcessState": "core",
+    "Resource": "resources",
+    "Settings": "settings",
+    "TamaracktrayError": "exceptions",
+    "load_settings": "settings",
+    "reduce": "core",
+}
+
+
+def __getattr__(name: str) -> Any:
+    """Load a name when it is used: a process starts with what its role needs only."""
+    module = _MODULE_BY_NAME.get(name)
+    if module is None:
+        raise AttributeError(f"module {__name__!r} has no attribute {name!r}")
+    return getattr(import_module(f"{__name__}.{module}"), name)
--- a/src/tamaracktray/daemon.py
+++ b/src/tamaracktray/daemon.py
@@ -18,6 +18,7 @@
 from tamaracktray.objects import HttpObjectStore
 from tamaracktray.settings import Settings, load_settings
 from tamaracktray.shell import Shell
+from tamaracktray.signals import hold_reloads
 from tamaracktray.types import Address, Role
 
 EXIT_SETTINGS = 2
@@ -77,6 +78,7 @@
 
 def main() -> None:
     """Run the command line of the daemon."""
+    hold_reloads()
     arguments = build_parser().parse_args()
     sys.exit(run(arguments.config, is_check=arguments.check))
 
--- a/src/tamaracktray/direct_agent.py
+++ b/src/tamaracktray/direct_agent.py
@@ -20,9 +20,17 @@
 )
 from tamaracktray.chunk_sources import choose_source, list_sources
 from tamaracktray.deployment import Deployment
+from tamaracktray.direct_events import SnapshotsReceived
 from tamaracktray.direct_sections import DirectSettings
-from tamaracktray.direct_shell import DirectShell
+from tamaracktray.direct_shell import (
+    PEER_CONNECT_S,
+    PEER_TIMEOUT_S,
+    SERVICES_PATH,
+    DirectShell,
+    decode_snapshots,
+)
 from tamaracktray.exceptions import SourceLostError, WeightError
+from tamaracktray.exchange import fetch
 from tamaracktray.snapshots import Collection
 from tamaracktray.staging_events import (
     CheckStage,
@@ -52,9 +60,7 @@
 NOTICE_S = 0.03
 
 
-# Tries to take the configuration from entries before the store is asked, and the pause
-# between them in seconds.
-ROUTING_ATTEMPTS = 6
+# Pause before another entry is asked for the configuration, in seconds.
 ROUTING_RETRY_S = 0.15
 
 
@@ -102,17 +108,30 @@
         return [*loops, self._run_reports] if self._engine is not None else loops
 
     async def _obtain_routing(self) -> None:
-        """Take the configuration from an entry near by, else from the store."""
+        """Ask entries for what the configuration says of the own service."""
         for attempt in itertools.count():
             if self.state.index is not None:
                 return
             entry = self._choose_entry(Collection.ROUTING.value, attempt)
-            if attempt >= ROUTING_ATTEMPTS:
-                await self.read_once(Collection.ROUTING)
-            elif entry is not None:
-                await self.pull(entry)
+            if entry is not None:
+                await self._ask_service(entry)
             await curio.sleep(ROUTING_RETRY_S)
 
+    async def _ask_service(self, entry: Address) -> None:
+        reply = await fetch(
+            entry,
+            "GET",
+            f"{SERVICES_PATH}{self.state.served}",
+            timeout_s=PEER_TIMEOUT_S,
+            connect_timeout_s=PEER_CONNECT_S,
+        )
+        if isinstance(reply, Failure):
+            await self.note_peer_lost(entry)
+            return
+        if reply.unwrap().status == 200:
+            snapshots = decode_snapshots(reply.unwrap().body)
+            await self.dispatch(SnapshotsReceived(time.monotonic(), snapshots))
+
     @override
     def build_beacon(self) -> Beacon:
         return msgspec.structs.replace(
--- a/src/tamaracktray/direct_entry.py
+++ b/src/tamaracktray/direct_entry.py
@@ -33,7 +33,7 @@
 from tamaracktray.deployment import Deployment
 from tamaracktray.direct_events import ApplyRouting, CloseIdle, PrefetchVersion
 from tamaracktray.direct_sections import DirectSettings
-from tamaracktray.direct_shell import DirectShell, register_member
+from tamaracktray.direct_shell import SERVICES_PATH, DirectShell, register_member
 from tamaracktray.effects import Effect
 from tamaracktray.events import Event, Tick
 from tamaracktray.following import list_local
@@ -41,10 +41,12 @@
 from tamaracktray.http import HttpLimits, HttpServer, Request, Responder
 from tamaracktray.intake import build_call, refuse_uninformed
 from tamaracktray.messages import encode_refusal
+from tamaracktray.objects import StoredObject
 from tamaracktray.outcomes import AttemptPhase
 from tamaracktray.peers import Member
 from tamaracktray.refusals import refuse_late
 from tamaracktray.relaying import CallRelay, OpenCall
+from tamaracktray.snapshots import Collection
 from tamaracktray.types import Address, Refusal
 
 # Pause before the own entry among the members is written again, in seconds.
@@ -144,8 +146,24 @@
                 await self.spawn(self._chunk_relay.prefetch, key)
             await self._chunk_relay.handle(request, responder)
             return
+        if request.path.startswith(SERVICES_PATH):
+            await self._describe_service(request, responder)
+            return
         await super().handle_peer(request, responder)
 
+    async def _describe_service(self, request: Request, responder: Responder) -> None:
+        """Tell an agent what the configuration says of its service."""
+        if self.state.index is None:
+            await responder.respond(503, [])
+            return
+        name = request.path.removeprefix(SERVICES_PATH)
+        table = self.state.index.table.select_service(name)
+        known = self.state.knowledge.by_collection[Collection.ROUTING]
+        part = StoredObject(name, known.revision, table, deleted=False)
+        snapshot = msgspec.structs.replace(known, objects_by_name={name: part})
+        body = msgspec.msgpack.encode({Collection.ROUTING: snapshot})
+        await responder.respond(200, [], body)
+
     @override
     async def apply_routing(self, effect: ApplyRouting) -> None:
         await super().apply_routing(effect)
--- a/src/tamaracktray/direct_shell.py
+++ b/src/tamaracktray/direct_shell.py
@@ -71,13 +71,20 @@
 SEED_DELAY_S = 0.3
 SEED_RETRY_S = 0.05
 
-# Longest call to a peer, in seconds.
-PEER_TIMEOUT_S = 1.0
+# Longest call to a peer, in seconds: a large configuration takes a while over the link
+# of an instance that others ask as well. Connecting takes no longer than the second.
+PEER_TIMEOUT_S = 3.0
+PEER_CONNECT_S = 0.5
+
+# Peers that are asked at a time: each answer may be as large as the configuration.
+MAX_PULLS = 2
 
 # Beacons are sent at least this often, in seconds.
 IDLE_BEACON_S = 0.5
 
 SNAPSHOTS_PATH = "/snapshots"
+SERVICES_PATH = "/services/"
+MAX_SNAPSHOT_BYTES = 16 * 1_048_576
 METRICS_TYPE: Headers = [("content-type", "text/plain; version=0.0.4")]
 MAX_DATAGRAM_BYTES = 65_507
 
@@ -300,17 +307,24 @@
         await responder.respond(200, [], msgspec.msgpack.encode(newer))
 
     async def _start_pull(self, effect: PullSnapshots) -> None:
-        if effect.address in self._pulls:
+        if len(self._pulls) >= MAX_PULLS or effect.address in self._pulls:
             return
         self._pulls.add(effect.address)
         await self.spawn(self.pull, effect.address)
 
     async def pull(self, address: Address) -> None:
         """Take the snapshots that a peer has newer."""
-        known = msgspec.msgpack.encode(self.state.knowledge.list_wanted())
+        known = msgspec.msgpack.encode(self.state.knowledge.list_revisions())
         try:
             reply = await fetch(
-                address, "POST", SNAPSHOTS_PATH, None, known, timeout_s=PEER_TIMEOUT_S
+                address,
+                "POST",
+                SNAPSHOTS_PATH,
+                None,
+                known,
+                timeout_s=PEER_TIMEOUT_S,
+                connect_timeout_s=PEER_CONNECT_S,
+                max_bytes=MAX_SNAPSHOT_BYTES,
             )
         finally:
             self._pulls.discard(address)
--- a/src/tamaracktray/platform/store.py
+++ b/src/tamaracktray/platform/store.py
@@ -39,6 +39,10 @@
 # Time beyond a watch's own wait in which its answer must arrive, in seconds.
 WATCH_GRACE_S = 3.0
 
+# Time for a list that is larger than an ordinary answer, in seconds: a configuration of
+# a quarter of a megabyte may share a thin link with those of other processes.
+TIMEOUT_S_BY_COLLECTION: dict[str, float] = {Collection.ROUTING: 4.0}
+
 KIND_BY_COLLECTION = {
     Collection.ROUTING: "config",
     Collection.ENDPOINTS: "servers",
@@ -110,7 +114,11 @@
         revision = 0
         query = ""
         for _ in range(MAX_PAGES):
-            reply = await self._call("GET", _path(collection) + query)
+            reply = await self._call(
+                "GET",
+                _path(collection) + query,
+                timeout_s=TIMEOUT_S_BY_COLLECTION.get(collection),
+            )
             decoded = reply.bind(lambda answer: _decode(answer, _Page))
             if isinstance(decoded, Failure):
                 return decoded
--- a/src/tamaracktray/routes.py
+++ b/src/tamaracktray/routes.py
@@ -135,6 +135,18 @@
     teams: tuple[Team, ...] = ()
     limits: CallerLimits = CallerLimits()
 
+    def select_service(self, name: str) -> "RoutingTable":
+        """Return what an agent needs of the table: its service and the origin.
+
+        A whole table is large, and the links of agents' instances are thin.
+        """
+        kept = {
+            key: service
+            for key, service in self.services_by_name.items()
+            if key == name or service.origin is not None
+        }
+        return RoutingTable(self.version, services_by_name=kept)
+
     def find_origin(self) -> Service | None:
         """Return the service that hands out weights, if there is one."""
         for service in self.services_by_name.values():
--- a/src/tamaracktray/runtime.py
+++ b/src/tamaracktray/runtime.py
@@ -17,6 +17,7 @@
 from tamaracktray.exceptions import InvariantError
 from tamaracktray.http import HttpServer
 from tamaracktray.metrics import Metrics
+from tamaracktray.signals import take_reloads
 
 MAX_EXIT_WAIT_S = 10.0
 EXIT_BROKEN = 1
@@ -151,6 +152,7 @@
         signal.set_wakeup_fd(sender.fileno())
         for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
             signal.signal(number, _ignore_signal)
+        take_reloads()
         async with curio.io.Socket(receiver) as stream:
             while True:
                 for number in await stream.recv(1):
--- a/src/tamaracktray/snapshots.py
+++ b/src/tamaracktray/snapshots.py
@@ -79,7 +79,8 @@
 class Knowledge:
     """The snapshots of one process.
 
-    It keeps the ``followed`` ones up to date; the ``initial`` ones are read once.
+    It keeps the ``followed`` ones up to date, and asks once for a part of the
+    ``initial`` ones.
     """
 
     __slots__ = ("by_collection", "followed", "initial")
@@ -113,14 +114,6 @@
         """Return up to which revision each followed collection is known."""
         return {name: self.by_collection[name].revision for name in self.followed}
 
-    def list_wanted(self) -> dict[Collection, int]:
-        """Return what to ask a peer for, with the revisions known already."""
-        wanted = self.list_revisions()
-        for collection in self.initial:
-            if not self.by_collection[collection].revision:
-                wanted[collection] = 0
-        return wanted
-
     def list_changes(self) -> dict[Collection, int]:
         """Return since which revision each collection is as it is."""
         return {
--- a/tests/test_following.py
+++ b/tests/test_following.py
@@ -3,10 +3,13 @@
 import curio
 
 from platforms import PlatformFleet, run_fleet
+from tamaracktray.direct_shell import MAX_PULLS
 from tamaracktray.following import FOLLOWERS_PER_REGION, is_follower, list_local
 from tamaracktray.namings import FLOOR_WAIT_S, VERSION_MARGIN_S, Namings
 from tamaracktray.peers import Member
 from tamaracktray.types import Address
+from tamaracktray_emulator.platform.documents import build_route
+from tamaracktray_emulator.platform.store import Outage
 
 REGION_BY_ZONE = {"zone-a": "region-a", "zone-b": "region-a", "zone-c": "region-c"}
 MODEL = "kiln"
@@ -70,6 +73,41 @@
 
         run_fleet(scenario)
 
+    def test_agents_take_no_whole_configuration(self):
+        """It may be a quarter of a megabyte, and their instances' links are thin."""
+
+        async def scenario(fleet: PlatformFleet) -> None:
+            fleet.routes += [
+                build_route(f"r{n}", "safe", "orders") for n in range(1_200)
+            ]
+            await fleet.start()
+            reads = CountedReads(fleet)
+            agent = await fleet.add_agent(await fleet.add_engine("e-1"))
+            await fleet.until(lambda: agent.state.is_informed)
+            table = agent.state.index.table
+            assert not table.routes
+            assert not table.teams
+            assert table.find_origin() is not None
+            assert reads.count == 0
+
+        run_fleet(scenario)
+
+    def test_entry_that_starts_asks_few_peers_at_a_time(self):
+        async def scenario(fleet: PlatformFleet) -> None:
+            await fleet.start(entries=5)
+            fleet.store.faults.outage = Outage.BUSY
+            late = await fleet.add_entry()
+            asked: list[int] = []
+
+            def is_informed() -> bool:
+                asked.append(len(late._pulls))
+                return late.state.is_informed
+
+            await fleet.until(is_informed, 2.0)
+            assert max(asked) <= MAX_PULLS
+
+        run_fleet(scenario)
+
     def test_storm_of_changes_costs_no_read_for_each(self):
         async def scenario(fleet: PlatformFleet) -> None:
             await fleet.start()
--- /dev/null
+++ b/tests/test_signals.py
@@ -0,0 +1,66 @@
+"""Signals that reach a process while it starts."""
+
+import json
+import os
+import signal
+import subprocess
+import sys
+import time
+from pathlib import Path
+
+import pytest
+
+SETTINGS = """\
+[node]
+role = agent
+name = agent-1
+zone = zone-a
+regions = zone-a=region-a
+ip = 127.9.250.1
+[listen]
+peer_ports = 31190, 31195
+[store]
+address = 127.9.250.1:9
+"""
+
+
+@pytest.fixture
+def process(tmp_path: Path):
+    path = tmp_path / "node.ini"
+    path.write_text(SETTINGS, "utf-8")
+    environment = {**os.environ, "TAMARACKTRAY_NODE_FILE": str(path)}
+    started = subprocess.Popen(
+        [sys.executable, "-m", "tamaracktray.platform"],
+        env=environment,
+        stdout=subprocess.PIPE,
+        text=True,
+    )
+    yield started
+    started.kill()
+    started.wait()
+
+
+def read_signals(pid: int, name: str) -> int:
+    """Return a set of signals of a process as the system shows it."""
+    for line in Path(f"/proc/{pid}/status").read_text("ascii").splitlines():
+        key, _, value = line.partition(":")
+        if key == name:
+            return int(value, 16)
+    return 0
+
+
+class TestReloadAtStart:
+    def test_reload_asked_for_during_the_start_is_carried_out_after_it(self, process):
+        bit = 1 << (signal.SIGHUP - 1)
+        deadline = time.monotonic() + 10.0
+        while not read_signals(process.pid, "SigBlk") & bit:
+            assert process.poll() is None
+            assert time.monotonic() < deadline, "reloads were never held"
+        process.send_signal(signal.SIGHUP)
+        events: list[str] = []
+        for line in process.stdout:
+            events.append(json.loads(line)["event"])
+            if "reloaded" in events:
+                break
+        assert events.index("started") < events.index("reloaded")
+        assert process.poll() is None
