Let few entries read the endpoints, and one collection at a time look for a lost store

Endpoints are read by two entries of a region, like the configuration. While the store is lost one collection of a process asks again, agents at longer pauses. The reading stands in a module of its own. The margin before a version is due is 0.7 s instead of 0.5 s.

--- a/src/tamaracktray/direct.py
+++ b/src/tamaracktray/direct.py
@@ -93,6 +93,10 @@
 REMOTE_PULL_DELAY_S = 0.7
 
 
+# Collections that only few entries of a region read: the configuration is large, and
+# the endpoints change all the time.
+RELAYED = frozenset({Collection.ROUTING, Collection.ENDPOINTS})
+
 # Time after which homes are dealt out anew, in seconds: agents tell of changes of
 # version meanwhile.
 HOMES_INTERVAL_S = 0.1
@@ -125,8 +129,9 @@
         state.is_store_lost = False
         state.outage_end = now
     effects = _take(state, now, {collection: snapshot})
-    if collection is Collection.ROUTING and state.gateway is not None and effects:
-        # Peers that do not read the configuration themselves wait for this.
+    is_changed = snapshot.changed_revision == snapshot.revision
+    if collection in RELAYED and state.gateway is not None and is_changed:
+        # Peers that do not read the collection themselves wait for this.
         effects.append(TellPeers())
     return effects
 
@@ -260,7 +265,7 @@
 
 def reads_store(state: DirectState, now: float, collection: Collection) -> bool:
     """Tell whether this process itself reads a collection from the store."""
-    if collection is not Collection.ROUTING:
+    if collection not in RELAYED or state.gateway is None:
         return True
     if not state.knowledge.by_collection[collection].revision:
         return True
@@ -309,8 +314,8 @@
 def _is_behind(state: DirectState, now: float, beacon: Beacon) -> bool:
     """Tell whether to ask a peer for a change that the own watch has not brought.
 
-    A watch is a little later than another all the time, which is no reason to ask. The
-    configuration is asked for at once where the process leaves its reading to others.
+    A watch is a little later than another all the time, which is no reason to ask. What
+    the process leaves to others to read is asked for at once.
     """
     missing = state.knowledge.list_missing(beacon.changed_by_collection)
     if not missing:
@@ -325,8 +330,8 @@
     peer = state.peers.members_by_name.get(beacon.name)
     is_local = bool(peer and list_local(state.zone, [peer], state.region_by_zone))
     delay_s = LOCAL_PULL_DELAY_S if is_local else REMOTE_PULL_DELAY_S
-    if is_local and Collection.ROUTING in missing:
-        delay_s = 0.0 if not reads_store(state, now, Collection.ROUTING) else delay_s
+    if is_local and not all(reads_store(state, now, name) for name in missing):
+        delay_s = 0.0
     if now - state.behind_since < delay_s:
         return False
     state.newer_peer = ""
--- a/src/tamaracktray/direct_agent.py
+++ b/src/tamaracktray/direct_agent.py
@@ -73,6 +73,8 @@
 
     followed = (Collection.VERSIONS, Collection.MEMBERS)
     initial = (Collection.ROUTING,)
+    # Entries tell of changes meanwhile, and there are many agents.
+    store_pauses_s = (0.4, 1.0)
 
     def __init__(
         self, path: Path, settings: DirectSettings, deployment: Deployment
--- a/src/tamaracktray/direct_shell.py
+++ b/src/tamaracktray/direct_shell.py
@@ -20,13 +20,10 @@
     AnswerBeacon,
     ApplyRouting,
     BeaconHeard,
-    CollectionChanged,
-    CollectionListed,
     PeerLost,
     PullSnapshots,
     ReadCollection,
     SnapshotsReceived,
-    StoreLost,
     TellPeers,
 )
 from tamaracktray.direct_sections import DirectSettings, load_direct_settings
@@ -34,7 +31,7 @@
 from tamaracktray.effects import Effect
 from tamaracktray.engines import VersionOrigin, VersionTarget
 from tamaracktray.events import Event, Tick
-from tamaracktray.exceptions import ConflictError, PlatformError, RevisionExpiredError
+from tamaracktray.exceptions import ConflictError, PlatformError
 from tamaracktray.exchange import fetch
 from tamaracktray.http import Headers, HttpServer, Request, Responder
 from tamaracktray.logs import Logs, configure_logs
@@ -44,28 +41,12 @@
 from tamaracktray.routes import RoutingTable
 from tamaracktray.runtime import Runtime
 from tamaracktray.snapshots import Collection, Snapshot
+from tamaracktray.store_follower import StoreCalls, StoreFollower
 from tamaracktray.types import Address, Role
 
 TICK_S = 0.025
 EXIT_SETTINGS = 2
 
-# Pauses before a failed call to the store is repeated, in seconds.
-RETRY_MIN_S = 0.1
-RETRY_MAX_S = 0.5
-
-# Pause between two watches of a collection, so that changes which come together cost
-# one call, in seconds.
-SETTLE_S = 0.05
-SETTLE_S_BY_COLLECTION = {Collection.ENDPOINTS: 0.5, Collection.ROUTING: 0.4}
-
-# Changes that one watch of the configuration may bring before the next read lists its
-# newest state only: each change carries it as a whole.
-MAX_WATCHED_CHANGES = 1
-
-# Pause before a process that leaves the reading to others looks again whether it still
-# may, in seconds.
-FOLLOWER_CHECK_S = 0.2
-
 # Time that the store has to tell a new process what it needs before the seeds are
 # asked, and the pause between them, in seconds.
 SEED_DELAY_S = 0.3
@@ -107,6 +88,10 @@
     followed: tuple[Collection, ...] = tuple(Collection)
     initial: tuple[Collection, ...] = ()
 
+    # Pauses before a failed call to the store is repeated, the shortest and the longest
+    # in seconds.
+    store_pauses_s = (0.1, 0.5)
+
     def __init__(
         self, path: Path, settings: DirectSettings, deployment: Deployment
     ) -> None:
@@ -132,6 +117,7 @@
             Address.parse(settings.store.address), settings.store.timeout_s
         )
         self.logs: Logs | None = None
+        self._follower = StoreFollower(self.build_store_calls())
         self._incarnation = self.random.getrandbits(32)
         self._beacon_number = 0
         self._pulls: set[Address] = set()
@@ -160,7 +146,9 @@
 
     @override
     def list_loops(self) -> list[Callable[[], Awaitable[None]]]:
-        watches = [self._build_watch(collection) for collection in self.followed]
+        watches = [
+            self._follower.build_loop(collection) for collection in self.followed
+        ]
         return [
             self._run_ticks,
             self._run_datagrams,
@@ -337,107 +325,21 @@
             self.log.info("knowledge from peer", peer=str(address), collections=names)
         await self.dispatch(SnapshotsReceived(time.monotonic(), snapshots))
 
-    def _build_watch(self, collection: Collection) -> Callable[[], Awaitable[None]]:
-        async def follow() -> None:
-            await self._follow(collection)
-
-        return follow
-
-    async def _follow(self, collection: Collection) -> None:
-        """Follow a collection by one long poll after another."""
-        is_listed = is_stormy = False
-        failed_at = 0.0
-        while True:
-            if not reads_store(self.state, time.monotonic(), collection):
-                is_listed = False
-                await curio.sleep(FOLLOWER_CHECK_S)
-                continue
-            if not is_listed:
-                before = self._find_change(collection)
-                failure = await self._list(collection)
-                is_listed = failure is None
-                if is_stormy:
-                    # As long as every list brings a change, a watch would bring more.
-                    is_stormy = is_listed and self._find_change(collection) != before
-                    is_listed = is_listed and not is_stormy
-            else:
-                failure, changes = await self._watch(collection)
-                is_stormy = (
-                    collection is Collection.ROUTING and changes > MAX_WATCHED_CHANGES
-                )
-                is_expired = isinstance(failure, RevisionExpiredError)
-                is_listed = not is_stormy and not is_expired
-            now = time.monotonic()
-            if failure is None:
-                if failed_at:
-                    lost_s = now - failed_at
-                    self.log.info(
-                        "store regained", collection=collection.value, lost_s=lost_s
-                    )
-                failed_at = 0.0
-                await curio.sleep(SETTLE_S_BY_COLLECTION.get(collection, SETTLE_S))
-                continue
-            if isinstance(failure, RevisionExpiredError):
-                self.log.info("history expired", collection=collection.value)
-                continue
-            self.metrics.count("store_failures", collection=collection.value)
-            await self._note_failure(collection, failure, is_first=not failed_at)
-            failed_at = failed_at or now
-            await curio.sleep(self.random.uniform(RETRY_MIN_S, RETRY_MAX_S))
-
-    def _find_change(self, collection: Collection) -> int:
-        return self.state.knowledge.by_collection[collection].changed_revision
-
-    async def _note_failure(
-        self, collection: Collection, failure: PlatformError, *, is_first: bool
-    ) -> None:
-        await self.dispatch(StoreLost(time.monotonic()))
-        if is_first:
-            self.log.warning(
-                "store lost", collection=collection.value, error=failure.message
-            )
-
-    async def _read_collection(self, effect: ReadCollection) -> None:
-        await self.spawn(self.read_once, effect.collection)
-
-    async def read_once(self, collection: Collection) -> None:
-        """Read a collection from the store, if it answers."""
-        failure = await self._list(collection)
-        if failure is not None:
-            self.log.info(
-                "collection not read",
-                collection=collection.value,
-                error=failure.message,
-            )
-
-    async def _list(self, collection: Collection) -> PlatformError | None:
-        self.metrics.count("store_calls", kind="list")
-        listed = await self.store.list(collection)
-        if isinstance(listed, Failure):
-            return listed.failure()
-        objects = listed.unwrap()
-        await self.dispatch(
-            CollectionListed(
-                time.monotonic(), collection, objects.items, objects.revision
-            )
+    def build_store_calls(self) -> StoreCalls:
+        """Return what reading the store needs of this process."""
+        return StoreCalls(
+            self.store,
+            lambda: self.state.knowledge,
+            lambda collection: reads_store(self.state, time.monotonic(), collection),
+            self.dispatch,
+            self.metrics,
+            self.random,
+            self.settings.store.watch_s,
+            *self.store_pauses_s,
         )
-        return None
 
-    async def _watch(self, collection: Collection) -> tuple[PlatformError | None, int]:
-        """Wait for changes; return what failed and how many changes came."""
-        revision = self.state.knowledge.by_collection[collection].revision
-        watch_s = self.settings.store.watch_s
-        self.metrics.count("store_calls", kind="watch")
-        watched = await self.store.watch(collection, revision, watch_s)
-        if isinstance(watched, Failure):
-            return watched.failure(), 0
-        changes = watched.unwrap()
-        await self.dispatch(
-            CollectionChanged(
-                time.monotonic(), collection, changes.items, changes.revision
-            )
-        )
-        return None, len(changes.items)
+    async def _read_collection(self, effect: ReadCollection) -> None:
+        await self.spawn(self._follower.read_once, effect.collection)
 
 
 def decode_snapshots(body: bytes) -> dict[Collection, Snapshot]:
--- a/src/tamaracktray/following.py
+++ b/src/tamaracktray/following.py
@@ -1,7 +1,8 @@
-"""Which processes read the routing configuration from the platform's store.
+"""Which processes read a collection from the platform's store.
 
-A configuration may be large and links between regions are thin, so only a few entries
-of each region read it; the others take it from them as soon as they tell of a change.
+A configuration may be large, the endpoints change all the time, links between regions
+are thin and every call to the store is paid for. So only a few entries of each region
+read these; the others take them from those as soon as they tell of a change.
 """
 
 from collections.abc import Iterable, Mapping
@@ -9,7 +10,7 @@
 from tamaracktray.hashing import hash_text
 from tamaracktray.peers import Member
 
-# Entries of a region that read the configuration: one may fail without delay.
+# Entries of a region that read a collection: one may fail without delay.
 FOLLOWERS_PER_REGION = 2
 
 
@@ -24,7 +25,7 @@
 
 
 def is_follower(own_name: str, local_peers: Iterable[Member]) -> bool:
-    """Tell whether an entry reads the configuration from the store.
+    """Tell whether an entry reads a collection from the store.
 
     ``local_peers`` are those of its region that reach the store.
     """
--- a/src/tamaracktray/namings.py
+++ b/src/tamaracktray/namings.py
@@ -10,8 +10,8 @@
 import msgspec
 
 # Time before a version is due from which calls go to it only, in seconds: a call may
-# wait that long at its endpoint before it begins.
-VERSION_MARGIN_S = 0.5
+# take that long to reach its endpoint over a full link and to begin there.
+VERSION_MARGIN_S = 0.7
 
 # Time in which peers tell a process that has just started how old the namings are, in
 # seconds: three of the beacons that each sends at least.
--- a/src/tamaracktray/swap_turns.py
+++ b/src/tamaracktray/swap_turns.py
@@ -21,7 +21,7 @@
 
 # Time before the bound of a rollout by which the last engine is ordered to load, in
 # seconds: calls that were sent before must begin within it.
-SWAP_RESERVE_S = 0.6
+SWAP_RESERVE_S = 0.8
 
 # Time that ordering and loading take after the last chunk, in seconds.
 SKIP_MARGIN_S = 1.0
--- a/tests/test_following.py
+++ b/tests/test_following.py
@@ -108,6 +108,40 @@
 
         run_fleet(scenario)
 
+    def test_change_of_endpoints_reaches_entries_through_few_reads(self):
+        async def scenario(fleet: PlatformFleet) -> None:
+            await fleet.start(entries=6)
+            states = [entry.state for entry in fleet.entries]
+            await fleet.until(
+                lambda: all(len(s.peers.members_by_name) == 5 for s in states)
+            )
+            await curio.sleep(1.0)
+            reads = CountedReads(fleet, "endpoints")
+            await fleet.add_worker("w-1")
+            await fleet.until(
+                lambda: all("w-1" in s.roster.records_by_id for s in states), 1.0
+            )
+            assert reads.count <= 2 * FOLLOWERS_PER_REGION
+
+        run_fleet(scenario)
+
+    def test_outage_costs_no_call_for_each_collection(self):
+        async def scenario(fleet: PlatformFleet) -> None:
+            await fleet.start()
+            await curio.sleep(0.5)
+            fleet.store.faults.outage = Outage.BUSY
+            await curio.sleep(0.2)
+            calls = fleet.store.calls
+            await curio.sleep(2.0)
+            shortest_pause_s, _ = fleet.entries[0].store_pauses_s
+            assert 2 <= fleet.store.calls - calls <= 2.0 / shortest_pause_s
+            fleet.store.faults.outage = Outage.NONE
+            fleet.configure()
+            version, state = fleet.version, fleet.entries[0].state
+            await fleet.until(lambda: state.index.table.version == version, 1.0)
+
+        run_fleet(scenario)
+
     def test_storm_of_changes_costs_no_read_for_each(self):
         async def scenario(fleet: PlatformFleet) -> None:
             await fleet.start()
@@ -124,9 +158,10 @@
 
 
 class CountedReads:
-    """Counts the reads of the configuration, and the configurations they carry."""
+    """Counts the reads of a collection, and the objects that they carry."""
 
-    def __init__(self, fleet: PlatformFleet) -> None:
+    def __init__(self, fleet: PlatformFleet, collection: str = "routing") -> None:
+        self._collection = collection
         self.count = 0
         self.bodies = 0
         for shell in [*fleet.entries, *fleet.agents]:
@@ -139,7 +174,7 @@
     def _wrap(self, read):
         async def counted(collection, *args):
             answer = await read(collection, *args)
-            if collection == "routing":
+            if collection == self._collection:
                 self.count += 1
                 self.bodies += len(answer.unwrap().items)
             return answer
