Hand on only what is followed as a whole

Cause: agents were given a part of the configuration under the revision of the whole, and told and handed it on like the whole. Two tests failed first.

--- a/src/tamaracktray/snapshots.py
+++ b/src/tamaracktray/snapshots.py
@@ -80,7 +80,7 @@
     """The snapshots of one process.
 
     It keeps the ``followed`` ones up to date, and asks once for a part of the
-    ``initial`` ones.
+    ``initial`` ones, which it neither tells of nor hands on.
     """
 
     __slots__ = ("by_collection", "followed", "initial")
@@ -115,10 +115,9 @@
         return {name: self.by_collection[name].revision for name in self.followed}
 
     def list_changes(self) -> dict[Collection, int]:
-        """Return since which revision each collection is as it is."""
+        """Return since which revision each followed collection is as it is."""
         return {
-            collection: snapshot.changed_revision
-            for collection, snapshot in self.by_collection.items()
+            name: self.by_collection[name].changed_revision for name in self.followed
         }
 
     def list_missing(
@@ -138,5 +137,6 @@
         return {
             collection: self.by_collection[collection]
             for collection, revision in revision_by_collection.items()
-            if self.by_collection[collection].changed_revision > revision
+            if collection in self.followed
+            and self.by_collection[collection].changed_revision > revision
         }
--- a/tests/test_following.py
+++ b/tests/test_following.py
@@ -7,6 +7,7 @@
 from tamaracktray.following import FOLLOWERS_PER_REGION, is_follower, list_local
 from tamaracktray.namings import FLOOR_WAIT_S, VERSION_MARGIN_S, Namings
 from tamaracktray.peers import Member
+from tamaracktray.snapshots import Collection
 from tamaracktray.types import Address
 from tamaracktray_emulator.platform.documents import build_route
 from tamaracktray_emulator.platform.store import Outage
@@ -92,6 +93,23 @@
 
         run_fleet(scenario)
 
+    def test_entry_that_starts_takes_no_configuration_from_agents(self):
+        """All entries have ended and the store is out; only an agent still runs."""
+
+        async def scenario(fleet: PlatformFleet) -> None:
+            await fleet.start()
+            agent = await fleet.add_agent(await fleet.add_engine("e-1"))
+            await fleet.until(lambda: agent.state.is_informed)
+            fleet.store.faults.outage = Outage.BUSY
+            late = await fleet.add_entry()
+            await fleet.entries[0].halt()
+            late.own_address = fleet.entries[0].own_address
+            await late.pull(agent.own_address)
+            known = late.state.knowledge.by_collection[Collection.ROUTING]
+            assert all(item.value.routes for item in known.objects_by_name.values())
+
+        run_fleet(scenario)
+
     def test_entry_that_starts_asks_few_peers_at_a_time(self):
         async def scenario(fleet: PlatformFleet) -> None:
             await fleet.start(entries=5)
--- a/tests/test_snapshots.py
+++ b/tests/test_snapshots.py
@@ -76,6 +76,15 @@
         assert not Knowledge([Collection.MEMBERS]).list_missing({Collection.ROUTING: 9})
         assert knowledge.list_missing({Collection.ROUTING: 10})
 
+    def test_part_of_a_collection_is_never_handed_on(self):
+        """Agents know of the configuration what concerns their engine only."""
+        knowledge = Knowledge([Collection.MEMBERS], [Collection.ROUTING])
+        part = Snapshot().replace_all([item("a", 9)], 9)
+        knowledge.merge(Collection.ROUTING, part)
+        assert Collection.ROUTING not in knowledge.list_changes()
+        assert Collection.ROUTING not in knowledge.list_revisions()
+        assert knowledge.select_newer({Collection.ROUTING: 0}) == {}
+
     @given(st.permutations(range(1, 7)))
     def test_any_order_ends_at_the_newest(self, order):
         knowledge = Knowledge()
