Take calls that have not begun away before their engine's version is too old

A larger margin would cost service on every rollout.

Calls that have not begun are taken away 0.15 s before the bound and go elsewhere if they may.

--- a/src/tamaracktray/direct.py
+++ b/src/tamaracktray/direct.py
@@ -415,6 +415,7 @@
         state.evacuated_zones,
         state.services_by_name,
         state.namings.list_floors(now),
+        state.namings.list_last_floors(now),
     )
 
 
--- a/src/tamaracktray/gateway.py
+++ b/src/tamaracktray/gateway.py
@@ -226,6 +226,7 @@
         if endpoint_id in heard:
             load.heard_at = now
     effects = _give_up_silent(context, now)
+    effects.extend(_give_up_outdated(context))
     effects.extend(fill_room(context, now))
     for call in state.waiting.remove_expired(now):
         pending = state.pending_by_id.get(call.id)
@@ -263,6 +264,22 @@
     return effects
 
 
+def _give_up_outdated(context: GatewayContext) -> list[Effect]:
+    """Take calls away that have not begun where the version is about to be too old."""
+    state = context.state
+    effects: list[Effect] = []
+    for model, floor in context.around.last_floor_by_model.items():
+        for pending in state.pending_by_id.values():
+            load = state.loads_by_id.get(pending.endpoint_id)
+            if load is None or pending.is_started or pending.is_abandoned:
+                continue
+            if pending.call.model != model or not 0 < load.find_version(model) < floor:
+                continue
+            pending.is_abandoned = True
+            effects.append(AbandonAttempt(pending.call.id))
+    return effects
+
+
 def fill_room(context: GatewayContext, now: float) -> list[Effect]:
     """Send waiting calls, in order, to endpoints with room."""
     state = context.state
--- a/src/tamaracktray/namings.py
+++ b/src/tamaracktray/namings.py
@@ -13,10 +13,17 @@
 # take that long to reach its endpoint over a full link and to begin there.
 VERSION_MARGIN_S = 0.7
 
+# Time before a version is due by which calls that have not begun on an older one are
+# taken away from their endpoint, in seconds: a tick and the way there.
+LAST_MARGIN_S = 0.15
+
 # Time in which peers tell a process that has just started how old the namings are, in
 # seconds: three of the beacons that each sends at least.
 FLOOR_WAIT_S = 1.5
 
+# Namings of a model that are kept: one that is due and newer ones that are not yet.
+KEPT_NAMINGS = 8
+
 # Versions and how long ago they were named in seconds, by model.
 Ages = Mapping[str, list[tuple[int, float]]]
 
@@ -55,6 +62,7 @@
         """Take in a naming newer than all others of the model."""
         namings = self._namings_by_model.setdefault(model, [])
         namings.append(Naming(version, named_at))
+        del namings[:-KEPT_NAMINGS]
 
     def note_peer(self, now: float, floors: Mapping[str, int], ages: Ages) -> None:
         """Follow a peer that has seen namings which this process saw later or not."""
@@ -86,9 +94,12 @@
             due = [item.version for item in namings if self._is_due(now, item)]
             if due:
                 floors[model] = max(floors.get(model, 0), due[-1])
-                namings[:] = [item for item in namings if item.version >= due[-1]]
         return floors
 
+    def list_last_floors(self, now: float) -> dict[str, int]:
+        """Return the oldest version on which calls that were sent may still begin."""
+        return self.list_floors(now - VERSION_MARGIN_S + LAST_MARGIN_S)
+
     def list_ages(self, now: float) -> dict[str, list[tuple[int, float]]]:
         """Return what peers should know of the namings."""
         return {
--- a/src/tamaracktray/placement.py
+++ b/src/tamaracktray/placement.py
@@ -241,7 +241,8 @@
 class Surroundings(msgspec.Struct, frozen=True):
     """What placing needs to know beside the endpoints' loads.
 
-    ``version_floor_by_model`` is the oldest version on which a call may begin.
+    ``version_floor_by_model`` is the oldest version to which a call may be sent, and
+    ``last_floor_by_model`` the oldest on which one may still begin.
     """
 
     zone: str
@@ -249,6 +250,7 @@
     evacuated_zones: frozenset[str]
     services_by_name: Mapping[str, Service]
     version_floor_by_model: Mapping[str, int]
+    last_floor_by_model: Mapping[str, int] = {}
 
     @property
     def region(self) -> str:
--- a/tests/gateways.py
+++ b/tests/gateways.py
@@ -109,6 +109,7 @@
         self.state.home_ids = frozenset(names)
         self.ledger = CrashLedger(300.0)
         self.floors: dict[str, int] = {}
+        self.last_floors: dict[str, int] = {}
         self.evacuated: frozenset[str] = frozenset()
         self.now = 0.0
         self.follow(*records)
@@ -116,7 +117,12 @@
     @property
     def context(self) -> GatewayContext:
         around = Surroundings(
-            ZONE, REGION_BY_ZONE, self.evacuated, SERVICES, self.floors
+            ZONE,
+            REGION_BY_ZONE,
+            self.evacuated,
+            SERVICES,
+            self.floors,
+            self.last_floors,
         )
         return GatewayContext(self.state, around, self.ledger, False)
 
--- a/tests/test_following.py
+++ b/tests/test_following.py
@@ -5,7 +5,12 @@
 from platforms import PlatformFleet, run_fleet
 from tamaracktray.direct_shell import MAX_PULLS
 from tamaracktray.following import FOLLOWERS_PER_REGION, is_follower, list_local
-from tamaracktray.namings import FLOOR_WAIT_S, VERSION_MARGIN_S, Namings
+from tamaracktray.namings import (
+    FLOOR_WAIT_S,
+    LAST_MARGIN_S,
+    VERSION_MARGIN_S,
+    Namings,
+)
 from tamaracktray.peers import Member
 from tamaracktray.snapshots import Collection
 from tamaracktray.types import Address
@@ -208,6 +213,12 @@
         assert namings.list_floors(due_at - 0.01) == {}
         assert namings.list_floors(due_at) == {MODEL: 2}
 
+    def test_calls_that_were_sent_may_begin_a_little_longer(self):
+        namings = Namings(0.0, BOUND_S)
+        namings.add(MODEL, 2, 0.0)
+        assert namings.list_last_floors(BOUND_S - VERSION_MARGIN_S) == {}
+        assert namings.list_last_floors(BOUND_S - LAST_MARGIN_S) == {MODEL: 2}
+
     def test_naming_learned_late_counts_from_where_a_peer_saw_it(self):
         namings = Namings(0.0, BOUND_S)
         namings.add(MODEL, 2, 6.0)
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -127,6 +127,22 @@
         )
         assert gateway.arrive(build_call("2"))[0].version == 2
 
+    @pytest.mark.parametrize("is_started", [False, True])
+    def test_call_that_has_not_begun_leaves_an_engine_that_becomes_too_old(
+        self, is_started
+    ):
+        gateway = Gateway(engine("old", version=1))
+        call = build_call("1")
+        gateway.arrive(call)
+        if is_started:
+            handle_call_started(gateway.context, CallStarted(0.0, "1", "old", 1))
+        gateway.floors = {MODEL: 2}
+        assert gateway.tick(0.025) == []
+        gateway.last_floors = {MODEL: 2}
+        taken = gateway.tick(0.025)
+        assert taken == ([] if is_started else [AbandonAttempt("1")])
+        assert gateway.tick(0.025) == []
+
     def test_engine_that_holds_nothing_gets_nothing(self):
         gateway = Gateway(engine("a", version=2))
         gateway.load("a").note_status(0.0, is_swapping=False, version_by_model={})
