--- a/src/tamaracktray_emulator/soak/fleet.py
+++ b/src/tamaracktray_emulator/soak/fleet.py
@@ -60,6 +60,7 @@
     settings: Path
     store: HarmfulProxy
     process: subprocess.Popen | None = None
+    launched_at: float = 0.0
     expected_end: bool = False
 
 
@@ -227,6 +228,7 @@
             SETTINGS_VARIABLE: str(daemon.settings),
         }
         daemon.expected_end = False
+        daemon.launched_at = self.now
         log = daemon.settings.with_suffix(".log")
         with log.open("ab") as output:
             daemon.process = subprocess.Popen(
--- a/src/tamaracktray_emulator/soak/works.py
+++ b/src/tamaracktray_emulator/soak/works.py
@@ -31,6 +31,10 @@
 CONTACT_S = 3.0
 
 MEAN_PAUSE_S = 1.5
+
+# Time in which the interpreter itself starts, in seconds; until then no program can hold
+# a signal, and SIGHUP ends it. ``test_signals`` covers the start after that.
+INTERPRETER_S = 0.5
 PROBE_TIMEOUT_S = 1.5
 
 
@@ -215,7 +219,8 @@
 
     async def _reload(self) -> None:
         daemon = self._random.choice(self._fleet.daemons)
-        self._fleet.send_signal(daemon, signal.SIGHUP)
+        if self._fleet.now - daemon.launched_at >= INTERPRETER_S:
+            self._fleet.send_signal(daemon, signal.SIGHUP)
 
     def _list_entries(self) -> list[str]:
         """Return the entries that should answer now."""
