--- a/src/tamaracktray_emulator/soak/works.py
+++ b/src/tamaracktray_emulator/soak/works.py
@@ -32,8 +32,8 @@
 
 MEAN_PAUSE_S = 1.5
 
-# Time in which the interpreter itself starts, in seconds; until then no program can hold
-# a signal, and SIGHUP ends it. ``test_signals`` covers the start after that.
+# Time in which the interpreter itself starts, in seconds: no program can hold a signal
+# until then, and SIGHUP ends it. ``test_signals`` covers the start after that.
 INTERPRETER_S = 0.5
 PROBE_TIMEOUT_S = 1.5
 
