--- a/src/tamaracktray/call_log.py
+++ b/src/tamaracktray/call_log.py
@@ -62,6 +62,8 @@
             endpoint=decision.endpoint_id,
             running=decision.running,
             version=decision.version,
+            held_version=decision.held_version,
+            version_floor=decision.version_floor,
             after_event=decision.last_event_id,
             waited_s=round(now - call.arrived, MS_DIGITS),
             left_s=round(call.deadline - now, MS_DIGITS),
--- a/src/tamaracktray/calls.py
+++ b/src/tamaracktray/calls.py
@@ -107,7 +107,8 @@
 
     ``version`` is the version that must answer, 0 for any. ``last_event_id`` is set
     when a stream goes on at another endpoint. ``running`` counts the calls that were at
-    the endpoint before.
+    the endpoint before, ``held_version`` is the version that it was thought to hold and
+    ``version_floor`` the oldest one allowed.
     """
 
     call_id: str
@@ -118,6 +119,8 @@
     urgency: int | None = None
     last_event_id: str = ""
     running: int = 0
+    held_version: int = 0
+    version_floor: int = 0
 
 
 class TellLoads(Effect, frozen=True):
--- a/src/tamaracktray/direct.py
+++ b/src/tamaracktray/direct.py
@@ -5,7 +5,7 @@
 peers, and every decision that follows from it is made here without sockets or clocks.
 """
 
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from typing import Any
 
 import msgspec
@@ -24,6 +24,8 @@
     CloseIdle,
     CollectionChanged,
     CollectionListed,
+    NoteDue,
+    NoteNaming,
     PeerLost,
     PrefetchVersion,
     PullSnapshots,
@@ -207,6 +209,8 @@
         # A process that starts cannot tell how long ago the version was named.
         named_at = now if state.has_versions else None
         state.namings.add(target.model, target.version, named_at)
+        age_s = None if named_at is None else 0.0
+        effects.append(NoteNaming(target.model, target.version, age_s))
         if state.gateway is not None:
             effects.append(PrefetchVersion(target.model, target.version))
     if state.staging is not None and state.target_by_model:
@@ -296,9 +300,12 @@
     if state.gateway is None:
         return effects
     if beacon.status is None:
-        state.namings.note_peer(
+        changed = state.namings.note_peer(
             event.now, beacon.version_floor_by_model, beacon.naming_ages_by_model
         )
+        for model, naming in changed:
+            age_s = event.now - naming.named_at
+            effects.append(NoteNaming(model, naming.version, age_s, beacon.name))
     _note_status(state, event.now, beacon)
     for load in state.gateway.loads_by_id.values():
         count = beacon.in_flight_by_endpoint.get(load.record.id, 0)
@@ -365,6 +372,7 @@
             state.trusted_names = trusted
             effects.extend(_apply_roster(state, event.now))
         context = _gateway_context(state, event.now)
+        effects.extend(_note_due(state, context.around.version_floor_by_model))
         if event.now >= state.homes_deadline:
             state.homes_deadline = event.now + HOMES_INTERVAL_S
             deal_homes(context)
@@ -376,6 +384,17 @@
     return effects
 
 
+def _note_due(state: DirectState, floor_by_model: Mapping[str, int]) -> list[Effect]:
+    """Note the versions that have become due since the last tick."""
+    risen = [
+        NoteDue(model, version)
+        for model, version in floor_by_model.items()
+        if version > state.noted_floor_by_model.get(model, 0)
+    ]
+    state.noted_floor_by_model.update(floor_by_model)
+    return risen
+
+
 def _leave(state: DirectState, now: float) -> list[Effect]:
     """Close what is idle once no caller comes any more, and exit when all is done."""
     if state.gateway is None or now >= state.exit_deadline:
--- a/src/tamaracktray/direct_events.py
+++ b/src/tamaracktray/direct_events.py
@@ -74,6 +74,26 @@
     version: int
 
 
+class NoteNaming(Effect, frozen=True):
+    """Note since when a version counts as named.
+
+    ``age_s`` is how long ago that was, ``None`` if nobody could tell yet. ``source`` is
+    the peer that told, empty for the store.
+    """
+
+    model: str
+    version: int
+    age_s: float | None
+    source: str = ""
+
+
+class NoteDue(Effect, frozen=True):
+    """Note that calls may begin on a version or a newer one only."""
+
+    model: str
+    version: int
+
+
 class ReadCollection(Effect, frozen=True):
     """Read a collection that is not followed once from the store."""
 
--- a/src/tamaracktray/direct_shell.py
+++ b/src/tamaracktray/direct_shell.py
@@ -20,6 +20,8 @@
     AnswerBeacon,
     ApplyRouting,
     BeaconHeard,
+    NoteDue,
+    NoteNaming,
     PeerLost,
     PullSnapshots,
     ReadCollection,
@@ -129,6 +131,8 @@
         self.add_performer(ReadCollection, self._read_collection)
         self.add_performer(AnswerBeacon, self._answer_beacon)
         self.add_performer(TellPeers, self._tell_peers)
+        self.add_performer(NoteNaming, self._note_naming)
+        self.add_performer(NoteDue, self._note_due)
 
     @override
     def reduce(self, event: Event) -> list[Effect]:
@@ -236,6 +240,19 @@
         self.log.info("peer lost", peer=str(address))
         await self.dispatch(PeerLost(time.monotonic(), address))
 
+    async def _note_naming(self, effect: NoteNaming) -> None:
+        self.log.info(
+            "version named",
+            model=effect.model,
+            version=effect.version,
+            age_s=None if effect.age_s is None else round(effect.age_s, 3),
+            source=effect.source or "store",
+        )
+
+    async def _note_due(self, effect: NoteDue) -> None:
+        self.metrics.gauge("version_due", effect.version, model=effect.model)
+        self.log.info("version due", model=effect.model, version=effect.version)
+
     async def _tell_peers(self, effect: TellPeers) -> None:
         await self.tell_peers()
 
--- a/src/tamaracktray/direct_state.py
+++ b/src/tamaracktray/direct_state.py
@@ -28,7 +28,7 @@
     A process that leaves takes no new calls from ``close_deadline`` on and exits at
     ``exit_deadline`` at the latest, before ``grace_s`` is over. ``has_versions`` tells
     that the named versions were read once. ``served`` names the service of the engine
-    beside an agent.
+    beside an agent. ``noted_floor_by_model`` are the versions last noted as due.
     """
 
     __slots__ = (
@@ -49,6 +49,7 @@
         "name",
         "namings",
         "newer_peer",
+        "noted_floor_by_model",
         "outage_end",
         "own_engine",
         "peers",
@@ -89,6 +90,7 @@
         self.target_by_model: dict[str, VersionTarget] = {}
         self.has_versions = False
         self.namings = Namings(now, version_bound_s)
+        self.noted_floor_by_model: dict[str, int] = {}
         self.peers = Peers(expects_beacons=role is Role.ENTRY)
         self.outage_end = 0.0
         self.is_store_lost = False
--- a/src/tamaracktray/gateway.py
+++ b/src/tamaracktray/gateway.py
@@ -366,8 +366,8 @@
 def _send(
     context: GatewayContext, now: float, pending: PendingCall, load: EndpointLoad
 ) -> list[Effect]:
-    # While several versions may answer, an endpoint is free to change in between.
-    is_version_due = pending.call.model in context.around.version_floor_by_model
+    held_version = load.find_version(pending.call.model)
+    floor = context.around.version_floor_by_model.get(pending.call.model, 0)
     pending.attempts += 1
     pending.endpoint_id = load.record.id
     pending.sent_at = now
@@ -379,10 +379,13 @@
         pending.attempts,
         load.record.id,
         load.record.address,
-        version=load.find_version(pending.call.model) if is_version_due else 0,
+        # While several versions may answer, an endpoint is free to change in between.
+        version=held_version if floor else 0,
         urgency=None,
         last_event_id=pending.last_event_id,
         running=running,
+        held_version=held_version,
+        version_floor=floor,
     )
     return [send] if load.is_home else [send, TellLoads()]
 
--- a/src/tamaracktray/namings.py
+++ b/src/tamaracktray/namings.py
@@ -64,16 +64,25 @@
         namings.append(Naming(version, named_at))
         del namings[:-KEPT_NAMINGS]
 
-    def note_peer(self, now: float, floors: Mapping[str, int], ages: Ages) -> None:
-        """Follow a peer that has seen namings which this process saw later or not."""
+    def note_peer(
+        self, now: float, floors: Mapping[str, int], ages: Ages
+    ) -> list[tuple[str, Naming]]:
+        """Follow a peer that has seen namings which this process saw later or not.
+
+        The namings that changed are returned, each with its model.
+        """
+        changed: list[tuple[str, Naming]] = []
         for model, version in floors.items():
             known = self._peer_floor_by_model.get(model, 0)
             self._peer_floor_by_model[model] = max(known, version)
         for model, versions in ages.items():
             for version, age_s in versions:
-                self._move_back(model, version, now - age_s)
+                naming = self._move_back(model, version, now - age_s)
+                if naming is not None:
+                    changed.append((model, naming))
+        return changed
 
-    def _move_back(self, model: str, version: int, named_at: float) -> None:
+    def _move_back(self, model: str, version: int, named_at: float) -> Naming | None:
         """Count a naming from the earliest moment at which anybody saw it."""
         namings = self._namings_by_model.get(model, [])
         for place, naming in enumerate(namings):
@@ -81,6 +90,8 @@
                 continue
             if naming.named_at is None or named_at < naming.named_at:
                 namings[place] = Naming(version, named_at)
+                return namings[place]
+        return None
 
     def find_newest(self, model: str) -> Naming | None:
         """Return the newest naming of a model."""
