--- a/tests/test_following.py
+++ b/tests/test_following.py
@@ -3,7 +3,11 @@
 import curio
 
 from platforms import PlatformFleet, run_fleet
+from tamaracktray.direct import reduce_direct
+from tamaracktray.direct_events import CollectionChanged, CollectionListed
 from tamaracktray.direct_shell import MAX_PULLS
+from tamaracktray.direct_state import DirectState
+from tamaracktray.engines import VersionTarget
 from tamaracktray.following import FOLLOWERS_PER_REGION, is_follower, list_local
 from tamaracktray.namings import (
     FLOOR_WAIT_S,
@@ -11,9 +15,10 @@
     VERSION_MARGIN_S,
     Namings,
 )
+from tamaracktray.objects import StoredObject
 from tamaracktray.peers import Member
 from tamaracktray.snapshots import Collection
-from tamaracktray.types import Address
+from tamaracktray.types import Address, Role
 from tamaracktray_emulator.platform.documents import build_route
 from tamaracktray_emulator.platform.store import Outage
 
@@ -259,3 +264,48 @@
         namings.add(MODEL, 2, None)
         assert namings.list_floors(FLOOR_WAIT_S - 0.1) == {}
         assert namings.list_floors(FLOOR_WAIT_S) == {MODEL: 2}
+
+    def test_naming_that_was_missed_counts_from_where_a_peer_saw_it(self):
+        namings = Namings(0.0, BOUND_S)
+        namings.add(MODEL, 3, 4.0)
+        namings.note_peer(4.0, {}, {MODEL: [(2, 4.0), (3, 0.0)]})
+        assert namings.list_floors(BOUND_S) == {MODEL: 2}
+        assert namings.list_floors(4.0 + BOUND_S) == {MODEL: 3}
+
+    def test_naming_that_only_a_peer_has_seen_yet_counts(self):
+        namings = Namings(0.0, BOUND_S)
+        namings.note_peer(4.0, {}, {MODEL: [(2, 4.0)]})
+        namings.add(MODEL, 2, 4.1)
+        assert namings.list_floors(BOUND_S) == {MODEL: 2}
+
+    def test_peer_a_little_ahead_takes_no_calls_away_that_were_sent(self):
+        namings = Namings(0.0, BOUND_S)
+        namings.add(MODEL, 2, 0.0)
+        early = BOUND_S - VERSION_MARGIN_S - 0.1
+        namings.note_peer(early, {MODEL: 2}, {})
+        assert namings.list_floors(early) == {MODEL: 2}
+        assert namings.list_last_floors(early) == {}
+
+    def test_namings_that_come_in_one_answer_are_due_one_after_the_other(self):
+        state = DirectState(
+            "entry-0",
+            Role.ENTRY,
+            "zone-a",
+            REGION_BY_ZONE,
+            now=0.0,
+            version_bound_s=BOUND_S,
+            grace_s=8.0,
+            quarantine_s=300.0,
+        )
+
+        def name(revision: int, version: int) -> StoredObject:
+            return StoredObject(MODEL, revision, VersionTarget(MODEL, version))
+
+        versions = Collection.VERSIONS
+        reduce_direct(state, CollectionListed(0.0, versions, [name(5, 1)], 5))
+        both = [name(6, 2), name(7, 3)]
+        reduce_direct(state, CollectionChanged(1.0, versions, both, 7))
+        later = CollectionChanged(4.0, versions, [name(8, 4)], 8)
+        reduce_direct(state, later)
+        ages = state.namings.list_ages(5.0)
+        assert ages == {MODEL: [(2, 4.0), (3, 4.0), (4, 1.0)]}
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -143,6 +143,13 @@
         assert taken == ([] if is_started else [AbandonAttempt("1")])
         assert gateway.tick(0.025) == []
 
+    def test_call_leaves_an_engine_that_becomes_too_old_and_is_listed_no_more(self):
+        gateway = Gateway(engine("old", version=1))
+        gateway.arrive(build_call("1"))
+        gateway.follow()
+        gateway.last_floors = {MODEL: 2}
+        assert gateway.tick(0.025) == [AbandonAttempt("1")]
+
     def test_engine_that_holds_nothing_gets_nothing(self):
         gateway = Gateway(engine("a", version=2))
         gateway.load("a").note_status(0.0, is_swapping=False, version_by_model={})
--- a/tests/test_platform_versions.py
+++ b/tests/test_platform_versions.py
@@ -3,7 +3,15 @@
 import curio
 import pytest
 
-from platforms import PEER_PORT, ZONE, PlatformFleet, next_host, run_fleet
+from platforms import (
+    PEER_PORT,
+    WORKER_PORT,
+    ZONE,
+    PlatformFleet,
+    next_host,
+    run_fleet,
+)
+from tamaracktray import exchange, relaying
 from tamaracktray.types import Address
 from tamaracktray_emulator.platform.documents import CHUNKS, ENGINE_MODEL
 from tamaracktray_emulator.platform.origin import list_digests, make_chunk
@@ -90,6 +98,32 @@
         run_fleet(scenario, version_ms=1_500.0)
 
 
+class TestLateSending:
+    def test_call_that_connects_until_its_engine_is_too_old_is_not_sent(
+        self, monkeypatch
+    ):
+        connect = exchange._connect
+
+        async def connect_slowly(address: Address):
+            if address.port == WORKER_PORT:
+                await curio.sleep(1.2)
+            return await connect(address)
+
+        monkeypatch.setattr(exchange, "_connect", connect_slowly)
+        monkeypatch.setattr(relaying, "CONNECT_TIMEOUT_S", 2.0)
+
+        async def scenario(fleet: PlatformFleet) -> None:
+            await fleet.start()
+            engine = await fleet.add_engine("e-1")
+            await fleet.until(lambda: fleet.entries[0].state.roster.records_by_id)
+            name_version(fleet, 2)
+            reply = await fleet.call("/talk/x", wait_ms=4_000)
+            assert not engine.runs
+            assert reply.status == 503
+
+        run_fleet(scenario, version_ms=1_000.0)
+
+
 class TestSources:
     """Chunks come from entries that answer, and the origin is asked sparingly."""
 
