Count versions as named that came in one answer with a newer one or that a peer has seen

Cause: a process kept only the newest object of an answer of the store, and dropped what peers told of versions that it had not seen named itself. Class: history collapsed into the newest state, although each step carries an obligation of its own. Namings are kept in the order of their versions, each from the earliest moment at which anybody saw it.

--- a/src/tamaracktray/direct.py
+++ b/src/tamaracktray/direct.py
@@ -5,7 +5,7 @@
 peers, and every decision that follows from it is made here without sockets or clocks.
 """
 
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Iterable, Mapping
 from typing import Any
 
 import msgspec
@@ -121,7 +121,12 @@
 def _on_changed(state: DirectState, event: CollectionChanged) -> list[Effect]:
     known = state.knowledge.by_collection[event.collection]
     merged = known.apply_changes(event.changes, event.revision)
-    return _take_from_store(state, event.now, event.collection, merged)
+    effects: list[Effect] = []
+    if event.collection is Collection.VERSIONS:
+        # One answer may name several versions of a model, each with its own bound.
+        named = [item.value for item in event.changes if item.value is not None]
+        effects.extend(_note_targets(state, event.now, named))
+    return effects + _take_from_store(state, event.now, event.collection, merged)
 
 
 def _take_from_store(
@@ -200,8 +205,20 @@
 
 
 def _follow_versions(state: DirectState, now: float) -> list[Effect]:
+    effects = _note_targets(state, now, _values(state, Collection.VERSIONS))
+    if state.staging is not None and state.target_by_model:
+        # The turn of the engine follows from the list of its service's endpoints.
+        effects.append(ReadCollection(Collection.ENDPOINTS))
+    state.has_versions = True
+    return effects + _follow_own_version(state, now)
+
+
+def _note_targets(
+    state: DirectState, now: float, targets: Iterable[VersionTarget]
+) -> list[Effect]:
+    """Follow the versions that are named, the oldest of a model first."""
     effects: list[Effect] = []
-    for target in _values(state, Collection.VERSIONS):
+    for target in targets:
         known = state.target_by_model.get(target.model)
         if known is not None and known.version >= target.version:
             continue
@@ -213,11 +230,7 @@
         effects.append(NoteNaming(target.model, target.version, age_s))
         if state.gateway is not None:
             effects.append(PrefetchVersion(target.model, target.version))
-    if state.staging is not None and state.target_by_model:
-        # The turn of the engine follows from the list of its service's endpoints.
-        effects.append(ReadCollection(Collection.ENDPOINTS))
-    state.has_versions = True
-    return effects + _follow_own_version(state, now)
+    return effects
 
 
 def _follow_own_version(state: DirectState, now: float) -> list[Effect]:
--- a/src/tamaracktray/namings.py
+++ b/src/tamaracktray/namings.py
@@ -5,6 +5,7 @@
 started later, or was cut off meanwhile, counts from the same moment.
 """
 
+from bisect import bisect_left
 from collections.abc import Mapping
 
 import msgspec
@@ -59,10 +60,8 @@
         self._peer_floor_by_model: dict[str, int] = {}
 
     def add(self, model: str, version: int, named_at: float | None) -> None:
-        """Take in a naming newer than all others of the model."""
-        namings = self._namings_by_model.setdefault(model, [])
-        namings.append(Naming(version, named_at))
-        del namings[:-KEPT_NAMINGS]
+        """Take in a naming that the store tells of."""
+        self._note(model, Naming(version, named_at))
 
     def note_peer(
         self, now: float, floors: Mapping[str, int], ages: Ages
@@ -77,21 +76,29 @@
             self._peer_floor_by_model[model] = max(known, version)
         for model, versions in ages.items():
             for version, age_s in versions:
-                naming = self._move_back(model, version, now - age_s)
-                if naming is not None:
+                naming = Naming(version, now - age_s)
+                if self._note(model, naming):
                     changed.append((model, naming))
         return changed
 
-    def _move_back(self, model: str, version: int, named_at: float) -> Naming | None:
-        """Count a naming from the earliest moment at which anybody saw it."""
-        namings = self._namings_by_model.get(model, [])
-        for place, naming in enumerate(namings):
-            if naming.version != version:
-                continue
-            if naming.named_at is None or named_at < naming.named_at:
-                namings[place] = Naming(version, named_at)
-                return namings[place]
-        return None
+    def _note(self, model: str, naming: Naming) -> bool:
+        """Count a naming from the earliest moment at which anybody saw it.
+
+        Whether that changed anything is returned.
+        """
+        namings = self._namings_by_model.setdefault(model, [])
+        place = bisect_left(namings, naming.version, key=lambda item: item.version)
+        if place == len(namings) or namings[place].version != naming.version:
+            namings.insert(place, naming)
+            del namings[:-KEPT_NAMINGS]
+            return True
+        known_at = namings[place].named_at
+        if naming.named_at is None:
+            return False
+        if known_at is not None and known_at <= naming.named_at:
+            return False
+        namings[place] = naming
+        return True
 
     def find_newest(self, model: str) -> Naming | None:
         """Return the newest naming of a model."""
