Take calls that were sent away by the own count, not by a peer that is ahead

What callers saw: shortly before a version was due, requests that had not begun were taken away from their engine and refused or sent on, up to 0.55 s earlier than needed. Cause: the margin of a peer's floor, which is for new calls, was applied to calls that were sent already. Evidence: test_peer_a_little_ahead_takes_no_calls_away_that_were_sent failed before and passes now.

--- a/src/tamaracktray/namings.py
+++ b/src/tamaracktray/namings.py
@@ -107,16 +107,35 @@
 
     def list_floors(self, now: float) -> dict[str, int]:
         """Return the oldest version on which calls may begin, by model."""
-        floors = dict(self._peer_floor_by_model)
+        floors = self._list_due(now)
+        for model, version in self._peer_floor_by_model.items():
+            floors[model] = max(floors.get(model, 0), version)
+        return floors
+
+    def list_last_floors(self, now: float) -> dict[str, int]:
+        """Return the oldest version on which calls that were sent may still begin.
+
+        What peers count as due says nothing of a version whose age is known.
+        """
+        floors = self._list_due(now - VERSION_MARGIN_S + LAST_MARGIN_S)
+        for model, version in self._peer_floor_by_model.items():
+            if not self._is_age_known(model, version):
+                floors[model] = max(floors.get(model, 0), version)
+        return floors
+
+    def _list_due(self, now: float) -> dict[str, int]:
+        floors: dict[str, int] = {}
         for model, namings in self._namings_by_model.items():
             due = [item.version for item in namings if self._is_due(now, item)]
             if due:
-                floors[model] = max(floors.get(model, 0), due[-1])
+                floors[model] = due[-1]
         return floors
 
-    def list_last_floors(self, now: float) -> dict[str, int]:
-        """Return the oldest version on which calls that were sent may still begin."""
-        return self.list_floors(now - VERSION_MARGIN_S + LAST_MARGIN_S)
+    def _is_age_known(self, model: str, version: int) -> bool:
+        return any(
+            item.version == version and item.named_at is not None
+            for item in self._namings_by_model.get(model, [])
+        )
 
     def list_ages(self, now: float) -> dict[str, list[tuple[int, float]]]:
         """Return what peers should know of the namings."""
