Take calls that have not begun away from engines that are listed no more as well

What callers saw: a request could begin on an older version after the bound, at an engine whose entry had left the list meanwhile (it goes on serving for seconds). Cause: the version was looked up in the list only. The call keeps the version that its engine held when it was sent. Evidence: test_call_leaves_an_engine_that_becomes_too_old_and_is_listed_no_more failed before and passes now (test_gateway: 81 passed).

--- a/src/tamaracktray/gateway.py
+++ b/src/tamaracktray/gateway.py
@@ -268,18 +268,28 @@
     """Take calls away that have not begun where the version is about to be too old."""
     state = context.state
     effects: list[Effect] = []
-    for model, floor in context.around.last_floor_by_model.items():
-        for pending in state.pending_by_id.values():
-            load = state.loads_by_id.get(pending.endpoint_id)
-            if load is None or pending.is_started or pending.is_abandoned:
-                continue
-            if pending.call.model != model or not 0 < load.find_version(model) < floor:
-                continue
-            pending.is_abandoned = True
-            effects.append(AbandonAttempt(pending.call.id))
+    for pending in state.pending_by_id.values():
+        if not pending.endpoint_id or pending.is_started or pending.is_abandoned:
+            continue
+        if not _is_outdated(context, pending):
+            continue
+        pending.is_abandoned = True
+        effects.append(AbandonAttempt(pending.call.id))
     return effects
 
 
+def _is_outdated(context: GatewayContext, pending: PendingCall) -> bool:
+    """Tell whether the endpoint's version is too old for the call to begin there."""
+    model = pending.call.model
+    floor = context.around.last_floor_by_model.get(model, 0)
+    if not floor:
+        return False
+    load = context.state.loads_by_id.get(pending.endpoint_id)
+    # An endpoint that is listed no more may still begin what was sent to it.
+    held = pending.held_version if load is None else load.find_version(model)
+    return 0 < held < floor
+
+
 def fill_room(context: GatewayContext, now: float) -> list[Effect]:
     """Send waiting calls, in order, to endpoints with room."""
     state = context.state
@@ -371,6 +381,7 @@
     pending.attempts += 1
     pending.endpoint_id = load.record.id
     pending.sent_at = now
+    pending.held_version = held_version
     pending.is_abandoned = False
     running = load.count_running(now)
     load.note_sent(now)
--- a/src/tamaracktray/gateway_state.py
+++ b/src/tamaracktray/gateway_state.py
@@ -37,8 +37,9 @@
     ``may_have_run`` is set once an attempt was sent and did not promise that the call
     was not run; from then on no answer may promise it. ``endpoint_id`` names where an
     attempt, sent at ``sent_at``, is under way; ``is_abandoned`` tells that it is being
-    given up. ``spent_s`` is what the caller has waited in earlier tries. ``version`` is
-    that of the weights which began a stream.
+    given up. ``held_version`` is that of the weights which the endpoint was thought to
+    hold when the attempt was decided on. ``spent_s`` is what the caller has waited in
+    earlier tries. ``version`` is that of the weights which began a stream.
     """
 
     __slots__ = (
@@ -46,6 +47,7 @@
         "call",
         "endpoint_id",
         "has_failed_answer",
+        "held_version",
         "is_abandoned",
         "is_started",
         "last_event_id",
@@ -64,6 +66,7 @@
         self.endpoint_id = ""
         self.may_have_run = False
         self.has_failed_answer = False
+        self.held_version = 0
         self.is_started = False
         self.is_abandoned = False
         self.sent_at = 0.0
