Ask again whether a call may be sent once its connection stands

Cause: the decision to send and the sending lie apart by what connecting takes. In between, taking a call away had no effect (there is no exchange to give up yet), and what had changed since was not looked at. Class: a check whose result is used later than it holds. The same gap let a call be sent whose engine had gone silent meanwhile.

--- a/src/tamaracktray/call_log.py
+++ b/src/tamaracktray/call_log.py
@@ -93,10 +93,10 @@
             detail=ended.detail,
         )
 
-    def note_given_up(self, call: Call) -> None:
-        """Note that an attempt at a silent endpoint is being given up."""
+    def note_given_up(self, call: Call, reason: str) -> None:
+        """Note that an attempt is being given up."""
         self._metrics.count("attempts_given_up")
-        self._write("attempt given up", call.request_id, reason="endpoint is silent")
+        self._write("attempt given up", call.request_id, reason=reason)
 
     def note_refused(self, call: Call, decision: RefuseCall, routing: int) -> None:
         """Note a refusal and what it was based on."""
--- a/src/tamaracktray/calls.py
+++ b/src/tamaracktray/calls.py
@@ -139,6 +139,7 @@
     """Give up the attempt under way, so that the call can go elsewhere."""
 
     call_id: str
+    reason: str = ""
 
 
 class CutCall(Effect, frozen=True):
--- a/src/tamaracktray/direct.py
+++ b/src/tamaracktray/direct.py
@@ -16,6 +16,7 @@
     CallAttemptEnded,
     CallEnded,
     CallStarted,
+    SendCall,
 )
 from tamaracktray.direct_events import (
     AnswerBeacon,
@@ -49,6 +50,7 @@
     handle_call_ended,
     handle_call_started,
     handle_gateway_tick,
+    is_sendable,
 )
 from tamaracktray.gateway_state import GatewayContext
 from tamaracktray.homes import Place
@@ -451,6 +453,11 @@
     )
 
 
+def may_send(state: DirectState, now: float, decision: SendCall) -> bool:
+    """Tell whether a decision to send still holds at ``now``."""
+    return is_sendable(_gateway_context(state, now), decision)
+
+
 def _with_gateway(
     handle: Callable[[GatewayContext, Any], list[Effect]],
 ) -> Callable[[DirectState, Any], list[Effect]]:
--- a/src/tamaracktray/direct_entry.py
+++ b/src/tamaracktray/direct_entry.py
@@ -31,6 +31,7 @@
 )
 from tamaracktray.chunk_sources import choose_upstream, find_first
 from tamaracktray.deployment import Deployment
+from tamaracktray.direct import may_send
 from tamaracktray.direct_events import ApplyRouting, CloseIdle, PrefetchVersion
 from tamaracktray.direct_sections import DirectSettings
 from tamaracktray.direct_shell import SERVICES_PATH, DirectShell, register_member
@@ -81,7 +82,9 @@
         self._chunk_relay = ChunkRelay(
             self._find_upstream, self._is_first, self.open_origin, self.note_peer_lost
         )
-        self._call_relay = CallRelay(deployment.protocol, self._take_start)
+        self._call_relay = CallRelay(
+            deployment.protocol, self._take_start, self._may_send
+        )
         self._loads_changed = curio.Event()
         self._open_by_id: dict[str, OpenCall] = {}
         self._callers = HttpServer(
@@ -231,6 +234,9 @@
             if ended.phase is AttemptPhase.ANSWERED:
                 return
 
+    def _may_send(self, decision: SendCall) -> bool:
+        return may_send(self.state, time.monotonic(), decision)
+
     async def _take_start(self, event: CallStarted) -> None:
         open_call = self._open_by_id.get(event.call_id)
         if open_call is not None:
@@ -276,7 +282,7 @@
         open_call = self._open_by_id.get(effect.call_id)
         if open_call is None or open_call.exchange is None:
             return
-        self._call_log.note_given_up(open_call.call)
+        self._call_log.note_given_up(open_call.call, effect.reason)
         await open_call.exchange.give_up()
 
     async def _send_refusal(self, responder: Responder, refusal: Refusal) -> None:
--- a/src/tamaracktray/exceptions.py
+++ b/src/tamaracktray/exceptions.py
@@ -32,12 +32,14 @@
 class TransportError(TamaracktrayError):
     """An HTTP exchange that did not complete.
 
-    ``sent`` tells whether any byte of the request may have reached the peer.
+    ``sent`` tells whether any byte of the request may have reached the peer, and
+    ``is_withdrawn`` that it was not sent because its sender no longer wanted to.
     """
 
-    def __init__(self, message: str, *, sent: bool) -> None:
+    def __init__(self, message: str, *, sent: bool, is_withdrawn: bool = False) -> None:
         super().__init__(message)
         self.sent = sent
+        self.is_withdrawn = is_withdrawn
 
 
 class ProtocolError(TamaracktrayError):
--- a/src/tamaracktray/exchange.py
+++ b/src/tamaracktray/exchange.py
@@ -7,6 +7,7 @@
 import contextlib
 import socket as socket_module
 import struct
+from collections.abc import Callable
 
 import curio
 import h11
@@ -180,6 +181,10 @@
         await self._socket.close()
 
 
+def _always() -> bool:
+    return True
+
+
 async def open_exchange(
     address: Address,
     method: str,
@@ -189,11 +194,13 @@
     *,
     connect_timeout_s: float = 2.0,
     is_host_given: bool = False,
+    may_send: Callable[[], bool] = _always,
 ) -> Result[Exchange, TransportError]:
     """Connect, send one request and return the exchange.
 
-    With ``is_host_given`` the headers name the host already. The failure tells whether
-    any byte of the request was sent.
+    With ``is_host_given`` the headers name the host already. ``may_send`` is asked once
+    the connection stands, which may be long after the decision to send. The failure
+    tells whether any byte of the request was sent.
     """
     connection = h11.Connection(h11.CLIENT)
     framing = [("content-length", str(len(body))), ("connection", "close")]
@@ -208,6 +215,10 @@
         reason = str(error) or "timed out"
         message = f"cannot connect to {address}: {reason}"
         return Failure(TransportError(message, sent=False))
+    if not may_send():
+        await socket.close()
+        message = "withdrawn while connecting"
+        return Failure(TransportError(message, sent=False, is_withdrawn=True))
     try:
         await curio.timeout_after(connect_timeout_s, socket.sendall(payload))
     except (OSError, curio.TaskTimeout) as error:
--- a/src/tamaracktray/gateway.py
+++ b/src/tamaracktray/gateway.py
@@ -260,7 +260,7 @@
         if _choose(context, now, pending, pending.endpoint_id) is None:
             continue
         pending.is_abandoned = True
-        effects.append(AbandonAttempt(call.id))
+        effects.append(AbandonAttempt(call.id, "endpoint is silent"))
     return effects
 
 
@@ -274,10 +274,18 @@
         if not _is_outdated(context, pending):
             continue
         pending.is_abandoned = True
-        effects.append(AbandonAttempt(pending.call.id))
+        effects.append(AbandonAttempt(pending.call.id, "version is too old"))
     return effects
 
 
+def is_sendable(context: GatewayContext, decision: SendCall) -> bool:
+    """Tell whether a decision to send still holds once its connection stands."""
+    pending = context.state.pending_by_id.get(decision.call_id)
+    if pending is None or pending.endpoint_id != decision.endpoint_id:
+        return False
+    return not pending.is_abandoned and not _is_outdated(context, pending)
+
+
 def _is_outdated(context: GatewayContext, pending: PendingCall) -> bool:
     """Tell whether the endpoint's version is too old for the call to begin there."""
     model = pending.call.model
@@ -406,6 +414,8 @@
         load.note_success()
     elif event.phase is AttemptPhase.NOT_SENT:
         load.note_unreachable(event.now)
+    elif event.phase is AttemptPhase.WITHDRAWN:
+        return
     elif event.phase is AttemptPhase.MISDIRECTED:
         load.note_misdirected(event.now)
     elif event.phase is AttemptPhase.REFUSED:
@@ -422,6 +432,10 @@
         del context.state.pending_by_id[event.call_id]
         context.state.note_outcome(pending.call, is_served=True)
         return []
+    if event.phase is AttemptPhase.WITHDRAWN:
+        pending.attempts -= 1
+        pending.tried.add(event.endpoint_id)
+        return _place(context, now, pending)
     if event.phase is AttemptPhase.NOT_SENT:
         pending.attempts -= 1
         pending.unreachable += 1
--- a/src/tamaracktray/outcomes.py
+++ b/src/tamaracktray/outcomes.py
@@ -6,11 +6,13 @@
 class AttemptPhase(str, Enum):
     """How far one attempt of an entry came.
 
+    ``WITHDRAWN`` was taken away before anything was sent, for no fault of the endpoint.
     ``FAILED`` is an endpoint's own whole answer that says it failed. ``MISDIRECTED`` is
     the refusal of an endpoint that is not the expected one, or not of that version.
     """
 
     NOT_SENT = "not_sent"
+    WITHDRAWN = "withdrawn"
     SENT = "sent"
     REFUSED = "refused"
     MISDIRECTED = "misdirected"
@@ -20,8 +22,13 @@
 
     @property
     def is_not_run(self) -> bool:
-        """Tell whether the endpoint promised that the request was not run."""
-        return self in (AttemptPhase.REFUSED, AttemptPhase.MISDIRECTED)
+        """Tell whether the endpoint certainly did not run the request."""
+        return self in (
+            AttemptPhase.NOT_SENT,
+            AttemptPhase.WITHDRAWN,
+            AttemptPhase.REFUSED,
+            AttemptPhase.MISDIRECTED,
+        )
 
     @property
     def is_answer(self) -> bool:
--- a/src/tamaracktray/relaying.py
+++ b/src/tamaracktray/relaying.py
@@ -81,18 +81,20 @@
     """Carries out attempts.
 
     ``heard`` collects the endpoints that sent something. ``take_start`` is told of the
-    first part of each answer. With ``closes_connections`` callers are told to come back
-    on a new connection.
+    first part of each answer, and ``may_send`` tells whether a decision still holds.
+    With ``closes_connections`` callers are told to come back on a new connection.
     """
 
-    __slots__ = ("_protocol", "_take_start", "closes_connections", "heard")
+    __slots__ = ("_may_send", "_protocol", "_take_start", "closes_connections", "heard")
 
     def __init__(
         self,
         protocol: RequestProtocol,
         take_start: Callable[[CallStarted], Awaitable[None]],
+        may_send: Callable[[SendCall], bool],
     ) -> None:
         self._protocol = protocol
+        self._may_send = may_send
         self._take_start = take_start
         self.heard: set[str] = set()
         self.closes_connections = False
@@ -110,10 +112,13 @@
             request.body,
             connect_timeout_s=CONNECT_TIMEOUT_S,
             is_host_given=True,
+            may_send=lambda: self._may_send(decision),
         )
         if isinstance(opened, Failure):
             error = opened.failure()
             phase = AttemptPhase.SENT if error.sent else AttemptPhase.NOT_SENT
+            if error.is_withdrawn:
+                phase = AttemptPhase.WITHDRAWN
             return _end(decision, phase, detail=error.message)
         exchange = opened.unwrap()
         open_call.exchange = exchange
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -26,7 +26,7 @@
     RelayFailure,
     SendCall,
 )
-from tamaracktray.gateway import handle_call_started
+from tamaracktray.gateway import handle_call_started, is_sendable
 from tamaracktray.outcomes import AttemptPhase
 from tamaracktray.placement import MISDIRECTED_S
 from tamaracktray.refusals import (
@@ -48,6 +48,10 @@
     return found
 
 
+OUTDATED = "version is too old"
+SILENT = "endpoint is silent"
+
+
 class TestPlacing:
     def test_emptiest_endpoint_takes_the_call(self):
         gateway = Gateway(engine("a"), engine("bb"))
@@ -140,7 +144,7 @@
         assert gateway.tick(0.025) == []
         gateway.last_floors = {MODEL: 2}
         taken = gateway.tick(0.025)
-        assert taken == ([] if is_started else [AbandonAttempt("1")])
+        assert taken == ([] if is_started else [AbandonAttempt("1", OUTDATED)])
         assert gateway.tick(0.025) == []
 
     def test_call_leaves_an_engine_that_becomes_too_old_and_is_listed_no_more(self):
@@ -148,7 +152,7 @@
         gateway.arrive(build_call("1"))
         gateway.follow()
         gateway.last_floors = {MODEL: 2}
-        assert gateway.tick(0.025) == [AbandonAttempt("1")]
+        assert gateway.tick(0.025) == [AbandonAttempt("1", OUTDATED)]
 
     def test_engine_that_holds_nothing_gets_nothing(self):
         gateway = Gateway(engine("a", version=2))
@@ -168,6 +172,38 @@
         assert sent(gateway.arrive(build_call("1"))) == ["a"]
 
 
+class TestWithdrawn:
+    """A call that was taken away before it was sent."""
+
+    def test_it_goes_elsewhere_and_costs_neither_attempt_nor_trust(self):
+        gateway = Gateway(engine("old"))
+        call = build_call("1", build_route(RepeatKind.STREAM, ENGINES, max_attempts=1))
+        decision = gateway.arrive(call)[0]
+        gateway.follow(engine("old"), engine("new", version=2))
+        gateway.floors = gateway.last_floors = {MODEL: 2}
+        assert not is_sendable(gateway.context, decision)
+        effects = gateway.end(call, "old", AttemptPhase.WITHDRAWN)
+        assert sent(effects) == ["new"]
+        assert not gateway.load("old").failures
+
+    def test_it_is_refused_as_not_run_where_nobody_else_may_take_it(self):
+        gateway = Gateway(engine("old"))
+        call = build_call("1")
+        gateway.arrive(call)
+        gateway.floors = gateway.last_floors = {MODEL: 2}
+        answer = refusal(gateway.end(call, "old", AttemptPhase.WITHDRAWN))
+        assert answer.code is ErrorCode.NO_ENDPOINT
+        assert answer.run is RunState.NOT_RUN
+
+    def test_decision_on_a_call_whose_caller_is_gone_does_not_hold(self):
+        gateway = Gateway(engine("a"))
+        call = build_call("1")
+        decision = gateway.arrive(call)[0]
+        assert is_sendable(gateway.context, decision)
+        gateway.leave(call)
+        assert not is_sendable(gateway.context, decision)
+
+
 class TestMisdirected:
     """An endpoint that is not as listed is left out until something new is known."""
 
@@ -465,7 +501,8 @@
         call = build_call("1", route)
         gateway.arrive(call)
         effects = gateway.tick(0.6)
-        assert effects == ([AbandonAttempt(call.id)] if is_given_up else [])
+        given_up = [AbandonAttempt(call.id, SILENT)]
+        assert effects == (given_up if is_given_up else [])
         assert gateway.tick(0.1) == []
 
     def test_calls_stay_when_there_is_nowhere_else(self):
