--- a/tests/platforms.py
+++ b/tests/platforms.py
@@ -4,6 +4,7 @@
 """
 
 import itertools
+import socket
 import time
 from collections.abc import Awaitable, Callable
 from pathlib import Path
@@ -54,13 +55,32 @@
 PEER_PORTS = f"{PEER_PORT}, {PEER_PORT + 9}"
 STORE_PORT = 31_100
 
+# Networks of which a run of the suite takes the first free one.
+NETWORKS = range(16, 240)
+LOCK_PORT = 31_099
+
+
+def _take_network() -> tuple[int, socket.socket]:
+    """Return a loopback network that no other run of the suite uses, and its lock."""
+    for network in NETWORKS:
+        lock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        try:
+            lock.bind((f"127.{network}.255.254", LOCK_PORT))
+        except OSError:
+            lock.close()
+            continue
+        return network, lock
+    raise AssertionError("no loopback network is free")
+
+
+_network, _lock = _take_network()
 _hosts = itertools.count(1)
 
 
 def next_host() -> str:
-    """Return a loopback address that no other instance of this process has."""
+    """Return a loopback address that no other instance of any run has."""
     number = next(_hosts)
-    return f"127.9.{number // 250}.{number % 250 + 1}"
+    return f"127.{_network}.{number // 250}.{number % 250 + 1}"
 
 
 class PlatformFleet:
