--- a/src/tamaracktray/namings.py
+++ b/src/tamaracktray/namings.py
@@ -22,6 +22,10 @@
 # seconds: three of the beacons that each sends at least.
 FLOOR_WAIT_S = 1.5
 
+# Difference below which two moments of a naming count as the same, in seconds: what a
+# beacon takes to arrive varies by less.
+SAME_NAMING_S = 0.02
+
 # Namings of a model that are kept: one that is due and newer ones that are not yet.
 KEPT_NAMINGS = 8
 
@@ -95,7 +99,7 @@
         known_at = namings[place].named_at
         if naming.named_at is None:
             return False
-        if known_at is not None and known_at <= naming.named_at:
+        if known_at is not None and known_at <= naming.named_at + SAME_NAMING_S:
             return False
         namings[place] = naming
         return True
