Take resumed streams away from engines that become too old as well

What callers saw: a stream that broke off and went on at another engine could begin there on an older version after the bound. Cause: calls were left at their engine once any attempt had begun, though the attempt under way had not. Class: the state of an earlier step taken for that of the present one. Evidence: test_resumed_stream_that_has_not_begun_there_leaves_as_well failed before and passes now (test_gateway: 86 passed).

--- a/src/tamaracktray/gateway.py
+++ b/src/tamaracktray/gateway.py
@@ -168,6 +168,7 @@
         if not pending.is_started:
             _note_start(context, event.now, pending)
         pending.is_started = True
+        pending.has_begun = True
         pending.version = event.version or pending.version
     load = context.state.loads_by_id.get(event.endpoint_id)
     if load is not None:
@@ -269,7 +270,7 @@
     state = context.state
     effects: list[Effect] = []
     for pending in state.pending_by_id.values():
-        if not pending.endpoint_id or pending.is_started or pending.is_abandoned:
+        if not pending.endpoint_id or pending.has_begun or pending.is_abandoned:
             continue
         if not _is_outdated(context, pending):
             continue
@@ -390,6 +391,7 @@
     pending.endpoint_id = load.record.id
     pending.sent_at = now
     pending.held_version = held_version
+    pending.has_begun = False
     pending.is_abandoned = False
     running = load.count_running(now)
     load.note_sent(now)
--- a/src/tamaracktray/gateway_state.py
+++ b/src/tamaracktray/gateway_state.py
@@ -38,14 +38,17 @@
     was not run; from then on no answer may promise it. ``endpoint_id`` names where an
     attempt, sent at ``sent_at``, is under way; ``is_abandoned`` tells that it is being
     given up. ``held_version`` is that of the weights which the endpoint was thought to
-    hold when the attempt was decided on. ``spent_s`` is what the caller has waited in
-    earlier tries. ``version`` is that of the weights which began a stream.
+    hold when the attempt was decided on, and ``has_begun`` tells that the attempt's
+    answer has begun, unlike ``is_started``, which may tell of an earlier one.
+    ``spent_s`` is what the caller has waited in earlier tries. ``version`` is that of
+    the weights which began a stream.
     """
 
     __slots__ = (
         "attempts",
         "call",
         "endpoint_id",
+        "has_begun",
         "has_failed_answer",
         "held_version",
         "is_abandoned",
@@ -68,6 +71,7 @@
         self.has_failed_answer = False
         self.held_version = 0
         self.is_started = False
+        self.has_begun = False
         self.is_abandoned = False
         self.sent_at = 0.0
         self.spent_s = 0.0
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -154,6 +154,27 @@
         gateway.last_floors = {MODEL: 2}
         assert gateway.tick(0.025) == [AbandonAttempt("1", OUTDATED)]
 
+    def test_resumed_stream_that_has_not_begun_there_leaves_as_well(self):
+        gateway = Gateway(engine("a"))
+        call = build_call("1")
+        gateway.arrive(call)
+        handle_call_started(gateway.context, CallStarted(0.0, "1", "a", 1))
+        gateway.follow(engine("a"), engine("old"))
+        cut = gateway.end(call, "a", AttemptPhase.CUT, last_event_id="3")
+        assert sent(cut) == ["old"]
+        gateway.last_floors = {MODEL: 2}
+        assert gateway.tick(0.025) == [AbandonAttempt("1", OUTDATED)]
+
+    def test_resumed_stream_that_has_begun_there_stays(self):
+        gateway = Gateway(engine("a"))
+        call = build_call("1")
+        gateway.arrive(call)
+        gateway.follow(engine("a"), engine("old"))
+        gateway.end(call, "a", AttemptPhase.CUT, last_event_id="3")
+        handle_call_started(gateway.context, CallStarted(0.0, "1", "old", 1))
+        gateway.last_floors = {MODEL: 2}
+        assert gateway.tick(0.025) == []
+
     def test_engine_that_holds_nothing_gets_nothing(self):
         gateway = Gateway(engine("a", version=2))
         gateway.load("a").note_status(0.0, is_swapping=False, version_by_model={})
