Ask whether an endpoint may run a call at all before it is sent

Cause: once the connection stood, only the version was looked at again. Class: a check whose result is used later than it holds. The bounds of DRAIN (2 s) and EVAC (5 s) leave room for the wait, but a full link and the spread of the news draw on the same room. The version is still bound by the oldest one on which calls may begin, so that calls on their way are not taken away as early as new ones are kept off.

--- a/src/tamaracktray/gateway.py
+++ b/src/tamaracktray/gateway.py
@@ -1,5 +1,7 @@
 """The reducer's part for entries that send calls straight to endpoints."""
 
+import msgspec
+
 from tamaracktray.budgets import PermitBucket
 from tamaracktray.calls import (
     AbandonAttempt,
@@ -284,7 +286,13 @@
     pending = context.state.pending_by_id.get(decision.call_id)
     if pending is None or pending.endpoint_id != decision.endpoint_id:
         return False
-    return not pending.is_abandoned and not _is_outdated(context, pending)
+    load = context.state.loads_by_id.get(decision.endpoint_id)
+    if load is None or pending.is_abandoned:
+        return False
+    # A call on its way is bound by the oldest version on which it may still begin.
+    floors = context.around.last_floor_by_model
+    around = msgspec.structs.replace(context.around, version_floor_by_model=floors)
+    return is_eligible(pending.call, load, around)
 
 
 def _is_outdated(context: GatewayContext, pending: PendingCall) -> bool:
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -35,6 +35,7 @@
     SCARCE_RETRY_S,
     SCARCE_SPREAD_S,
 )
+from tamaracktray.roster import LoadedModel
 from tamaracktray.routes import RepeatKind
 from tamaracktray.types import ErrorCode, RunState
 
@@ -216,6 +217,43 @@
         assert answer.code is ErrorCode.NO_ENDPOINT
         assert answer.run is RunState.NOT_RUN
 
+    @pytest.mark.parametrize(
+        "records",
+        [
+            (),
+            (engine("a", is_draining=True),),
+            (engine("a", zone="zone-b"),),
+            (engine("a", version=0),),
+            (engine("a", models=(LoadedModel(MODEL, 1, 0, 8),)),),
+        ],
+        ids=["unlisted", "draining", "evacuated", "empty", "part"],
+    )
+    def test_decision_for_an_endpoint_that_may_run_it_no_more_does_not_hold(
+        self, records
+    ):
+        gateway = Gateway(engine("a"))
+        decision = gateway.arrive(build_call("1"))[0]
+        gateway.evacuated = frozenset({"zone-b"})
+        assert is_sendable(gateway.context, decision)
+        gateway.follow(*records)
+        assert not is_sendable(gateway.context, decision)
+
+    def test_decision_for_an_endpoint_that_is_another_now_does_not_hold(self):
+        gateway = Gateway(engine("a"))
+        first, second = build_call("1"), build_call("2")
+        gateway.arrive(first)
+        decision = gateway.arrive(second)[0]
+        gateway.end(first, "a", AttemptPhase.MISDIRECTED)
+        assert not is_sendable(gateway.context, decision)
+
+    def test_decision_holds_until_calls_may_not_begin_on_the_version(self):
+        gateway = Gateway(engine("a"))
+        decision = gateway.arrive(build_call("1"))[0]
+        gateway.floors = {MODEL: 2}
+        assert is_sendable(gateway.context, decision)
+        gateway.last_floors = {MODEL: 2}
+        assert not is_sendable(gateway.context, decision)
+
     def test_decision_on_a_call_whose_caller_is_gone_does_not_hold(self):
         gateway = Gateway(engine("a"))
         call = build_call("1")
