Take calls away also while their request is being sent

Cause: a call taken away between the last look at the decision and the open exchange was marked as given up, but nothing was, and it was not taken away again. Class: an order that meets nobody is lost. Evidence: test_call_that_is_being_sent_until_its_engine_is_too_old_is_taken_away failed before (the call stayed for 2.8 s) and passes now.

--- a/src/tamaracktray/direct_entry.py
+++ b/src/tamaracktray/direct_entry.py
@@ -280,10 +280,10 @@
 
     async def _abandon(self, effect: AbandonAttempt) -> None:
         open_call = self._open_by_id.get(effect.call_id)
-        if open_call is None or open_call.exchange is None:
+        if open_call is None:
             return
         self._call_log.note_given_up(open_call.call, effect.reason)
-        await open_call.exchange.give_up()
+        await open_call.give_up()
 
     async def _send_refusal(self, responder: Responder, refusal: Refusal) -> None:
         headers, body = encode_refusal(refusal, allows_fractions=True)
--- a/src/tamaracktray/relaying.py
+++ b/src/tamaracktray/relaying.py
@@ -51,8 +51,9 @@
     """A call with what its answer needs.
 
     ``decisions`` are the reducer's effects on the call. ``exchange`` is the attempt
-    under way. ``buffer`` holds a stream across attempts. ``failure`` is the last whole
-    answer by which an endpoint said that it failed.
+    under way, which ``is_given_up`` may tell of before it is open. ``buffer`` holds a
+    stream across attempts. ``failure`` is the last whole answer by which an endpoint
+    said that it failed.
     """
 
     __slots__ = (
@@ -61,6 +62,7 @@
         "decisions",
         "exchange",
         "failure",
+        "is_given_up",
         "is_head_sent",
         "request",
         "responder",
@@ -74,8 +76,15 @@
         self.buffer = EventBuffer()
         self.failure: HeldAnswer | None = None
         self.exchange: Exchange | None = None
+        self.is_given_up = False
         self.is_head_sent = False
 
+    async def give_up(self) -> None:
+        """Give up the attempt under way, also while its request is being sent."""
+        self.is_given_up = True
+        if self.exchange is not None:
+            await self.exchange.give_up()
+
 
 class CallRelay:
     """Carries out attempts.
@@ -104,6 +113,7 @@
     ) -> CallAttemptEnded:
         """Send a call to an endpoint, relay the answer and return how it ended."""
         request = open_call.request
+        open_call.is_given_up = False
         opened = await open_exchange(
             decision.address,
             request.method,
@@ -123,6 +133,8 @@
         exchange = opened.unwrap()
         open_call.exchange = exchange
         try:
+            if open_call.is_given_up:
+                await exchange.give_up()
             return await self._read_answer(open_call, decision, exchange)
         finally:
             open_call.exchange = None
--- a/tests/test_platform_versions.py
+++ b/tests/test_platform_versions.py
@@ -1,5 +1,7 @@
 """Versions brought into engines through entries, with faults on the way."""
 
+import time
+
 import curio
 import pytest
 
@@ -15,6 +17,7 @@
 from tamaracktray.types import Address
 from tamaracktray_emulator.platform.documents import CHUNKS, ENGINE_MODEL
 from tamaracktray_emulator.platform.origin import list_digests, make_chunk
+from tamaracktray_emulator.platform.worker import Mode
 
 
 def name_version(fleet: PlatformFleet, version: int) -> None:
@@ -123,6 +126,32 @@
 
         run_fleet(scenario, version_ms=1_000.0)
 
+    def test_call_that_is_being_sent_until_its_engine_is_too_old_is_taken_away(
+        self, monkeypatch
+    ):
+        """The tick that takes calls away comes before there is an exchange."""
+        open_exchange = relaying.open_exchange
+
+        async def open_slowly(*args, **options):
+            opened = await open_exchange(*args, **options)
+            await curio.sleep(1.2)
+            return opened
+
+        monkeypatch.setattr(relaying, "open_exchange", open_slowly)
+
+        async def scenario(fleet: PlatformFleet) -> None:
+            await fleet.start()
+            engine = await fleet.add_engine("e-1")
+            engine.mode = Mode.HANGING
+            await fleet.until(lambda: fleet.entries[0].state.roster.records_by_id)
+            name_version(fleet, 2)
+            started = time.monotonic()
+            reply = await fleet.call("/talk/x", wait_ms=4_000)
+            assert time.monotonic() - started < 2.0
+            assert reply.status == 502
+
+        run_fleet(scenario, version_ms=1_000.0)
+
 
 class TestSources:
     """Chunks come from entries that answer, and the origin is asked sparingly."""
