Fetch only the newest of the versions that one answer names

What callers saw: nothing; entries drew a whole copy of a version from the origin that no agent with the same answer works towards, before the one that they need. Cause: since all versions of an answer count as named, each was fetched as well. Evidence: test_only_the_newest_version_of_one_answer_is_fetched failed before and passes now (test_following, test_platform_versions, test_gateway: 136 passed).

--- a/src/tamaracktray/direct.py
+++ b/src/tamaracktray/direct.py
@@ -231,6 +231,7 @@
     ``is_listed`` tells that the store has listed them.
     """
     effects: list[Effect] = []
+    risen: set[str] = set()
     for target in targets:
         known = state.target_by_model.get(target.model)
         if known is not None and known.version >= target.version:
@@ -243,8 +244,12 @@
         state.namings.add(target.model, target.version, named_at, told_at)
         age_s = None if named_at is None else 0.0
         effects.append(NoteNaming(target.model, target.version, age_s))
-        if state.gateway is not None:
-            effects.append(PrefetchVersion(target.model, target.version))
+        risen.add(target.model)
+    if state.gateway is None:
+        return effects
+    for model in sorted(risen):
+        # Agents that have seen a newer version as well leave the others out.
+        effects.append(PrefetchVersion(model, state.target_by_model[model].version))
     return effects
 
 
--- a/tests/test_following.py
+++ b/tests/test_following.py
@@ -7,12 +7,14 @@
 from tamaracktray.direct_events import (
     CollectionChanged,
     CollectionListed,
+    PrefetchVersion,
     SnapshotsReceived,
 )
 from tamaracktray.direct_shell import MAX_PULLS
 from tamaracktray.direct_state import DirectState
 from tamaracktray.engines import VersionTarget
 from tamaracktray.following import FOLLOWERS_PER_REGION, is_follower, list_local
+from tamaracktray.gateway_state import GatewayBounds, GatewayState
 from tamaracktray.namings import (
     FLOOR_WAIT_S,
     LAST_MARGIN_S,
@@ -320,6 +322,15 @@
         ages = state.namings.list_ages(5.0)
         assert ages == {MODEL: [(2, 4.0), (3, 4.0), (4, 1.0)]}
 
+    def test_only_the_newest_version_of_one_answer_is_fetched(self):
+        state = build_state()
+        state.gateway = GatewayState("entry-0", GatewayBounds())
+        reduce_direct(state, CollectionListed(0.0, VERSIONS, [name(5, 1)], 5))
+        both = [name(6, 2), name(7, 3)]
+        _, effects = reduce_direct(state, CollectionChanged(1.0, VERSIONS, both, 7))
+        fetched = [item for item in effects if isinstance(item, PrefetchVersion)]
+        assert fetched == [PrefetchVersion(MODEL, 3)]
+
     def test_first_list_of_the_store_tells_no_age_after_an_old_word_of_a_peer(self):
         """The peer has lost the store before the version was named."""
         state = build_state()
