--- a/src/tamaracktray/gateway.py
+++ b/src/tamaracktray/gateway.py
@@ -1,5 +1,7 @@
 """The reducer's part for entries that send calls straight to endpoints."""
 
+import msgspec
+
 from tamaracktray.budgets import PermitBucket
 from tamaracktray.calls import (
     AbandonAttempt,
@@ -168,6 +170,7 @@
         if not pending.is_started:
             _note_start(context, event.now, pending)
         pending.is_started = True
+        pending.has_begun = True
         pending.version = event.version or pending.version
     load = context.state.loads_by_id.get(event.endpoint_id)
     if load is not None:
@@ -269,7 +272,7 @@
     state = context.state
     effects: list[Effect] = []
     for pending in state.pending_by_id.values():
-        if not pending.endpoint_id or pending.is_started or pending.is_abandoned:
+        if not pending.endpoint_id or pending.has_begun or pending.is_abandoned:
             continue
         if not _is_outdated(context, pending):
             continue
@@ -283,7 +286,13 @@
     pending = context.state.pending_by_id.get(decision.call_id)
     if pending is None or pending.endpoint_id != decision.endpoint_id:
         return False
-    return not pending.is_abandoned and not _is_outdated(context, pending)
+    load = context.state.loads_by_id.get(decision.endpoint_id)
+    if load is None or pending.is_abandoned:
+        return False
+    # A call on its way is bound by the oldest version on which it may still begin.
+    floors = context.around.last_floor_by_model
+    around = msgspec.structs.replace(context.around, version_floor_by_model=floors)
+    return is_eligible(pending.call, load, around)
 
 
 def _is_outdated(context: GatewayContext, pending: PendingCall) -> bool:
@@ -390,6 +399,7 @@
     pending.endpoint_id = load.record.id
     pending.sent_at = now
     pending.held_version = held_version
+    pending.has_begun = False
     pending.is_abandoned = False
     running = load.count_running(now)
     load.note_sent(now)
