Ignore what new processes guess of a version whose age is known

A process that starts and hears no age within 1.5 s counts a version as due and tells it; all others then kept new requests off the engines with the older one for good, though they knew that seconds were left (by their own count 5 s, in a trial). Cause: a guess and knowledge travelled as the same floor.

--- a/src/tamaracktray/namings.py
+++ b/src/tamaracktray/namings.py
@@ -126,17 +126,17 @@
 
     def list_floors(self, now: float) -> dict[str, int]:
         """Return the oldest version on which calls may begin, by model."""
-        floors = self._list_due(now)
-        for model, version in self._peer_floor_by_model.items():
-            floors[model] = max(floors.get(model, 0), version)
-        return floors
+        return self._add_told(self._list_due(now))
 
     def list_last_floors(self, now: float) -> dict[str, int]:
-        """Return the oldest version on which calls that were sent may still begin.
+        """Return the oldest version on which calls that were sent may still begin."""
+        return self._add_told(self._list_due(now - VERSION_MARGIN_S + LAST_MARGIN_S))
+
+    def _add_told(self, floors: dict[str, int]) -> dict[str, int]:
+        """Raise floors to what peers count as due, unless the age is known here.
 
-        What peers count as due says nothing of a version whose age is known.
+        A peer that has just started may have guessed.
         """
-        floors = self._list_due(now - VERSION_MARGIN_S + LAST_MARGIN_S)
         for model, version in self._peer_floor_by_model.items():
             if not self._is_age_known(model, version):
                 floors[model] = max(floors.get(model, 0), version)
