Take calls away a little earlier, as a naming may be known late

Cause: the margin for calls under way paid for a tick and the way only, not for the delay of the naming. No new calls go to the older version from 0.7 s before the bound on, so what is taken away at 0.3 s has waited for 0.4 s and has missed its objective.

--- a/src/tamaracktray/namings.py
+++ b/src/tamaracktray/namings.py
@@ -15,8 +15,9 @@
 VERSION_MARGIN_S = 0.7
 
 # Time before a version is due by which calls that have not begun on an older one are
-# taken away from their endpoint, in seconds: a tick and the way there.
-LAST_MARGIN_S = 0.15
+# taken away from their endpoint, in seconds: a tick, the way there, and what the naming
+# may have taken to become known.
+LAST_MARGIN_S = 0.3
 
 # Time in which peers tell a process that has just started how old the namings are, in
 # seconds: three of the beacons that each sends at least.
--- a/tests/test_following.py
+++ b/tests/test_following.py
@@ -312,6 +312,11 @@
         assert namings.list_floors(early) == {MODEL: 2}
         assert namings.list_last_floors(early) == {}
 
+    def test_naming_learned_a_little_late_ends_calls_before_the_bound(self):
+        namings = Namings(0.0, BOUND_S)
+        namings.add(MODEL, 2, 0.2)
+        assert namings.list_last_floors(BOUND_S - 0.05) == {MODEL: 2}
+
     def test_guess_of_a_new_process_does_not_count_where_the_age_is_known(self):
         namings = Namings(0.0, BOUND_S)
         namings.add(MODEL, 2, 0.0)
