Keep only peers that have calls at an endpoint, and take beacons in with less

At 16 entries before 29 engines an entry takes 206 beacons a second. Each one built the surroundings of placing though no call waited, walked all endpoints also for agents, which have no calls, and compared addresses as text. Each endpoint kept a count of every peer, nearly all of them 0, and added them up twice for every call.

A count of 0 takes the peer out. Counts of entries and states of agents are taken in apart, and waiting calls are looked at only if there are any.

--- a/src/tamaracktray/direct.py
+++ b/src/tamaracktray/direct.py
@@ -321,10 +321,11 @@
         for model, naming in changed:
             age_s = event.now - naming.named_at
             effects.append(NoteNaming(model, naming.version, age_s, beacon.name))
-    _note_status(state, event.now, beacon)
-    for load in state.gateway.loads_by_id.values():
-        count = beacon.in_flight_by_endpoint.get(load.record.id, 0)
-        load.note_peer(event.now, beacon.name, count)
+        state.gateway.note_peer(event.now, beacon.name, beacon.in_flight_by_endpoint)
+    else:
+        state.gateway.note_status(event.now, beacon.status)
+    if not len(state.gateway.waiting):
+        return effects
     return effects + fill_room(_gateway_context(state, event.now), event.now)
 
 
@@ -360,21 +361,6 @@
     return True
 
 
-def _note_status(state: DirectState, now: float, beacon: Beacon) -> None:
-    status = beacon.status
-    if status is None or state.gateway is None:
-        return
-    for load in state.gateway.loads_by_id.values():
-        if str(load.record.address) == status.address:
-            load.note_status(
-                now,
-                status.is_swapping,
-                status.version_by_model,
-                status.swap_in_s,
-                status.born_ms,
-            )
-
-
 def _on_tick(state: DirectState, event: Tick) -> list[Effect]:
     effects: list[Effect] = []
     state.ledger.expire(event.now)
--- a/src/tamaracktray/gateway_state.py
+++ b/src/tamaracktray/gateway_state.py
@@ -1,13 +1,17 @@
 """What an entry knows of the calls that it has taken."""
 
+from collections.abc import Mapping
+
 import msgspec
 
+from tamaracktray.beacons import EndpointStatus
 from tamaracktray.budgets import RepeatBudget
 from tamaracktray.calls import Call
 from tamaracktray.fairness import ServedRate, SizeBands
 from tamaracktray.homes import Place
 from tamaracktray.placement import EndpointLoad, Surroundings
 from tamaracktray.quarantine import CrashLedger
+from tamaracktray.types import Address
 from tamaracktray.waiting import WaitingLine
 
 # Weight of a new measurement in the mean time to the begin of an answer; about the last
@@ -113,6 +117,28 @@
         self.room_by_service: dict[str, ServedRate] = {}
         self.start_delay_by_service: dict[str, float] = {}
 
+    def note_peer(self, now: float, peer: str, counts: Mapping[str, int]) -> None:
+        """Take in how many calls a peer has at each endpoint that has any."""
+        for endpoint_id, load in self.loads_by_id.items():
+            load.note_peer(now, peer, counts.get(endpoint_id, 0))
+
+    def note_status(self, now: float, status: EndpointStatus) -> None:
+        """Take in what an agent says of its engine."""
+        try:
+            address = Address.parse(status.address)
+        except ValueError:
+            return
+        for load in self.loads_by_id.values():
+            if load.record.address != address:
+                continue
+            load.note_status(
+                now,
+                status.is_swapping,
+                status.version_by_model,
+                status.swap_in_s,
+                status.born_ms,
+            )
+
     def measure_spent(self, call: Call) -> float:
         """Return how long the caller has waited in earlier tries, in seconds.
 
--- a/src/tamaracktray/placement.py
+++ b/src/tamaracktray/placement.py
@@ -171,7 +171,10 @@
 
     def note_peer(self, now: float, peer: str, count: int) -> None:
         """Take in how many calls a peer has at the endpoint."""
-        self._peer_counts[peer] = (count, now + PEER_COUNT_S)
+        if count:
+            self._peer_counts[peer] = (count, now + PEER_COUNT_S)
+        else:
+            self._peer_counts.pop(peer, None)
 
     def count_running(self, now: float) -> int:
         """Return the calls of all processes at the endpoint."""
--- a/tests/test_work.py
+++ b/tests/test_work.py
@@ -2,11 +2,25 @@
 
 import pytest
 
-from gateways import ORDERS, SAFE, Gateway, build_call, engine, worker
+from gateways import (
+    ORDERS,
+    REGION_BY_ZONE,
+    SAFE,
+    ZONE,
+    Gateway,
+    build_call,
+    engine,
+    worker,
+)
+from tamaracktray import direct
 from tamaracktray import gateway as gateway_module
+from tamaracktray.beacons import Beacon, EndpointStatus
 from tamaracktray.calls import SendCall
+from tamaracktray.direct_events import BeaconHeard
+from tamaracktray.direct_state import DirectState
 from tamaracktray.outcomes import AttemptPhase
 from tamaracktray.placement import choose_endpoint
+from tamaracktray.types import Address, Role
 
 ENDPOINTS = 29
 WAITING = 50
@@ -67,3 +81,61 @@
         sent = gateway.end(first, "x", AttemptPhase.ANSWERED)
         assert [effect.call_id for effect in sent] == ["second"]
         assert choices == ["second"]
+
+
+class TestBeacons:
+    """An entry of a large fleet takes hundreds of beacons a second."""
+
+    def hear(self, gateway: Gateway, name: str, *, number: int = 1, **fields) -> list:
+        state = DirectState(
+            "entry-0",
+            Role.ENTRY,
+            ZONE,
+            REGION_BY_ZONE,
+            now=0.0,
+            version_bound_s=8.0,
+            grace_s=8.0,
+            quarantine_s=300.0,
+        )
+        state.gateway = gateway.state
+        beacon = Beacon(name, 1, number, {}, {}, **fields)
+        event = BeaconHeard(gateway.now, beacon, Address("10.0.1.1", 1))
+        return direct.reduce_direct(state, event)[1]
+
+    @pytest.mark.parametrize(
+        "fields",
+        [
+            {"in_flight_by_endpoint": {"a": 1}},
+            {"status": EndpointStatus("10.0.0.1:1001", False, {})},
+        ],
+    )
+    def test_nothing_is_prepared_for_placing_while_no_call_waits(
+        self, monkeypatch, fields
+    ):
+        built: list[float] = []
+        monkeypatch.setattr(
+            direct, "build_surroundings", lambda state, now: built.append(now)
+        )
+        assert self.hear(Gateway(engine("a")), "peer", **fields) == []
+        assert built == []
+
+    def test_peer_that_has_no_calls_any_more_makes_room(self):
+        gateway = Gateway(engine("a"), engine("b"))
+        self.hear(gateway, "peer", in_flight_by_endpoint={"a": 4, "b": 4})
+        assert gateway.arrive(build_call("x")) == []
+        self.hear(gateway, "peer", number=2, in_flight_by_endpoint={"a": 4})
+        sent = gateway.tick(0.01)
+        assert [effect.endpoint_id for effect in sent] == ["b"]
+
+    def test_agent_speaks_for_the_engine_at_its_address_only(self):
+        gateway = Gateway(engine("a"), engine("bb"))
+        status = EndpointStatus("10.0.0.1:1002", True, {})
+        self.hear(gateway, "agent", status=status)
+        assert not gateway.load("a").is_swapping
+        assert gateway.load("bb").is_swapping
+
+    @pytest.mark.parametrize("address", ["", "nowhere", "10.0.0.1:x"])
+    def test_agent_without_a_good_address_speaks_for_nobody(self, address):
+        gateway = Gateway(engine("a"))
+        self.hear(gateway, "agent", status=EndpointStatus(address, True, {}))
+        assert not gateway.load("a").is_swapping
