Encode a beacon once for all the peers that it is sent to

An entry tells its calls to five near peers up to 20 times a second and to all 15 five times a second, and everybody tells all entries twice a second. The beacon was built and encoded anew for each receiver, which took more than sending it. Receivers drop only beacons that are older than the newest of the same sender, so all of them may have one number.

--- a/src/tamaracktray/direct_entry.py
+++ b/src/tamaracktray/direct_entry.py
@@ -355,5 +355,5 @@
         node = self.settings.node
         members = self.state.peers.members_by_name.values()
         near = list_local(node.zone, members, self.state.region_by_zone)
-        for member in list(members) if is_far_due else near:
-            await self.send_beacon(member.address)
+        told = members if is_far_due else near
+        await self.send_beacon([member.address for member in told])
--- a/src/tamaracktray/direct_shell.py
+++ b/src/tamaracktray/direct_shell.py
@@ -5,7 +5,7 @@
 import socket as socket_module
 import sys
 import time
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Iterable
 from pathlib import Path
 
 import curio
@@ -221,19 +221,19 @@
             is_leaving=self.state.is_leaving,
         )
 
-    async def send_beacon(self, address: Address) -> None:
-        """Tell one peer; a beacon that cannot be sent is like one that is lost."""
-        try:
-            await self._datagrams.sendto(
-                encode_beacon(self.build_beacon()), (address.host, address.port)
-            )
-        except OSError as error:
-            self.log.debug("beacon not sent", peer=str(address), error=str(error))
+    async def send_beacon(self, addresses: Iterable[Address]) -> None:
+        """Tell peers the same; a beacon that cannot be sent is like one lost."""
+        data = encode_beacon(self.build_beacon())
+        for address in addresses:
+            try:
+                await self._datagrams.sendto(data, (address.host, address.port))
+            except OSError as error:
+                self.log.debug("beacon not sent", peer=str(address), error=str(error))
 
     async def tell_peers(self) -> None:
         """Send a beacon to every entry."""
-        for member in list(self.state.peers.members_by_name.values()):
-            await self.send_beacon(member.address)
+        members = self.state.peers.members_by_name.values()
+        await self.send_beacon([member.address for member in members])
 
     async def note_peer_lost(self, address: Address) -> None:
         """Choose other peers for a while than one that did not answer."""
@@ -257,7 +257,7 @@
         await self.tell_peers()
 
     async def _answer_beacon(self, effect: AnswerBeacon) -> None:
-        await self.send_beacon(effect.address)
+        await self.send_beacon([effect.address])
 
     async def _ask_seeds(self) -> None:
         """Take what the store does not tell from peers, as long as it is not known."""
--- a/tests/test_work.py
+++ b/tests/test_work.py
@@ -12,9 +12,10 @@
     engine,
     worker,
 )
-from tamaracktray import direct
+from platforms import PlatformFleet, run_fleet
+from tamaracktray import direct, direct_shell
 from tamaracktray import gateway as gateway_module
-from tamaracktray.beacons import Beacon, EndpointStatus
+from tamaracktray.beacons import Beacon, EndpointStatus, encode_beacon
 from tamaracktray.calls import SendCall
 from tamaracktray.direct_events import BeaconHeard
 from tamaracktray.direct_state import DirectState
@@ -134,6 +135,25 @@
         assert not gateway.load("a").is_swapping
         assert gateway.load("bb").is_swapping
 
+    def test_beacon_is_encoded_once_for_all_peers(self, monkeypatch):
+        encoded: list[Beacon] = []
+
+        def encode(beacon: Beacon) -> bytes:
+            encoded.append(beacon)
+            return encode_beacon(beacon)
+
+        monkeypatch.setattr(direct_shell, "encode_beacon", encode)
+
+        async def check(fleet: PlatformFleet) -> None:
+            await fleet.start(entries=4)
+            entry = fleet.entries[0]
+            await fleet.until(lambda: len(entry.state.peers.members_by_name) == 3)
+            encoded.clear()
+            await entry.tell_peers()
+            assert [beacon.name for beacon in encoded] == ["entry-0"]
+
+        run_fleet(check)
+
     @pytest.mark.parametrize("address", ["", "nowhere", "10.0.0.1:x"])
     def test_agent_without_a_good_address_speaks_for_nobody(self, address):
         gateway = Gateway(engine("a"))
