--- a/src/tamaracktray/placement.py
+++ b/src/tamaracktray/placement.py
@@ -171,7 +171,10 @@
 
     def note_peer(self, now: float, peer: str, count: int) -> None:
         """Take in how many calls a peer has at the endpoint."""
-        self._peer_counts[peer] = (count, now + PEER_COUNT_S)
+        if count:
+            self._peer_counts[peer] = (count, now + PEER_COUNT_S)
+        else:
+            self._peer_counts.pop(peer, None)
 
     def count_running(self, now: float) -> int:
         """Return the calls of all processes at the endpoint."""
@@ -301,6 +304,11 @@
     return max(places - load.count_running(now), 0)
 
 
+def list_roomy(loads: Iterable[EndpointLoad], now: float) -> list[EndpointLoad]:
+    """Return the endpoints with room."""
+    return [load for load in loads if count_room(load, now)]
+
+
 def choose_endpoint(
     now: float,
     call: Call,
--- /dev/null
+++ b/tests/test_work.py
@@ -0,0 +1,161 @@
+"""How much work one event makes, counted, so that it does not grow with the fleet."""
+
+import pytest
+
+from gateways import (
+    ORDERS,
+    REGION_BY_ZONE,
+    SAFE,
+    ZONE,
+    Gateway,
+    build_call,
+    engine,
+    worker,
+)
+from platforms import PlatformFleet, run_fleet
+from tamaracktray import direct, direct_shell
+from tamaracktray import gateway as gateway_module
+from tamaracktray.beacons import Beacon, EndpointStatus, encode_beacon
+from tamaracktray.calls import SendCall
+from tamaracktray.direct_events import BeaconHeard
+from tamaracktray.direct_state import DirectState
+from tamaracktray.outcomes import AttemptPhase
+from tamaracktray.placement import choose_endpoint
+from tamaracktray.types import Address, Role
+
+ENDPOINTS = 29
+WAITING = 50
+
+
+@pytest.fixture
+def choices(monkeypatch) -> list[str]:
+    """The calls for which an endpoint was looked for, by id."""
+    chosen: list[str] = []
+
+    def choose(now, call, *args):
+        chosen.append(call.id)
+        return choose_endpoint(now, call, *args)
+
+    monkeypatch.setattr(gateway_module, "choose_endpoint", choose)
+    return chosen
+
+
+class TestWaitingCalls:
+    """Calls wait while all endpoints are full, which every event might have changed."""
+
+    def build(self, *others) -> Gateway:
+        gateway = Gateway(*(engine(f"e{n}") for n in range(ENDPOINTS)), *others)
+        for load in gateway.state.loads_by_id.values():
+            if load.record.service != ORDERS:
+                load.note_peer(0.0, "peer", load.record.max_batch)
+        for number in range(WAITING):
+            assert gateway.arrive(build_call(f"w{number}")) == []
+        assert len(gateway.state.waiting) == WAITING
+        return gateway
+
+    def test_none_is_looked_at_while_no_endpoint_has_room(self, choices):
+        gateway = self.build()
+        choices.clear()
+        assert gateway.tick(0.01) == []
+        assert choices == []
+
+    def test_none_is_looked_at_for_room_that_it_cannot_use(self, choices):
+        gateway = self.build(worker("x"), engine("old", version=0))
+        choices.clear()
+        assert gateway.tick(0.01) == []
+        assert choices == []
+
+    def test_one_place_is_looked_for_once(self, choices):
+        gateway = self.build()
+        choices.clear()
+        gateway.load("e3").note_peer(0.01, "peer", 3)
+        sent = [effect for effect in gateway.tick(0.01) if isinstance(effect, SendCall)]
+        assert [effect.endpoint_id for effect in sent] == ["e3"]
+        assert len(choices) == 1
+
+    def test_end_of_a_call_makes_room_for_one(self, choices):
+        gateway = self.build(worker("x", max_batch=1))
+        first, second = build_call("first", SAFE), build_call("second", SAFE)
+        assert len(gateway.arrive(first)) == 1
+        assert gateway.arrive(second) == []
+        choices.clear()
+        sent = gateway.end(first, "x", AttemptPhase.ANSWERED)
+        assert [effect.call_id for effect in sent] == ["second"]
+        assert choices == ["second"]
+
+
+class TestBeacons:
+    """An entry of a large fleet takes hundreds of beacons a second."""
+
+    def hear(self, gateway: Gateway, name: str, *, number: int = 1, **fields) -> list:
+        state = DirectState(
+            "entry-0",
+            Role.ENTRY,
+            ZONE,
+            REGION_BY_ZONE,
+            now=0.0,
+            version_bound_s=8.0,
+            grace_s=8.0,
+            quarantine_s=300.0,
+        )
+        state.gateway = gateway.state
+        beacon = Beacon(name, 1, number, {}, {}, **fields)
+        event = BeaconHeard(gateway.now, beacon, Address("10.0.1.1", 1))
+        return direct.reduce_direct(state, event)[1]
+
+    @pytest.mark.parametrize(
+        "fields",
+        [
+            {"in_flight_by_endpoint": {"a": 1}},
+            {"status": EndpointStatus("10.0.0.1:1001", False, {})},
+        ],
+    )
+    def test_nothing_is_prepared_for_placing_while_no_call_waits(
+        self, monkeypatch, fields
+    ):
+        built: list[float] = []
+        monkeypatch.setattr(
+            direct, "build_surroundings", lambda state, now: built.append(now)
+        )
+        assert self.hear(Gateway(engine("a")), "peer", **fields) == []
+        assert built == []
+
+    def test_peer_that_has_no_calls_any_more_makes_room(self):
+        gateway = Gateway(engine("a"), engine("b"))
+        self.hear(gateway, "peer", in_flight_by_endpoint={"a": 4, "b": 4})
+        assert gateway.arrive(build_call("x")) == []
+        self.hear(gateway, "peer", number=2, in_flight_by_endpoint={"a": 4})
+        sent = gateway.tick(0.01)
+        assert [effect.endpoint_id for effect in sent] == ["b"]
+
+    def test_agent_speaks_for_the_engine_at_its_address_only(self):
+        gateway = Gateway(engine("a"), engine("bb"))
+        status = EndpointStatus("10.0.0.1:1002", True, {})
+        self.hear(gateway, "agent", status=status)
+        assert not gateway.load("a").is_swapping
+        assert gateway.load("bb").is_swapping
+
+    def test_beacon_is_encoded_once_for_all_peers(self, monkeypatch):
+        encoded: list[Beacon] = []
+
+        def encode(beacon: Beacon) -> bytes:
+            encoded.append(beacon)
+            return encode_beacon(beacon)
+
+        monkeypatch.setattr(direct_shell, "encode_beacon", encode)
+
+        async def check(fleet: PlatformFleet) -> None:
+            await fleet.start(entries=4)
+            entry = fleet.entries[0]
+            await fleet.until(lambda: len(entry.state.peers.members_by_name) == 3)
+            encoded.clear()
+            await entry.tell_peers()
+            assert [beacon.name for beacon in encoded] == ["entry-0"]
+
+        run_fleet(check)
+
+    @pytest.mark.parametrize("address", ["", "nowhere", "10.0.0.1:x"])
+    def test_agent_without_a_good_address_speaks_for_nobody(self, address):
+        gateway = Gateway(engine("a"))
+        self.hear(gateway, "agent", status=EndpointStatus(address, True, {}))
+        assert not gateway.load("a").is_swapping
