Fetch ahead only what an entry has seen named

What callers saw: entries that restarted amid a rollout drew its chunks from the origin again, in index order and all of them. The last chunks that agents lacked waited behind those they held, and engines changed late.

Cause: a process that starts treats the named versions of its first read as named just then and fetched them ahead as a whole. An agent that asked for one chunk made an entry fetch all of them.

Now only a naming that an entry has seen itself is fetched ahead. One that starts later fetches the chunks that are asked for.

Evidence: TestRestartedEntries, whose three tests failed before.

The stand-in of the origin can withhold chunks and sends them one after the other at a pace; a fleet of the tests can kill and restart an entry.

--- a/src/tamaracktray/direct.py
+++ b/src/tamaracktray/direct.py
@@ -230,7 +230,8 @@
         state.namings.add(target.model, target.version, named_at)
         age_s = None if named_at is None else 0.0
         effects.append(NoteNaming(target.model, target.version, age_s))
-        if state.gateway is not None:
+        if state.gateway is not None and named_at is not None:
+            # Of a version named before the start agents may hold the most already.
             effects.append(PrefetchVersion(target.model, target.version))
     return effects
 
--- a/src/tamaracktray/direct_entry.py
+++ b/src/tamaracktray/direct_entry.py
@@ -22,13 +22,7 @@
     SendCall,
     TellLoads,
 )
-from tamaracktray.chunk_relay import (
-    MANIFEST_PART,
-    VERSIONS_PATH,
-    ChunkRelay,
-    VersionKey,
-    read_version_key,
-)
+from tamaracktray.chunk_relay import VERSIONS_PATH, ChunkRelay, VersionKey
 from tamaracktray.chunk_sources import choose_upstream, find_first
 from tamaracktray.deployment import Deployment
 from tamaracktray.direct import may_send
@@ -143,10 +137,6 @@
     @override
     async def handle_peer(self, request: Request, responder: Responder) -> None:
         if request.path.startswith(VERSIONS_PATH):
-            key = read_version_key(request.path)
-            if key is not None and not request.path.endswith(MANIFEST_PART):
-                # Who asks for one chunk will ask for all of them.
-                await self.spawn(self._chunk_relay.prefetch, key)
             await self._chunk_relay.handle(request, responder)
             return
         if request.path.startswith(SERVICES_PATH):
--- a/src/tamaracktray_emulator/platform/origin.py
+++ b/src/tamaracktray_emulator/platform/origin.py
@@ -2,6 +2,7 @@
 
 import hashlib
 
+import curio
 from typing_extensions import override
 
 from tamaracktray.http import Request, Responder
@@ -31,7 +32,8 @@
     """Hands out versions; counts what it sends.
 
     ``is_down`` resets every call. ``spoilt`` chunks and manifests are sent with a wrong
-    byte once each.
+    byte once each. ``withheld`` chunks are not handed out. Chunks are sent one after
+    the other and take ``chunk_s`` seconds each.
     """
 
     def __init__(self, address: Address) -> None:
@@ -40,6 +42,9 @@
         self.is_down = False
         self.spoilt: set[int] = set()
         self.is_manifest_spoilt = False
+        self.withheld: set[int] = set()
+        self.chunk_s = 0.0
+        self._link = curio.Lock()
 
     @override
     async def answer(self, request: Request, responder: Responder) -> None:
@@ -62,6 +67,11 @@
             await send_json(responder, 200, document)
             return
         index = int(request.query["quantity"])
+        if index in self.withheld:
+            await responder.abort()
+            return
+        async with self._link:
+            await curio.sleep(self.chunk_s)
         data = make_chunk(version, index)
         if index in self.spoilt:
             self.spoilt.discard(index)
--- a/tests/platforms.py
+++ b/tests/platforms.py
@@ -24,6 +24,7 @@
     ListenSettings,
     StoreSettings,
 )
+from tamaracktray.direct_shell import DirectShell
 from tamaracktray.exchange import fetch
 from tamaracktray.http import Reply
 from tamaracktray.platform.deployment import PlatformDeployment
@@ -83,6 +84,41 @@
     return f"127.{_network}.{number // 250}.{number % 250 + 1}"
 
 
+class Killable(DirectShell):
+    """A process of which nothing goes on in the background once it is killed."""
+
+    def __init__(self, *args: Any) -> None:
+        super().__init__(*args)
+        self._spawned: set[curio.Task] = set()
+
+    async def spawn(self, function: Callable[..., Awaitable[None]], *args: Any) -> None:
+        async def run() -> None:
+            task = await curio.current_task()
+            self._spawned.add(task)
+            try:
+                await function(*args)
+            finally:
+                self._spawned.discard(task)
+
+        await super().spawn(run)
+
+    async def kill(self) -> None:
+        """End the process without a word to anybody, and free its addresses."""
+        await self.halt()
+        for task in list(self._spawned):
+            await task.cancel(blocking=False)
+        await self._datagrams.close()
+        await curio.sleep(0.05)
+
+
+class KillableEntry(Killable, DirectEntryShell):
+    """An entry that tests may kill."""
+
+
+class KillableAgent(Killable, DirectAgentShell):
+    """An agent that tests may kill."""
+
+
 class PlatformFleet:
     """Stand-ins and processes of one test; routes and tenants may be changed."""
 
@@ -148,11 +184,20 @@
         """Start an entry."""
         number = len(self.entries)
         settings = self._build_settings(f"entry-{number}", Role.ENTRY, zone)
-        shell = DirectEntryShell(Path("unused"), settings, PlatformDeployment())
+        shell = KillableEntry(Path("unused"), settings, PlatformDeployment())
         self.entries.append(shell)
         await curio.spawn(shell.serve, daemon=True)
         return shell
 
+    async def restart_entry(self, number: int) -> DirectEntryShell:
+        """Kill an entry and start it anew under its name and addresses."""
+        old = self.entries[number]
+        await old.kill()
+        shell = KillableEntry(Path("unused"), old.settings, PlatformDeployment())
+        self.entries[number] = shell
+        await curio.spawn(shell.serve, daemon=True)
+        return shell
+
     async def add_worker(
         self, name: str, zone: str = ZONE, **fields: Any
     ) -> WorkerStandIn:
@@ -193,7 +238,7 @@
             ip=address.host,
             engine=engine_settings,
         )
-        shell = DirectAgentShell(Path("unused"), settings, PlatformDeployment())
+        shell = KillableAgent(Path("unused"), settings, PlatformDeployment())
         self.agents.append(shell)
         await curio.spawn(shell.serve, daemon=True)
         return shell
--- a/tests/test_platform_versions.py
+++ b/tests/test_platform_versions.py
@@ -166,6 +166,67 @@
         run_fleet(scenario, version_ms=1_500.0)
 
 
+class TestRestartedEntries:
+    """Entries that start amid a rollout fetch what agents lack, and only that."""
+
+    def test_restarts_one_after_the_other_draw_about_one_copy(self):
+        async def scenario(fleet: PlatformFleet) -> None:
+            engines = await start(fleet, 4, entries=3)
+            await fleet.until(
+                lambda: all(
+                    len(e.state.peers.members_by_name) == 2 for e in fleet.entries
+                )
+            )
+            fleet.origin.chunk_s = 0.2
+            name_version(fleet, 2)
+            for number in range(3):
+                least = 3 + 3 * number
+                await fleet.until(lambda least=least: fleet.origin.chunks_sent >= least)
+                await fleet.restart_entry(number)
+            await fleet.until(lambda: all(e.version == 2 for e in engines), 12.0)
+            await curio.sleep(1.0)
+            assert fleet.origin.chunks_sent <= CHUNKS * 1.5
+
+        run_fleet(scenario, version_ms=6_000.0)
+
+    def test_last_chunks_come_first(self):
+        async def scenario(fleet: PlatformFleet) -> None:
+            engines = await start(fleet, 2, entries=2)
+            await fleet.until(
+                lambda: all(e.state.peers.members_by_name for e in fleet.entries)
+            )
+            fleet.origin.withheld = {CHUNKS - 2, CHUNKS - 1}
+            name_version(fleet, 2)
+            await fleet.until(
+                lambda: all(len(e.staged) == CHUNKS - 2 for e in engines), 8.0
+            )
+            sent = fleet.origin.chunks_sent
+            for number in range(2):
+                await fleet.restart_entry(number)
+            fleet.origin.withheld = set()
+            fleet.origin.chunk_s = 0.3
+            await fleet.until(lambda: all(e.version == 2 for e in engines), 3.0)
+            await curio.sleep(1.0)
+            assert fleet.origin.chunks_sent - sent <= 3
+
+        run_fleet(scenario, version_ms=2_000.0)
+
+    def test_version_named_before_the_start_is_not_fetched_ahead(self):
+        async def scenario(fleet: PlatformFleet) -> None:
+            await fleet.start()
+            name_version(fleet, 2)
+            await fleet.until(lambda: fleet.origin.chunks_sent == CHUNKS, 2.0)
+            await fleet.restart_entry(0)
+            state = fleet.entries[0].state
+            await fleet.until(lambda: state.is_informed)
+            await curio.sleep(0.5)
+            assert fleet.origin.chunks_sent == CHUNKS
+            name_version(fleet, 3)
+            await fleet.until(lambda: fleet.origin.chunks_sent == 2 * CHUNKS, 2.0)
+
+        run_fleet(scenario, version_ms=2_000.0)
+
+
 class TestEmptyEngines:
     def test_added_engine_is_brought_into_service(self):
         async def scenario(fleet: PlatformFleet) -> None:
