Keep the time of a naming in the store for processes that start later

What callers saw: after all processes were killed amid a rollout, entries refused every call to engines with the older version for seconds.

Cause: nobody could tell how long ago the version was named. Entries counted it as due 1.5 s after their start, while agents counted the naming from their own start and spread their swaps over up to the whole bound from there.

Now one entry that saw the naming writes its Unix time into the status of the object that names the version, the next one a second later if it is missing. A record that is later than what another entry saw is replaced. A process that starts counts from the record by its wall clock, 0.2 s early; what peers tell that saw the naming is more exact and replaces it. Ages that only a wrong clock explains are unknown. Agents that cannot tell the age work towards the moment from which entries count the version as due.

The record costs one write for each naming, and a watch of each process wakes. Agents therefore list the endpoints for their turn once for each version.

Evidence: tests/test_naming_records.py. Three entries make one write.

--- a/src/tamaracktray/direct.py
+++ b/src/tamaracktray/direct.py
@@ -25,12 +25,14 @@
     CloseIdle,
     CollectionChanged,
     CollectionListed,
+    NamingsRecorded,
     NoteDue,
     NoteNaming,
     PeerLost,
     PrefetchVersion,
     PullSnapshots,
     ReadCollection,
+    RecordNamings,
     SnapshotsReceived,
     StoreLost,
     TellPeers,
@@ -54,6 +56,7 @@
 )
 from tamaracktray.gateway_state import GatewayContext
 from tamaracktray.homes import Place
+from tamaracktray.naming_records import Sighting, rank_writer, read_records
 from tamaracktray.peers import Member
 from tamaracktray.placement import Surroundings
 from tamaracktray.roster import EndpointRecord
@@ -208,8 +211,9 @@
 
 def _follow_versions(state: DirectState, now: float) -> list[Effect]:
     effects = _note_targets(state, now, _values(state, Collection.VERSIONS))
-    if state.staging is not None and state.target_by_model:
+    if state.staging is not None and state.turn_targets != state.target_by_model:
         # The turn of the engine follows from the list of its service's endpoints.
+        state.turn_targets = dict(state.target_by_model)
         effects.append(ReadCollection(Collection.ENDPOINTS))
     state.has_versions = True
     return effects + _follow_own_version(state, now)
@@ -223,6 +227,7 @@
     for target in targets:
         known = state.target_by_model.get(target.model)
         if known is not None and known.version >= target.version:
+            effects.extend(_note_records(state, now, target))
             continue
         state.target_by_model[target.model] = target
         # A process that starts cannot tell how long ago the version was named.
@@ -233,9 +238,51 @@
         if state.gateway is not None and named_at is not None:
             # Of a version named before the start agents may hold the most already.
             effects.append(PrefetchVersion(target.model, target.version))
+            sighting = Sighting(now, now + state.unix_offset_s)
+            state.records.note_seen(target.model, target.version, sighting)
+        effects.extend(_note_records(state, now, target))
     return effects
 
 
+def _note_records(
+    state: DirectState, now: float, target: VersionTarget
+) -> list[Effect]:
+    """Follow what the store tells of namings that this process did not see."""
+    effects: list[Effect] = []
+    for naming in read_records(target, now, state.unix_offset_s):
+        if not state.namings.add_recorded(target.model, naming):
+            continue
+        age_s = None if naming.named_at is None else now - naming.named_at
+        effects.append(NoteNaming(target.model, naming.version, age_s, "record"))
+    return effects
+
+
+def _record_namings(state: DirectState, now: float) -> list[Effect]:
+    """Write down the namings that this entry saw, unless another does."""
+    effects: list[Effect] = []
+    if state.is_store_lost:
+        return effects
+    snapshot = state.knowledge.by_collection[Collection.VERSIONS]
+    for name, item in snapshot.objects_by_name.items():
+        target = item.value
+        if target is None or not state.records.is_open(now, target):
+            continue
+        peers = [member.name for member in state.peers.list_informed(now)]
+        if not state.records.may_write(
+            now, target, rank_writer(state.name, peers, target)
+        ):
+            continue
+        state.records.note_tried(now)
+        namings = state.records.build(target, state.namings.list_versions(target.model))
+        effects.append(RecordNamings(target.model, name, item.version, namings))
+    return effects
+
+
+def _on_recorded(state: DirectState, event: NamingsRecorded) -> list[Effect]:
+    state.records.note_written(event.model, event.version)
+    return []
+
+
 def _follow_own_version(state: DirectState, now: float) -> list[Effect]:
     """Let an agent work towards the version of its engine's model."""
     if state.staging is None or not state.is_informed:
@@ -247,9 +294,7 @@
     model = service.engine.models[0].name
     target = state.target_by_model.get(model, VersionTarget(model, FIRST_VERSION))
     naming = state.namings.find_newest(model)
-    named_at = naming.named_at if naming is not None else None
-    if named_at is None:
-        named_at = now
+    named_at = now if naming is None else state.namings.find_start(naming)
     return name_version(state.staging, now, model, target.version, named_at)
 
 
@@ -388,6 +433,7 @@
             state.trusted_names = trusted
             effects.extend(_apply_roster(state, event.now))
         context = _gateway_context(state, event.now)
+        effects.extend(_record_namings(state, event.now))
         effects.extend(_note_due(state, context.around.version_floor_by_model))
         if event.now >= state.homes_deadline:
             state.homes_deadline = event.now + HOMES_INTERVAL_S
@@ -484,6 +530,7 @@
     StoreLost: _on_store_lost,
     BeaconHeard: _on_beacon,
     PeerLost: _on_peer_lost,
+    NamingsRecorded: _on_recorded,
     ShutdownRequested: _on_shutdown,
     CallArrived: _with_gateway(handle_call),
     CallStarted: _with_gateway(handle_call_started),
--- a/src/tamaracktray/direct_entry.py
+++ b/src/tamaracktray/direct_entry.py
@@ -26,10 +26,17 @@
 from tamaracktray.chunk_sources import choose_upstream, find_first
 from tamaracktray.deployment import Deployment
 from tamaracktray.direct import may_send
-from tamaracktray.direct_events import ApplyRouting, CloseIdle, PrefetchVersion
+from tamaracktray.direct_events import (
+    ApplyRouting,
+    CloseIdle,
+    NamingsRecorded,
+    PrefetchVersion,
+    RecordNamings,
+)
 from tamaracktray.direct_sections import DirectSettings
 from tamaracktray.direct_shell import SERVICES_PATH, DirectShell, register_member
 from tamaracktray.effects import Effect
+from tamaracktray.engines import NamingRecord
 from tamaracktray.events import Event, Tick
 from tamaracktray.following import list_local
 from tamaracktray.gateway_state import GatewayBounds, GatewayState
@@ -88,6 +95,7 @@
         )
         self.add_performer(AbandonAttempt, self._abandon)
         self.add_performer(PrefetchVersion, self._prefetch)
+        self.add_performer(RecordNamings, self._record_namings)
         self.add_performer(CloseIdle, self._close_idle)
         self.add_performer(TellLoads, self._tell_loads)
         for effect in (SendCall, RefuseCall, CutCall, RelayFailure):
@@ -288,6 +296,22 @@
         key = VersionKey(effect.model, effect.version)
         await self.spawn(self._chunk_relay.prefetch, key)
 
+    async def _record_namings(self, effect: RecordNamings) -> None:
+        await self.spawn(self._write_record, effect)
+
+    async def _write_record(self, effect: RecordNamings) -> None:
+        version, _ = effect.namings[-1]
+        record = msgspec.to_builtins(NamingRecord(effect.namings))
+        written = await self.store.put_status(
+            Collection.VERSIONS, effect.name, record, effect.revision
+        )
+        if isinstance(written, Failure):
+            error = written.failure().message
+            self.log.info("naming not recorded", version=version, error=error)
+            return
+        self.log.info("naming recorded", model=effect.model, version=version)
+        await self.dispatch(NamingsRecorded(time.monotonic(), effect.model, version))
+
     @property
     def _own_member(self) -> Member:
         node = self.settings.node
--- a/src/tamaracktray/direct_events.py
+++ b/src/tamaracktray/direct_events.py
@@ -74,11 +74,30 @@
     version: int
 
 
+class RecordNamings(Effect, frozen=True):
+    """Write down when versions of a model were named, the newest last.
+
+    ``name`` and ``revision`` are those of the object that names them.
+    """
+
+    model: str
+    name: str
+    revision: int
+    namings: tuple[tuple[int, float], ...]
+
+
+class NamingsRecorded(Event, frozen=True):
+    """The store has acknowledged the record of a version."""
+
+    model: str
+    version: int
+
+
 class NoteNaming(Effect, frozen=True):
     """Note since when a version counts as named.
 
     ``age_s`` is how long ago that was, ``None`` if nobody could tell yet. ``source`` is
-    the peer that told, empty for the store.
+    the peer that told, ``record`` what the store keeps of it, empty for the naming.
     """
 
     model: str
--- a/src/tamaracktray/direct_shell.py
+++ b/src/tamaracktray/direct_shell.py
@@ -136,6 +136,7 @@
 
     @override
     def reduce(self, event: Event) -> list[Effect]:
+        self.state.unix_offset_s = time.time() - time.monotonic()
         self.state, effects = reduce_direct(self.state, event)
         return effects
 
--- a/src/tamaracktray/direct_state.py
+++ b/src/tamaracktray/direct_state.py
@@ -5,6 +5,7 @@
 from tamaracktray.beacons import BeaconFilter
 from tamaracktray.engines import VersionTarget
 from tamaracktray.gateway_state import GatewayState
+from tamaracktray.naming_records import NamingRecords
 from tamaracktray.namings import Namings
 from tamaracktray.peers import Peers
 from tamaracktray.quarantine import CrashLedger
@@ -28,7 +29,9 @@
     A process that leaves takes no new calls from ``close_deadline`` on and exits at
     ``exit_deadline`` at the latest, before ``grace_s`` is over. ``has_versions`` tells
     that the named versions were read once. ``served`` names the service of the engine
-    beside an agent. ``noted_floor_by_model`` are the versions last noted as due.
+    beside an agent. ``unix_offset_s`` is what the wall clock is ahead of the monotonic
+    one, and ``turn_targets`` are the versions for which the turn was found out.
+    ``noted_floor_by_model`` are the versions last noted as due.
     """
 
     __slots__ = (
@@ -53,6 +56,7 @@
         "outage_end",
         "own_engine",
         "peers",
+        "records",
         "region_by_zone",
         "role",
         "roster",
@@ -60,6 +64,8 @@
         "staging",
         "trusted_names",
         "target_by_model",
+        "turn_targets",
+        "unix_offset_s",
         "zone",
     )
 
@@ -90,6 +96,9 @@
         self.target_by_model: dict[str, VersionTarget] = {}
         self.has_versions = False
         self.namings = Namings(now, version_bound_s)
+        self.records = NamingRecords(version_bound_s)
+        self.unix_offset_s = 0.0
+        self.turn_targets: dict[str, VersionTarget] = {}
         self.noted_floor_by_model: dict[str, int] = {}
         self.peers = Peers(expects_beacons=role is Role.ENTRY)
         self.outage_end = 0.0
--- a/src/tamaracktray/engines.py
+++ b/src/tamaracktray/engines.py
@@ -12,10 +12,30 @@
 
 
 class VersionTarget(msgspec.Struct, frozen=True):
-    """The version of a model's weights that the operator wants in service."""
+    """The version of a model's weights that the operator wants in service.
+
+    ``namings`` are it and versions before it, each with the Unix time in seconds at
+    which an entry saw it named, 0 if none did.
+    """
 
     model: str
     version: int
+    namings: tuple[tuple[int, float], ...] = ()
+
+
+class NamingRecord(msgspec.Struct, frozen=True):
+    """What the product keeps in the store beside a named version."""
+
+    namings: tuple[tuple[int, float], ...] = ()
+
+
+def add_record(target: VersionTarget, status: object) -> VersionTarget:
+    """Return a version with what is kept of namings, nothing if it is unreadable."""
+    try:
+        record = msgspec.convert(status or {}, NamingRecord)
+    except msgspec.ValidationError:
+        return target
+    return VersionTarget(target.model, target.version, record.namings)
 
 
 class EngineReport(msgspec.Struct, frozen=True):
--- /dev/null
+++ b/src/tamaracktray/naming_records.py
@@ -0,0 +1,131 @@
+"""When versions were named, as the store keeps it for processes that start later.
+
+One of the entries that saw a naming writes it down by its wall clock. After a restart
+of all processes nobody else could tell how old it is.
+"""
+
+from collections.abc import Iterable, Mapping
+
+import msgspec
+
+from tamaracktray.engines import VersionTarget
+from tamaracktray.hashing import hash_text
+from tamaracktray.namings import CLOCK_MARGIN_S, KEPT_NAMINGS, Naming
+
+# Time that each entry leaves to the one before it to write a record, in seconds.
+TAKEOVER_S = 1.0
+
+# Pause before a record that does not show up in the store is written again, in seconds.
+RECORD_RETRY_S = 1.0
+
+# Oldest age that a record may tell, in seconds; beyond it a clock is wrong.
+MAX_AGE_S = 30 * 86_400.0
+
+# Written for a version whose naming nobody saw.
+UNKNOWN_UNIX_S = 0.0
+
+
+class Sighting(msgspec.Struct, frozen=True):
+    """A naming that this process saw, by its monotonic and by its wall clock."""
+
+    seen_at: float
+    unix_s: float
+
+
+def read_records(
+    target: VersionTarget, now: float, unix_offset_s: float
+) -> list[Naming]:
+    """Return the namings that a record tells of, counted a little early.
+
+    An age that only a wrong clock explains is unknown.
+    """
+    namings: list[Naming] = []
+    for version, unix_s in target.namings:
+        age_s = now + unix_offset_s - unix_s
+        if version > target.version:
+            continue
+        if not -CLOCK_MARGIN_S <= age_s <= MAX_AGE_S:
+            namings.append(Naming(version, None))
+            continue
+        named_at = now - max(age_s, 0.0) - CLOCK_MARGIN_S
+        namings.append(Naming(version, named_at, is_recorded=True))
+    return namings
+
+
+def rank_writer(own: str, peers: Iterable[str], target: VersionTarget) -> int:
+    """Return how many entries are to write a record before this one."""
+    key = f"{target.model}/{target.version}"
+    own_hash = hash_text(f"{key}\n{own}")
+    return sum(hash_text(f"{key}\n{name}") < own_hash for name in peers)
+
+
+class NamingRecords:
+    """The namings that an entry saw, and which of them it must write down."""
+
+    __slots__ = (
+        "_bound_s",
+        "_retry_deadline",
+        "_sightings_by_model",
+        "_written_by_model",
+    )
+
+    def __init__(self, bound_s: float) -> None:
+        self._bound_s = bound_s
+        self._retry_deadline = 0.0
+        self._sightings_by_model: dict[str, dict[int, Sighting]] = {}
+        self._written_by_model: dict[str, int] = {}
+
+    def note_seen(self, model: str, version: int, sighting: Sighting) -> None:
+        """Note a naming that has just happened."""
+        sightings = self._sightings_by_model.setdefault(model, {})
+        sightings[version] = sighting
+        for old in sorted(sightings)[:-KEPT_NAMINGS]:
+            del sightings[old]
+
+    def note_written(self, model: str, version: int) -> None:
+        """Note that the store has acknowledged the record of a version."""
+        self._written_by_model[model] = version
+
+    def note_tried(self, now: float) -> None:
+        """Leave a write that has just begun the time to show up."""
+        self._retry_deadline = now + RECORD_RETRY_S
+
+    def is_open(self, now: float, target: VersionTarget) -> bool:
+        """Tell whether the record of a version that this entry saw is still missing.
+
+        A record that is later than what this entry saw is replaced: its writer learned
+        of the naming late, or its clock is ahead. Once the version is due, no record
+        matters any more.
+        """
+        sighting = self._sightings_by_model.get(target.model, {}).get(target.version)
+        if sighting is None or now >= sighting.seen_at + self._bound_s:
+            return False
+        if self._written_by_model.get(target.model) == target.version:
+            return False
+        recorded = dict(target.namings).get(target.version)
+        if recorded is not None and recorded <= sighting.unix_s + CLOCK_MARGIN_S:
+            return False
+        return now >= self._retry_deadline
+
+    def may_write(self, now: float, target: VersionTarget, rank: int) -> bool:
+        """Tell whether the entries before this one had the time to write."""
+        sighting = self._sightings_by_model[target.model][target.version]
+        return now >= sighting.seen_at + rank * TAKEOVER_S
+
+    def build(
+        self, target: VersionTarget, known: Iterable[int]
+    ) -> tuple[tuple[int, float], ...]:
+        """Return the record of a version and of the ``known`` ones before it."""
+        recorded: Mapping[int, float] = dict(target.namings)
+        sightings = self._sightings_by_model.get(target.model, {})
+        versions = {target.version, *recorded, *sightings, *known}
+        namings: list[tuple[int, float]] = []
+        for version in sorted(versions)[-KEPT_NAMINGS:]:
+            if version > target.version:
+                continue
+            unix_s = recorded.get(version, UNKNOWN_UNIX_S)
+            sighting = sightings.get(version)
+            if sighting is not None:
+                unix_s = min(unix_s or sighting.unix_s, sighting.unix_s)
+            namings.append((version, unix_s))
+        return tuple(namings)
--- a/src/tamaracktray/namings.py
+++ b/src/tamaracktray/namings.py
@@ -22,6 +22,9 @@
 # seconds: three of the beacons that each sends at least.
 FLOOR_WAIT_S = 1.5
 
+# Difference between the clocks of two instances that is allowed for, in seconds.
+CLOCK_MARGIN_S = 0.2
+
 # Namings of a model that are kept: one that is due and newer ones that are not yet.
 KEPT_NAMINGS = 8
 
@@ -32,11 +35,13 @@
 class Naming(msgspec.Struct, frozen=True):
     """When a version was named, in monotonic seconds.
 
-    ``named_at`` is ``None`` for a version that was named before the process started.
+    ``named_at`` is ``None`` for a version of which nobody could tell that yet. With
+    ``is_recorded`` it follows from a record and the wall clock.
     """
 
     version: int
     named_at: float | None
+    is_recorded: bool = False
 
 
 class Namings:
@@ -63,6 +68,23 @@
         """Take in a naming that the store tells of."""
         self._note(model, Naming(version, named_at))
 
+    def add_recorded(self, model: str, naming: Naming) -> bool:
+        """Take in what a record tells; return whether that changed anything."""
+        return self._note(model, naming)
+
+    def find_start(self, naming: Naming) -> float:
+        """Return the moment from which the bound of a version counts.
+
+        The bound of one of unknown age is over when entries count it as due.
+        """
+        if naming.named_at is None:
+            return self._floor_deadline - self._bound_s
+        return naming.named_at
+
+    def list_versions(self, model: str) -> list[int]:
+        """Return the versions of a model that are known to have been named."""
+        return [item.version for item in self._namings_by_model.get(model, [])]
+
     def note_peer(
         self, now: float, floors: Mapping[str, int], ages: Ages
     ) -> list[tuple[str, Naming]]:
@@ -92,11 +114,16 @@
             namings.insert(place, naming)
             del namings[:-KEPT_NAMINGS]
             return True
-        known_at = namings[place].named_at
+        known = namings[place]
         if naming.named_at is None:
             return False
-        if known_at is not None and known_at <= naming.named_at:
-            return False
+        if known.named_at is not None:
+            if naming.is_recorded:
+                return False
+            # Who saw the naming is more exact than a record, which counts early.
+            slack_s = 2 * CLOCK_MARGIN_S if known.is_recorded else 0.0
+            if known.named_at + slack_s <= naming.named_at:
+                return False
         namings[place] = naming
         return True
 
@@ -138,12 +165,12 @@
         )
 
     def list_ages(self, now: float) -> dict[str, list[tuple[int, float]]]:
-        """Return what peers should know of the namings."""
+        """Return what peers should know of the namings; all read records themselves."""
         return {
             model: [
                 (item.version, now - item.named_at)
                 for item in namings
-                if item.named_at is not None
+                if item.named_at is not None and not item.is_recorded
             ]
             for model, namings in self._namings_by_model.items()
         }
--- a/src/tamaracktray/objects.py
+++ b/src/tamaracktray/objects.py
@@ -78,6 +78,15 @@
         ``UnclearWriteError`` when the answer was lost.
         """
 
+    async def put_status(
+        self, collection: str, name: str, status: Any, version: int
+    ) -> Result[StoredObject, PlatformError]:
+        """Write what the system says of an object if its version is ``version``.
+
+        Fails as ``put`` does, and always on a platform that keeps no status.
+        """
+        return Failure(PlatformUnavailableError(f"{collection} keep no status"))
+
     @abstractmethod
     async def delete(
         self, collection: str, name: str, version: int, writer: str
--- a/src/tamaracktray/platform/store.py
+++ b/src/tamaracktray/platform/store.py
@@ -7,6 +7,7 @@
 from returns.result import Failure, Result, Success
 from typing_extensions import override
 
+from tamaracktray.engines import VersionTarget, add_record
 from tamaracktray.exceptions import (
     ConflictError,
     ObjectNotFoundError,
@@ -68,6 +69,7 @@
 class _Object(msgspec.Struct, frozen=True):
     metadata: _Metadata
     spec: Any = None
+    status: Any = None
 
 
 class _Page(msgspec.Struct, frozen=True, rename="camel"):
@@ -147,6 +149,18 @@
             lambda item: _translate(collection, item)
         )
 
+    @override
+    async def put_status(
+        self, collection: str, name: str, status: Any, version: int
+    ) -> Result[StoredObject, PlatformError]:
+        metadata = {"name": name, "revision": version}
+        document = {"metadata": metadata, "status": status}
+        target = f"{_path(collection)}/{name}/status"
+        reply = await self._call("PUT", target, msgspec.json.encode(document))
+        return reply.bind(lambda answer: _decode(answer, _Object)).map(
+            lambda item: _translate(collection, item)
+        )
+
     @override
     async def delete(
         self, collection: str, name: str, version: int, writer: str
@@ -230,6 +244,8 @@
     value = None
     if not is_removed:
         value = _read_value(collection, metadata.name, item.spec)
+    if isinstance(value, VersionTarget):
+        value = add_record(value, item.status)
     return StoredObject(metadata.name, metadata.revision, value, deleted=is_removed)
 
 
--- a/src/tamaracktray_emulator/platform/store.py
+++ b/src/tamaracktray_emulator/platform/store.py
@@ -32,12 +32,14 @@
     """Faults that tests switch on.
 
     ``delay_s`` slows every call. ``lost_answers`` counts writes whose answer is cut
-    after they took effect. ``is_deaf`` keeps watches from seeing changes.
+    after they took effect, ``refused_writes`` those that are answered by 503 and take
+    none. ``is_deaf`` keeps watches from seeing changes.
     """
 
     outage: Outage = Outage.NONE
     delay_s: float = 0.0
     lost_answers: int = 0
+    refused_writes: int = 0
     is_deaf: bool = False
 
 
@@ -62,16 +64,29 @@
         self.history: list[StoredChange] = []
         self.faults = StoreFaults()
         self.calls = 0
+        self.status_calls = 0
 
     def write(self, kind: str, name: str, spec: Any) -> int:
         """Store an object as the operator or an endpoint does; return the revision."""
         self.revision += 1
         metadata = {"name": name, "revision": self.revision, "created": 1}
         metadata |= {"finalizers": [], "deleting": False}
-        stored = {"metadata": metadata, "spec": spec, "status": None}
+        known = self.objects.get((kind, name), {})
+        stored = {"metadata": metadata, "spec": spec, "status": known.get("status")}
+        self._keep(kind, name, stored)
+        return self.revision
+
+    def _keep(self, kind: str, name: str, stored: dict[str, Any]) -> None:
         self.objects[kind, name] = stored
         self.history.append(StoredChange(self.revision, kind, name, stored, False))
-        return self.revision
+
+    def _write_status(self, kind: str, name: str, status: Any) -> None:
+        known = self.objects[kind, name]
+        if known["status"] == status:
+            return
+        self.revision += 1
+        metadata = known["metadata"] | {"revision": self.revision}
+        self._keep(kind, name, known | {"metadata": metadata, "status": status})
 
     def remove(self, kind: str, name: str) -> int:
         """Remove an object; return the revision."""
@@ -161,9 +176,13 @@
     async def _write(
         self, request: Request, responder: Responder, kind: str, name: str
     ) -> None:
+        if self.faults.refused_writes:
+            self.faults.refused_writes -= 1
+            await send_json(responder, 503, {"error": "not now"})
+            return
         document = msgspec.json.decode(request.body) if request.body else {}
         metadata = document.get("metadata", {})
-        name = name or metadata["name"]
+        name, _, part = (name or metadata["name"]).partition("/")
         stored = self.objects.get((kind, name))
         wanted = metadata.get("revision", request.query.get("revision"))
         if request.method == "POST" and stored is not None:
@@ -181,6 +200,9 @@
             return
         if request.method == "DELETE":
             self.remove(kind, name)
+        elif part == "status":
+            self.status_calls += 1
+            self._write_status(kind, name, document.get("status"))
         else:
             self.write(kind, name, document.get("spec"))
         if self.faults.lost_answers:
--- a/tests/platforms.py
+++ b/tests/platforms.py
@@ -198,6 +198,22 @@
         await curio.spawn(shell.serve, daemon=True)
         return shell
 
+    async def restart_all(self) -> None:
+        """Kill all entries and agents, then start them anew."""
+        for shell in [*self.entries, *self.agents]:
+            await shell.kill()
+        self.entries = [
+            KillableEntry(Path("unused"), old.settings, PlatformDeployment())
+            for old in self.entries
+        ]
+        self.agents = [
+            KillableAgent(Path("unused"), old.settings, PlatformDeployment())
+            for old in self.agents
+        ]
+        for shell in [*self.entries, *self.agents]:
+            await curio.spawn(shell.serve, daemon=True)
+        await self.until(lambda: all(e.state.is_informed for e in self.entries))
+
     async def add_worker(
         self, name: str, zone: str = ZONE, **fields: Any
     ) -> WorkerStandIn:
--- /dev/null
+++ b/tests/test_naming_records.py
@@ -0,0 +1,340 @@
+"""The age of a naming outlives the processes that saw it."""
+
+import time
+from typing import Any
+
+import curio
+import msgspec
+
+from platforms import PlatformFleet, run_fleet
+from tamaracktray.direct import reduce_direct
+from tamaracktray.direct_events import CollectionChanged, CollectionListed
+from tamaracktray.direct_state import DirectState
+from tamaracktray.engines import NamingRecord, VersionTarget, add_record
+from tamaracktray.naming_records import (
+    MAX_AGE_S,
+    RECORD_RETRY_S,
+    TAKEOVER_S,
+    NamingRecords,
+    Sighting,
+    rank_writer,
+    read_records,
+)
+from tamaracktray.namings import (
+    CLOCK_MARGIN_S,
+    FLOOR_WAIT_S,
+    VERSION_MARGIN_S,
+    Naming,
+    Namings,
+)
+from tamaracktray.objects import StoredObject
+from tamaracktray.snapshots import Collection
+from tamaracktray.types import Role
+from tamaracktray_emulator.platform.documents import ENGINE_MODEL
+
+MODEL = "kiln"
+BOUND_S = 8.0
+
+# What the wall clock is ahead of the monotonic one in these tests, in seconds.
+OFFSET_S = 1_000_000.0
+
+
+def name_version(fleet: PlatformFleet, version: int) -> None:
+    document = {"model": ENGINE_MODEL, "version": version}
+    fleet.store.write("versions", ENGINE_MODEL, document)
+
+
+def find_status(fleet: PlatformFleet) -> Any:
+    return fleet.store.objects["versions", ENGINE_MODEL]["status"]
+
+
+def record(*namings: tuple[int, float]) -> VersionTarget:
+    return VersionTarget(MODEL, namings[-1][0], namings)
+
+
+def listed(now: float, target: VersionTarget) -> CollectionListed:
+    items = [StoredObject(MODEL, 5, target)]
+    return CollectionListed(now, Collection.VERSIONS, items, 5)
+
+
+def start_process(target: VersionTarget, now: float) -> DirectState:
+    state = DirectState(
+        "entry-0",
+        Role.ENTRY,
+        "zone-a",
+        {"zone-a": "region-a"},
+        now=now,
+        version_bound_s=BOUND_S,
+        grace_s=8.0,
+        quarantine_s=300.0,
+    )
+    state.unix_offset_s = OFFSET_S
+    reduce_direct(state, listed(now, target))
+    return state
+
+
+class TestReading:
+    def test_process_that_starts_counts_from_the_record(self):
+        state = start_process(record((2, OFFSET_S + 10.0)), now=13.0)
+        due_at = 10.0 + BOUND_S - VERSION_MARGIN_S
+        assert state.namings.list_floors(13.0 + FLOOR_WAIT_S) == {}
+        assert state.namings.list_floors(due_at - CLOCK_MARGIN_S - 0.1) == {}
+        assert state.namings.list_floors(due_at) == {MODEL: 2}
+
+    def test_version_before_the_newest_keeps_its_own_bound(self):
+        target = record((2, OFFSET_S + 10.0), (3, OFFSET_S + 14.0))
+        state = start_process(target, now=15.0)
+        assert state.namings.list_floors(10.0 + BOUND_S) == {MODEL: 2}
+        assert state.namings.list_floors(14.0 + BOUND_S) == {MODEL: 3}
+
+    def test_record_of_an_older_version_says_nothing_of_a_newer(self):
+        target = VersionTarget(MODEL, 3, ((2, OFFSET_S + 10.0),))
+        state = start_process(target, now=12.0)
+        assert state.namings.list_floors(12.0 + FLOOR_WAIT_S) == {MODEL: 3}
+
+    def test_ages_that_only_a_wrong_clock_explains_are_unknown(self):
+        for unix_s in (OFFSET_S + 13.0 + 2 * CLOCK_MARGIN_S, OFFSET_S - MAX_AGE_S):
+            state = start_process(record((2, unix_s)), now=13.0)
+            assert state.namings.list_floors(13.0 + FLOOR_WAIT_S - 0.1) == {}
+            assert state.namings.list_floors(13.0 + FLOOR_WAIT_S) == {MODEL: 2}
+
+    def test_clock_that_is_a_little_behind_counts_from_now(self):
+        (naming,) = read_records(record((2, OFFSET_S + 13.1)), 13.0, OFFSET_S)
+        assert naming.named_at == 13.0 - CLOCK_MARGIN_S
+
+    def test_record_that_comes_after_the_start_is_followed(self):
+        state = start_process(VersionTarget(MODEL, 2), now=13.0)
+        change = StoredObject(MODEL, 6, record((2, OFFSET_S + 12.9)))
+        reduce_direct(state, CollectionChanged(13.2, Collection.VERSIONS, [change], 6))
+        assert state.namings.list_floors(13.0 + FLOOR_WAIT_S) == {}
+
+    def test_record_changes_nothing_for_a_process_that_saw_the_naming(self):
+        state = start_process(VersionTarget(MODEL, 1), now=0.0)
+        for revision, target in (
+            (6, VersionTarget(MODEL, 2)),
+            (7, record((2, OFFSET_S - 5.0))),
+        ):
+            change = StoredObject(MODEL, revision, target)
+            event = CollectionChanged(1.0, Collection.VERSIONS, [change], revision)
+            reduce_direct(state, event)
+        assert state.namings.list_ages(3.0) == {MODEL: [(2, 2.0)]}
+
+
+class TestPeersAndRecords:
+    def test_older_age_of_a_peer_wins(self):
+        namings = Namings(0.0, BOUND_S)
+        namings.add_recorded(MODEL, Naming(2, 5.0, is_recorded=True))
+        namings.note_peer(6.0, {}, {MODEL: [(2, 3.0)]})
+        assert namings.find_newest(MODEL) == Naming(2, 3.0)
+
+    def test_peer_that_saw_the_naming_is_more_exact(self):
+        namings = Namings(0.0, BOUND_S)
+        namings.add_recorded(MODEL, Naming(2, 5.0, is_recorded=True))
+        namings.note_peer(6.0, {}, {MODEL: [(2, 1.0 - CLOCK_MARGIN_S)]})
+        assert namings.find_newest(MODEL) == Naming(2, 5.0 + CLOCK_MARGIN_S)
+
+    def test_peer_that_learned_of_it_much_later_is_not_followed(self):
+        namings = Namings(0.0, BOUND_S)
+        namings.add_recorded(MODEL, Naming(2, 5.0, is_recorded=True))
+        namings.note_peer(8.0, {}, {MODEL: [(2, 0.5)]})
+        assert namings.find_newest(MODEL).named_at == 5.0
+
+    def test_recorded_ages_are_not_told(self):
+        namings = Namings(0.0, BOUND_S)
+        namings.add_recorded(MODEL, Naming(2, 5.0, is_recorded=True))
+        assert namings.list_ages(6.0) == {MODEL: []}
+
+
+class TestWriters:
+    TARGET = VersionTarget(MODEL, 2)
+
+    def build_records(self) -> NamingRecords:
+        records = NamingRecords(BOUND_S)
+        records.note_seen(MODEL, 2, Sighting(1.0, OFFSET_S + 1.0))
+        return records
+
+    def test_one_entry_is_first(self):
+        names = [f"entry-{number}" for number in range(5)]
+        ranks = [
+            rank_writer(own, [name for name in names if name != own], self.TARGET)
+            for own in names
+        ]
+        assert sorted(ranks) == [0, 1, 2, 3, 4]
+
+    def test_others_wait_for_the_first(self):
+        records = self.build_records()
+        assert records.may_write(1.0, self.TARGET, 0)
+        assert not records.may_write(0.9 + TAKEOVER_S, self.TARGET, 1)
+        assert records.may_write(1.0 + TAKEOVER_S, self.TARGET, 1)
+
+    def test_who_did_not_see_the_naming_does_not_write(self):
+        records = self.build_records()
+        assert not records.is_open(1.0, VersionTarget(MODEL, 3))
+
+    def test_record_is_written_again_until_it_shows_up(self):
+        records = self.build_records()
+        records.note_tried(1.0)
+        assert not records.is_open(1.1, self.TARGET)
+        assert records.is_open(1.0 + RECORD_RETRY_S, self.TARGET)
+        assert not records.is_open(2.0, record((2, OFFSET_S + 1.0)))
+        records.note_written(MODEL, 2)
+        assert not records.is_open(1.0 + RECORD_RETRY_S, self.TARGET)
+
+    def test_record_by_a_clock_that_is_ahead_is_replaced(self):
+        records = self.build_records()
+        late = record((2, OFFSET_S + 4.0))
+        assert records.is_open(1.5, late)
+        assert records.build(late, []) == ((2, OFFSET_S + 1.0),)
+
+    def test_no_record_is_written_once_the_version_is_due(self):
+        assert not self.build_records().is_open(1.0 + BOUND_S, self.TARGET)
+
+    def test_versions_before_the_newest_are_kept(self):
+        records = self.build_records()
+        records.note_seen(MODEL, 3, Sighting(4.0, OFFSET_S + 4.0))
+        namings = records.build(VersionTarget(MODEL, 3), [1, 2, 3])
+        assert namings == ((1, 0.0), (2, OFFSET_S + 1.0), (3, OFFSET_S + 4.0))
+
+
+class TestDocument:
+    def test_what_is_written_can_be_read(self):
+        target = record((1, 0.0), (2, 1_700_000_000.25))
+        status = msgspec.json.decode(msgspec.json.encode(NamingRecord(target.namings)))
+        assert add_record(VersionTarget(MODEL, 2), status) == target
+
+    def test_unreadable_status_tells_nothing(self):
+        for status in (None, {}, {"namings": "x"}, [1], {"namings": [[2]]}):
+            target = VersionTarget(MODEL, 2)
+            assert add_record(target, status) == target
+
+
+class TestRecording:
+    def test_one_entry_writes_once(self):
+        async def scenario(fleet: PlatformFleet) -> None:
+            await fleet.start(entries=3)
+            await fleet.until(
+                lambda: all(
+                    len(e.state.peers.members_by_name) == 2 for e in fleet.entries
+                )
+            )
+            name_version(fleet, 2)
+            before = time.time()
+            await fleet.until(lambda: find_status(fleet), 1.0)
+            await curio.sleep(2 * TAKEOVER_S + RECORD_RETRY_S)
+            assert fleet.store.status_calls == 1
+            (naming,) = find_status(fleet)["namings"]
+            version, unix_s = naming
+            assert version == 2
+            assert abs(unix_s - before) < 0.5
+
+        run_fleet(scenario, version_ms=8_000.0)
+
+    def test_lost_answer_costs_at_most_one_more_write(self):
+        async def scenario(fleet: PlatformFleet) -> None:
+            await fleet.start(entries=2)
+            fleet.store.faults.lost_answers = 1
+            name_version(fleet, 2)
+            await fleet.until(lambda: find_status(fleet), 1.0)
+            status = find_status(fleet)
+            await curio.sleep(2 * TAKEOVER_S + RECORD_RETRY_S)
+            assert fleet.store.status_calls <= 2
+            assert find_status(fleet) == status
+
+        run_fleet(scenario, version_ms=8_000.0)
+
+    def test_refused_write_is_repeated(self):
+        async def scenario(fleet: PlatformFleet) -> None:
+            await fleet.start()
+            await curio.sleep(0.5)
+            fleet.store.faults.refused_writes = 1
+            name_version(fleet, 2)
+            await fleet.until(lambda: find_status(fleet), RECORD_RETRY_S + 1.0)
+            assert not fleet.store.faults.refused_writes
+
+        run_fleet(scenario, version_ms=8_000.0)
+
+    def test_another_entry_writes_for_one_that_is_lost(self):
+        async def scenario(fleet: PlatformFleet) -> None:
+            await fleet.start(entries=2)
+            await fleet.until(
+                lambda: all(e.state.peers.members_by_name for e in fleet.entries)
+            )
+            target = VersionTarget(ENGINE_MODEL, 2)
+            names = [entry.state.name for entry in fleet.entries]
+            first = names[rank_writer(names[0], names[1:], target)]
+            lost = next(e for e in fleet.entries if e.state.name == first)
+
+            async def write_nothing(effect: object) -> None:
+                return
+
+            lost._write_record = write_nothing
+            name_version(fleet, 2)
+            await fleet.until(lambda: find_status(fleet), 2 * TAKEOVER_S + 0.5)
+
+        run_fleet(scenario, version_ms=8_000.0)
+
+
+class TestRestartOfAll:
+    def test_calls_go_to_the_old_version_until_the_new_one_is_due(self):
+        async def scenario(fleet: PlatformFleet) -> None:
+            await fleet.start(entries=2)
+            engine = await fleet.add_engine("e-1")
+            await fleet.add_agent(engine)
+            await fleet.until(
+                lambda: all(
+                    "e-1" in e.state.roster.records_by_id for e in fleet.entries
+                )
+            )
+            fleet.origin.is_down = True
+            name_version(fleet, 2)
+            named_at = time.monotonic()
+            await curio.sleep(0.5)
+            await fleet.restart_all()
+            await curio.sleep(FLOOR_WAIT_S + 0.5)
+            assert (await fleet.call("/talk/1", "id-1")).status == 200
+            await curio.sleep(named_at + 5.0 - VERSION_MARGIN_S - time.monotonic())
+            assert (await fleet.call("/talk/1", "id-2")).status == 503
+            assert "id-2" not in engine.runs
+
+        run_fleet(scenario, version_ms=5_000.0)
+
+    def test_agents_swap_by_the_bound_of_the_naming(self):
+        async def scenario(fleet: PlatformFleet) -> None:
+            await fleet.start()
+            engines = [await fleet.add_engine(f"e-{number}") for number in range(3)]
+            for engine in engines:
+                await fleet.add_agent(engine)
+            await fleet.until(lambda: all(a.state.staging.report for a in fleet.agents))
+            fleet.origin.is_down = True
+            name_version(fleet, 2)
+            named_at = time.monotonic()
+            await curio.sleep(1.5)
+            fleet.origin.is_down = False
+            await fleet.restart_all()
+            await fleet.until(
+                lambda: all(a.state.staging.current for a in fleet.agents), 2.0
+            )
+            for agent in fleet.agents:
+                due_at = agent.state.staging.current.due_at
+                assert abs(due_at - named_at - 5.0) < 2 * CLOCK_MARGIN_S + 0.1
+            await fleet.until(
+                lambda: all(e.version == 2 for e in engines),
+                named_at + 5.0 - time.monotonic(),
+            )
+
+        run_fleet(scenario, version_ms=5_000.0)
+
+    def test_agents_that_cannot_tell_the_age_swap_when_entries_count_it_as_due(self):
+        async def scenario(fleet: PlatformFleet) -> None:
+            await fleet.start()
+            engine = await fleet.add_engine("e-1")
+            name_version(fleet, 2)
+            await fleet.until(lambda: find_status(fleet))
+            fleet.store.objects["versions", ENGINE_MODEL]["status"] = None
+            started = time.monotonic()
+            agent = await fleet.add_agent(engine)
+            await fleet.until(lambda: agent.state.staging.current)
+            due_at = agent.state.staging.current.due_at
+            assert abs(due_at - started - FLOOR_WAIT_S) < 0.2
+
+        run_fleet(scenario, version_ms=8_000.0)
