--- a/src/tamaracktray/namings.py
+++ b/src/tamaracktray/namings.py
@@ -27,6 +27,9 @@
 # beacon takes to arrive varies by less.
 SAME_NAMING_S = 0.02
 
+# Difference between the clocks of two instances that is allowed for, in seconds.
+CLOCK_MARGIN_S = 0.2
+
 # Namings of a model that are kept: one that is due and newer ones that are not yet.
 KEPT_NAMINGS = 8
 
@@ -37,13 +40,15 @@
 class Naming(msgspec.Struct, frozen=True):
     """When a version was named, in monotonic seconds.
 
-    ``named_at`` is ``None`` for a version that was named before the process first read
-    the store. Peers are given until ``wait_deadline`` to tell its age.
+    ``named_at`` is ``None`` for a version of which nobody could tell that yet. Peers
+    are given until ``wait_deadline`` to tell its age. With ``is_recorded`` it follows
+    from a record and the wall clock.
     """
 
     version: int
     named_at: float | None
     wait_deadline: float = 0.0
+    is_recorded: bool = False
 
 
 class Namings:
@@ -83,6 +88,24 @@
             wait_deadline = max(wait_deadline, told_at + FLOOR_WAIT_S)
         self._note(model, Naming(version, named_at, wait_deadline))
 
+    def add_recorded(self, model: str, naming: Naming) -> bool:
+        """Take in what a record tells; return whether that changed anything."""
+        waiting = msgspec.structs.replace(naming, wait_deadline=self._floor_deadline)
+        return self._note(model, waiting)
+
+    def find_start(self, naming: Naming) -> float:
+        """Return the moment from which the bound of a version counts.
+
+        The bound of one of unknown age is over when entries count it as due.
+        """
+        if naming.named_at is None:
+            return naming.wait_deadline - self._bound_s
+        return naming.named_at
+
+    def list_versions(self, model: str) -> list[int]:
+        """Return the versions of a model that are known to have been named."""
+        return [item.version for item in self._namings_by_model.get(model, [])]
+
     def note_peer(
         self, now: float, floors: Mapping[str, int], ages: Ages
     ) -> list[tuple[str, Naming]]:
@@ -112,11 +135,16 @@
             namings.insert(place, naming)
             del namings[:-KEPT_NAMINGS]
             return True
-        known_at = namings[place].named_at
+        known = namings[place]
         if naming.named_at is None:
             return False
-        if known_at is not None and known_at <= naming.named_at + SAME_NAMING_S:
-            return False
+        if known.named_at is not None:
+            if naming.is_recorded:
+                return False
+            # Who saw the naming is more exact than a record, which counts early.
+            slack_s = 2 * CLOCK_MARGIN_S if known.is_recorded else -SAME_NAMING_S
+            if known.named_at + slack_s <= naming.named_at:
+                return False
         namings[place] = naming
         return True
 
@@ -158,12 +186,12 @@
         )
 
     def list_ages(self, now: float) -> dict[str, list[tuple[int, float]]]:
-        """Return what peers should know of the namings."""
+        """Return what peers should know of the namings; all read records themselves."""
         return {
             model: [
                 (item.version, now - item.named_at)
                 for item in namings
-                if item.named_at is not None
+                if item.named_at is not None and not item.is_recorded
             ]
             for model, namings in self._namings_by_model.items()
         }
