Split the gateway and the reducer of the platform mode by what they decide

Endpoints and which of them may take a call are in gateway_fleet, what is taken away again in withdrawing, named versions in version_following, and what decisions read of the state in direct_context. Only moved and renamed; test_work, test_gateway, test_homes, test_following, test_naming_records, test_load and test_cold: 188 passed.

--- a/src/tamaracktray/direct.py
+++ b/src/tamaracktray/direct.py
@@ -5,7 +5,7 @@
 peers, and every decision that follows from it is made here without sockets or clocks.
 """
 
-from collections.abc import Callable, Iterable, Mapping
+from collections.abc import Callable
 from typing import Any
 
 import msgspec
@@ -16,8 +16,8 @@
     CallAttemptEnded,
     CallEnded,
     CallStarted,
-    SendCall,
 )
+from tamaracktray.direct_context import build_gateway_context
 from tamaracktray.direct_events import (
     AnswerBeacon,
     ApplyRouting,
@@ -26,44 +26,34 @@
     CollectionChanged,
     CollectionListed,
     NamingsRecorded,
-    NoteDue,
     NoteNaming,
     PeerLost,
-    PrefetchVersion,
     PullSnapshots,
-    ReadCollection,
-    RecordNamings,
     SnapshotsReceived,
     StoreLost,
     TellPeers,
 )
 from tamaracktray.direct_state import DirectState
 from tamaracktray.effects import Effect, Exit
-from tamaracktray.engines import VersionTarget
 from tamaracktray.events import Event, ShutdownRequested, Tick
 from tamaracktray.exceptions import InvariantError
 from tamaracktray.following import is_follower, list_local
 from tamaracktray.gateway import (
-    deal_homes,
     fill_room,
-    follow_roster,
     handle_attempt_ended,
     handle_call,
     handle_call_ended,
     handle_call_started,
     handle_gateway_tick,
-    is_sendable,
 )
+from tamaracktray.gateway_fleet import deal_homes, follow_roster
 from tamaracktray.gateway_state import GatewayContext
 from tamaracktray.homes import Place
-from tamaracktray.naming_records import Sighting, rank_writer, read_records
 from tamaracktray.peers import Member
-from tamaracktray.placement import Surroundings
 from tamaracktray.roster import EndpointRecord
 from tamaracktray.routes import RouteIndex, RoutingTable
 from tamaracktray.snapshots import Collection, Snapshot
 from tamaracktray.staging import (
-    FIRST_VERSION,
     advance,
     handle_chunk_arrived,
     handle_chunk_staged,
@@ -72,7 +62,6 @@
     handle_manifest_read,
     handle_order_answered,
     handle_stage_checked,
-    name_version,
 )
 from tamaracktray.staging_events import (
     ChunkArrived,
@@ -83,8 +72,16 @@
     OrderAnswered,
     StageChecked,
 )
-from tamaracktray.staging_state import StagingState, Turn
-from tamaracktray.swap_turns import choose_turn
+from tamaracktray.staging_state import StagingState
+from tamaracktray.version_following import (
+    find_own_turn,
+    follow_own_version,
+    follow_versions,
+    handle_recorded,
+    note_due,
+    note_targets,
+    record_namings,
+)
 
 # Time after SIGTERM in which callers may still come, in seconds: the balancer asks once
 # a second and takes a process out after two misses.
@@ -123,7 +120,7 @@
     effects: list[Effect] = []
     if event.collection is Collection.VERSIONS:
         named = [item.value for item in event.objects if item.value is not None]
-        effects.extend(_note_targets(state, event.now, named, is_listed=True))
+        effects.extend(note_targets(state, event.now, named, is_listed=True))
         state.has_versions = True
     return effects + _take_from_store(state, event.now, event.collection, merged)
 
@@ -135,7 +132,7 @@
     if event.collection is Collection.VERSIONS:
         # One answer may name several versions of a model, each with its own bound.
         named = [item.value for item in event.changes if item.value is not None]
-        effects.extend(_note_targets(state, event.now, named))
+        effects.extend(note_targets(state, event.now, named))
     return effects + _take_from_store(state, event.now, event.collection, merged)
 
 
@@ -168,14 +165,8 @@
     return effects
 
 
-def _values(state: DirectState, collection: Collection) -> list[Any]:
-    """Return the readable values of a collection."""
-    objects = state.knowledge.by_collection[collection].objects_by_name.values()
-    return [item.value for item in objects if item.value is not None]
-
-
 def _follow_routing(state: DirectState, now: float) -> list[Effect]:
-    tables: list[RoutingTable] = _values(state, Collection.ROUTING)
+    tables: list[RoutingTable] = state.knowledge.list_values(Collection.ROUTING)
     newest = max(tables, key=lambda table: table.version, default=None)
     if newest is None:
         return []
@@ -183,11 +174,11 @@
         return []
     state.index = RouteIndex(newest)
     effects = _follow_endpoints(state, now)
-    return [ApplyRouting(), *effects, *_follow_own_version(state, now)]
+    return [ApplyRouting(), *effects, *follow_own_version(state, now)]
 
 
 def _follow_endpoints(state: DirectState, now: float) -> list[Effect]:
-    records: list[EndpointRecord] = _values(state, Collection.ENDPOINTS)
+    records: list[EndpointRecord] = state.knowledge.list_values(Collection.ENDPOINTS)
     outage_end = now if state.is_store_lost else state.outage_end
     state.roster.update(now, records, outage_end)
     return _apply_roster(state, now)
@@ -195,7 +186,7 @@
 
 def _apply_roster(state: DirectState, now: float) -> list[Effect]:
     if state.staging is not None:
-        state.staging.turn = _find_turn(state)
+        state.staging.turn = find_own_turn(state)
     if state.gateway is None:
         return []
     regions = state.region_by_zone
@@ -204,137 +195,23 @@
         Place(state.name, regions.get(state.zone, "")),
         *(Place(peer.name, regions.get(peer.zone, "")) for peer in peers),
     )
-    context = _gateway_context(state, now)
+    context = build_gateway_context(state, now)
     follow_roster(context, now, state.roster.records_by_id)
     return fill_room(context, now)
 
 
 def _follow_evacuations(state: DirectState, now: float) -> list[Effect]:
-    state.evacuated_zones = frozenset(_values(state, Collection.EVACUATIONS))
-    return []
-
-
-def _follow_versions(state: DirectState, now: float) -> list[Effect]:
-    effects = _note_targets(state, now, _values(state, Collection.VERSIONS))
-    if state.staging is not None and state.turn_targets != state.target_by_model:
-        # The turn of the engine follows from the list of its service's endpoints.
-        state.turn_targets = dict(state.target_by_model)
-        effects.append(ReadCollection(Collection.ENDPOINTS))
-    return effects + _follow_own_version(state, now)
-
-
-def _note_targets(
-    state: DirectState,
-    now: float,
-    targets: Iterable[VersionTarget],
-    *,
-    is_listed: bool = False,
-) -> list[Effect]:
-    """Follow the versions that are named, the oldest of a model first.
-
-    ``is_listed`` tells that the store has listed them.
-    """
-    effects: list[Effect] = []
-    risen: set[str] = set()
-    for target in targets:
-        known = state.target_by_model.get(target.model)
-        if known is not None and known.version >= target.version:
-            effects.extend(_note_records(state, now, target))
-            continue
-        state.target_by_model[target.model] = target
-        # A process that starts cannot tell how long ago the version was named, also if
-        # a peer told it before of an older one.
-        named_at = now if state.has_versions else None
-        told_at = None if is_listed else now
-        state.namings.add(target.model, target.version, named_at, told_at)
-        age_s = None if named_at is None else 0.0
-        effects.append(NoteNaming(target.model, target.version, age_s))
-        effects.extend(_note_records(state, now, target))
-        if named_at is None:
-            # Agents may hold the most already of a version named before the start.
-            continue
-        risen.add(target.model)
-        sighting = Sighting(now, now + state.unix_offset_s)
-        state.records.note_seen(target.model, target.version, sighting)
-    if state.gateway is None:
-        return effects
-    for model in sorted(risen):
-        # Agents that have seen a newer version as well leave the others out.
-        effects.append(PrefetchVersion(model, state.target_by_model[model].version))
-    return effects
-
-
-def _note_records(
-    state: DirectState, now: float, target: VersionTarget
-) -> list[Effect]:
-    """Follow what the store tells of namings that this process did not see."""
-    effects: list[Effect] = []
-    for naming in read_records(target, now, state.unix_offset_s):
-        if not state.namings.add_recorded(target.model, naming):
-            continue
-        age_s = None if naming.named_at is None else now - naming.named_at
-        effects.append(NoteNaming(target.model, naming.version, age_s, "record"))
-    return effects
-
-
-def _record_namings(state: DirectState, now: float) -> list[Effect]:
-    """Write down the namings that this entry saw, unless another does."""
-    effects: list[Effect] = []
-    if state.is_store_lost:
-        return effects
-    snapshot = state.knowledge.by_collection[Collection.VERSIONS]
-    for name, item in snapshot.objects_by_name.items():
-        target = item.value
-        if target is None or not state.records.is_open(now, target):
-            continue
-        peers = [member.name for member in state.peers.list_informed(now)]
-        if not state.records.may_write(
-            now, target, rank_writer(state.name, peers, target)
-        ):
-            continue
-        state.records.note_tried(now)
-        namings = state.records.build(target, state.namings.list_versions(target.model))
-        effects.append(RecordNamings(target.model, name, item.version, namings))
-    return effects
-
-
-def _on_recorded(state: DirectState, event: NamingsRecorded) -> list[Effect]:
-    state.records.note_written(event.model, event.version)
+    zones = state.knowledge.list_values(Collection.EVACUATIONS)
+    state.evacuated_zones = frozenset(zones)
     return []
 
 
-def _follow_own_version(state: DirectState, now: float) -> list[Effect]:
-    """Let an agent work towards the version of its engine's model."""
-    if state.staging is None or not state.is_informed:
-        # Without its peers an agent would draw everything from the origin.
-        return []
-    service = state.services_by_name.get(state.served)
-    if service is None or service.engine is None or not service.engine.models:
-        return []
-    model = service.engine.models[0].name
-    target = state.target_by_model.get(model, VersionTarget(model, FIRST_VERSION))
-    naming = state.namings.find_newest(model)
-    named_at = now if naming is None else state.namings.find_start(naming)
-    return name_version(state.staging, now, model, target.version, named_at)
-
-
-def _find_turn(state: DirectState) -> Turn:
-    """Return the turn of the own engine."""
-    records = list(state.roster.records_by_id.values())
-    lives = [item for item in records if item.address == state.own_engine]
-    if not lives:
-        return Turn()
-    newest = max(lives, key=lambda record: record.born_ms)
-    return choose_turn(records, state.served, newest.id)
-
-
 def _follow_members(state: DirectState, now: float) -> list[Effect]:
-    members = [
-        msgspec.convert(value, Member) for value in _values(state, Collection.MEMBERS)
-    ]
+    values = state.knowledge.list_values(Collection.MEMBERS)
+    members = [msgspec.convert(value, Member) for value in values]
     others = [member for member in members if member.name != state.name]
     state.peers.follow(now, others)
-    return _apply_roster(state, now) + _follow_own_version(state, now)
+    return _apply_roster(state, now) + follow_own_version(state, now)
 
 
 _FOLLOWER_BY_COLLECTION: dict[
@@ -343,7 +220,7 @@
     Collection.ROUTING: _follow_routing,
     Collection.ENDPOINTS: _follow_endpoints,
     Collection.EVACUATIONS: _follow_evacuations,
-    Collection.VERSIONS: _follow_versions,
+    Collection.VERSIONS: follow_versions,
     Collection.MEMBERS: _follow_members,
 }
 
@@ -392,7 +269,7 @@
         state.gateway.note_status(event.now, beacon.status)
     if not len(state.gateway.waiting):
         return effects
-    return effects + fill_room(_gateway_context(state, event.now), event.now)
+    return effects + fill_room(build_gateway_context(state, event.now), event.now)
 
 
 def _on_peer_lost(state: DirectState, event: PeerLost) -> list[Effect]:
@@ -438,9 +315,9 @@
         if trusted != state.trusted_names:
             state.trusted_names = trusted
             effects.extend(_apply_roster(state, event.now))
-        context = _gateway_context(state, event.now)
-        effects.extend(_record_namings(state, event.now))
-        effects.extend(_note_due(state, context.around.version_floor_by_model))
+        context = build_gateway_context(state, event.now)
+        effects.extend(record_namings(state, event.now))
+        effects.extend(note_due(state, context.around.version_floor_by_model))
         if event.now >= state.homes_deadline:
             state.homes_deadline = event.now + HOMES_INTERVAL_S
             deal_homes(context)
@@ -452,17 +329,6 @@
     return effects
 
 
-def _note_due(state: DirectState, floor_by_model: Mapping[str, int]) -> list[Effect]:
-    """Note the versions that have become due since the last tick."""
-    risen = [
-        NoteDue(model, version)
-        for model, version in floor_by_model.items()
-        if version > state.noted_floor_by_model.get(model, 0)
-    ]
-    state.noted_floor_by_model.update(floor_by_model)
-    return risen
-
-
 def _leave(state: DirectState, now: float) -> list[Effect]:
     """Close what is idle once no caller comes any more, and exit when all is done."""
     if state.gateway is None or now >= state.exit_deadline:
@@ -483,38 +349,10 @@
     return []
 
 
-def _gateway_context(state: DirectState, now: float) -> GatewayContext:
-    if state.gateway is None:
-        raise InvariantError(f"{state.name} is not an entry")
-    return GatewayContext(
-        state.gateway,
-        build_surroundings(state, now),
-        state.ledger,
-        state.is_leaving and now >= state.close_deadline,
-    )
-
-
-def build_surroundings(state: DirectState, now: float) -> Surroundings:
-    """Return what placing needs to know at ``now``."""
-    return Surroundings(
-        state.zone,
-        state.region_by_zone,
-        state.evacuated_zones,
-        state.services_by_name,
-        state.namings.list_floors(now),
-        state.namings.list_last_floors(now),
-    )
-
-
-def may_send(state: DirectState, now: float, decision: SendCall) -> bool:
-    """Tell whether a decision to send still holds at ``now``."""
-    return is_sendable(_gateway_context(state, now), decision)
-
-
 def _with_gateway(
     handle: Callable[[GatewayContext, Any], list[Effect]],
 ) -> Callable[[DirectState, Any], list[Effect]]:
-    return lambda state, event: handle(_gateway_context(state, event.now), event)
+    return lambda state, event: handle(build_gateway_context(state, event.now), event)
 
 
 def _with_staging(
@@ -536,7 +374,7 @@
     StoreLost: _on_store_lost,
     BeaconHeard: _on_beacon,
     PeerLost: _on_peer_lost,
-    NamingsRecorded: _on_recorded,
+    NamingsRecorded: handle_recorded,
     ShutdownRequested: _on_shutdown,
     CallArrived: _with_gateway(handle_call),
     CallStarted: _with_gateway(handle_call_started),
--- /dev/null
+++ b/src/tamaracktray/direct_context.py
@@ -0,0 +1,37 @@
+"""What decisions on calls read of the state of a process."""
+
+from tamaracktray.calls import SendCall
+from tamaracktray.direct_state import DirectState
+from tamaracktray.exceptions import InvariantError
+from tamaracktray.gateway_state import GatewayContext
+from tamaracktray.placement import Surroundings
+from tamaracktray.withdrawing import is_sendable
+
+
+def build_gateway_context(state: DirectState, now: float) -> GatewayContext:
+    """Return what the gateway reads; raise ``InvariantError`` if there is none."""
+    if state.gateway is None:
+        raise InvariantError(f"{state.name} is not an entry")
+    return GatewayContext(
+        state.gateway,
+        build_surroundings(state, now),
+        state.ledger,
+        state.is_leaving and now >= state.close_deadline,
+    )
+
+
+def build_surroundings(state: DirectState, now: float) -> Surroundings:
+    """Return what placing needs to know at ``now``."""
+    return Surroundings(
+        state.zone,
+        state.region_by_zone,
+        state.evacuated_zones,
+        state.services_by_name,
+        state.namings.list_floors(now),
+        state.namings.list_last_floors(now),
+    )
+
+
+def may_send(state: DirectState, now: float, decision: SendCall) -> bool:
+    """Tell whether a decision to send still holds at ``now``."""
+    return is_sendable(build_gateway_context(state, now), decision)
--- a/src/tamaracktray/direct_entry.py
+++ b/src/tamaracktray/direct_entry.py
@@ -25,7 +25,7 @@
 from tamaracktray.chunk_relay import VERSIONS_PATH, ChunkRelay, VersionKey
 from tamaracktray.chunk_sources import choose_upstream, find_first
 from tamaracktray.deployment import Deployment
-from tamaracktray.direct import may_send
+from tamaracktray.direct_context import may_send
 from tamaracktray.direct_events import (
     ApplyRouting,
     CloseIdle,
--- a/src/tamaracktray/gateway.py
+++ b/src/tamaracktray/gateway.py
@@ -1,17 +1,12 @@
 """The reducer's part for entries that send calls straight to endpoints."""
 
-import msgspec
-
-from tamaracktray.budgets import PermitBucket
 from tamaracktray.calls import (
-    AbandonAttempt,
     Call,
     CallArrived,
     CallAttemptEnded,
     CallEnded,
     CallStarted,
     CutCall,
-    FleetView,
     RefuseCall,
     RelayFailure,
     SendCall,
@@ -19,17 +14,14 @@
 )
 from tamaracktray.costs import estimate_cost, estimate_reading
 from tamaracktray.effects import Effect
+from tamaracktray.gateway_fleet import choose, has_eligible, view_fleet
 from tamaracktray.gateway_state import (
-    SAFE_SHARE,
     GatewayContext,
-    GatewayState,
     PendingCall,
 )
-from tamaracktray.homes import Place, find_homes
 from tamaracktray.outcomes import AttemptPhase
 from tamaracktray.placement import (
     EndpointLoad,
-    choose_endpoint,
     is_eligible,
     list_roomy,
 )
@@ -46,8 +38,7 @@
     refuse_unanswered,
     spread_return,
 )
-from tamaracktray.roster import EndpointRecord
-from tamaracktray.routes import Service
+from tamaracktray.withdrawing import give_up_outdated, give_up_silent
 
 # Connections that one call may try in vain, beside its attempts.
 MAX_UNREACHABLE = 3
@@ -57,94 +48,6 @@
 SCARCE_SHARE = 0.5
 
 
-# Silence of an endpoint after which its calls go elsewhere, in seconds: before the
-# first part of an answer, and within a stream, whose reader knows pauses.
-GIVE_UP_S = 0.5
-GIVE_UP_STREAM_S = 0.7
-
-
-# Entries that can share what a cold endpoint bears, each at least one call a second. In
-# a larger fleet its home alone sends it calls, or two while homes change.
-MAX_COLD_SHARERS = 12
-HOMES_AT_A_TIME = 2
-
-
-def follow_roster(
-    context: GatewayContext, now: float, records_by_id: dict[str, EndpointRecord]
-) -> None:
-    """Follow the endpoints in use, keeping what is known of those that stay."""
-    state = context.state
-    loads: dict[str, EndpointLoad] = {}
-    for endpoint_id, record in records_by_id.items():
-        load = state.loads_by_id.get(endpoint_id)
-        if load is None or load.record.born_ms != record.born_ms:
-            load = EndpointLoad(record)
-            load.cold_deadline = now + record.cold_s
-        if load.record is not record:
-            load.follow_record(record)
-            load.cold_deadline = now + record.cold_s
-        loads[endpoint_id] = load
-    state.loads_by_id = loads
-    deal_homes(context)
-
-
-def deal_homes(context: GatewayContext) -> None:
-    """Follow which engines are at home here, of those that can serve now."""
-    state, services = context.state, context.around.services_by_name
-    if state.entries:
-        homes: set[str] = set()
-        for service in services.values():
-            if service.engine is not None:
-                usable = _list_usable(context, service)
-                homes.update(find_homes(state.name, state.entries, usable))
-        state.home_ids = frozenset(homes)
-    for endpoint_id, load in state.loads_by_id.items():
-        service = services.get(load.record.service)
-        is_engine = service is not None and service.engine is not None
-        is_home = endpoint_id in state.home_ids or not is_engine
-        load.follow_home(state.name, is_home=is_home)
-        _follow_cold_rate(state, load, service)
-
-
-def _list_usable(context: GatewayContext, service: Service) -> list[Place]:
-    """Return the engines of a service that may be sent calls at all."""
-    around = context.around
-    models = [model.name for model in service.engine.models]
-    return [
-        Place(load.record.id, around.region_by_zone.get(load.record.zone, ""))
-        for load in context.state.loads_by_id.values()
-        if load.record.service == service.name
-        and not load.record.is_draining
-        and not load.is_outdated
-        and load.record.zone not in around.evacuated_zones
-        and any(load.find_version(model) for model in models)
-    ]
-
-
-def _follow_cold_rate(
-    state: GatewayState, load: EndpointLoad, service: Service | None
-) -> None:
-    """Bound what the own process sends to an endpoint while it is cold.
-
-    A warm one needs no such bound: no more calls are sent than it works on at a time,
-    which is fewer in a second than a cold one bears.
-    """
-    if service is None or not service.cold_rate:
-        load.cold_budget = None
-        return
-    sharers = state.peers + 1
-    if sharers > MAX_COLD_SHARERS:
-        sharers = HOMES_AT_A_TIME if load.is_home else 0
-    share = SAFE_SHARE / sharers if sharers else 0.0
-    least = min(float(sharers), 1.0)
-    rate = max(service.cold_rate * share, least)
-    burst = max(state.bounds.cold_burst * share, least)
-    if load.cold_budget is None:
-        load.cold_budget = PermitBucket(rate, burst)
-        return
-    load.cold_budget.resize(rate, burst)
-
-
 def handle_call(context: GatewayContext, event: CallArrived) -> list[Effect]:
     """Send a call, let it wait for room, or refuse it."""
     state = context.state
@@ -229,8 +132,8 @@
         load.expire_status(now)
         if endpoint_id in heard:
             load.heard_at = now
-    effects = _give_up_silent(context, now)
-    effects.extend(_give_up_outdated(context))
+    effects = give_up_silent(context, now)
+    effects.extend(give_up_outdated(context))
     effects.extend(fill_room(context, now))
     for call in state.waiting.remove_expired(now):
         pending = state.pending_by_id.get(call.id)
@@ -239,75 +142,6 @@
     return effects
 
 
-def _give_up_silent(context: GatewayContext, now: float) -> list[Effect]:
-    """Take calls away from endpoints that have gone silent."""
-    state = context.state
-    silence_by_id = {
-        endpoint_id: load.measure_silence(now)
-        for endpoint_id, load in state.loads_by_id.items()
-        if load.measure_silence(now) > GIVE_UP_S
-    }
-    if not silence_by_id:
-        return []
-    effects: list[Effect] = []
-    for pending in state.pending_by_id.values():
-        silence = silence_by_id.get(pending.endpoint_id, 0.0)
-        bound = GIVE_UP_STREAM_S if pending.is_started else GIVE_UP_S
-        if silence <= bound or pending.is_abandoned:
-            continue
-        call = pending.call
-        has_attempts = pending.attempts < call.route.max_attempts
-        if not call.route.is_idempotent or not has_attempts:
-            continue
-        if now - pending.sent_at <= bound:
-            continue
-        if _choose(context, now, pending, pending.endpoint_id) is None:
-            continue
-        pending.is_abandoned = True
-        effects.append(AbandonAttempt(call.id, "endpoint is silent"))
-    return effects
-
-
-def _give_up_outdated(context: GatewayContext) -> list[Effect]:
-    """Take calls away that have not begun where the version is about to be too old."""
-    state = context.state
-    effects: list[Effect] = []
-    for pending in state.pending_by_id.values():
-        if not pending.endpoint_id or pending.has_begun or pending.is_abandoned:
-            continue
-        if not _is_outdated(context, pending):
-            continue
-        pending.is_abandoned = True
-        effects.append(AbandonAttempt(pending.call.id, "version is too old"))
-    return effects
-
-
-def is_sendable(context: GatewayContext, decision: SendCall) -> bool:
-    """Tell whether a decision to send still holds once its connection stands."""
-    pending = context.state.pending_by_id.get(decision.call_id)
-    if pending is None or pending.endpoint_id != decision.endpoint_id:
-        return False
-    load = context.state.loads_by_id.get(decision.endpoint_id)
-    if load is None or pending.is_abandoned:
-        return False
-    # A call on its way is bound by the oldest version on which it may still begin.
-    floors = context.around.last_floor_by_model
-    around = msgspec.structs.replace(context.around, version_floor_by_model=floors)
-    return is_eligible(pending.call, load, around)
-
-
-def _is_outdated(context: GatewayContext, pending: PendingCall) -> bool:
-    """Tell whether the endpoint's version is too old for the call to begin there."""
-    model = pending.call.model
-    floor = context.around.last_floor_by_model.get(model, 0)
-    if not floor:
-        return False
-    load = context.state.loads_by_id.get(pending.endpoint_id)
-    # An endpoint that is listed no more may still begin what was sent to it.
-    held = pending.held_version if load is None else load.find_version(model)
-    return 0 < held < floor
-
-
 def fill_room(context: GatewayContext, now: float) -> list[Effect]:
     """Send waiting calls, in order, to endpoints with room."""
     state = context.state
@@ -325,7 +159,7 @@
             continue
         if not any(is_eligible(call, load, context.around) for load in roomy):
             continue
-        load = _choose(context, now, pending)
+        load = choose(context, now, pending)
         if load is None:
             continue
         state.waiting.remove(call.id)
@@ -334,24 +168,11 @@
     return effects
 
 
-def _choose(
-    context: GatewayContext, now: float, pending: PendingCall, passed_over: str = ""
-) -> EndpointLoad | None:
-    crashed = context.ledger.crashed_endpoints(now, pending.call.fingerprint)
-    return choose_endpoint(
-        now,
-        pending.call,
-        context.state.loads_by_id.values(),
-        context.around,
-        pending.tried | crashed | {passed_over},
-    )
-
-
 def _place(context: GatewayContext, now: float, pending: PendingCall) -> list[Effect]:
-    load = _choose(context, now, pending)
+    load = choose(context, now, pending)
     if load is not None:
         return _send(context, now, pending, load)
-    if not _has_eligible(context, pending):
+    if not has_eligible(context, pending):
         return _refuse(context, now, pending)
     call = pending.call
     bands = context.state.find_bands(call.route.name)
@@ -390,14 +211,6 @@
     return delay_s + _estimate_reading(context, call)
 
 
-def _has_eligible(context: GatewayContext, pending: PendingCall) -> bool:
-    return any(
-        load.record.id not in pending.tried
-        and is_eligible(pending.call, load, context.around)
-        for load in context.state.loads_by_id.values()
-    )
-
-
 def _send(
     context: GatewayContext, now: float, pending: PendingCall, load: EndpointLoad
 ) -> list[Effect]:
@@ -483,25 +296,6 @@
     return context.state.find_budget(call.services[0]).spend(now)
 
 
-def view_fleet(context: GatewayContext, now: float, pending: PendingCall) -> FleetView:
-    """Return what a decision on a call is based on."""
-    call = pending.call
-    listed = eligible = blocked = swapping = running = 0
-    for load in context.state.loads_by_id.values():
-        if load.record.service not in call.services:
-            continue
-        listed += 1
-        if not is_eligible(call, load, context.around):
-            continue
-        eligible += 1
-        blocked += load.blocked_deadline > now
-        swapping += load.is_swapping
-        running += load.count_running(now)
-    floor = context.around.version_floor_by_model.get(call.model, 0)
-    waiting = len(context.state.waiting)
-    return FleetView(listed, eligible, blocked, swapping, running, waiting, floor)
-
-
 def _refuse(context: GatewayContext, now: float, pending: PendingCall) -> list[Effect]:
     """Give the caller its final answer, promising "not run" only when it is true."""
     call = pending.call
@@ -515,7 +309,7 @@
         return [RelayFailure(call.id)]
     if pending.may_have_run:
         return [RefuseCall(call.id, refuse_unanswered(), view)]
-    if not _has_eligible(context, pending):
+    if not has_eligible(context, pending):
         retry_after_s = spread_return(
             now, call, NO_ENDPOINT_RETRY_S, NO_ENDPOINT_SPREAD_S
         )
--- a/src/tamaracktray/snapshots.py
+++ b/src/tamaracktray/snapshots.py
@@ -7,6 +7,7 @@
 
 from collections.abc import Iterable, Mapping
 from enum import Enum
+from typing import Any
 
 import msgspec
 
@@ -104,6 +105,11 @@
         self.by_collection[collection] = snapshot
         return snapshot.changed_revision > known.revision or not known.revision
 
+    def list_values(self, collection: Collection) -> list[Any]:
+        """Return the readable values of a collection."""
+        objects = self.by_collection[collection].objects_by_name.values()
+        return [item.value for item in objects if item.value is not None]
+
     @property
     def is_complete(self) -> bool:
         """Tell whether something is known of every collection that is needed."""
--- a/src/tamaracktray_emulator/admission.py
+++ b/src/tamaracktray_emulator/admission.py
@@ -27,13 +27,13 @@
 from tamaracktray.effects import Effect
 from tamaracktray.gateway import (
     fill_room,
-    follow_roster,
     handle_attempt_ended,
     handle_call,
     handle_call_ended,
     handle_call_started,
     handle_gateway_tick,
 )
+from tamaracktray.gateway_fleet import follow_roster
 from tamaracktray.gateway_state import GatewayBounds, GatewayContext, GatewayState
 from tamaracktray.homes import Place
 from tamaracktray.outcomes import AttemptPhase
--- a/tests/gateways.py
+++ b/tests/gateways.py
@@ -5,12 +5,12 @@
 from tamaracktray.calls import Call, CallArrived, CallAttemptEnded, CallEnded
 from tamaracktray.effects import Effect
 from tamaracktray.gateway import (
-    follow_roster,
     handle_attempt_ended,
     handle_call,
     handle_call_ended,
     handle_gateway_tick,
 )
+from tamaracktray.gateway_fleet import follow_roster
 from tamaracktray.gateway_state import GatewayBounds, GatewayContext, GatewayState
 from tamaracktray.outcomes import AttemptPhase
 from tamaracktray.placement import Surroundings
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -26,7 +26,7 @@
     RelayFailure,
     SendCall,
 )
-from tamaracktray.gateway import handle_call_started, is_sendable
+from tamaracktray.gateway import handle_call_started
 from tamaracktray.outcomes import AttemptPhase
 from tamaracktray.placement import MISDIRECTED_S
 from tamaracktray.refusals import (
@@ -38,6 +38,7 @@
 from tamaracktray.roster import LoadedModel
 from tamaracktray.routes import RepeatKind
 from tamaracktray.types import ErrorCode, RunState
+from tamaracktray.withdrawing import is_sendable
 
 
 def sent(effects) -> list[str]:
--- a/tests/test_homes.py
+++ b/tests/test_homes.py
@@ -4,7 +4,7 @@
 
 from gateways import Gateway, build_call, engine
 from tamaracktray.calls import SendCall, TellLoads
-from tamaracktray.gateway import deal_homes
+from tamaracktray.gateway_fleet import deal_homes
 from tamaracktray.homes import Place, find_homes
 
 
--- a/tests/test_work.py
+++ b/tests/test_work.py
@@ -13,8 +13,7 @@
     worker,
 )
 from platforms import PlatformFleet, run_fleet
-from tamaracktray import direct, direct_shell
-from tamaracktray import gateway as gateway_module
+from tamaracktray import direct, direct_context, direct_shell, gateway_fleet
 from tamaracktray.beacons import Beacon, EndpointStatus, encode_beacon
 from tamaracktray.calls import SendCall
 from tamaracktray.direct_events import BeaconHeard
@@ -36,7 +35,7 @@
         chosen.append(call.id)
         return choose_endpoint(now, call, *args)
 
-    monkeypatch.setattr(gateway_module, "choose_endpoint", choose)
+    monkeypatch.setattr(gateway_fleet, "choose_endpoint", choose)
     return chosen
 
 
@@ -115,7 +114,7 @@
     ):
         built: list[float] = []
         monkeypatch.setattr(
-            direct, "build_surroundings", lambda state, now: built.append(now)
+            direct_context, "build_surroundings", lambda state, now: built.append(now)
         )
         assert self.hear(Gateway(engine("a")), "peer", **fields) == []
         assert built == []
