Count from the record where a naming comes together with an old one

What callers saw: an entry that was cut off from the store and from its peers, or an agent, learned of a naming seconds late and counted it from its reconnection, though the same answer of the store held the record of when it was named. Requests could begin on the older version for as long after the bound, and the agent changed its engine as much too late, while entries sent it nothing any more.

Cause: the naming was noted as seen at that moment before its record was read, and a record never replaces a moment that a process has seen. Entries that have only read the record do not tell ages, so no peer put it right after a restart of the others; agents take no ages from peers at all.

A younger record, one from the future or one of unknown age changes nothing: entries write within a fraction of a second, and clocks differ.

Evidence: TestLateSight; three of its five tests fail without the change (floor 1 instead of 2 at the time at which version 2 is due by the record), the other two pass before and after. test_naming_records: 32 passed; test_following: 28 passed.

--- a/src/tamaracktray/naming_records.py
+++ b/src/tamaracktray/naming_records.py
@@ -18,6 +18,10 @@
 # Pause before a record that does not show up in the store is written again, in seconds.
 RECORD_RETRY_S = 1.0
 
+# Age of a record that comes together with its naming from which the naming was seen
+# late, in seconds: clocks differ, and entries write within a fraction of a second.
+LATE_SIGHT_S = 2 * CLOCK_MARGIN_S
+
 # Oldest age that a record may tell, in seconds; beyond it a clock is wrong.
 MAX_AGE_S = 30 * 86_400.0
 
@@ -52,6 +56,23 @@
     return namings
 
 
+def list_seen_late(
+    targets: Iterable[VersionTarget], now: float, unix_offset_s: float
+) -> set[tuple[str, int]]:
+    """Return the models and versions that were recorded well before this answer.
+
+    A process that learns of a naming together with an old record was cut off.
+    """
+    seen_late: set[tuple[str, int]] = set()
+    for target in targets:
+        for naming in read_records(target, now, unix_offset_s):
+            if naming.named_at is None:
+                continue
+            if now - naming.named_at - CLOCK_MARGIN_S > LATE_SIGHT_S:
+                seen_late.add((target.model, naming.version))
+    return seen_late
+
+
 def rank_writer(own: str, peers: Iterable[str], target: VersionTarget) -> int:
     """Return how many entries are to write a record before this one."""
     key = f"{target.model}/{target.version}"
--- a/src/tamaracktray/version_following.py
+++ b/src/tamaracktray/version_following.py
@@ -17,7 +17,12 @@
 from tamaracktray.direct_state import DirectState
 from tamaracktray.effects import Effect
 from tamaracktray.engines import VersionTarget
-from tamaracktray.naming_records import Sighting, rank_writer, read_records
+from tamaracktray.naming_records import (
+    Sighting,
+    list_seen_late,
+    rank_writer,
+    read_records,
+)
 from tamaracktray.snapshots import Collection
 from tamaracktray.staging import FIRST_VERSION, name_version
 from tamaracktray.staging_state import Turn
@@ -47,6 +52,8 @@
     """
     effects: list[Effect] = []
     risen: set[str] = set()
+    targets = list(targets)
+    late = list_seen_late(targets, now, state.unix_offset_s)
     for target in targets:
         known = state.target_by_model.get(target.model)
         if known is not None and known.version >= target.version:
@@ -55,16 +62,19 @@
         state.target_by_model[target.model] = target
         # A process that starts cannot tell how long ago the version was named, also if
         # a peer told it before of an older one.
-        named_at = now if state.has_versions else None
+        is_late = (target.model, target.version) in late
+        named_at = now if state.has_versions and not is_late else None
         told_at = None if is_listed else now
         state.namings.add(target.model, target.version, named_at, told_at)
         age_s = None if named_at is None else 0.0
         effects.append(NoteNaming(target.model, target.version, age_s))
         effects.extend(_note_records(state, now, target))
-        if named_at is None:
+        if not state.has_versions:
             # Agents may hold the most already of a version named before the start.
             continue
         risen.add(target.model)
+        if is_late:
+            continue
         sighting = Sighting(now, now + state.unix_offset_s)
         state.records.note_seen(target.model, target.version, sighting)
     if state.gateway is None:
--- a/tests/test_naming_records.py
+++ b/tests/test_naming_records.py
@@ -8,7 +8,11 @@
 
 from platforms import PlatformFleet, run_fleet
 from tamaracktray.direct import reduce_direct
-from tamaracktray.direct_events import CollectionChanged, CollectionListed
+from tamaracktray.direct_events import (
+    CollectionChanged,
+    CollectionListed,
+    SnapshotsReceived,
+)
 from tamaracktray.direct_state import DirectState
 from tamaracktray.engines import NamingRecord, VersionTarget, add_record
 from tamaracktray.naming_records import (
@@ -28,7 +32,7 @@
     Namings,
 )
 from tamaracktray.objects import StoredObject
-from tamaracktray.snapshots import Collection
+from tamaracktray.snapshots import Collection, Snapshot
 from tamaracktray.types import Role
 from tamaracktray_emulator.platform.documents import ENGINE_MODEL
 
@@ -120,6 +124,53 @@
         assert state.namings.list_ages(3.0) == {MODEL: [(2, 2.0)]}
 
 
+class TestLateSight:
+    """A process that was cut off learns of a naming together with its record."""
+
+    def follow(self, *targets: VersionTarget) -> DirectState:
+        """Return a process that hears of version 2 at 20 s, named at 14 s."""
+        state = start_process(VersionTarget(MODEL, 1), now=0.0)
+        changes = [
+            StoredObject(MODEL, revision, target)
+            for revision, target in enumerate(targets, 6)
+        ]
+        event = CollectionChanged(20.0, Collection.VERSIONS, changes, 7)
+        reduce_direct(state, event)
+        return state
+
+    def test_bound_counts_from_the_record(self):
+        late = record((2, OFFSET_S + 14.0))
+        for targets in ([late], [VersionTarget(MODEL, 2), late]):
+            state = self.follow(*targets)
+            assert state.namings.list_floors(20.0) == {MODEL: 1}
+            floors = state.namings.list_floors(14.0 + BOUND_S - VERSION_MARGIN_S)
+            assert floors == {MODEL: 2}
+
+    def test_it_is_no_sighting(self):
+        state = self.follow(record((2, OFFSET_S + 14.0)))
+        assert state.namings.list_ages(21.0) == {MODEL: []}
+        assert not state.records.is_open(20.0, VersionTarget(MODEL, 2))
+
+    def test_snapshot_of_a_peer_tells_it_as_well(self):
+        state = start_process(VersionTarget(MODEL, 1), now=0.0)
+        item = StoredObject(MODEL, 7, record((2, OFFSET_S + 14.0)))
+        snapshot = Snapshot(7, 7, {MODEL: item})
+        event = SnapshotsReceived(20.0, {Collection.VERSIONS: snapshot})
+        reduce_direct(state, event)
+        floors = state.namings.list_floors(14.0 + BOUND_S - VERSION_MARGIN_S)
+        assert floors == {MODEL: 2}
+
+    def test_fresh_record_changes_nothing(self):
+        """Between two watches an entry may see, name and write a version."""
+        for unix_s in (19.8, 20.5):
+            state = self.follow(record((2, OFFSET_S + unix_s)))
+            assert state.namings.list_ages(21.0) == {MODEL: [(2, 1.0)]}
+
+    def test_unknown_age_changes_nothing(self):
+        state = self.follow(record((2, OFFSET_S - MAX_AGE_S)))
+        assert state.namings.list_ages(21.0) == {MODEL: [(2, 1.0)]}
+
+
 class TestPeersAndRecords:
     def test_older_age_of_a_peer_wins(self):
         namings = Namings(0.0, BOUND_S)
