Let the work on a version follow what becomes known of its age

What callers saw: an agent that started before the record of a naming was there took the version as due 1.5 s after its start and ordered its engine to load as soon as all was staged, without its turn, also when the record came a moment later and left seconds. Several agents started anew would do so at the same time (from the code, not measured).

Cause: the bound of a version was set when the work on it began and never again.

Now it follows each change of what is known of the naming, but stays at the bound of a version that was left out for it.

Evidence: test_agent_that_learns_the_age_later_keeps_to_the_bound fails without the change (the bound stays at 1.5 s after the start).

--- a/src/tamaracktray/staging.py
+++ b/src/tamaracktray/staging.py
@@ -70,13 +70,22 @@
     if state.current is None or state.step is Step.DONE:
         _begin(state, work)
     elif may_skip(state, now):
-        work.due_at = min(work.due_at, state.current.due_at)
+        work.left_out_due_at = state.current.due_at
+        work.due_at = min(work.due_at, work.left_out_due_at)
         _begin(state, work)
     else:
         state.following = work
     return advance(state, now)
 
 
+def follow_age(state: StagingState, version: int, named_at: float) -> None:
+    """Follow what is known by now of when a version under way was named."""
+    work = _find_work(state, version)
+    if work is None:
+        return
+    work.due_at = min(named_at + state.version_bound_s, work.left_out_due_at)
+
+
 def _begin(state: StagingState, work: VersionWork) -> None:
     state.current = work
     state.following = None
--- a/src/tamaracktray/staging_state.py
+++ b/src/tamaracktray/staging_state.py
@@ -1,5 +1,6 @@
 """What an agent knows of its engine and of the versions that it works on."""
 
+import math
 from enum import Enum
 
 import msgspec
@@ -42,13 +43,15 @@
 
     ``attempts_by_index`` counts failed fetches. ``staged_at`` is when all chunks lay in
     the engine's stage, ``None`` before. From ``due_at`` on the engine serves nobody
-    without the version, or one that was left out for it.
+    without the version, or one that was left out for it, which is due at
+    ``left_out_due_at``.
     """
 
     __slots__ = (
         "attempts_by_index",
         "due_at",
         "in_flight",
+        "left_out_due_at",
         "manifest",
         "manifest_attempts",
         "staged_at",
@@ -59,6 +62,7 @@
     def __init__(self, version: int, now: float, due_at: float) -> None:
         self.version = version
         self.due_at = due_at
+        self.left_out_due_at = math.inf
         self.started_at = now
         self.staged_at: float | None = None
         self.manifest: Manifest | None = None
--- a/src/tamaracktray/version_following.py
+++ b/src/tamaracktray/version_following.py
@@ -24,7 +24,7 @@
     read_records,
 )
 from tamaracktray.snapshots import Collection
-from tamaracktray.staging import FIRST_VERSION, name_version
+from tamaracktray.staging import FIRST_VERSION, follow_age, name_version
 from tamaracktray.staging_state import Turn
 from tamaracktray.swap_turns import choose_turn
 
@@ -136,7 +136,10 @@
     model = service.engine.models[0].name
     target = state.target_by_model.get(model, VersionTarget(model, FIRST_VERSION))
     naming = state.namings.find_newest(model)
-    named_at = now if naming is None else state.namings.find_start(naming)
+    if naming is None:
+        return name_version(state.staging, now, model, target.version, now)
+    named_at = state.namings.find_start(naming)
+    follow_age(state.staging, naming.version, named_at)
     return name_version(state.staging, now, model, target.version, named_at)
 
 
--- a/tests/test_naming_records.py
+++ b/tests/test_naming_records.py
@@ -389,3 +389,22 @@
             assert abs(due_at - started - FLOOR_WAIT_S) < 0.2
 
         run_fleet(scenario, version_ms=8_000.0)
+
+    def test_agent_that_learns_the_age_later_keeps_to_the_bound(self):
+        async def scenario(fleet: PlatformFleet) -> None:
+            await fleet.start()
+            engine = await fleet.add_engine("e-1")
+            fleet.origin.is_down = True
+            name_version(fleet, 2)
+            named_at = time.monotonic()
+            await fleet.until(lambda: find_status(fleet))
+            status = find_status(fleet)
+            fleet.store.objects["versions", ENGINE_MODEL]["status"] = None
+            agent = await fleet.add_agent(engine)
+            await fleet.until(lambda: agent.state.staging.current)
+            fleet.store._write_status("versions", ENGINE_MODEL, status)
+            staging = agent.state.staging
+            await fleet.until(lambda: staging.current.due_at > named_at + 7.0, 1.0)
+            assert abs(staging.current.due_at - named_at - 8.0) < 2 * CLOCK_MARGIN_S
+
+        run_fleet(scenario, version_ms=8_000.0)
--- a/tests/test_swap_turns.py
+++ b/tests/test_swap_turns.py
@@ -4,7 +4,7 @@
 
 from tamaracktray.engines import EngineReport
 from tamaracktray.roster import EndpointRecord, LoadedModel
-from tamaracktray.staging import name_version
+from tamaracktray.staging import follow_age, name_version
 from tamaracktray.staging_state import StagingState, Step, Turn
 from tamaracktray.swap_turns import (
     SPREAD_S,
@@ -84,6 +84,41 @@
         assert sum(turn.is_odd for turn in turns.values()) == len(records) // 2
 
 
+class TestLateAge:
+    """How old a naming is may be known only after the work has begun."""
+
+    def test_bound_follows_the_age(self):
+        state = build_state(Turn(1.0))
+        name_version(state, 0.0, MODEL, 2, 1.5 - BOUND_S)
+        follow_age(state, 2, -0.5)
+        assert state.current.due_at == BOUND_S - 0.5
+        turn = find_turn(state, state.current, 2.0)
+        assert turn == pytest.approx(BOUND_S - 0.5 - SWAP_RESERVE_S)
+
+    def test_bound_of_the_version_after_it_follows_as_well(self):
+        state = build_state(Turn(0.5))
+        begin(state, 0.0, 2, done=1.0)
+        state.step = Step.TURN
+        name_version(state, 3.0, MODEL, 3, 3.0)
+        follow_age(state, 3, 2.5)
+        assert state.current.due_at == BOUND_S
+        assert state.following.due_at == 2.5 + BOUND_S
+
+    def test_version_that_was_left_out_stays_due(self):
+        state = build_state(Turn(1.0, is_odd=True))
+        begin(state, 0.0, 2, done=0.75)
+        name_version(state, 4.0, MODEL, 3, 4.0)
+        follow_age(state, 3, 3.5)
+        assert state.current.version == 3
+        assert state.current.due_at == BOUND_S
+
+    def test_older_version_changes_no_bound(self):
+        state = build_state(Turn(1.0))
+        begin(state, 0.0, 3, done=0.5)
+        follow_age(state, 2, -5.0)
+        assert state.current.due_at == BOUND_S
+
+
 class TestSkipping:
     """A second version is named while the first is on its way."""
 
