Fetch other chunks while some cannot be had

What callers saw: while the first two chunks that an agent lacked could not be had, it got none of the others, though its entries held them or the origin handed them out, and its engine changed by so much later. An entry that fetched ahead stopped at two such chunks as well, and its calls kept the origin paused for all who asked it.

Cause: both asked for missing chunks in their order, two at a time, and the same ones again after each failure.

Now an agent asks first for the chunks that it has tried least often, and an entry that fetches ahead puts a chunk that failed behind the others. An agent that has enough in transfer looks for nothing.

--- a/src/tamaracktray/chunk_relay.py
+++ b/src/tamaracktray/chunk_relay.py
@@ -240,7 +240,7 @@
                 continue
             found = await self.find_chunk(key, index)
             if isinstance(found, Failure):
-                waiting.appendleft(index)
+                waiting.append(index)
                 await curio.sleep(PREFETCH_RETRY_S)
 
     def _is_outdated(self, key: VersionKey) -> bool:
--- a/src/tamaracktray/staging.py
+++ b/src/tamaracktray/staging.py
@@ -279,10 +279,17 @@
         if work is not None
     )
     bound = MAX_IN_FLIGHT if state.loaded_version else MAX_IN_FLIGHT_IDLE
+    if busy >= bound:
+        return effects
     for work in (state.current, state.following):
         if work is None or work.manifest is None:
             continue
-        for index in list_missing(state, work):
+        # Chunks that could not be had leave their place to those not tried as often.
+        missing = sorted(
+            list_missing(state, work),
+            key=lambda index: work.attempts_by_index.get(index, 0),
+        )
+        for index in missing:
             if busy >= bound:
                 return effects
             if index in work.in_flight:
--- a/tests/test_platform_versions.py
+++ b/tests/test_platform_versions.py
@@ -256,6 +256,19 @@
         run_fleet(scenario, version_ms=2_000.0)
 
 
+class TestMissingChunks:
+    def test_chunks_that_nobody_has_do_not_hold_up_the_others(self):
+        async def scenario(fleet: PlatformFleet) -> None:
+            (engine,) = await start(fleet, 1)
+            fleet.origin.withheld = {0, 1}
+            name_version(fleet, 2)
+            await fleet.until(lambda: len(engine.staged) == CHUNKS - 2, 4.0)
+            fleet.origin.withheld = set()
+            await fleet.until(lambda: engine.version == 2, 4.0)
+
+        run_fleet(scenario, version_ms=4_000.0)
+
+
 class TestEmptyEngines:
     def test_added_engine_is_brought_into_service(self):
         async def scenario(fleet: PlatformFleet) -> None:
