Write the age of a naming that a peer told into its record

What callers saw: after a restart of all processes a version that had been named shortly before another one could count as due 1.5 s after the start, although it was named seconds less ago than the bound, and calls to engines with an older version were refused.

Cause: an entry that saw only the second naming itself, and knew the age of the first from a peer, wrote the first as of unknown age. Nobody replaces that, since entries look at the record of the newest version only. In the same way an entry that saw a naming late wrote its own late moment though a peer had told it an earlier one.

Now the earliest moment that a process counts by is written. What it has from a record by its own clock is still not written anew.

Evidence: the two tests of TestSeveral fail without the change (0 instead of the time that the peer told, a moment 0.5 s later than it).

--- a/src/tamaracktray/naming_records.py
+++ b/src/tamaracktray/naming_records.py
@@ -134,19 +134,32 @@
         return now >= sighting.seen_at + rank * TAKEOVER_S
 
     def build(
-        self, target: VersionTarget, known: Iterable[int]
+        self,
+        target: VersionTarget,
+        named_at_by_version: Mapping[int, float | None],
+        unix_offset_s: float,
     ) -> tuple[tuple[int, float], ...]:
-        """Return the record of a version and of the ``known`` ones before it."""
+        """Return the record of a version and of the known ones before it.
+
+        ``named_at_by_version`` is what the process counts by, ``None`` where no process
+        that saw the naming has told its age.
+        """
         recorded: Mapping[int, float] = dict(target.namings)
         sightings = self._sightings_by_model.get(target.model, {})
-        versions = {target.version, *recorded, *sightings, *known}
+        versions = {target.version, *recorded, *sightings, *named_at_by_version}
         namings: list[tuple[int, float]] = []
         for version in sorted(versions)[-KEPT_NAMINGS:]:
             if version > target.version:
                 continue
-            unix_s = recorded.get(version, UNKNOWN_UNIX_S)
+            times = [recorded.get(version, UNKNOWN_UNIX_S)]
+            named_at = named_at_by_version.get(version)
             sighting = sightings.get(version)
             if sighting is not None:
-                unix_s = min(unix_s or sighting.unix_s, sighting.unix_s)
-            namings.append((version, unix_s))
+                seen_at = sighting.seen_at
+                earlier_s = 0.0 if named_at is None else max(seen_at - named_at, 0.0)
+                times.append(sighting.unix_s - earlier_s)
+            elif named_at is not None:
+                times.append(named_at + unix_offset_s)
+            known = [unix_s for unix_s in times if unix_s != UNKNOWN_UNIX_S]
+            namings.append((version, min(known, default=UNKNOWN_UNIX_S)))
         return tuple(namings)
--- a/src/tamaracktray/namings.py
+++ b/src/tamaracktray/namings.py
@@ -102,9 +102,15 @@
             return naming.wait_deadline - self._bound_s
         return naming.named_at
 
-    def list_versions(self, model: str) -> list[int]:
-        """Return the versions of a model that are known to have been named."""
-        return [item.version for item in self._namings_by_model.get(model, [])]
+    def list_seen(self, model: str) -> dict[int, float | None]:
+        """Return when the known versions of a model were named.
+
+        It is ``None`` where no process that saw the naming has told it.
+        """
+        return {
+            item.version: None if item.is_recorded else item.named_at
+            for item in self._namings_by_model.get(model, [])
+        }
 
     def note_peer(
         self, now: float, floors: Mapping[str, int], ages: Ages
--- a/src/tamaracktray/version_following.py
+++ b/src/tamaracktray/version_following.py
@@ -114,7 +114,9 @@
         ):
             continue
         state.records.note_tried(now)
-        namings = state.records.build(target, state.namings.list_versions(target.model))
+        namings = state.records.build(
+            target, state.namings.list_seen(target.model), state.unix_offset_s
+        )
         effects.append(RecordNamings(target.model, name, item.version, namings))
     return effects
 
--- a/tests/test_naming_records.py
+++ b/tests/test_naming_records.py
@@ -5,16 +5,20 @@
 
 import curio
 import msgspec
+import pytest
 
 from platforms import PlatformFleet, run_fleet
 from tamaracktray.direct import reduce_direct
 from tamaracktray.direct_events import (
     CollectionChanged,
     CollectionListed,
+    RecordNamings,
     SnapshotsReceived,
 )
 from tamaracktray.direct_state import DirectState
 from tamaracktray.engines import NamingRecord, VersionTarget, add_record
+from tamaracktray.events import Tick
+from tamaracktray.gateway_state import GatewayBounds, GatewayState
 from tamaracktray.naming_records import (
     MAX_AGE_S,
     RECORD_RETRY_S,
@@ -235,7 +239,7 @@
         records = self.build_records()
         late = record((2, OFFSET_S + 4.0))
         assert records.is_open(1.5, late)
-        assert records.build(late, []) == ((2, OFFSET_S + 1.0),)
+        assert records.build(late, {}, OFFSET_S) == ((2, OFFSET_S + 1.0),)
 
     def test_no_record_is_written_once_the_version_is_due(self):
         assert not self.build_records().is_open(1.0 + BOUND_S, self.TARGET)
@@ -243,10 +247,50 @@
     def test_versions_before_the_newest_are_kept(self):
         records = self.build_records()
         records.note_seen(MODEL, 3, Sighting(4.0, OFFSET_S + 4.0))
-        namings = records.build(VersionTarget(MODEL, 3), [1, 2, 3])
+        known = {1: None, 2: 1.0, 3: 4.0}
+        namings = records.build(VersionTarget(MODEL, 3), known, OFFSET_S)
         assert namings == ((1, 0.0), (2, OFFSET_S + 1.0), (3, OFFSET_S + 4.0))
 
 
+class TestSeveral:
+    """Several versions or models are named at about the same time."""
+
+    def build(self) -> DirectState:
+        state = start_process(VersionTarget(MODEL, 1), now=0.0)
+        state.gateway = GatewayState("entry-0", GatewayBounds())
+        return state
+
+    def change(self, state: DirectState, *targets: VersionTarget) -> None:
+        changes = [
+            StoredObject(target.model, revision, target)
+            for revision, target in enumerate(targets, 6)
+        ]
+        event = CollectionChanged(1.0, Collection.VERSIONS, changes, 8)
+        reduce_direct(state, event)
+
+    def list_written(self, state: DirectState) -> list[RecordNamings]:
+        _, effects = reduce_direct(state, Tick(1.02))
+        return [item for item in effects if isinstance(item, RecordNamings)]
+
+    def test_age_that_a_peer_told_is_written(self):
+        state = self.build()
+        state.namings.note_peer(0.9, {}, {MODEL: [(2, 0.4)]})
+        self.change(state, VersionTarget(MODEL, 3))
+        (written,) = self.list_written(state)
+        assert written.namings == (
+            (1, 0.0),
+            (2, pytest.approx(OFFSET_S + 0.5, abs=0.01)),
+            (3, OFFSET_S + 1.0),
+        )
+
+    def test_earlier_moment_that_a_peer_told_is_written(self):
+        state = self.build()
+        self.change(state, VersionTarget(MODEL, 2))
+        state.namings.note_peer(1.01, {}, {MODEL: [(2, 0.51)]})
+        (written,) = self.list_written(state)
+        assert written.namings[-1] == (2, pytest.approx(OFFSET_S + 0.5, abs=0.01))
+
+
 class TestDocument:
     def test_what_is_written_can_be_read(self):
         target = record((1, 0.0), (2, 1_700_000_000.25))
