Let records of one model wait for no write for another

What callers saw: of several models that were named together, an entry recorded one a second, so that a restart of all processes in between lost the ages of the others: their versions counted as due 1.5 s after the start. Cause: the pause after a write was one for all models.

Evidence: test_models_do_not_wait_for_each_other fails without the change (one of two records). test_naming_records: 36 passed; test_following: 28 passed.

--- a/src/tamaracktray/naming_records.py
+++ b/src/tamaracktray/naming_records.py
@@ -85,14 +85,14 @@
 
     __slots__ = (
         "_bound_s",
-        "_retry_deadline",
+        "_retry_deadline_by_model",
         "_sightings_by_model",
         "_written_by_model",
     )
 
     def __init__(self, bound_s: float) -> None:
         self._bound_s = bound_s
-        self._retry_deadline = 0.0
+        self._retry_deadline_by_model: dict[str, float] = {}
         self._sightings_by_model: dict[str, dict[int, Sighting]] = {}
         self._written_by_model: dict[str, int] = {}
 
@@ -107,9 +107,9 @@
         """Note that the store has acknowledged the record of a version."""
         self._written_by_model[model] = version
 
-    def note_tried(self, now: float) -> None:
+    def note_tried(self, now: float, model: str) -> None:
         """Leave a write that has just begun the time to show up."""
-        self._retry_deadline = now + RECORD_RETRY_S
+        self._retry_deadline_by_model[model] = now + RECORD_RETRY_S
 
     def is_open(self, now: float, target: VersionTarget) -> bool:
         """Tell whether the record of a version that this entry saw is still missing.
@@ -126,7 +126,7 @@
         recorded = dict(target.namings).get(target.version)
         if recorded is not None and recorded <= sighting.unix_s + CLOCK_MARGIN_S:
             return False
-        return now >= self._retry_deadline
+        return now >= self._retry_deadline_by_model.get(target.model, 0.0)
 
     def may_write(self, now: float, target: VersionTarget, rank: int) -> bool:
         """Tell whether the entries before this one had the time to write."""
--- a/src/tamaracktray/version_following.py
+++ b/src/tamaracktray/version_following.py
@@ -113,7 +113,7 @@
             now, target, rank_writer(state.name, peers, target)
         ):
             continue
-        state.records.note_tried(now)
+        state.records.note_tried(now, target.model)
         namings = state.records.build(
             target, state.namings.list_seen(target.model), state.unix_offset_s
         )
--- a/tests/test_naming_records.py
+++ b/tests/test_naming_records.py
@@ -228,7 +228,7 @@
 
     def test_record_is_written_again_until_it_shows_up(self):
         records = self.build_records()
-        records.note_tried(1.0)
+        records.note_tried(1.0, MODEL)
         assert not records.is_open(1.1, self.TARGET)
         assert records.is_open(1.0 + RECORD_RETRY_S, self.TARGET)
         assert not records.is_open(2.0, record((2, OFFSET_S + 1.0)))
@@ -272,6 +272,12 @@
         _, effects = reduce_direct(state, Tick(1.02))
         return [item for item in effects if isinstance(item, RecordNamings)]
 
+    def test_models_do_not_wait_for_each_other(self):
+        state = self.build()
+        self.change(state, VersionTarget(MODEL, 2), VersionTarget("oven", 7))
+        assert [item.model for item in self.list_written(state)] == [MODEL, "oven"]
+        assert self.list_written(state) == []
+
     def test_age_that_a_peer_told_is_written(self):
         state = self.build()
         state.namings.note_peer(0.9, {}, {MODEL: [(2, 0.4)]})
