--- a/src/tamaracktray/direct_agent.py
+++ b/src/tamaracktray/direct_agent.py
@@ -27,10 +27,10 @@
     PEER_TIMEOUT_S,
     SERVICES_PATH,
     DirectShell,
-    decode_snapshots,
 )
 from tamaracktray.exceptions import SourceLostError, WeightError
 from tamaracktray.exchange import fetch
+from tamaracktray.snapshot_decoding import decode_snapshots
 from tamaracktray.snapshots import Collection
 from tamaracktray.staging_events import (
     CheckStage,
--- a/src/tamaracktray/direct_shell.py
+++ b/src/tamaracktray/direct_shell.py
@@ -31,18 +31,16 @@
 from tamaracktray.direct_sections import DirectSettings, load_direct_settings
 from tamaracktray.direct_state import DirectState
 from tamaracktray.effects import Effect
-from tamaracktray.engines import VersionOrigin, VersionTarget
+from tamaracktray.engines import VersionOrigin
 from tamaracktray.events import Event, Tick
 from tamaracktray.exceptions import ConflictError, PlatformError
 from tamaracktray.exchange import fetch
 from tamaracktray.http import Headers, HttpServer, Request, Responder
 from tamaracktray.logs import Logs, configure_logs
 from tamaracktray.metrics import ExposedMetrics, Metrics, NullMetrics
-from tamaracktray.objects import StoredObject
-from tamaracktray.roster import EndpointRecord
-from tamaracktray.routes import RoutingTable
 from tamaracktray.runtime import Runtime
-from tamaracktray.snapshots import Collection, Snapshot
+from tamaracktray.snapshot_decoding import decode_snapshots
+from tamaracktray.snapshots import Collection
 from tamaracktray.store_follower import StoreCalls, StoreFollower
 from tamaracktray.types import Address, Role
 
@@ -71,14 +69,6 @@
 METRICS_TYPE: Headers = [("content-type", "text/plain; version=0.0.4")]
 MAX_DATAGRAM_BYTES = 65_507
 
-VALUE_TYPE_BY_COLLECTION: dict[Collection, type] = {
-    Collection.ROUTING: RoutingTable,
-    Collection.ENDPOINTS: EndpointRecord,
-    Collection.EVACUATIONS: str,
-    Collection.VERSIONS: VersionTarget,
-    Collection.MEMBERS: dict,
-}
-
 
 class DirectShell(Runtime):
     """Runs one process that follows the platform's store.
@@ -360,26 +350,6 @@
         await self.spawn(self._follower.read_once, effect.collection)
 
 
-def decode_snapshots(body: bytes) -> dict[Collection, Snapshot]:
-    """Return the snapshots that a peer sent, with their values in their types."""
-    received = msgspec.msgpack.decode(body, type=dict[Collection, Snapshot])
-    return {
-        collection: _convert_values(collection, snapshot)
-        for collection, snapshot in received.items()
-    }
-
-
-def _convert_values(collection: Collection, snapshot: Snapshot) -> Snapshot:
-    value_type = VALUE_TYPE_BY_COLLECTION[collection]
-    objects: dict[str, StoredObject] = {}
-    for name, item in snapshot.objects_by_name.items():
-        value = item.value
-        if value is not None:
-            value = msgspec.convert(value, value_type)
-        objects[name] = msgspec.structs.replace(item, value=value)
-    return msgspec.structs.replace(snapshot, objects_by_name=objects)
-
-
 def _build_metrics(settings: DirectSettings) -> Metrics:
     return ExposedMetrics() if settings.listen.metrics_port else NullMetrics()
 
--- a/src/tamaracktray/exchange.py
+++ b/src/tamaracktray/exchange.py
@@ -29,8 +29,6 @@
 KEEPALIVE_INTERVAL_S = 1
 KEEPALIVE_PROBES = 2
 
-# For reads that a surrounding timeout bounds, in seconds.
-NO_TIMEOUT_S = 3_600.0
 
 # The value of SO_LINGER that drops unsent bytes: on, for no time.
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)
@@ -210,7 +208,7 @@
     payload = connection.send(request) + connection.send(h11.Data(data=body))
     payload += connection.send(h11.EndOfMessage())
     try:
-        socket = await curio.timeout_after(connect_timeout_s, _connect(address))
+        socket = await curio.timeout_after(connect_timeout_s, connect(address))
     except (OSError, curio.TaskTimeout) as error:
         reason = str(error) or "timed out"
         message = f"cannot connect to {address}: {reason}"
@@ -244,7 +242,7 @@
         )
 
 
-async def _connect(address: Address) -> curio.io.Socket:
+async def connect(address: Address) -> curio.io.Socket:
     """Open a connection whose loss is noticed within seconds, also while it is idle."""
     socket = curio.socket.socket(socket_module.AF_INET, socket_module.SOCK_STREAM)
     try:
@@ -325,109 +323,3 @@
         return Success(Reply(exchange.status, exchange.headers, answer.unwrap()))
     finally:
         await exchange.close()
-
-
-class KeptClient:
-    """Sends one request after another on one connection, opened anew when it is lost.
-
-    Only for requests that may be repeated: one that meets a connection which the server
-    has closed meanwhile is sent again on a new one.
-    """
-
-    __slots__ = ("_address", "_connection", "_lock", "_socket")
-
-    def __init__(self, address: Address) -> None:
-        self._address = address
-        self._lock = curio.Lock()
-        self._socket: curio.io.Socket | None = None
-        self._connection: h11.Connection | None = None
-
-    async def fetch(
-        self,
-        method: str,
-        target: str,
-        headers: Headers | None = None,
-        body: bytes = b"",
-        *,
-        timeout_s: float = 5.0,
-        max_bytes: int = 4 * 1_048_576,
-    ) -> Result[Reply, TransportError]:
-        """Send one request and return its whole answer within ``timeout_s`` seconds."""
-        async with self._lock:
-            is_reused = self._socket is not None
-            reply = await self._try(method, target, headers, body, timeout_s, max_bytes)
-            if isinstance(reply, Success) or not is_reused:
-                return reply
-            return await self._try(method, target, headers, body, timeout_s, max_bytes)
-
-    async def _try(
-        self,
-        method: str,
-        target: str,
-        headers: Headers | None,
-        body: bytes,
-        timeout_s: float,
-        max_bytes: int,
-    ) -> Result[Reply, TransportError]:
-        try:
-            return Success(
-                await curio.timeout_after(
-                    timeout_s, self._send(method, target, headers, body, max_bytes)
-                )
-            )
-        except curio.TaskTimeout:
-            await self._close()
-            message = f"{self._address}: no whole answer within {timeout_s:g} s"
-            return Failure(TransportError(message, sent=True))
-        except curio.CancelledError:
-            await self._close()
-            raise
-        except (OSError, h11.ProtocolError) as error:
-            await self._close()
-            return Failure(TransportError(f"{self._address}: {error}", sent=True))
-
-    async def _send(
-        self,
-        method: str,
-        target: str,
-        headers: Headers | None,
-        body: bytes,
-        max_bytes: int,
-    ) -> Reply:
-        if self._socket is None or self._connection is None:
-            self._socket = await _connect(self._address)
-            self._connection = h11.Connection(h11.CLIENT)
-        connection, socket = self._connection, self._socket
-        framing = [("content-length", str(len(body))), ("host", str(self._address))]
-        request = h11.Request(
-            method=method, target=target, headers=[*(headers or []), *framing]
-        )
-        payload = connection.send(request) + connection.send(h11.Data(data=body))
-        await socket.sendall(payload + connection.send(h11.EndOfMessage()))
-        exchange = Exchange(connection, socket)
-        reply = Reply(*await _read_reply(exchange, max_bytes))
-        if connection.our_state is h11.DONE and connection.their_state is h11.DONE:
-            connection.start_next_cycle()
-        if connection.our_state is not h11.IDLE or connection.trailing_data[0]:
-            # The server closes, or has sent more than one answer.
-            await self._close()
-        return reply
-
-    async def _close(self) -> None:
-        if self._socket is not None:
-            await self._socket.close()
-        self._socket = None
-        self._connection = None
-
-
-async def _read_reply(
-    exchange: Exchange, max_bytes: int
-) -> tuple[int, dict[str, str], bytes]:
-    """Read a whole answer without a time limit of its own; raise ``OSError``."""
-    head = await exchange.read_head(NO_TIMEOUT_S)
-    if isinstance(head, Failure):
-        raise ConnectionError(head.failure().message)
-    body = await exchange.read_body(NO_TIMEOUT_S, max_bytes)
-    if isinstance(body, Failure):
-        raise ConnectionError(body.failure().message)
-    return exchange.status, exchange.headers, body.unwrap()
--- a/src/tamaracktray/platform/engine.py
+++ b/src/tamaracktray/platform/engine.py
@@ -12,8 +12,9 @@
     VersionOrigin,
 )
 from tamaracktray.exceptions import TransportError, WeightError
-from tamaracktray.exchange import KeptClient, fetch
+from tamaracktray.exchange import fetch
 from tamaracktray.http import Headers, Reply
+from tamaracktray.kept_client import KeptClient
 from tamaracktray.platform.documents import read_manifest, read_report
 from tamaracktray.types import Address
 from tamaracktray.weights import MAX_CHUNK_BYTES, Manifest
--- a/tests/test_platform_versions.py
+++ b/tests/test_platform_versions.py
@@ -105,14 +105,14 @@
     def test_call_that_connects_until_its_engine_is_too_old_is_not_sent(
         self, monkeypatch
     ):
-        connect = exchange._connect
+        connect = exchange.connect
 
         async def connect_slowly(address: Address):
             if address.port == WORKER_PORT:
                 await curio.sleep(1.2)
             return await connect(address)
 
-        monkeypatch.setattr(exchange, "_connect", connect_slowly)
+        monkeypatch.setattr(exchange, "connect", connect_slowly)
         monkeypatch.setattr(relaying, "CONNECT_TIMEOUT_S", 2.0)
 
         async def scenario(fleet: PlatformFleet) -> None:
--- a/tests/test_snapshots.py
+++ b/tests/test_snapshots.py
@@ -5,10 +5,10 @@
 from hypothesis import strategies as st
 
 from tamaracktray.beacons import Beacon, BeaconFilter, decode_beacon, encode_beacon
-from tamaracktray.direct_shell import decode_snapshots
 from tamaracktray.engines import VersionTarget
 from tamaracktray.objects import StoredObject
 from tamaracktray.roster import EndpointRecord
+from tamaracktray.snapshot_decoding import decode_snapshots
 from tamaracktray.snapshots import Collection, Knowledge, Snapshot
 from tamaracktray.types import Address
 
