Heed what endpoints say of themselves: that they leave, or want a pause

Callers' requests went on to endpoints that had said in an answer that they leave, until the list told of it, and to endpoints that had asked by 503 with Retry-After for a pause, which then turned them away again. Neither header was read. An answer's head now yields a notice, whatever its status. It binds the entry that got it for that life of the endpoint, also through lapses and older lists; an endpoint that leaves is not eligible, one that pauses has no room, and calls on their way to either are withdrawn before they are sent. Calls of which all endpoints pause are refused at once with the time at which the first is back, spread over half a second, and spend no budget for repeats. Unusable times are bounded and logged as warnings.

--- a/src/tamaracktray/call_log.py
+++ b/src/tamaracktray/call_log.py
@@ -11,6 +11,7 @@
 
 from tamaracktray.calls import Call, CallAttemptEnded, RefuseCall, SendCall
 from tamaracktray.metrics import Metrics
+from tamaracktray.notices import NoteNotice
 from tamaracktray.snapshots import Collection, Knowledge
 from tamaracktray.types import Refusal
 
@@ -134,6 +135,22 @@
         self._metrics.count("failures_passed_on")
         self._write("failure passed on", call.request_id, status=status)
 
+    def note_notice(self, notice: NoteNotice) -> None:
+        """Note what an endpoint said of itself in an answer."""
+        self._metrics.count("endpoint_notices", leaving=str(notice.is_leaving).lower())
+        write = self._log.warning if notice.is_bounded else self._log.info
+        write(
+            "endpoint notice",
+            endpoint=notice.endpoint_id,
+            is_leaving=notice.is_leaving,
+            pause_s=notice.pause_s,
+            asked_s=notice.asked_s,
+            endpoints_revision=self._knowledge.by_collection[
+                Collection.ENDPOINTS
+            ].revision,
+            request_line=True,
+        )
+
     def note_cut(self, call: Call, reason: str) -> None:
         """Note that an answer was broken off."""
         self._metrics.count("answers_cut")
--- a/src/tamaracktray/calls.py
+++ b/src/tamaracktray/calls.py
@@ -88,14 +88,16 @@
     """What a decision on a call was based on.
 
     Of the ``listed`` endpoints of the call's services, ``eligible`` ones may run it;
-    of these, ``blocked`` ones failed or were full lately, ``swapping`` ones load a new
-    version and ``running`` calls are at all of them together. ``waiting`` calls wait in
-    this process. ``version_floor`` is the oldest version that may answer.
+    of these, ``blocked`` ones failed or were full lately, ``paused`` ones have asked
+    for nothing more yet, ``swapping`` ones load a new version and ``running`` calls are
+    at all of them together. ``waiting`` calls wait in this process. ``version_floor``
+    is the oldest version that may answer.
     """
 
     listed: int = 0
     eligible: int = 0
     blocked: int = 0
+    paused: int = 0
     swapping: int = 0
     running: int = 0
     waiting: int = 0
--- a/src/tamaracktray/direct.py
+++ b/src/tamaracktray/direct.py
@@ -45,10 +45,12 @@
     handle_call_ended,
     handle_call_started,
     handle_gateway_tick,
+    handle_notice,
 )
 from tamaracktray.gateway_fleet import deal_homes, follow_roster
 from tamaracktray.gateway_state import GatewayContext
 from tamaracktray.homes import Place
+from tamaracktray.notices import EndpointNoticed
 from tamaracktray.peers import Member
 from tamaracktray.roster import EndpointRecord
 from tamaracktray.routes import RouteIndex, RoutingTable
@@ -380,6 +382,7 @@
     CallStarted: _with_gateway(handle_call_started),
     CallAttemptEnded: _with_gateway(handle_attempt_ended),
     CallEnded: _with_gateway(handle_call_ended),
+    EndpointNoticed: _with_gateway(handle_notice),
     EngineSeen: _with_staging(handle_engine_seen),
     EngineSilent: _with_staging(handle_engine_silent),
     ManifestRead: _with_staging(handle_manifest_read),
--- a/src/tamaracktray/direct_context.py
+++ b/src/tamaracktray/direct_context.py
@@ -17,6 +17,7 @@
         build_surroundings(state, now),
         state.ledger,
         state.is_leaving and now >= state.close_deadline,
+        state.unix_offset_s,
     )
 
 
@@ -34,4 +35,4 @@
 
 def may_send(state: DirectState, now: float, decision: SendCall) -> bool:
     """Tell whether a decision to send still holds at ``now``."""
-    return is_sendable(build_gateway_context(state, now), decision)
+    return is_sendable(build_gateway_context(state, now), now, decision)
--- a/src/tamaracktray/direct_entry.py
+++ b/src/tamaracktray/direct_entry.py
@@ -43,6 +43,7 @@
 from tamaracktray.http import HttpLimits, HttpServer, Request, Responder
 from tamaracktray.intake import build_call, refuse_uninformed
 from tamaracktray.messages import encode_refusal
+from tamaracktray.notices import NoteNotice
 from tamaracktray.objects import StoredObject
 from tamaracktray.outcomes import AttemptPhase
 from tamaracktray.peers import Member
@@ -84,7 +85,7 @@
             self._find_upstream, self._is_first, self.open_origin, self.note_peer_lost
         )
         self._call_relay = CallRelay(
-            deployment.protocol, self._take_start, self._may_send
+            deployment.protocol, self._take_start, self.dispatch, self._may_send
         )
         self._loads_changed = curio.Event()
         self._open_by_id: dict[str, OpenCall] = {}
@@ -97,6 +98,7 @@
         self.add_performer(PrefetchVersion, self._prefetch)
         self.add_performer(RecordNamings, self._record_namings)
         self.add_performer(CloseIdle, self._close_idle)
+        self.add_performer(NoteNotice, self._note_notice)
         self.add_performer(TellLoads, self._tell_loads)
         for effect in (SendCall, RefuseCall, CutCall, RelayFailure):
             self.add_performer(effect, self._deliver)
@@ -292,6 +294,9 @@
     async def _close_idle(self, effect: CloseIdle) -> None:
         await self._callers.close_idle()
 
+    async def _note_notice(self, effect: NoteNotice) -> None:
+        self._call_log.note_notice(effect)
+
     async def _prefetch(self, effect: PrefetchVersion) -> None:
         key = VersionKey(effect.model, effect.version)
         await self.spawn(self._chunk_relay.prefetch, key)
--- a/src/tamaracktray/gateway.py
+++ b/src/tamaracktray/gateway.py
@@ -14,11 +14,24 @@
 )
 from tamaracktray.costs import estimate_cost, estimate_reading
 from tamaracktray.effects import Effect
-from tamaracktray.gateway_fleet import choose, has_eligible, view_fleet
+from tamaracktray.gateway_fleet import (
+    choose,
+    find_pause_end,
+    has_available,
+    has_eligible,
+    view_fleet,
+)
 from tamaracktray.gateway_state import (
     GatewayContext,
     PendingCall,
 )
+from tamaracktray.notices import (
+    MS_PER_S,
+    EndpointNoticed,
+    Life,
+    NoteNotice,
+    bound_pause,
+)
 from tamaracktray.outcomes import AttemptPhase
 from tamaracktray.placement import (
     EndpointLoad,
@@ -35,7 +48,9 @@
     refuse_crashing,
     refuse_leaving,
     refuse_no_endpoint,
+    refuse_paused,
     refuse_unanswered,
+    return_after,
     spread_return,
 )
 from tamaracktray.withdrawing import give_up_outdated, give_up_silent
@@ -82,6 +97,61 @@
     return []
 
 
+def handle_notice(context: GatewayContext, event: EndpointNoticed) -> list[Effect]:
+    """Send nothing more to an endpoint that leaves, and nothing yet to one that pauses.
+
+    Calls that wait for such endpoints alone are refused at once.
+    """
+    state = context.state
+    now_ms = (event.now + context.unix_offset_s) * MS_PER_S
+    for endpoint_id in _list_speakers(context, event):
+        load = state.loads_by_id.get(endpoint_id)
+        born_ms = 0 if load is None else load.record.born_ms
+        life = Life(endpoint_id, max(now_ms, born_ms))
+        if event.is_leaving:
+            state.notices.note_leaving(life)
+        if event.pause_s is not None:
+            deadline = event.now + bound_pause(event.pause_s)
+            state.notices.note_pause(life, deadline)
+        if load is not None:
+            state.follow_notices(load)
+    effects = [_note_notice(event), *_refuse_unavailable(context, event.now)]
+    return effects + fill_room(context, event.now)
+
+
+def _list_speakers(context: GatewayContext, event: EndpointNoticed) -> list[str]:
+    """Return the endpoints that an answer may have come from."""
+    loads_by_id = context.state.loads_by_id
+    load = loads_by_id.get(event.endpoint_id)
+    if load is None or not event.is_misdirected:
+        return [event.endpoint_id]
+    address = load.record.address
+    return [name for name in loads_by_id if loads_by_id[name].record.address == address]
+
+
+def _note_notice(event: EndpointNoticed) -> NoteNotice:
+    if event.pause_s is None:
+        return NoteNotice(event.endpoint_id, event.is_leaving)
+    pause_s = bound_pause(event.pause_s)
+    return NoteNotice(
+        event.endpoint_id,
+        event.is_leaving,
+        pause_s,
+        event.pause_s,
+        is_bounded=pause_s != event.pause_s,
+    )
+
+
+def _refuse_unavailable(context: GatewayContext, now: float) -> list[Effect]:
+    effects: list[Effect] = []
+    for call in context.state.waiting.list_ordered():
+        pending = context.state.pending_by_id.get(call.id)
+        if pending is None or has_available(context, now, pending):
+            continue
+        effects.extend(_refuse(context, now, pending))
+    return effects
+
+
 def _note_start(context: GatewayContext, now: float, pending: PendingCall) -> None:
     call = pending.call
     reading_s = _estimate_reading(context, call)
@@ -172,7 +242,7 @@
     load = choose(context, now, pending)
     if load is not None:
         return _send(context, now, pending, load)
-    if not has_eligible(context, pending):
+    if not has_available(context, now, pending):
         return _refuse(context, now, pending)
     call = pending.call
     bands = context.state.find_bands(call.route.name)
@@ -293,6 +363,8 @@
         return False
     if context.ledger.find_release(now, call.fingerprint) is not None:
         return False
+    if not has_available(context, now, pending):
+        return False
     return context.state.find_budget(call.services[0]).spend(now)
 
 
@@ -309,6 +381,10 @@
         return [RelayFailure(call.id)]
     if pending.may_have_run:
         return [RefuseCall(call.id, refuse_unanswered(), view)]
+    pause_end = find_pause_end(context, now, call)
+    if pause_end is not None:
+        retry_after_s = return_after(now, call, pause_end)
+        return [RefuseCall(call.id, refuse_paused(retry_after_s), view)]
     if not has_eligible(context, pending):
         retry_after_s = spread_return(
             now, call, NO_ENDPOINT_RETRY_S, NO_ENDPOINT_SPREAD_S
--- a/src/tamaracktray/gateway_fleet.py
+++ b/src/tamaracktray/gateway_fleet.py
@@ -1,7 +1,7 @@
 """The endpoints of an entry: homes, cold ones, and which of them may take a call."""
 
 from tamaracktray.budgets import PermitBucket
-from tamaracktray.calls import FleetView
+from tamaracktray.calls import Call, FleetView
 from tamaracktray.gateway_state import (
     SAFE_SHARE,
     GatewayContext,
@@ -33,8 +33,10 @@
         if load.record is not record:
             load.follow_record(record)
             load.cold_deadline = now + record.cold_s
+        state.follow_notices(load)
         loads[endpoint_id] = load
     state.loads_by_id = loads
+    state.notices.expire(now, records_by_id)
     deal_homes(context)
 
 
@@ -66,6 +68,7 @@
         if load.record.service == service.name
         and not load.record.is_draining
         and not load.is_outdated
+        and not load.is_leaving
         and load.record.zone not in around.evacuated_zones
         and any(load.find_version(model) for model in models)
     ]
@@ -118,10 +121,36 @@
     )
 
 
+def has_available(context: GatewayContext, now: float, pending: PendingCall) -> bool:
+    """Tell whether any endpoint that may run a call has not asked for a pause."""
+    return any(
+        load.record.id not in pending.tried
+        and not load.is_paused(now)
+        and is_eligible(pending.call, load, context.around)
+        for load in context.state.loads_by_id.values()
+    )
+
+
+def find_pause_end(context: GatewayContext, now: float, call: Call) -> float | None:
+    """Return when the first endpoint that may run a call takes calls again.
+
+    ``None`` if there is none, or one that has not asked for a pause.
+    """
+    first: float | None = None
+    for load in context.state.loads_by_id.values():
+        if not is_eligible(call, load, context.around):
+            continue
+        if not load.is_paused(now):
+            return None
+        if first is None or load.pause_deadline < first:
+            first = load.pause_deadline
+    return first
+
+
 def view_fleet(context: GatewayContext, now: float, pending: PendingCall) -> FleetView:
     """Return what a decision on a call is based on."""
     call = pending.call
-    listed = eligible = blocked = swapping = running = 0
+    listed = eligible = blocked = paused = swapping = running = 0
     for load in context.state.loads_by_id.values():
         if load.record.service not in call.services:
             continue
@@ -130,8 +159,11 @@
             continue
         eligible += 1
         blocked += load.blocked_deadline > now
+        paused += load.is_paused(now)
         swapping += load.is_swapping
         running += load.count_running(now)
     floor = context.around.version_floor_by_model.get(call.model, 0)
     waiting = len(context.state.waiting)
-    return FleetView(listed, eligible, blocked, swapping, running, waiting, floor)
+    return FleetView(
+        listed, eligible, blocked, paused, swapping, running, waiting, floor
+    )
--- a/src/tamaracktray/gateway_state.py
+++ b/src/tamaracktray/gateway_state.py
@@ -9,6 +9,7 @@
 from tamaracktray.calls import Call
 from tamaracktray.fairness import ServedRate, SizeBands
 from tamaracktray.homes import Place
+from tamaracktray.notices import EndpointNotices
 from tamaracktray.placement import EndpointLoad, Surroundings
 from tamaracktray.quarantine import CrashLedger
 from tamaracktray.types import Address
@@ -99,6 +100,7 @@
         "loads_by_id",
         "longest_wait_by_route",
         "name",
+        "notices",
         "peers",
         "pending_by_id",
         "room_by_service",
@@ -109,6 +111,7 @@
     def __init__(self, name: str, bounds: GatewayBounds) -> None:
         self.name = name
         self.bounds = bounds
+        self.notices = EndpointNotices()
         self.peers = 0
         self.entries: tuple[Place, ...] = ()
         self.home_ids: frozenset[str] = frozenset()
@@ -126,6 +129,11 @@
         for endpoint_id, load in self.loads_by_id.items():
             load.note_peer(now, peer, counts.get(endpoint_id, 0))
 
+    def follow_notices(self, load: EndpointLoad) -> None:
+        """Let an endpoint's load follow what the endpoint said of itself."""
+        load.is_leaving = self.notices.is_leaving(load.record)
+        load.pause_deadline = self.notices.find_pause_deadline(load.record)
+
     def note_status(self, now: float, status: EndpointStatus) -> None:
         """Take in what an agent says of its engine."""
         try:
@@ -206,10 +214,12 @@
 class GatewayContext(msgspec.Struct):
     """The parts of the process state that the gateway reads.
 
-    A process that ``is_closing`` takes no new calls.
+    A process that ``is_closing`` takes no new calls. ``unix_offset_s`` is what the wall
+    clock is ahead of the monotonic one.
     """
 
     state: GatewayState
     around: Surroundings
     ledger: CrashLedger
     is_closing: bool
+    unix_offset_s: float = 0.0
--- a/src/tamaracktray/headers.py
+++ b/src/tamaracktray/headers.py
@@ -1,4 +1,6 @@
-"""Names of the HTTP headers that callers, entries, agents and endpoints exchange."""
+"""HTTP headers that callers, entries, agents and endpoints exchange."""
+
+import math
 
 IDEMPOTENCY_KEY = "idempotency-key"
 TEAM = "x-team"
@@ -23,3 +25,13 @@
 CHUNK_MAP = "x-tray-chunk-map"
 PENDING = "x-tray-pending"
 PEER_KEY = "x-tray-key"
+
+
+def read_seconds(text: str | None) -> float | None:
+    """Return a time in seconds, ``None`` without a text, not a number if it is none."""
+    if text is None:
+        return None
+    try:
+        return float(text)
+    except ValueError:
+        return math.nan
--- a/src/tamaracktray/placement.py
+++ b/src/tamaracktray/placement.py
@@ -74,7 +74,8 @@
     until ``status_deadline``. ``is_outdated`` tells that the list is known to be wrong
     about the endpoint, until ``outdated_deadline``. ``heard_at`` is when the endpoint
     last sent something, or got a call while it had none. Places at an endpoint that is
-    not ``is_home`` are borrowed, which counts as ``borrow_distance``.
+    not ``is_home`` are borrowed, which counts as ``borrow_distance``. ``is_leaving``
+    and ``pause_deadline`` follow from the endpoint's own answers.
     """
 
     __slots__ = (
@@ -88,9 +89,11 @@
         "in_flight",
         "_version_by_model",
         "is_home",
+        "is_leaving",
         "is_outdated",
         "is_swapping",
         "outdated_deadline",
+        "pause_deadline",
         "record",
         "status_deadline",
         "swap_at",
@@ -110,6 +113,8 @@
         self.is_outdated = False
         self.outdated_deadline = 0.0
         self.is_home = True
+        self.is_leaving = False
+        self.pause_deadline = 0.0
         self.borrow_distance = 0.0
         self._version_by_model: dict[str, int] | None = None
         self._peer_counts: dict[str, tuple[int, float]] = {}
@@ -230,6 +235,10 @@
         self.is_outdated = True
         self.outdated_deadline = now + MISDIRECTED_S
 
+    def is_paused(self, now: float) -> bool:
+        """Tell whether the endpoint has asked for nothing more at this moment."""
+        return now < self.pause_deadline
+
     def measure_silence(self, now: float) -> float:
         """Return how long the endpoint has been silent with calls under way."""
         return now - self.heard_at if self.in_flight else 0.0
@@ -274,7 +283,7 @@
     record = load.record
     if record.service not in call.services or record.is_draining:
         return False
-    if load.is_outdated:
+    if load.is_outdated or load.is_leaving:
         return False
     if record.zone in around.evacuated_zones:
         return False
@@ -294,7 +303,7 @@
 
 def count_room(load: EndpointLoad, now: float) -> int:
     """Return how many more calls the endpoint can work on at once."""
-    if load.blocked_deadline > now or load.is_swapping:
+    if load.blocked_deadline > now or load.is_swapping or load.is_paused(now):
         return 0
     if not load.has_cold_permit(now):
         return 0
@@ -319,12 +328,14 @@
     """Return the emptiest near endpoint with room, or ``None``.
 
     Endpoints of the service drawn for the call come first; those of the route's other
-    services take it only when the drawn one has none that may run it.
+    services take it only when the drawn one has none that may run it now.
     """
     eligible = [
         load
         for load in loads
-        if load.record.id not in tried and is_eligible(call, load, around)
+        if load.record.id not in tried
+        and not load.is_paused(now)
+        and is_eligible(call, load, around)
     ]
     for service in call.services:
         candidates = [load for load in eligible if load.record.service == service]
--- a/src/tamaracktray/platform/wire.py
+++ b/src/tamaracktray/platform/wire.py
@@ -2,6 +2,7 @@
 
 from typing_extensions import override
 
+from tamaracktray.headers import read_seconds
 from tamaracktray.http import RawHeaders, Request
 from tamaracktray.protocol import (
     AnswerFields,
@@ -27,6 +28,10 @@
 NOT_RUN = "x-tamaracktray-not-executed"
 # A single version number of the weights.
 VERSION = "x-tamaracktray-weight-versions"
+# "1" on all answers of an endpoint that is about to leave.
+LEAVING = "server-leaving"
+# On a 503, seconds in which the endpoint wants nothing more from this machine.
+PAUSE = "retry-after"
 LAST_EVENT_ID = "last-event-id"
 AUTHORIZATION = "authorization"
 KEY_SCHEME = "token "
@@ -35,6 +40,9 @@
 # The status of an endpoint that is not the expected one, or not of that version.
 MISDIRECTED = 421
 
+# The status with which an endpoint may ask for a pause.
+UNAVAILABLE = 503
+
 MS_PER_S = 1_000.0
 
 HOP_HEADERS = frozenset(
@@ -126,6 +134,8 @@
             is_misdirected,
             SIGNATURE in headers,
             _read_int(headers.get(VERSION, "")) or 0,
+            headers.get(LEAVING, "").strip() == "1",
+            read_seconds(headers.get(PAUSE)) if status == UNAVAILABLE else None,
         )
 
     @override
--- a/src/tamaracktray/protocol.py
+++ b/src/tamaracktray/protocol.py
@@ -50,7 +50,9 @@
     ``is_not_run`` promises that the request was not run; ``is_misdirected`` tells that
     the endpoint is not the expected one, or not of the expected version. ``is_signed``
     tells that the answer comes from an endpoint. ``version`` is that of the weights, 0
-    if not told.
+    if not told. ``is_leaving`` tells that the endpoint is about to leave; ``pause_s``
+    is how long it wants no requests of this process, in seconds, ``None`` if it does
+    not say and not a number if that cannot be read.
     """
 
     request_id: str = ""
@@ -58,6 +60,8 @@
     is_misdirected: bool = False
     is_signed: bool = False
     version: int = 0
+    is_leaving: bool = False
+    pause_s: float | None = None
 
 
 class RequestProtocol(ABC):
--- a/src/tamaracktray/refusals.py
+++ b/src/tamaracktray/refusals.py
@@ -22,6 +22,10 @@
 NO_ENDPOINT_SPREAD_S = 0.6
 
 
+# Time over which callers come back after a pause of all endpoints, in seconds.
+PAUSE_SPREAD_S = 0.5
+
+
 # Part of the time left after which callers do not come back: they wait no longer than
 # a third of it.
 LONGEST_RETURN_SHARE = 1 / 3
@@ -42,6 +46,15 @@
     return max(min(return_s, left_s * LONGEST_RETURN_SHARE), BUSY_RETRY_S)
 
 
+def return_after(now: float, call: Call, deadline: float) -> float:
+    """Return when a caller should come back for something that begins at ``deadline``.
+
+    In seconds; callers come back spread over some time after it.
+    """
+    share = hash_text(call.request_id) / HASH_RANGE
+    return max(deadline - now, 0.0) + PAUSE_SPREAD_S * share
+
+
 def refuse_unanswered() -> Refusal:
     """Return the error for a call that was sent and not answered as it should be."""
     return Refusal(
@@ -92,6 +105,17 @@
     )
 
 
+def refuse_paused(retry_after_s: float) -> Refusal:
+    """Return the refusal of a call whose endpoints all want a pause."""
+    return Refusal(
+        ErrorCode.OVERLOADED,
+        "all endpoints have asked for a pause",
+        RunState.NOT_RUN,
+        503,
+        retry_after_s,
+    )
+
+
 def refuse_no_endpoint(retry_after_s: float) -> Refusal:
     """Return the refusal of a call that no endpoint may run now."""
     return Refusal(
--- a/src/tamaracktray/relaying.py
+++ b/src/tamaracktray/relaying.py
@@ -11,6 +11,7 @@
 from tamaracktray.event_stream import EventBuffer
 from tamaracktray.exchange import Exchange, open_exchange
 from tamaracktray.http import RawHeaders, Request, Responder
+from tamaracktray.notices import EndpointNoticed
 from tamaracktray.outcomes import AttemptPhase
 from tamaracktray.protocol import AnswerFields, AttemptFields, RequestProtocol
 from tamaracktray.routes import RepeatKind
@@ -90,21 +91,31 @@
     """Carries out attempts.
 
     ``heard`` collects the endpoints that sent something. ``take_start`` is told of the
-    first part of each answer, and ``may_send`` tells whether a decision still holds.
+    first part of each answer, ``take_notice`` of what an endpoint says of itself, and
+    ``may_send`` tells whether a decision still holds.
     With ``closes_connections`` callers are told to come back on a new connection.
     """
 
-    __slots__ = ("_may_send", "_protocol", "_take_start", "closes_connections", "heard")
+    __slots__ = (
+        "_may_send",
+        "_protocol",
+        "_take_notice",
+        "_take_start",
+        "closes_connections",
+        "heard",
+    )
 
     def __init__(
         self,
         protocol: RequestProtocol,
         take_start: Callable[[CallStarted], Awaitable[None]],
+        take_notice: Callable[[EndpointNoticed], Awaitable[None]],
         may_send: Callable[[SendCall], bool],
     ) -> None:
         self._protocol = protocol
         self._may_send = may_send
         self._take_start = take_start
+        self._take_notice = take_notice
         self.heard: set[str] = set()
         self.closes_connections = False
 
@@ -172,6 +183,8 @@
             return _end_broken(decision, exchange, head.failure().message)
         self.heard.add(decision.endpoint_id)
         fields = self._protocol.read_answer(exchange.status, exchange.headers)
+        if fields.is_leaving or fields.pause_s is not None:
+            await self._take_notice(_notice(decision, fields))
         if fields.is_not_run:
             detail = f"not run ({exchange.status})"
             phase = AttemptPhase.REFUSED
@@ -291,6 +304,16 @@
     )
 
 
+def _notice(decision: SendCall, fields: AnswerFields) -> EndpointNoticed:
+    return EndpointNoticed(
+        time.monotonic(),
+        decision.endpoint_id,
+        fields.is_leaving,
+        fields.pause_s,
+        fields.is_misdirected,
+    )
+
+
 def _end(
     decision: SendCall, phase: AttemptPhase, status: int = 0, *, detail: str = ""
 ) -> CallAttemptEnded:
--- a/src/tamaracktray/withdrawing.py
+++ b/src/tamaracktray/withdrawing.py
@@ -61,13 +61,13 @@
     return effects
 
 
-def is_sendable(context: GatewayContext, decision: SendCall) -> bool:
+def is_sendable(context: GatewayContext, now: float, decision: SendCall) -> bool:
     """Tell whether a decision to send still holds once its connection stands."""
     pending = context.state.pending_by_id.get(decision.call_id)
     if pending is None or pending.endpoint_id != decision.endpoint_id:
         return False
     load = context.state.loads_by_id.get(decision.endpoint_id)
-    if load is None or pending.is_abandoned:
+    if load is None or pending.is_abandoned or load.is_paused(now):
         return False
     # A call on its way is bound by the oldest version on which it may still begin.
     floors = context.around.last_floor_by_model
--- a/src/tamaracktray_emulator/platform/worker.py
+++ b/src/tamaracktray_emulator/platform/worker.py
@@ -19,6 +19,8 @@
 EXPECTED_ENDPOINT = "x-tamaracktray-expect-instance"
 EXPECTED_VERSION = "x-tamaracktray-expect-version"
 VERSION = "x-tamaracktray-weight-versions"
+LEAVING = "server-leaving"
+PAUSE = "retry-after"
 
 EVENTS = 6
 EVENT_S = 0.01
@@ -43,7 +45,10 @@
 class WorkerStandIn(StandIn):
     """Answers requests; remembers what it ran.
 
-    ``runs`` holds the headers of every request that was run, by request id.
+    ``runs`` holds the headers of every request that was run, by request id. One that
+    ``is_leaving`` says so in its answers. With ``pause`` it turns requests away and
+    asks for that many seconds of rest, ``is_pause_marked`` with the promise that they
+    were not run.
     """
 
     def __init__(self, address: Address, endpoint_id: str, service: str) -> None:
@@ -55,6 +60,9 @@
         self.runs: dict[str, list[dict[str, str]]] = {}
         self.finished: list[str] = []
         self.arrivals = 0
+        self.is_leaving = False
+        self.pause = ""
+        self.is_pause_marked = True
 
     def describe(self, zone: str, **fields: Any) -> dict[str, Any]:
         """Return the entry that the worker writes into the store."""
@@ -76,11 +84,16 @@
     @override
     async def answer(self, request: Request, responder: Responder) -> None:
         self.arrivals += 1
+        notices = [(LEAVING, "1")] if self.is_leaving else []
         if request.headers.get(EXPECTED_ENDPOINT, self.id) != self.id:
-            await responder.respond(421, [])
+            await responder.respond(421, notices)
+            return
+        if self.pause:
+            marks = [(NOT_RUN, "1")] if self.is_pause_marked else []
+            await responder.respond(503, [*notices, *marks, (PAUSE, self.pause)])
             return
         if self.mode is Mode.FULL:
-            await responder.respond(503, [(NOT_RUN, "1")])
+            await responder.respond(503, [*notices, (NOT_RUN, "1")])
             return
         request_id = request.headers.get(REQUEST_ID, "")
         self.runs.setdefault(request_id, []).append(request.headers)
@@ -91,6 +104,8 @@
         if self.mode is Mode.CROSSED:
             request_id = "another"
         headers = [(REQUEST_ID, request_id), (SIGNATURE, f"sig.{self.id}")]
+        if self.is_leaving:
+            headers.append((LEAVING, "1"))
         return headers[:1] if self.mode is Mode.UNSIGNED else headers
 
     async def run(
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -204,7 +204,7 @@
         decision = gateway.arrive(call)[0]
         gateway.follow(engine("old"), engine("new", version=2))
         gateway.floors = gateway.last_floors = {MODEL: 2}
-        assert not is_sendable(gateway.context, decision)
+        assert not is_sendable(gateway.context, gateway.now, decision)
         effects = gateway.end(call, "old", AttemptPhase.WITHDRAWN)
         assert sent(effects) == ["new"]
         assert not gateway.load("old").failures
@@ -235,9 +235,9 @@
         gateway = Gateway(engine("a"))
         decision = gateway.arrive(build_call("1"))[0]
         gateway.evacuated = frozenset({"zone-b"})
-        assert is_sendable(gateway.context, decision)
+        assert is_sendable(gateway.context, gateway.now, decision)
         gateway.follow(*records)
-        assert not is_sendable(gateway.context, decision)
+        assert not is_sendable(gateway.context, gateway.now, decision)
 
     def test_decision_for_an_endpoint_that_is_another_now_does_not_hold(self):
         gateway = Gateway(engine("a"))
@@ -245,23 +245,23 @@
         gateway.arrive(first)
         decision = gateway.arrive(second)[0]
         gateway.end(first, "a", AttemptPhase.MISDIRECTED)
-        assert not is_sendable(gateway.context, decision)
+        assert not is_sendable(gateway.context, gateway.now, decision)
 
     def test_decision_holds_until_calls_may_not_begin_on_the_version(self):
         gateway = Gateway(engine("a"))
         decision = gateway.arrive(build_call("1"))[0]
         gateway.floors = {MODEL: 2}
-        assert is_sendable(gateway.context, decision)
+        assert is_sendable(gateway.context, gateway.now, decision)
         gateway.last_floors = {MODEL: 2}
-        assert not is_sendable(gateway.context, decision)
+        assert not is_sendable(gateway.context, gateway.now, decision)
 
     def test_decision_on_a_call_whose_caller_is_gone_does_not_hold(self):
         gateway = Gateway(engine("a"))
         call = build_call("1")
         decision = gateway.arrive(call)[0]
-        assert is_sendable(gateway.context, decision)
+        assert is_sendable(gateway.context, gateway.now, decision)
         gateway.leave(call)
-        assert not is_sendable(gateway.context, decision)
+        assert not is_sendable(gateway.context, gateway.now, decision)
 
 
 class TestMisdirected:
