--- a/src/tamaracktray/beacons.py
+++ b/src/tamaracktray/beacons.py
@@ -4,6 +4,8 @@
 tell their calls at each endpoint; agents tell what their engine is about to do.
 """
 
+import math
+
 import msgspec
 from returns.result import Failure, Result, Success
 
@@ -61,11 +63,27 @@
 
 
 def decode_beacon(data: bytes) -> Result[Beacon, ProtocolError]:
-    """Parse a datagram."""
+    """Parse a datagram; one with figures that cannot be is as good as unreadable."""
     try:
-        return Success(_DECODER.decode(data))
+        beacon = _DECODER.decode(data)
     except msgspec.DecodeError as error:
         return Failure(ProtocolError(f"unreadable beacon: {error}"))
+    if not _is_sound(beacon):
+        return Failure(ProtocolError(f"beacon of {beacon.name!r} has impossible times"))
+    return Success(beacon)
+
+
+def _is_sound(beacon: Beacon) -> bool:
+    """Tell whether all times of a beacon are times and all counts are counts."""
+    status = beacon.status
+    if status is not None and not math.isfinite(status.swap_in_s or 0.0):
+        return False
+    if any(count < 0 for count in beacon.in_flight_by_endpoint.values()):
+        return False
+    ages = beacon.naming_ages_by_model.values()
+    return all(
+        math.isfinite(age_s) and age_s >= 0 for item in ages for _, age_s in item
+    )
 
 
 class BeaconFilter:
--- a/src/tamaracktray/direct_context.py
+++ b/src/tamaracktray/direct_context.py
@@ -5,7 +5,7 @@
 from tamaracktray.exceptions import InvariantError
 from tamaracktray.gateway_state import GatewayContext
 from tamaracktray.placement import Surroundings
-from tamaracktray.withdrawing import is_sendable
+from tamaracktray.withdrawing import is_resumable, is_sendable
 
 
 def build_gateway_context(state: DirectState, now: float) -> GatewayContext:
@@ -36,3 +36,8 @@
 def may_send(state: DirectState, now: float, decision: SendCall) -> bool:
     """Tell whether a decision to send still holds at ``now``."""
     return is_sendable(build_gateway_context(state, now), now, decision)
+
+
+def may_resume(state: DirectState, now: float, call_id: str) -> bool:
+    """Tell whether a stream that has stalled can go on at another endpoint now."""
+    return is_resumable(build_gateway_context(state, now), now, call_id)
--- a/src/tamaracktray/direct_entry.py
+++ b/src/tamaracktray/direct_entry.py
@@ -25,7 +25,7 @@
 from tamaracktray.chunk_relay import VERSIONS_PATH, ChunkRelay, VersionKey
 from tamaracktray.chunk_sources import choose_upstream, find_first
 from tamaracktray.deployment import Deployment
-from tamaracktray.direct_context import may_send
+from tamaracktray.direct_context import may_resume, may_send
 from tamaracktray.direct_events import (
     ApplyRouting,
     CloseIdle,
@@ -85,7 +85,11 @@
             self._find_upstream, self._is_first, self.open_origin, self.note_peer_lost
         )
         self._call_relay = CallRelay(
-            deployment.protocol, self._take_start, self.dispatch, self._may_send
+            deployment.protocol,
+            self._take_start,
+            self.dispatch,
+            self._may_send,
+            self._may_resume,
         )
         self._loads_changed = curio.Event()
         self._open_by_id: dict[str, OpenCall] = {}
@@ -134,7 +138,9 @@
     def build_tick(self) -> Tick:
         heard = frozenset(self._call_relay.heard)
         self._call_relay.heard.clear()
-        return Tick(time.monotonic(), heard=heard)
+        is_leaving = self.state.is_leaving
+        open_connections = self._callers.busy_connections if is_leaving else 0
+        return Tick(time.monotonic(), heard=heard, open_connections=open_connections)
 
     @override
     def set_gauges(self) -> None:
@@ -237,6 +243,9 @@
     def _may_send(self, decision: SendCall) -> bool:
         return may_send(self.state, time.monotonic(), decision)
 
+    def _may_resume(self, call_id: str) -> bool:
+        return may_resume(self.state, time.monotonic(), call_id)
+
     async def _take_start(self, event: CallStarted) -> None:
         open_call = self._open_by_id.get(event.call_id)
         if open_call is not None:
--- a/src/tamaracktray/http.py
+++ b/src/tamaracktray/http.py
@@ -178,7 +178,7 @@
         "_active",
         "_cancels_abandoned",
         "_handler",
-        "_idle_tasks",
+        "_idle_sockets_by_task",
         "_listener",
         "_tasks",
         "address",
@@ -200,13 +200,21 @@
         self._listener: curio.io.Socket | None = None
         self._active = 0
         self._tasks: set[curio.Task] = set()
-        self._idle_tasks: set[curio.Task] = set()
+        self._idle_sockets_by_task: dict[curio.Task, curio.io.Socket] = {}
 
     @property
     def active_requests(self) -> int:
         """Return the number of requests being answered."""
         return self._active
 
+    @property
+    def busy_connections(self) -> int:
+        """Return the connections on which a request is being received or answered."""
+        idle = sum(
+            not _has_arrived(client) for client in self._idle_sockets_by_task.values()
+        )
+        return len(self._tasks) - idle
+
     async def open(self) -> None:
         """Bind the listening socket; port 0 takes a free port."""
         self._listener = curio.network.tcp_server_socket(
@@ -235,9 +243,13 @@
                 await task.cancel(blocking=False)
 
     async def close_idle(self) -> None:
-        """Close the connections on which no request is being received or answered."""
-        for task in list(self._idle_tasks):
-            await task.cancel(blocking=False)
+        """Close the connections on which no request is being received or answered.
+
+        One whose next request has arrived, though no task has read it yet, stays open.
+        """
+        for task, client in list(self._idle_sockets_by_task.items()):
+            if not _has_arrived(client):
+                await task.cancel(blocking=False)
 
     async def _run_connection(self, client: curio.io.Socket) -> None:
         try:
@@ -281,13 +293,13 @@
         if connection.trailing_data[0]:
             return True
         task = await curio.current_task()
-        self._idle_tasks.add(task)
+        self._idle_sockets_by_task[task] = client
         try:
             data = await curio.ignore_after(
                 self.limits.idle_timeout_s, client.recv(READ_BYTES)
             )
         finally:
-            self._idle_tasks.discard(task)
+            self._idle_sockets_by_task.pop(task, None)
         if not data:
             return False
         connection.receive_data(data)
@@ -339,6 +351,14 @@
         return 0
 
 
+def _has_arrived(client: curio.io.Socket) -> bool:
+    """Tell whether bytes wait to be read, without taking them."""
+    try:
+        return bool(client._socket.recv(1, socket_module.MSG_PEEK))
+    except OSError:
+        return False
+
+
 def _is_closed(client: curio.io.Socket) -> bool:
     """Tell whether the client has closed, without taking anything from the socket.
 
--- a/src/tamaracktray/kept_client.py
+++ b/src/tamaracktray/kept_client.py
@@ -1,5 +1,7 @@
 """A client that keeps its connection from one request to the next."""
 
+import socket as socket_module
+
 import curio
 import h11
 from returns.result import Failure, Result, Success
@@ -80,6 +82,9 @@
         body: bytes,
         max_bytes: int,
     ) -> Reply:
+        if self._socket is not None and not _is_quiet(self._socket):
+            # A late second answer would be taken for that to the next request.
+            await self._close()
         if self._socket is None or self._connection is None:
             self._socket = await connect(self._address)
             self._connection = h11.Connection(h11.CLIENT)
@@ -106,6 +111,17 @@
         self._connection = None
 
 
+def _is_quiet(socket: curio.io.Socket) -> bool:
+    """Tell whether a connection is open and nothing waits to be read on it."""
+    try:
+        socket._socket.recv(1, socket_module.MSG_PEEK)
+    except BlockingIOError:
+        return True
+    except OSError:
+        return False
+    return False
+
+
 async def _read_reply(
     exchange: Exchange, max_bytes: int
 ) -> tuple[int, dict[str, str], bytes]:
--- a/src/tamaracktray/platform/wire.py
+++ b/src/tamaracktray/platform/wire.py
@@ -45,6 +45,9 @@
 
 MS_PER_S = 1_000.0
 
+# Digits of the largest number that is read.
+MAX_DIGITS = 15
+
 HOP_HEADERS = frozenset(
     {
         "connection",
@@ -156,6 +159,6 @@
 
 def _read_int(text: str) -> int | None:
     text = text.strip()
-    if not text.isascii() or not text.isdigit():
+    if not text.isascii() or not text.isdigit() or len(text) > MAX_DIGITS:
         return None
     return int(text)
--- a/src/tamaracktray/relaying.py
+++ b/src/tamaracktray/relaying.py
@@ -5,10 +5,11 @@
 
 import curio
 import msgspec
-from returns.result import Failure
+from returns.result import Failure, Result
 
 from tamaracktray.calls import Call, CallAttemptEnded, CallStarted, SendCall
 from tamaracktray.event_stream import EventBuffer
+from tamaracktray.exceptions import TransportError
 from tamaracktray.exchange import Exchange, open_exchange
 from tamaracktray.http import RawHeaders, Request, Responder
 from tamaracktray.notices import EndpointNoticed
@@ -20,9 +21,18 @@
 # drops the first packet, which is sent again only after a second.
 CONNECT_TIMEOUT_S = 0.4
 
-# Longest silence of a stream before it is resumed elsewhere, in seconds; callers give
-# up after two.
+# Time without a whole event after which a stream goes on elsewhere if another endpoint
+# has room, in seconds, and the time until that is looked at again.
 STALL_S = 1.0
+STALL_CHECK_S = 0.1
+
+# Time without a whole event after which a stream is given up, as its callers do: at
+# least, in latency objectives, and in longest pauses that its route allows. The margin
+# is for the way to the caller.
+PATIENCE_S = 2.0
+PATIENCE_OBJECTIVES = 4.0
+PATIENCE_GAPS = 8.0
+PATIENCE_MARGIN_S = 0.25
 
 # Part of the latency objective after which a call that may run again is worth giving up
 # at an endpoint that has said nothing.
@@ -92,11 +102,13 @@
 
     ``heard`` collects the endpoints that sent something. ``take_start`` is told of the
     first part of each answer, ``take_notice`` of what an endpoint says of itself, and
-    ``may_send`` tells whether a decision still holds.
+    ``may_send`` tells whether a decision still holds. ``may_resume`` tells whether a
+    stalled stream can go on elsewhere.
     With ``closes_connections`` callers are told to come back on a new connection.
     """
 
     __slots__ = (
+        "_may_resume",
         "_may_send",
         "_protocol",
         "_take_notice",
@@ -111,8 +123,10 @@
         take_start: Callable[[CallStarted], Awaitable[None]],
         take_notice: Callable[[EndpointNoticed], Awaitable[None]],
         may_send: Callable[[SendCall], bool],
+        may_resume: Callable[[str], bool],
     ) -> None:
         self._protocol = protocol
+        self._may_resume = may_resume
         self._may_send = may_send
         self._take_start = take_start
         self._take_notice = take_notice
@@ -185,7 +199,8 @@
         fields = self._protocol.read_answer(exchange.status, exchange.headers)
         if fields.is_leaving or fields.pause_s is not None:
             await self._take_notice(_notice(decision, fields))
-        if fields.is_not_run:
+        is_crossed = fields.request_id not in ("", call.request_id)
+        if fields.is_not_run and not is_crossed:
             detail = f"not run ({exchange.status})"
             phase = AttemptPhase.REFUSED
             if fields.is_misdirected:
@@ -257,8 +272,9 @@
         buffer = open_call.buffer
         buffer.take_rest()
         is_started = False
+        progress_at = time.monotonic()
         while True:
-            read = await exchange.read_data(STALL_S)
+            read = await self._read_event_data(open_call.call, exchange, progress_at)
             if isinstance(read, Failure):
                 last_event_id = buffer.last_event_id if open_call.is_head_sent else None
                 message = read.failure().message
@@ -266,6 +282,8 @@
             data = read.unwrap()
             self.heard.add(decision.endpoint_id)
             whole = buffer.feed(data) if data else buffer.take_rest()
+            if whole:
+                progress_at = time.monotonic()
             if whole and not is_started:
                 is_started = True
                 await self._take_start(_start(decision, fields))
@@ -275,6 +293,27 @@
                 await open_call.responder.finish()
                 return _end(decision, AttemptPhase.ANSWERED, exchange.status)
 
+    async def _read_event_data(
+        self, call: Call, exchange: Exchange, progress_at: float
+    ) -> Result[bytes, TransportError]:
+        """Read on in a stream whose last whole event came at ``progress_at``.
+
+        Bytes that complete no event count as silence. A stream that has stalled ends
+        when it can go on elsewhere, or when its caller gives up.
+        """
+        end = progress_at + measure_patience(call)
+        check = progress_at + STALL_S
+        while True:
+            now = time.monotonic()
+            if now >= check and self._may_resume(call.id):
+                return Failure(TransportError("stream stalled", sent=True))
+            if now >= end:
+                return Failure(TransportError("stream stalled for good", sent=True))
+            check = max(check, now + STALL_CHECK_S)
+            read = await exchange.read_data(min(check, end) - now)
+            if not isinstance(read, Failure) or not read.failure().is_timeout:
+                return read
+
     async def _send_part(
         self, open_call: OpenCall, exchange: Exchange, data: bytes
     ) -> None:
@@ -287,6 +326,17 @@
             await responder.send_data(data)
 
 
+def measure_patience(call: Call) -> float:
+    """Return how long a caller waits for the next event of a stream, in seconds."""
+    route = call.route
+    longest_s = max(
+        PATIENCE_S,
+        PATIENCE_OBJECTIVES * route.target_latency_s,
+        PATIENCE_GAPS * route.gap_target_s,
+    )
+    return longest_s + PATIENCE_MARGIN_S
+
+
 def _bound_silence(call: Call) -> float:
     """Return how long an endpoint may be silent before its answer, in seconds.
 
--- a/src/tamaracktray/withdrawing.py
+++ b/src/tamaracktray/withdrawing.py
@@ -34,19 +34,29 @@
         bound = GIVE_UP_STREAM_S if pending.is_started else GIVE_UP_S
         if silence <= bound or pending.is_abandoned:
             continue
-        call = pending.call
-        has_attempts = pending.attempts < call.route.max_attempts
-        if not call.route.is_idempotent or not has_attempts:
-            continue
         if now - pending.sent_at <= bound:
             continue
-        if choose(context, now, pending, pending.endpoint_id) is None:
+        if not _can_move(context, now, pending):
             continue
         pending.is_abandoned = True
-        effects.append(AbandonAttempt(call.id, "endpoint is silent"))
+        effects.append(AbandonAttempt(pending.call.id, "endpoint is silent"))
     return effects
 
 
+def _can_move(context: GatewayContext, now: float, pending: PendingCall) -> bool:
+    """Tell whether a call may go to another endpoint, and one has room for it."""
+    route = pending.call.route
+    if not route.is_idempotent or pending.attempts >= route.max_attempts:
+        return False
+    return choose(context, now, pending, pending.endpoint_id) is not None
+
+
+def is_resumable(context: GatewayContext, now: float, call_id: str) -> bool:
+    """Tell whether a stream that has stalled can go on at another endpoint now."""
+    pending = context.state.pending_by_id.get(call_id)
+    return pending is not None and _can_move(context, now, pending)
+
+
 def give_up_outdated(context: GatewayContext) -> list[Effect]:
     """Take calls away that have not begun where the version is about to be too old."""
     state = context.state
--- a/src/tamaracktray_emulator/platform/worker.py
+++ b/src/tamaracktray_emulator/platform/worker.py
@@ -25,6 +25,7 @@
 EVENTS = 6
 EVENT_S = 0.01
 WORK_S = 0.01
+DRIP_S = 0.2
 
 
 class Mode(str, Enum):
@@ -40,6 +41,8 @@
     GARBLED = "garbled"
     UNFRAMED = "unframed"
     EXTRA = "extra"
+    DRIPPING = "dripping"
+    CROSSED_REFUSAL = "crossed_refusal"
 
 
 class WorkerStandIn(StandIn):
@@ -118,12 +121,18 @@
         if self.mode is Mode.CUTTING:
             await responder.abort()
             return
+        if self.mode is Mode.CROSSED_REFUSAL:
+            await responder.respond(503, [(REQUEST_ID, "another"), (NOT_RUN, "1")])
+            return
         status = 500 if self.mode is Mode.FAILING else 200
         await responder.respond(status, headers, b"answer of " + self.id.encode())
 
 
 class EngineStandIn(WorkerStandIn):
-    """A worker that streams events and takes weights and orders."""
+    """A worker that streams events and takes weights and orders.
+
+    It makes a pause of ``pause_s`` seconds after event ``pause_after`` of a stream.
+    """
 
     def __init__(self, address: Address, endpoint_id: str, service: str) -> None:
         super().__init__(address, endpoint_id, service)
@@ -135,6 +144,8 @@
         self.sequence = 0
         self.born = 1
         self.load_s = 0.05
+        self.pause_after = 0
+        self.pause_s = 0.0
 
     def restart(self) -> None:
         """Lose the model but keep what is staged, as after a crash."""
@@ -233,8 +244,13 @@
         headers = [*headers, (VERSION, str(self.version))]
         headers.append(("content-type", "text/event-stream"))
         await responder.send_head(200, headers)
+        while self.mode is Mode.DRIPPING:
+            await responder.send_data(b":")
+            await curio.sleep(DRIP_S)
         for number in range(first, EVENTS + 1):
             await curio.sleep(EVENT_S)
+            if number == self.pause_after + 1:
+                await curio.sleep(self.pause_s)
             event = f"id: {number}\ndata: token {number}\n\n".encode()
             if self.mode is Mode.CUTTING and number > self.cut_after:
                 await responder.send_data(event[: len(event) // 2])
--- /dev/null
+++ b/tests/test_reported_faults.py
@@ -0,0 +1,488 @@
+"""Faults that operators of similar systems have reported, tried on this one."""
+
+import math
+import struct
+import time
+
+import curio
+import msgspec
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from gateways import (
+    MODEL,
+    REGION_BY_ZONE,
+    STREAM,
+    UNSAFE,
+    ZONE,
+    Gateway,
+    build_call,
+    build_route,
+    engine,
+)
+from platforms import KEY, WORKER_PORT, PlatformFleet, next_host, run_fleet
+from tamaracktray.beacons import Beacon, EndpointStatus, decode_beacon, encode_beacon
+from tamaracktray.calls import SendCall
+from tamaracktray.direct import reduce_direct
+from tamaracktray.direct_events import BeaconHeard, CloseIdle
+from tamaracktray.direct_state import DirectState
+from tamaracktray.effects import Exit
+from tamaracktray.events import ShutdownRequested, Tick
+from tamaracktray.http import HttpServer, Request
+from tamaracktray.kept_client import KeptClient
+from tamaracktray.peers import read_member
+from tamaracktray.platform.wire import PlatformWire
+from tamaracktray.relaying import measure_patience
+from tamaracktray.routes import RepeatKind
+from tamaracktray.snapshot_decoding import decode_snapshots
+from tamaracktray.types import Address, Role
+from tamaracktray.withdrawing import is_resumable
+from tamaracktray_emulator.platform.documents import build_tenant
+from tamaracktray_emulator.platform.store import Outage
+from tamaracktray_emulator.platform.worker import EVENTS, Mode
+
+# Pause of an engine that is slow but sound, and time after which one that sends no
+# whole event has to be given up at the latest, in seconds.
+SLOW_PAUSE_S = 1.3
+LATEST_END_S = 3.5
+
+ID_HEADER = b"x-tamaracktray-request-id"
+
+
+def build_entry_state() -> DirectState:
+    state = DirectState(
+        "entry-0",
+        Role.ENTRY,
+        ZONE,
+        REGION_BY_ZONE,
+        now=0.0,
+        version_bound_s=8.0,
+        grace_s=8.0,
+        quarantine_s=300.0,
+    )
+    state.gateway = Gateway(engine("a"), engine("bb")).state
+    return state
+
+
+async def _listed(fleet: PlatformFleet, count: int) -> None:
+    roster = fleet.entries[0].state.roster
+    await fleet.until(lambda: len(roster.records_by_id) == count)
+
+
+class TestSecondAnswer:
+    """A server sent a second copy of an answer, late, on a connection in use again."""
+
+    @pytest.mark.parametrize("gap_s", [0.0, 0.05])
+    def test_next_request_gets_its_own_answer(self, gap_s):
+        async def serve(client, _address) -> None:
+            number = 0
+            while await client.recv(65_536):
+                number += 1
+                answer = b"HTTP/1.1 200 OK\r\ncontent-length: 1\r\n\r\n%d" % number
+                await client.sendall(answer)
+                await curio.sleep(gap_s)
+                await client.sendall(answer)
+
+        async def scenario() -> list[bytes]:
+            server = curio.network.tcp_server_socket("127.0.0.1", 0)
+            port = server.getsockname()[1]
+            task = await curio.spawn(
+                curio.network.run_server, server, serve, daemon=True
+            )
+            client = KeptClient(Address("127.0.0.1", port))
+            bodies = []
+            for _ in range(4):
+                reply = await client.fetch("GET", "/report")
+                bodies.append(reply.unwrap().body)
+                await curio.sleep(0.1)
+            await task.cancel()
+            return bodies
+
+        # Each answer was the first on a connection of its own.
+        assert curio.run(scenario) == [b"1"] * 4
+
+    def test_entries_never_use_a_connection_twice(self):
+        async def serve(client, _address) -> None:
+            while data := await client.recv(65_536):
+                lines = data.split(b"\r\n")
+                own = next(line for line in lines if line.startswith(ID_HEADER))
+                request_id = own.partition(b":")[2].strip()
+                head = b"HTTP/1.1 200 OK\r\n%s\r\n" % own
+                head += b"x-tamaracktray-server-signature: sig\r\n"
+                head += b"content-length: %d\r\n\r\n" % len(request_id)
+                # The second copy comes while a client may use the connection again.
+                await client.sendall(head + request_id)
+                await curio.sleep(0.02)
+                await client.sendall(head + request_id)
+
+        async def scenario(fleet: PlatformFleet) -> None:
+            await fleet.start()
+            worker = await fleet.add_worker("w-1")
+            address = Address(next_host(), WORKER_PORT)
+            server = curio.network.tcp_server_socket(address.host, address.port)
+            await curio.spawn(curio.network.run_server, server, serve, daemon=True)
+            document = worker.describe(ZONE, address=str(address))
+            fleet.store.write("servers", "w-1", document)
+            roster = fleet.entries[0].state.roster
+            await fleet.until(
+                lambda: [r.address for r in roster.records_by_id.values()] == [address]
+            )
+            for number in range(5):
+                reply = await fleet.call("/order/1", f"id-{number}")
+                assert (reply.status, reply.body) == (200, b"id-%d" % number)
+                await curio.sleep(0.05)
+
+        run_fleet(scenario)
+
+
+class TestPlannedStop:
+    """During a planned stop requests that had just been accepted were cut off."""
+
+    def test_request_that_has_arrived_is_answered_when_idle_ones_are_closed(self):
+        async def handle(request: Request, responder) -> None:
+            await responder.respond(200, [], b"answer")
+
+        async def scenario() -> bytes:
+            server = HttpServer(Address("127.0.0.1", 0), handle)
+            await server.open()
+            await curio.spawn(server.serve, daemon=True)
+            client = await curio.open_connection("127.0.0.1", server.address.port)
+            await curio.sleep(0.05)
+            # Sent without giving the server's task a chance to run.
+            client._socket.send(b"GET / HTTP/1.1\r\nhost: a\r\n\r\n")
+            time.sleep(0.01)
+            assert server.busy_connections == 1
+            await server.close_idle()
+            answer = await curio.timeout_after(1.0, client.recv, 65_536)
+            await client.close()
+            return answer
+
+        assert b"answer" in curio.run(scenario)
+
+    def test_connection_without_a_request_is_closed(self):
+        async def scenario() -> bytes:
+            server = HttpServer(Address("127.0.0.1", 0), None)
+            await server.open()
+            await curio.spawn(server.serve, daemon=True)
+            client = await curio.open_connection("127.0.0.1", server.address.port)
+            await curio.sleep(0.05)
+            assert server.busy_connections == 0
+            await server.close_idle()
+            return await curio.timeout_after(1.0, client.recv, 65_536)
+
+        assert curio.run(scenario) == b""
+
+    def test_process_stays_while_a_request_is_being_received_or_answered(self):
+        state = build_entry_state()
+        reduce_direct(state, ShutdownRequested(0.0))
+        effects = reduce_direct(state, Tick(3.0, open_connections=1))[1]
+        assert not any(isinstance(effect, Exit) for effect in effects)
+        assert any(isinstance(effect, CloseIdle) for effect in effects)
+        effects = reduce_direct(state, Tick(3.1))[1]
+        assert any(isinstance(effect, Exit) for effect in effects)
+
+    def test_process_ends_before_it_is_killed(self):
+        state = build_entry_state()
+        reduce_direct(state, ShutdownRequested(0.0))
+        effects = reduce_direct(state, Tick(7.8, open_connections=1))[1]
+        assert any(isinstance(effect, Exit) for effect in effects)
+
+
+class TestStalledStreams:
+    """Slow but sound streams were cut; stalled ones that dripped never ended."""
+
+    def test_slow_stream_without_another_endpoint_goes_on(self):
+        async def scenario(fleet: PlatformFleet) -> None:
+            await fleet.start()
+            slow = await fleet.add_engine("e-1")
+            slow.pause_after = 2
+            slow.pause_s = SLOW_PAUSE_S
+            await _listed(fleet, 1)
+            reply = await fleet.call("/talk/1", wait_ms=6_000)
+            assert reply.status == 200
+            assert reply.body.count(b"id:") == EVENTS
+            assert len(slow.runs["id-1"]) == 1
+
+        run_fleet(scenario)
+
+    def test_stalled_stream_goes_on_where_there_is_room(self):
+        async def scenario(fleet: PlatformFleet) -> None:
+            await fleet.start()
+            for name in ("e-1", "e-2"):
+                stalled = await fleet.add_engine(name)
+                stalled.pause_after = 2
+                stalled.pause_s = 30.0
+            await _listed(fleet, 2)
+            other: list[str] = []
+
+            async def release_the_other() -> None:
+                while not other:
+                    for name, worker in fleet.workers.items():
+                        if "id-1" in worker.runs:
+                            other.extend({"e-1", "e-2"} - {name})
+                            fleet.workers[other[0]].pause_s = 0.0
+                    await curio.sleep(0.01)
+
+            await curio.spawn(release_the_other, daemon=True)
+            reply = await fleet.call("/talk/1", wait_ms=6_000)
+            assert reply.body.count(b"id:") == EVENTS
+            assert fleet.workers[other[0]].runs["id-1"][0]["last-event-id"] == "2"
+
+        run_fleet(scenario)
+
+    def test_stream_that_drips_bytes_ends(self):
+        async def scenario(fleet: PlatformFleet) -> None:
+            await fleet.start()
+            dripping = await fleet.add_engine("e-1")
+            dripping.mode = Mode.DRIPPING
+            await _listed(fleet, 1)
+            begun = time.monotonic()
+            reply = await fleet.call("/talk/1", wait_ms=9_000)
+            assert reply.status == 502
+            assert time.monotonic() - begun < LATEST_END_S
+
+        run_fleet(scenario)
+
+    @pytest.mark.parametrize(
+        ("objective_s", "gap_s", "least_s"), [(0.4, 0.3, 2.4), (0.6, 0.5, 4.0)]
+    )
+    def test_patience_is_not_below_that_of_callers(self, objective_s, gap_s, least_s):
+        route = build_route(
+            RepeatKind.STREAM,
+            "engines",
+            target_latency_s=objective_s,
+            gap_target_s=gap_s,
+        )
+        assert measure_patience(build_call("1", route)) >= least_s
+
+    def test_stream_that_may_not_run_again_is_not_moved(self):
+        gateway = Gateway(engine("a"), engine("bb"))
+        route = build_route(RepeatKind.STREAM, "engines", is_resumable=False)
+        call = build_call("1", route)
+        assert [e for e in gateway.arrive(call) if isinstance(e, SendCall)]
+        assert not is_resumable(gateway.context, gateway.now, call.id)
+        other = build_call("2", STREAM)
+        gateway.arrive(other)
+        assert is_resumable(gateway.context, gateway.now, other.id)
+
+
+class TestLostAnswer:
+    """After a lost answer work was run again, or the caller told it had not run."""
+
+    def test_refusal_of_another_request_promises_nothing(self):
+        async def scenario(fleet: PlatformFleet) -> None:
+            await fleet.start()
+            crossing = await fleet.add_worker("w-1")
+            crossing.mode = Mode.CROSSED_REFUSAL
+            await fleet.add_worker("w-2", zone="zone-b")
+            await _listed(fleet, 2)
+            reply = await fleet.call("/order/1", "id-1")
+            runs = sum(
+                len(worker.runs.get("id-1", [])) for worker in fleet.workers.values()
+            )
+            assert runs == 1
+            assert reply.status == 502
+
+        run_fleet(scenario)
+
+
+class TestMalformedMessages:
+    """One malformed message or unexpected error took a whole process down."""
+
+    @pytest.mark.parametrize(
+        "value",
+        [
+            None,
+            7,
+            {},
+            {"name": "entry-1"},
+            {"name": "entry-1", "zone": 3, "address": {"host": "10.0.0.1", "port": 1}},
+            {"name": "entry-1", "zone": "z", "address": {"host": "a..b", "port": 1}},
+            {
+                "name": "entry-1",
+                "zone": "z",
+                "address": {"host": "10.0.0.1", "port": 99_999},
+            },
+            {"name": "x", "zone": "z", "address": {"host": "10.0.0.1", "port": 1}},
+        ],
+    )
+    def test_member_that_cannot_be_read_is_left_out(self, value):
+        with pytest.raises(ValueError):
+            read_member("entry-1", value)
+
+        async def scenario(fleet: PlatformFleet) -> None:
+            await fleet.start(entries=2)
+            fleet.store.write("members", "entry-1", value)
+            await curio.sleep(0.3)
+            await fleet.add_worker("w-1")
+            await _listed(fleet, 1)
+            assert (await fleet.call("/order/1")).status == 200
+            assert all(not entry.is_halted for entry in fleet.entries)
+
+        run_fleet(scenario)
+
+    @pytest.mark.parametrize(
+        "address", ["a..b:80", "10.0.0.1:99999", "nowhere", "10.0.0.1:", "\u0661:80"]
+    )
+    def test_endpoint_with_an_impossible_address_is_left_out(self, address):
+        async def scenario(fleet: PlatformFleet) -> None:
+            await fleet.start()
+            stranger = await fleet.add_worker("w-0")
+            fleet.store.write(
+                "servers", "w-0", stranger.describe(ZONE, address=address)
+            )
+            await fleet.add_worker("w-1")
+            await fleet.until(lambda: fleet.entries[0].state.roster.records_by_id)
+            await curio.sleep(0.6)
+            for number in range(4):
+                reply = await fleet.call("/order/1", f"id-{number}")
+                assert (reply.status, reply.body) == (200, b"answer of w-1")
+
+        run_fleet(scenario)
+
+    @pytest.mark.parametrize(
+        "fields",
+        [
+            {"naming_ages_by_model": {MODEL: [(2, math.nan)]}},
+            {"naming_ages_by_model": {MODEL: [(2, -5.0)]}},
+            {"naming_ages_by_model": {MODEL: [(2, math.inf)]}},
+            {"in_flight_by_endpoint": {"a": -3}},
+            {"status": EndpointStatus("10.0.0.1:1", False, {}, math.nan)},
+            {"status": EndpointStatus("10.0.0.1:1", False, {}, -math.inf)},
+        ],
+    )
+    def test_beacon_with_impossible_figures_is_unreadable(self, fields):
+        data = encode_beacon(Beacon("peer", 1, 1, {}, {}, **fields))
+        assert decode_beacon(data).failure()
+
+    @given(st.binary(max_size=200))
+    def test_any_datagram_is_taken(self, data):
+        decode_beacon(data)
+
+    @given(st.binary(max_size=200))
+    def test_any_snapshot_answer_is_taken(self, data):
+        decode_snapshots(data)
+
+    @given(
+        st.builds(
+            Beacon,
+            st.text(max_size=5),
+            st.integers(0, 3),
+            st.integers(0, 99),
+            st.just({}),
+            st.just({}),
+            st.dictionaries(st.sampled_from(["a", "bb", "x"]), st.integers(0, 2**60)),
+            st.none()
+            | st.builds(
+                EndpointStatus,
+                st.sampled_from(["10.0.0.1:1001", "x", ":", "10.0.0.1:1002"]),
+                st.booleans(),
+                st.dictionaries(st.just(MODEL), st.integers(-5, 2**60)),
+                st.none() | st.floats(-1e300, 1e300),
+                st.integers(-5, 2**62),
+            ),
+            st.dictionaries(st.just(MODEL), st.integers(-5, 2**60)),
+            st.dictionaries(
+                st.just(MODEL),
+                st.lists(st.tuples(st.integers(-5, 2**60), st.floats(0, 1e300))),
+            ),
+        )
+    )
+    def test_any_beacon_is_reduced_and_calls_go_on(self, beacon):
+        state = build_entry_state()
+        decoded = decode_beacon(encode_beacon(beacon)).unwrap()
+        reduce_direct(state, BeaconHeard(0.0, decoded, Address("10.0.1.1", 1)))
+        reduce_direct(state, Tick(0.1))
+
+    @pytest.mark.parametrize(
+        "name",
+        [
+            "x-tamaracktray-deadline-ms",
+            "x-tamaracktray-token-usage",
+            "x-tamaracktray-length-hint",
+        ],
+    )
+    def test_endless_number_in_a_request_counts_as_absent(self, name):
+        headers = {name: "9" * 6_000}
+        request = Request("POST", "/", "/", {}, headers)
+        fields = PlatformWire().read_caller(request)
+        assert fields.wait_s is None
+        assert fields.prompt_tokens == fields.expected_output == 0
+
+    def test_endless_number_in_an_answer_counts_as_absent(self):
+        headers = {"x-tamaracktray-weight-versions": "9" * 6_000}
+        assert PlatformWire().read_answer(200, headers).version == 0
+
+    def test_peer_that_answers_nonsense_does_not_end_a_process(self):
+        async def answer(client, _address) -> None:
+            await client.recv(65_536)
+            body = struct.pack("<Q", 1)
+            head = b"HTTP/1.1 200 OK\r\ncontent-length: %d\r\n\r\n" % len(body)
+            await client.sendall(head + body)
+
+        async def scenario(fleet: PlatformFleet) -> None:
+            await fleet.start()
+            entry = fleet.entries[0]
+            server = curio.network.tcp_server_socket("127.0.0.1", 0)
+            port = server.getsockname()[1]
+            await curio.spawn(curio.network.run_server, server, answer, daemon=True)
+            await entry.pull(Address("127.0.0.1", port))
+            assert not entry.is_halted
+
+        run_fleet(scenario)
+
+    def test_snapshot_with_a_value_of_another_type_is_refused(self):
+        body = msgspec.msgpack.encode(
+            {"members": {"revision": 1, "objects_by_name": {"m": {"name": 3}}}}
+        )
+        assert decode_snapshots(body).failure()
+
+
+class TestInUseAgain:
+    """After a restart a withdrawn key, or a server that had left, was in use again."""
+
+    def test_key_withdrawn_while_all_watches_were_dead_is_refused(self):
+        async def scenario(fleet: PlatformFleet) -> None:
+            await fleet.start(entries=2)
+            await fleet.add_worker("w-1")
+            await _listed(fleet, 1)
+            # All watches are open when the store falls silent, and never answered.
+            fleet.store.faults.outage = Outage.SILENT
+            await curio.sleep(0.3)
+            fleet.store.faults.outage = Outage.NONE
+            fleet.tenants = [build_tenant("team-1", "key-2")]
+            fleet.configure()
+            await curio.sleep(5.0)
+            for entry in range(2):
+                reply = await fleet.call(
+                    "/order/1", f"id-{entry}", entry=entry, key=KEY
+                )
+                assert reply.status == 401
+
+        run_fleet(scenario)
+
+    def test_key_and_server_of_before_a_restart_stay_out(self):
+        async def scenario(fleet: PlatformFleet) -> None:
+            await fleet.start(entries=2)
+            await fleet.add_worker("w-1")
+            await fleet.add_worker("w-2")
+            await _listed(fleet, 2)
+            fleet.store.remove("servers", "w-1")
+            fleet.tenants = [build_tenant("team-1", "key-2")]
+            fleet.configure()
+            await _listed(fleet, 1)
+            entry = await fleet.restart_entry(0)
+            await fleet.until(lambda: entry.state.is_informed)
+            reply = await fleet.call("/order/1", "old-key", key=KEY)
+            assert reply.status == 401
+            for number in range(4):
+                reply = await fleet.call("/order/1", f"id-{number}", key="key-2")
+                assert reply.body == b"answer of w-2"
+
+        run_fleet(scenario)
+
+
+def test_unsafe_route_is_not_resumable():
+    gateway = Gateway(engine("a"))
+    assert not is_resumable(gateway.context, 0.0, build_call("1", UNSAFE).id)
