--- a/src/tamaracktray_emulator/platform/worker.py
+++ b/src/tamaracktray_emulator/platform/worker.py
@@ -1,5 +1,6 @@
 """Stand-in for the platform's workers: plain ones and model engines."""
 
+import time
 from enum import Enum
 from typing import Any
 
@@ -26,6 +27,7 @@
 EVENT_S = 0.01
 WORK_S = 0.01
 DRIP_S = 0.2
+MS_PER_S = 1_000.0
 
 
 class Mode(str, Enum):
@@ -66,6 +68,7 @@
         self.is_leaving = False
         self.pause = ""
         self.is_pause_marked = True
+        self.born = 1
 
     def describe(self, zone: str, **fields: Any) -> dict[str, Any]:
         """Return the entry that the worker writes into the store."""
@@ -80,7 +83,7 @@
             "stage": "both",
             "models": [],
             "seq": 0,
-            "born": 1,
+            "born": self.born,
             **fields,
         }
 
@@ -91,7 +94,9 @@
         if request.headers.get(EXPECTED_ENDPOINT, self.id) != self.id:
             await responder.respond(421, notices)
             return
+        self.note_arrival(request)
         if self.pause:
+            self.note_pause(request, float(self.pause))
             marks = [(NOT_RUN, "1")] if self.is_pause_marked else []
             await responder.respond(503, [*notices, *marks, (PAUSE, self.pause)])
             return
@@ -103,6 +108,12 @@
         await self.run(request, responder, self._build_headers(request_id))
         self.finished.append(request_id)
 
+    def note_arrival(self, request: Request) -> None:
+        """Take in a request that was meant for this worker."""
+
+    def note_pause(self, request: Request, pause_s: float) -> None:
+        """Take in that a request was turned away, with a pause asked for."""
+
     def _build_headers(self, request_id: str) -> Headers:
         if self.mode is Mode.CROSSED:
             request_id = "another"
@@ -142,7 +153,6 @@
         self.orders: list[dict[str, Any]] = []
         self.is_busy = False
         self.sequence = 0
-        self.born = 1
         self.load_s = 0.05
         self.pause_after = 0
         self.pause_s = 0.0
@@ -151,7 +161,7 @@
         """Lose the model but keep what is staged, as after a crash."""
         self.version = 0
         self.sequence = 0
-        self.born += 1
+        self.born = max(self.born + 1, int(time.time() * MS_PER_S))
 
     def list_models(self) -> list[dict[str, Any]]:
         """Return the models as reports and entries list them."""
--- a/src/tamaracktray_emulator/soak/callers.py
+++ b/src/tamaracktray_emulator/soak/callers.py
@@ -9,7 +9,8 @@
 
 from tamaracktray.types import Address
 from tamaracktray_emulator.platform.documents import ENGINE_MODEL
-from tamaracktray_emulator.platform.worker import EVENTS
+from tamaracktray_emulator.platform.worker import EVENTS, LEAVING
+from tamaracktray_emulator.soak.notices import NoticeCheck
 from tamaracktray_emulator.soak.record import Kind, SoakCall, SoakRecord
 
 HOST = "studio.example"
@@ -101,6 +102,7 @@
     ) -> None:
         self.record = record
         self.addresses_by_entry: dict[str, Address] = {}
+        self.check: NoticeCheck | None = None
         self.key = ""
         self.team = ""
         self._random = random.Random(seed)
@@ -148,6 +150,9 @@
             call.cut_by = connection.entry
             return False
         call.status = answer.status
+        signer = answer.headers.get(SIGNATURE, "").removeprefix("sig.")
+        if self.check is not None and signer and LEAVING in answer.headers:
+            self.check.note_passed_on(call.entry, signer, call.ended_at)
         self.record.note_answer(call)
         if 200 <= answer.status < 300:
             self._check_success(call, answer)
--- a/src/tamaracktray_emulator/soak/calm.py
+++ b/src/tamaracktray_emulator/soak/calm.py
@@ -28,6 +28,15 @@
         self._unrest.append(unrest)
         return unrest
 
+    def is_harmed(self, subject: str, start: float, end: float) -> bool:
+        """Tell whether a fault named ``subject`` between ``start`` and ``end``."""
+        return any(
+            subject in item.name
+            and item.start < end
+            and (item.end is None or item.end > start)
+            for item in self._unrest
+        )
+
     def is_calm(self, start: float, end: float) -> bool:
         """Tell whether no fault touched the time from ``start`` to ``end``."""
         return not any(
--- a/src/tamaracktray_emulator/soak/endpoints.py
+++ b/src/tamaracktray_emulator/soak/endpoints.py
@@ -9,6 +9,7 @@
 from tamaracktray.types import Address
 from tamaracktray_emulator.platform.origin import list_digests
 from tamaracktray_emulator.platform.worker import EngineStandIn, WorkerStandIn
+from tamaracktray_emulator.soak.notices import NoticeCheck
 from tamaracktray_emulator.soak.record import Run, SoakRecord
 
 TEAM_HEADER = "x-tamaracktray-tenant"
@@ -23,6 +24,20 @@
     zone: str
     started: float
     listed_address: Address
+    check: NoticeCheck | None = None
+
+    def note_arrival(self, request: Request) -> None:
+        """Let the arrival be checked against what this endpoint said of itself."""
+        if self.check is not None:
+            call_id = request.headers.get(REQUEST_ID, "")
+            self.check.note_arrival(call_id, self.id, time.monotonic() - self.started)
+
+    def note_pause(self, request: Request, pause_s: float) -> None:
+        """Let it be checked that the pause is kept."""
+        if self.check is not None:
+            call_id = request.headers.get(REQUEST_ID, "")
+            now = time.monotonic() - self.started
+            self.check.note_pause(call_id, self.id, now, pause_s)
 
     def note(self, request: Request, version: int = 0) -> None:
         headers = request.headers
--- a/src/tamaracktray_emulator/soak/run.py
+++ b/src/tamaracktray_emulator/soak/run.py
@@ -9,6 +9,8 @@
 from tamaracktray_emulator.soak.calm import CalmLog
 from tamaracktray_emulator.soak.faults import FaultPlayer
 from tamaracktray_emulator.soak.fleet import TEAM, SoakFleet
+from tamaracktray_emulator.soak.notice_faults import NoticePlayer
+from tamaracktray_emulator.soak.notices import NoticeCheck
 from tamaracktray_emulator.soak.plan import SoakPlan, SoakReport
 from tamaracktray_emulator.soak.record import NOT_RUN_STATUSES, SoakRecord
 from tamaracktray_emulator.soak.works import Works
@@ -38,8 +40,12 @@
     fleet = SoakFleet(plan, directory, record)
     calm = CalmLog()
     await fleet.start()
+    check = NoticeCheck(record, calm)
+    for endpoint in fleet.endpoints:
+        endpoint.check = check
     wait_s = plan.callers / plan.rate
     callers = Callers(record, plan.seed, fleet.started, wait_s)
+    callers.check = check
     callers.key, callers.team = fleet.keys[0], TEAM
     callers.addresses_by_entry = {
         name: proxy.address for name, proxy in fleet.entry_proxies.items()
@@ -49,7 +55,12 @@
         tasks = [await curio.spawn(callers.run_caller) for _ in range(plan.callers)]
         tasks.append(await curio.spawn(_watch_ends, fleet, record))
         works = Works(fleet, calm, callers, record)
-        await _play_for(plan.duration_s, FaultPlayer(fleet, calm).run, works.run)
+        await _play_for(
+            plan.duration_s,
+            FaultPlayer(fleet, calm).run,
+            works.run,
+            NoticePlayer(fleet, check).run,
+        )
         await fleet.heal()
         await curio.sleep(RECOVER_S)
         final = fleet.now
