--- a/src/tamaracktray_emulator/soak/notice_faults.py
+++ b/src/tamaracktray_emulator/soak/notice_faults.py
@@ -7,10 +7,13 @@
 from tamaracktray_emulator.soak.fleet import SoakFleet, build_random
 from tamaracktray_emulator.soak.notices import NoticeCheck
 
-# Times between two such faults and of one, in seconds.
-MEAN_GAP_S = 2.0
-SHORTEST_S = 0.6
-LONGEST_S = 3.0
+# Time between two such faults, time of one and pause asked for, in seconds. Leaving is
+# checked some seconds after it was told.
+MEAN_GAP_S = 1.0
+SHORTEST_S = 1.0
+LONGEST_S = 5.0
+SHORTEST_PAUSE_S = 0.2
+LONGEST_PAUSE_S = 3.0
 
 MS_PER_S = 1_000.0
 
@@ -36,7 +39,7 @@
                 if self._random.random() < 0.5:
                     endpoint.is_leaving = True
                 else:
-                    endpoint.pause = f"{self._random.uniform(0.2, LONGEST_S):.2f}"
+                    endpoint.pause = self._draw_pause()
                     endpoint.is_pause_marked = self._random.random() < 0.7
                 await curio.sleep(time_s)
             finally:
@@ -46,3 +49,6 @@
                     endpoint.born = int(time.time() * MS_PER_S)
                     self._check.note_new_life(endpoint.id)
                     self._fleet.list_endpoint(endpoint)
+
+    def _draw_pause(self) -> str:
+        return f"{self._random.uniform(SHORTEST_PAUSE_S, LONGEST_PAUSE_S):.2f}"
