Let an entry's work for a beacon follow what it tells, not the fleet

An entry looked at every engine for each beacon of a peer or an agent, added up all peers' counts for each engine it weighed, and dealt the homes out anew ten times a second whether or not anything had changed. Now it looks at the endpoints that a peer names or named last, keeps the sum of the counts, finds an agent's engine by its address, and deals out again only when entries, peers, services or usable engines have changed. Decisions are the same.

--- a/src/tamaracktray/gateway_fleet.py
+++ b/src/tamaracktray/gateway_fleet.py
@@ -35,20 +35,30 @@
             load.cold_deadline = now + record.cold_s
         state.follow_notices(load)
         loads[endpoint_id] = load
-    state.loads_by_id = loads
+    state.follow_loads(loads)
     state.notices.expire(now, records_by_id)
     deal_homes(context)
 
 
 def deal_homes(context: GatewayContext) -> None:
-    """Follow which engines are at home here, of those that can serve now."""
+    """Follow which engines are at home here, of those that can serve now.
+
+    Nothing is done again while nothing has changed that they are dealt out by.
+    """
     state, services = context.state, context.around.services_by_name
+    usable_by_service = {
+        name: _list_usable(context, service)
+        for name, service in services.items()
+        if service.engine is not None
+    }
+    dealt = (state.entries, state.peers, services, usable_by_service)
+    if dealt == state.dealt:
+        return
+    state.dealt = dealt
     if state.entries:
         homes: set[str] = set()
-        for service in services.values():
-            if service.engine is not None:
-                usable = _list_usable(context, service)
-                homes.update(find_homes(state.name, state.entries, usable))
+        for usable in usable_by_service.values():
+            homes.update(find_homes(state.name, state.entries, usable))
         state.home_ids = frozenset(homes)
     for endpoint_id, load in state.loads_by_id.items():
         service = services.get(load.record.service)
--- a/src/tamaracktray/gateway_state.py
+++ b/src/tamaracktray/gateway_state.py
@@ -12,7 +12,6 @@
 from tamaracktray.notices import EndpointNotices
 from tamaracktray.placement import EndpointLoad, Surroundings
 from tamaracktray.quarantine import CrashLedger
-from tamaracktray.types import Address
 from tamaracktray.waiting import WaitingLine
 
 # Weight of a new measurement in the mean time to the begin of an answer; about the last
@@ -88,15 +87,19 @@
 class GatewayState:
     """The calls and endpoint loads of the entry ``name``.
 
-    ``home_ids`` are the engines whose home it is among the ``entries`` that answer.
+    ``home_ids`` are the engines whose home it is among the ``entries`` that answer, and
+    ``dealt`` what they were dealt out by. ``told_by_peer`` are the endpoints at which a
+    peer said last that it has calls.
     """
 
     __slots__ = (
         "bands_by_route",
         "bounds",
         "budget_by_service",
+        "dealt",
         "entries",
         "home_ids",
+        "ids_by_address",
         "loads_by_id",
         "longest_wait_by_route",
         "name",
@@ -105,6 +108,7 @@
         "pending_by_id",
         "room_by_service",
         "start_delay_by_service",
+        "told_by_peer",
         "waiting",
     )
 
@@ -115,6 +119,9 @@
         self.peers = 0
         self.entries: tuple[Place, ...] = ()
         self.home_ids: frozenset[str] = frozenset()
+        self.dealt: tuple | None = None
+        self.ids_by_address: dict[str, list[str]] = {}
+        self.told_by_peer: dict[str, frozenset[str]] = {}
         self.loads_by_id: dict[str, EndpointLoad] = {}
         self.pending_by_id: dict[str, PendingCall] = {}
         self.waiting = WaitingLine()
@@ -124,10 +131,26 @@
         self.room_by_service: dict[str, ServedRate] = {}
         self.start_delay_by_service: dict[str, float] = {}
 
+    def follow_loads(self, loads_by_id: dict[str, EndpointLoad]) -> None:
+        """Follow which endpoints there are."""
+        self.loads_by_id = loads_by_id
+        self.dealt = None
+        self.ids_by_address = {}
+        for endpoint_id, load in loads_by_id.items():
+            address = str(load.record.address)
+            self.ids_by_address.setdefault(address, []).append(endpoint_id)
+
     def note_peer(self, now: float, peer: str, counts: Mapping[str, int]) -> None:
-        """Take in how many calls a peer has at each endpoint that has any."""
-        for endpoint_id, load in self.loads_by_id.items():
-            load.note_peer(now, peer, counts.get(endpoint_id, 0))
+        """Take in how many calls a peer has at each endpoint that has any.
+
+        Only the endpoints that it names, or named last, are looked at.
+        """
+        named = frozenset(counts)
+        for endpoint_id in self.told_by_peer.get(peer, frozenset()) | named:
+            load = self.loads_by_id.get(endpoint_id)
+            if load is not None:
+                load.note_peer(now, peer, counts.get(endpoint_id, 0))
+        self.told_by_peer[peer] = named
 
     def follow_notices(self, load: EndpointLoad) -> None:
         """Let an endpoint's load follow what the endpoint said of itself."""
@@ -136,14 +159,8 @@
 
     def note_status(self, now: float, status: EndpointStatus) -> None:
         """Take in what an agent says of its engine."""
-        try:
-            address = Address.parse(status.address)
-        except ValueError:
-            return
-        for load in self.loads_by_id.values():
-            if load.record.address != address:
-                continue
-            load.note_status(
+        for endpoint_id in self.ids_by_address.get(status.address, ()):
+            self.loads_by_id[endpoint_id].note_status(
                 now,
                 status.is_swapping,
                 status.version_by_model,
--- a/src/tamaracktray/placement.py
+++ b/src/tamaracktray/placement.py
@@ -5,6 +5,7 @@
 queue cannot be reordered and is where latency objectives are missed.
 """
 
+import math
 from collections.abc import Iterable, Mapping
 
 import msgspec
@@ -80,6 +81,8 @@
 
     __slots__ = (
         "_peer_counts",
+        "_peer_expiry",
+        "_peer_total",
         "blocked_deadline",
         "borrow_distance",
         "cold_budget",
@@ -118,6 +121,8 @@
         self.borrow_distance = 0.0
         self._version_by_model: dict[str, int] | None = None
         self._peer_counts: dict[str, tuple[int, float]] = {}
+        self._peer_expiry = math.inf
+        self._peer_total = 0
 
     def note_status(
         self,
@@ -176,18 +181,26 @@
 
     def note_peer(self, now: float, peer: str, count: int) -> None:
         """Take in how many calls a peer has at the endpoint."""
+        known, _ = self._peer_counts.pop(peer, (0, 0.0))
+        self._peer_total += count - known
         if count:
-            self._peer_counts[peer] = (count, now + PEER_COUNT_S)
-        else:
-            self._peer_counts.pop(peer, None)
+            deadline = now + PEER_COUNT_S
+            self._peer_counts[peer] = (count, deadline)
+            self._peer_expiry = min(self._peer_expiry, deadline)
 
     def count_running(self, now: float) -> int:
         """Return the calls of all processes at the endpoint."""
-        total = self.in_flight
-        for count, deadline in self._peer_counts.values():
-            if deadline > now:
-                total += count
-        return total
+        if now >= self._peer_expiry:
+            self._drop_expired_counts(now)
+        return self.in_flight + self._peer_total
+
+    def _drop_expired_counts(self, now: float) -> None:
+        self._peer_counts = {
+            peer: item for peer, item in self._peer_counts.items() if item[1] > now
+        }
+        self._peer_total = sum(count for count, _ in self._peer_counts.values())
+        deadlines = (deadline for _, deadline in self._peer_counts.values())
+        self._peer_expiry = min(deadlines, default=math.inf)
 
     def note_sent(self, now: float) -> None:
         """Count a call that is being sent."""
--- a/src/tamaracktray/withdrawing.py
+++ b/src/tamaracktray/withdrawing.py
@@ -21,11 +21,11 @@
 def give_up_silent(context: GatewayContext, now: float) -> list[Effect]:
     """Take calls away from endpoints that have gone silent."""
     state = context.state
-    silence_by_id = {
-        endpoint_id: load.measure_silence(now)
-        for endpoint_id, load in state.loads_by_id.items()
-        if load.measure_silence(now) > GIVE_UP_S
-    }
+    silence_by_id: dict[str, float] = {}
+    for endpoint_id, load in state.loads_by_id.items():
+        silence = load.measure_silence(now)
+        if silence > GIVE_UP_S:
+            silence_by_id[endpoint_id] = silence
     if not silence_by_id:
         return []
     effects: list[Effect] = []
--- a/src/tamaracktray_emulator/admission.py
+++ b/src/tamaracktray_emulator/admission.py
@@ -377,7 +377,7 @@
 
         def deliver() -> None:
             job = EngineJob(effect.call_id, caller.prompt_tokens, caller.output_tokens)
-            if not self._engines[effect.endpoint_id].accept(job):
+            if not self._accept(effect.endpoint_id, job):
                 self._refusals += 1
                 self._end(entry, effect, AttemptPhase.REFUSED)
                 return
@@ -386,6 +386,9 @@
 
         self._after(NETWORK_S, deliver)
 
+    def _accept(self, endpoint_id: str, job: EngineJob) -> bool:
+        return self._engines[endpoint_id].accept(job)
+
     def _refuse(self, effect: RefuseCall) -> None:
         caller = self._caller_by_call.pop(effect.call_id)
         retry_after_s = effect.refusal.retry_after_s
@@ -409,9 +412,13 @@
             for call_id in result.finished:
                 self._finish(endpoint_id, call_id)
             self._work(endpoint_id)
+            self._note_pass(endpoint_id)
 
         self._after(result.duration_s, finish)
 
+    def _note_pass(self, endpoint_id: str) -> None:
+        """Take in that an engine has ended a pass."""
+
     def _progress(self, endpoint_id: str, call_id: str) -> None:
         caller = self._caller_by_call[call_id]
         self._heard[caller.entry].add(endpoint_id)
@@ -479,13 +486,13 @@
             asked=len(counted),
             in_time=_share(counted, lambda caller: caller.is_in_time),
             served=_share(counted, lambda caller: caller.is_done),
-            worth=_measure_worth(counted),
+            worth=measure_worth(counted),
             largest_served=_share(largest, lambda caller: caller.is_done),
             first_part_p50=first_parts[len(first_parts) // 2],
             first_part_p95=first_parts[int(len(first_parts) * 0.95)],
             engine_refusals=self._refusals,
             worth_by_kind={
-                kind.name: _measure_worth(
+                kind.name: measure_worth(
                     [caller for caller in counted if caller.kind is kind]
                 )
                 for kind in KINDS
@@ -497,7 +504,7 @@
     return round(sum(map(test, callers)) / len(callers), 3)
 
 
-def _measure_worth(callers: list[CallerRecord]) -> float:
+def measure_worth(callers: list[CallerRecord]) -> float:
     """Return the share of the worth that was earned."""
     owed = sum(caller.worth for caller in callers)
     earned = 0.0
--- a/tests/test_work.py
+++ b/tests/test_work.py
@@ -1,6 +1,8 @@
 """How much work one event makes, counted, so that it does not grow with the fleet."""
 
 import pytest
+from hypothesis import given
+from hypothesis import strategies as st
 
 from gateways import (
     ORDERS,
@@ -18,8 +20,9 @@
 from tamaracktray.calls import SendCall
 from tamaracktray.direct_events import BeaconHeard
 from tamaracktray.direct_state import DirectState
+from tamaracktray.homes import Place
 from tamaracktray.outcomes import AttemptPhase
-from tamaracktray.placement import choose_endpoint
+from tamaracktray.placement import PEER_COUNT_S, EndpointLoad, choose_endpoint
 from tamaracktray.types import Address, Role
 
 ENDPOINTS = 29
@@ -158,3 +161,84 @@
         gateway = Gateway(engine("a"))
         self.hear(gateway, "agent", status=EndpointStatus(address, True, {}))
         assert not gateway.load("a").is_swapping
+
+
+class TestLargeFleets:
+    """What one event costs must not follow the size of the fleet it is about."""
+
+    def build(self) -> Gateway:
+        return Gateway(*(engine(f"e{n}") for n in range(ENDPOINTS)))
+
+    def test_counts_of_a_peer_touch_the_endpoints_that_it_names(self, monkeypatch):
+        touched: list[str] = []
+        note_peer = EndpointLoad.note_peer
+
+        def note(load, now, peer, count):
+            touched.append(load.record.id)
+            note_peer(load, now, peer, count)
+
+        monkeypatch.setattr(EndpointLoad, "note_peer", note)
+        gateway = self.build()
+        gateway.state.note_peer(0.0, "peer", {"e1": 2, "e2": 1})
+        assert sorted(touched) == ["e1", "e2"]
+        touched.clear()
+        gateway.state.note_peer(0.1, "peer", {"e2": 3, "gone": 1})
+        assert sorted(touched) == ["e1", "e2"]
+        assert gateway.load("e1").count_running(0.1) == 0
+        assert gateway.load("e2").count_running(0.1) == 3
+
+    def test_counts_of_peers_add_up_and_expire(self):
+        gateway = self.build()
+        gateway.state.note_peer(0.0, "p", {"e1": 2})
+        gateway.state.note_peer(0.6, "q", {"e1": 3})
+        load = gateway.load("e1")
+        assert load.count_running(0.9) == 5
+        assert load.count_running(PEER_COUNT_S + 0.1) == 3
+        gateway.state.note_peer(PEER_COUNT_S + 0.2, "p", {"e1": 1})
+        assert load.count_running(PEER_COUNT_S + 0.3) == 4
+        assert load.count_running(2 * PEER_COUNT_S + 0.3) == 0
+
+    @given(
+        st.lists(
+            st.tuples(
+                st.sampled_from(["p", "q", "r"]),
+                st.dictionaries(st.sampled_from(["e0", "e1", "x"]), st.integers(0, 5)),
+                st.floats(0.0, 0.8),
+            ),
+            max_size=20,
+        )
+    )
+    def test_sums_are_those_of_the_counts_that_hold(self, beacons):
+        gateway = self.build()
+        told: dict[str, dict[str, tuple[int, float]]] = {"e0": {}, "e1": {}}
+        now = 0.0
+        for peer, counts, gap_s in beacons:
+            now += gap_s
+            gateway.state.note_peer(now, peer, counts)
+            for name, by_peer in told.items():
+                by_peer[peer] = (counts.get(name, 0), now + PEER_COUNT_S)
+                expected = sum(count for count, end in by_peer.values() if end > now)
+                assert gateway.load(name).count_running(now) == expected
+
+    def test_homes_are_dealt_out_anew_only_when_something_has_changed(
+        self, monkeypatch
+    ):
+        dealt: list[str] = []
+        find = gateway_fleet.find_homes
+
+        def find_homes(name, entries, endpoints):
+            dealt.append(name)
+            return find(name, entries, endpoints)
+
+        monkeypatch.setattr(gateway_fleet, "find_homes", find_homes)
+        gateway = self.build()
+        gateway.state.entries = (Place("entry-0", "region-a"),)
+        gateway_fleet.deal_homes(gateway.context)
+        assert len(dealt) == 1
+        gateway_fleet.deal_homes(gateway.context)
+        assert len(dealt) == 1
+        gateway.load("e3").note_status(0.0, is_swapping=True, version_by_model={})
+        gateway_fleet.deal_homes(gateway.context)
+        assert len(dealt) == 2
+        gateway.follow(*(engine(f"e{n}") for n in range(ENDPOINTS - 1)))
+        assert len(dealt) == 3
