--- a/src/tamaracktray/gateway.py
+++ b/src/tamaracktray/gateway.py
@@ -23,6 +23,7 @@
 )
 from tamaracktray.gateway_state import (
     GatewayContext,
+    GatewayState,
     PendingCall,
 )
 from tamaracktray.notices import (
@@ -100,11 +101,15 @@
 def handle_notice(context: GatewayContext, event: EndpointNoticed) -> list[Effect]:
     """Send nothing more to an endpoint that leaves, and nothing yet to one that pauses.
 
-    Calls that wait for such endpoints alone are refused at once.
+    Calls that wait for such endpoints alone are refused at once. An endpoint that
+    leaves says so in each of its answers, of which the first is news.
     """
     state = context.state
+    speakers = _list_speakers(context, event)
+    if event.pause_s is None and all(_is_known_leaving(state, id_) for id_ in speakers):
+        return []
     now_ms = (event.now + context.unix_offset_s) * MS_PER_S
-    for endpoint_id in _list_speakers(context, event):
+    for endpoint_id in speakers:
         load = state.loads_by_id.get(endpoint_id)
         born_ms = 0 if load is None else load.record.born_ms
         life = Life(endpoint_id, max(now_ms, born_ms))
@@ -129,6 +134,11 @@
     return [name for name in loads_by_id if loads_by_id[name].record.address == address]
 
 
+def _is_known_leaving(state: GatewayState, endpoint_id: str) -> bool:
+    load = state.loads_by_id.get(endpoint_id)
+    return load is not None and load.is_leaving
+
+
 def _note_notice(event: EndpointNoticed) -> NoteNotice:
     if event.pause_s is None:
         return NoteNotice(event.endpoint_id, event.is_leaving)
--- a/src/tamaracktray/store_follower.py
+++ b/src/tamaracktray/store_follower.py
@@ -105,13 +105,14 @@
         is_listed = is_stormy = False
         failed_at = 0.0
         while True:
+            begun = time.monotonic()
             if not self._calls.may_read(collection):
                 is_listed = False
                 await curio.sleep(FOLLOWER_CHECK_S)
                 continue
             if not is_listed:
                 before = self._find_change(collection)
-                failure = await self._list(collection)
+                failure, changes = await self._list(collection), 1
                 is_listed = failure is None
                 if is_stormy:
                     # As long as every list brings a change, a watch would bring more.
@@ -130,7 +131,10 @@
             if failure is None:
                 await self._note_success(collection, failed_at)
                 failed_at = 0.0
-                await curio.sleep(SETTLE_S_BY_COLLECTION.get(collection, SETTLE_S))
+                settled_at = begun + SETTLE_S_BY_COLLECTION.get(collection, SETTLE_S)
+                if changes:
+                    settled_at += time.monotonic() - begun
+                await curio.sleep(max(settled_at - time.monotonic(), 0.0))
                 continue
             if isinstance(failure, RevisionExpiredError):
                 self._log.info("history expired", collection=collection.value)
--- a/tests/test_notices.py
+++ b/tests/test_notices.py
@@ -142,6 +142,12 @@
         assert not gateway.end(call, "w", AttemptPhase.ANSWERED)
         assert gateway.load("w").in_flight == 0
 
+    def test_only_the_first_answer_that_tells_it_is_news(self):
+        gateway = Gateway(worker("w"))
+        assert notice(gateway, "w", is_leaving=True)
+        assert not notice(gateway, "w", is_leaving=True)
+        assert notice(gateway, "w", is_leaving=True, pause_s=1.0)
+
     def test_waiting_call_is_refused_when_its_last_endpoint_leaves(self):
         gateway = Gateway(worker("w", max_batch=1))
         gateway.arrive(build_call("1", SAFE))
