Let engines go back to the previous version of a rollout that has halted

Callers met fewer and fewer engines: one that crashed while it loaded a bad version holds nothing, and its claim of a slot for the version before was refused because the rollout had halted. It asked again without a pause, for ever (12,000 log lines in 40 s). That is the cause of test_rollouts TestBadVersion[crash_on_load]: when three of four engines crash before two failures are recorded, one is left and the test waits in vain for two. Three tests fail without the change.

--- a/src/tamaracktray/delivery.py
+++ b/src/tamaracktray/delivery.py
@@ -257,7 +257,8 @@
             state.target.manifest,
             state.target.rollout,
             state.target.max_unavailable,
-            state.target.failure_limit,
+            # Failures of the version that a rollout brings halt it, not the way back.
+            None if state.target.is_rollback else state.target.failure_limit,
             is_swap=bool(state.serving),
         )
     ]
@@ -337,6 +338,8 @@
     _restart(state)
     state.phase = Phase.FAILED
     state.target = choose_target(state, context.configuration)
+    if state.target.manifest in state.failed_manifests:
+        state.retry_deadline = now + SLOT_RETRY_S
     return effects + advance(context, now)
 
 
--- a/src/tamaracktray/delivery_state.py
+++ b/src/tamaracktray/delivery_state.py
@@ -31,13 +31,18 @@
 
 
 class Target(msgspec.Struct, frozen=True):
-    """The version an agent works towards and the rollout that asks for it."""
+    """The version an agent works towards and the rollout that asks for it.
+
+    With ``is_rollback`` it is not the version that the rollout brings but the one that
+    serves where that one failed.
+    """
 
     rollout: str = ""
     version: str = ""
     manifest: str = ""
     max_unavailable: int = 1
     failure_limit: int = 1
+    is_rollback: bool = False
 
 
 class DeliveryState:
@@ -130,7 +135,14 @@
 def _build_target(
     rollout: str, spec: RolloutSpec, version: str, manifest: str
 ) -> Target:
-    return Target(rollout, version, manifest, spec.max_unavailable, spec.failure_limit)
+    return Target(
+        rollout,
+        version,
+        manifest,
+        spec.max_unavailable,
+        spec.failure_limit,
+        is_rollback=version != spec.version,
+    )
 
 
 def name_manifest(configuration: Configuration, manifest: str) -> str:
--- a/src/tamaracktray/effects.py
+++ b/src/tamaracktray/effects.py
@@ -104,12 +104,15 @@
 
 
 class ClaimSlot(Effect, frozen=True):
-    """Claim a rollout slot of the own availability zone."""
+    """Claim a rollout slot of the own availability zone.
+
+    ``failure_limit`` is ``None`` where failures of the rollout do not count.
+    """
 
     manifest: str
     rollout: str
     max_unavailable: int
-    failure_limit: int
+    failure_limit: int | None
     is_swap: bool
 
 
--- a/src/tamaracktray/slots.py
+++ b/src/tamaracktray/slots.py
@@ -101,18 +101,18 @@
         return f"{self._model}.{self._zone}"
 
     async def claim(
-        self, rollout: str, max_unavailable: int, failure_limit: int, *, is_swap: bool
+        self,
+        rollout: str,
+        max_unavailable: int,
+        failure_limit: int | None,
+        *,
+        is_swap: bool,
     ) -> SlotGrant:
-        """Claim a slot unless the rollout has failed too often."""
-        failures = await self.read_failures(rollout)
-        if isinstance(failures, Failure):
-            return SlotGrant(SlotOutcome.UNAVAILABLE, reason="platform unavailable")
-        reasons = failures.unwrap().reason_by_instance
-        if len(reasons) >= failure_limit:
-            names = ", ".join(sorted(reasons))
-            return SlotGrant(
-                SlotOutcome.HALTED, reason=f"halted after failures on {names}"
-            )
+        """Claim a slot unless the rollout has failed on ``failure_limit`` instances."""
+        if failure_limit is not None:
+            refusal = await self._check_failures(rollout, failure_limit)
+            if refusal is not None:
+                return refusal
 
         def step(table: SlotTable) -> SlotTable | None:
             return claim_slot(
@@ -126,6 +126,18 @@
 
         return await self._update_slots(step)
 
+    async def _check_failures(
+        self, rollout: str, failure_limit: int
+    ) -> SlotGrant | None:
+        failures = await self.read_failures(rollout)
+        if isinstance(failures, Failure):
+            return SlotGrant(SlotOutcome.UNAVAILABLE, reason="platform unavailable")
+        reasons = failures.unwrap().reason_by_instance
+        if len(reasons) < failure_limit:
+            return None
+        names = ", ".join(sorted(reasons))
+        return SlotGrant(SlotOutcome.HALTED, reason=f"halted after failures on {names}")
+
     async def release(self) -> bool:
         """Give the slot back; a slot that stays is freed by its deadline."""
 
--- a/tests/test_delivery.py
+++ b/tests/test_delivery.py
@@ -1,3 +1,4 @@
+import curio
 import pytest
 
 from tamaracktray.delivery_state import Phase
@@ -25,7 +26,9 @@
 )
 from tamaracktray.outcomes import FetchOutcome, RunOutcome, SlotOutcome
 from tamaracktray.resources import Kind, RolloutSpec, RolloutState, VersionSpec
+from tamaracktray.slots import SlotKeeper
 from tamaracktray.testing import (
+    MemoryObjectStore,
     make_agent,
     make_instance,
     make_model,
@@ -308,6 +311,28 @@
         engine.send(SlotAnswered, NEW, SlotOutcome.HALTED, reason="halted")
         assert engine.driver.find(FetchManifest)[0].digest == OLD
 
+    def test_halt_does_not_stop_the_way_back(self):
+        """An engine that crashed on the new version holds nothing any more."""
+        engine = serving_old()
+        engine.to_slot()
+        assert engine.driver.find(ClaimSlot)[0].failure_limit is not None
+        engine.grant()
+        engine.report("", boot="boot-2")
+        engine.to_slot(OLD)
+        (claim,) = engine.driver.find(ClaimSlot)
+        assert claim.manifest == OLD
+        assert claim.failure_limit is None
+
+    def test_version_that_fails_again_is_not_tried_again_at_once(self):
+        engine = serving_old()
+        engine.to_slot()
+        engine.grant()
+        engine.report("", boot="boot-2")
+        engine.to_slot(OLD)
+        engine.grant(8, OLD)
+        engine.report("", boot="boot-3")
+        assert not engine.driver.find(FetchManifest)
+
     @pytest.mark.parametrize(
         ("state", "target"),
         [(RolloutState.PAUSED, ""), (RolloutState.ABORTED, OTHER)],
@@ -327,3 +352,22 @@
         engine.send(VersionLoaded, NEW, False, "bad shape")
         engine.configure(rollout("new", 40), revision=70)
         assert engine.delivery.target.manifest == NEW
+
+
+class TestSlotKeeper:
+    def claim(self, failure_limit: int | None) -> SlotOutcome:
+        async def scenario() -> SlotOutcome:
+            keeper = SlotKeeper(MemoryObjectStore(), "agent-1", "kiln", "zone-a", 10.0)
+            for _ in range(2):
+                assert await keeper.record_failure("roll", "bad shape")
+            grant = await keeper.claim("roll", 1, failure_limit, is_swap=False)
+            return grant.outcome
+
+        return curio.run(scenario)
+
+    def test_failures_of_a_rollout_halt_it(self):
+        assert self.claim(1) is SlotOutcome.HALTED
+        assert self.claim(2) is SlotOutcome.GRANTED
+
+    def test_failures_do_not_count_where_there_is_no_limit(self):
+        assert self.claim(None) is SlotOutcome.GRANTED
