Tell of loads in short beacons, and read members in fewer calls

Beacons on loads, 260 a second that each entry of 35 gets, carried all revisions and namings each time, which change seldom and are told as they change and twice a second; on thin links between regions they are most of what entries send. They carry counts only now.

--- a/src/tamaracktray/beacons.py
+++ b/src/tamaracktray/beacons.py
@@ -34,7 +34,8 @@
 
     ``incarnation`` changes with every start of the process and ``number`` grows with
     every beacon. ``revision_by_collection`` tells up to which revision the sender knows
-    each collection and ``changed_by_collection`` since which it is as it is.
+    each collection and ``changed_by_collection`` since which it is as it is; both are
+    empty in the frequent beacons on loads.
     ``version_floor_by_model`` tells which versions are due, ``naming_ages_by_model``
     how long ago, in seconds, versions were named. ``has_store`` tells whether the
     sender reaches the platform's store.
--- a/src/tamaracktray/direct.py
+++ b/src/tamaracktray/direct.py
@@ -282,6 +282,8 @@
     A watch is a little later than another all the time, which is no reason to ask. What
     the process leaves to others to read is asked for at once.
     """
+    if not beacon.changed_by_collection:
+        return False
     missing = state.knowledge.list_missing(beacon.changed_by_collection)
     if not missing:
         if beacon.name == state.newer_peer:
--- a/src/tamaracktray/direct_entry.py
+++ b/src/tamaracktray/direct_entry.py
@@ -384,4 +384,9 @@
         members = self.state.peers.members_by_name.values()
         near = list_local(node.zone, members, self.state.region_by_zone)
         told = members if is_far_due else near
-        await self.send_beacon([member.address for member in told])
+        # Revisions and namings are told as they change, and again with idle beacons.
+        beacon = msgspec.structs.replace(
+            self.build_short_beacon(),
+            in_flight_by_endpoint=self.state.gateway.count_in_flight(),
+        )
+        await self.send_beacon([member.address for member in told], beacon)
--- a/src/tamaracktray/direct_shell.py
+++ b/src/tamaracktray/direct_shell.py
@@ -200,21 +200,31 @@
 
     def build_beacon(self) -> Beacon:
         """Return what this process tells its peers now."""
-        self._beacon_number += 1
         knowledge = self.state.knowledge
+        return msgspec.structs.replace(
+            self.build_short_beacon(),
+            revision_by_collection=knowledge.list_revisions(),
+            changed_by_collection=knowledge.list_changes(),
+        )
+
+    def build_short_beacon(self) -> Beacon:
+        """Return a beacon that tells nothing of what this process knows."""
+        self._beacon_number += 1
         return Beacon(
             self.state.name,
             self._incarnation,
             self._beacon_number,
-            knowledge.list_revisions(),
-            knowledge.list_changes(),
+            {},
+            {},
             has_store=not self.state.is_store_lost,
             is_leaving=self.state.is_leaving,
         )
 
-    async def send_beacon(self, addresses: Iterable[Address]) -> None:
+    async def send_beacon(
+        self, addresses: Iterable[Address], beacon: Beacon | None = None
+    ) -> None:
         """Tell peers the same; a beacon that cannot be sent is like one lost."""
-        data = encode_beacon(self.build_beacon())
+        data = encode_beacon(beacon or self.build_beacon())
         for address in addresses:
             try:
                 await self._datagrams.sendto(data, (address.host, address.port))
--- a/src/tamaracktray/store_follower.py
+++ b/src/tamaracktray/store_follower.py
@@ -35,7 +35,12 @@
 # Pause between two watches of a collection, so that changes which come together cost
 # one call, in seconds.
 SETTLE_S = 0.05
-SETTLE_S_BY_COLLECTION = {Collection.ENDPOINTS: 0.5, Collection.ROUTING: 0.4}
+SETTLE_S_BY_COLLECTION = {
+    Collection.ENDPOINTS: 0.5,
+    Collection.ROUTING: 0.4,
+    # All entries of a fleet that starts enter themselves within about a second.
+    Collection.MEMBERS: 1.0,
+}
 
 # Changes that one watch of the configuration may bring before the next read lists its
 # newest state only: each change carries it as a whole.
--- a/src/tamaracktray_emulator/platform/store.py
+++ b/src/tamaracktray_emulator/platform/store.py
@@ -1,6 +1,7 @@
 """Stand-in for the platform's metadata store, with its outages."""
 
 import time
+from collections import Counter
 from enum import Enum
 from typing import Any
 
@@ -64,6 +65,7 @@
         self.history: list[StoredChange] = []
         self.faults = StoreFaults()
         self.calls = 0
+        self.calls_by_kind: Counter[str] = Counter()
         self.status_calls = 0
 
     def write(self, kind: str, name: str, spec: Any) -> int:
@@ -103,6 +105,7 @@
     @override
     async def answer(self, request: Request, responder: Responder) -> None:
         self.calls += 1
+        self.calls_by_kind[request.path.removeprefix(PREFIX).partition("/")[0]] += 1
         if await self._fail(responder):
             return
         if self.faults.delay_s:
--- a/tests/test_work.py
+++ b/tests/test_work.py
@@ -1,5 +1,6 @@
 """How much work one event makes, counted, so that it does not grow with the fleet."""
 
+import curio
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
@@ -86,25 +87,41 @@
         assert choices == ["second"]
 
 
+def build_state() -> DirectState:
+    state = DirectState(
+        "entry-0",
+        Role.ENTRY,
+        ZONE,
+        REGION_BY_ZONE,
+        now=0.0,
+        version_bound_s=8.0,
+        grace_s=8.0,
+        quarantine_s=300.0,
+    )
+    state.gateway = Gateway(engine("a")).state
+    return state
+
+
 class TestBeacons:
     """An entry of a large fleet takes hundreds of beacons a second."""
 
     def hear(self, gateway: Gateway, name: str, *, number: int = 1, **fields) -> list:
-        state = DirectState(
-            "entry-0",
-            Role.ENTRY,
-            ZONE,
-            REGION_BY_ZONE,
-            now=0.0,
-            version_bound_s=8.0,
-            grace_s=8.0,
-            quarantine_s=300.0,
-        )
+        state = build_state()
         state.gateway = gateway.state
         beacon = Beacon(name, 1, number, {}, {}, **fields)
         event = BeaconHeard(gateway.now, beacon, Address("10.0.1.1", 1))
         return direct.reduce_direct(state, event)[1]
 
+    def test_beacon_on_loads_tells_nothing_of_revisions(self):
+        """It must not look like a peer that has lost what it knew."""
+        state = build_state()
+        state.newer_peer = "peer"
+        state.behind_since = 0.0
+        beacon = Beacon("peer", 1, 1, {}, {}, {"a": 1})
+        event = BeaconHeard(0.1, beacon, Address("10.0.1.1", 1))
+        assert direct.reduce_direct(state, event)[1] == []
+        assert state.newer_peer == "peer"
+
     @pytest.mark.parametrize(
         "fields",
         [
@@ -163,6 +180,30 @@
         assert not gateway.load("a").is_swapping
 
 
+class TestCallsToTheStore:
+    """Each call to the platform's store is paid for."""
+
+    def test_entries_that_start_together_do_not_ask_for_each_member(self):
+        entries = 8
+
+        async def scenario(fleet: PlatformFleet) -> None:
+            await fleet.open(fleet.store)
+            fleet.configure()
+            for _ in range(entries):
+                await fleet.add_entry()
+                await curio.sleep(0.05)
+            await fleet.until(
+                lambda: all(
+                    len(entry.state.peers.members_by_name) == entries - 1
+                    for entry in fleet.entries
+                )
+            )
+            # Each writes its entry, reads the list once and then what has come since.
+            assert fleet.store.calls_by_kind["members"] <= 5 * entries
+
+        run_fleet(scenario)
+
+
 class TestLargeFleets:
     """What one event costs must not follow the size of the fleet it is about."""
 
