Keep requests from beginning on an old version over full links

Size makes it so: all 16 agents of a zone fetch the same chunk at the same moment, and a chunk has one first source for all of them, so that entries with 20 Mbit/s get 16 to 32 chunks of 24 KB at once, one after the other. - Agents fetch in orders of their own, within as many chunks as there are entries near. - Before a request is sent, twice the time that connecting took is added to what must be left until the bound: for its way and for that of its withdrawal. Also: a version that crashed its engine is loaded again after 5 s only; the second after which it was before left engines down most of the time. test_slow_links.

--- a/src/tamaracktray/chunk_sources.py
+++ b/src/tamaracktray/chunk_sources.py
@@ -7,6 +7,7 @@
 
 from collections.abc import Iterable
 
+from tamaracktray.hashing import hash_text
 from tamaracktray.peers import Member, rank_members
 from tamaracktray.types import Address
 
@@ -71,6 +72,21 @@
     return [member.address for member in sorted(ranked, key=measure)]
 
 
+def order_chunks(count: int, entries: int, name: str) -> list[int]:
+    """Return the order in which an agent fetches ``count`` chunks.
+
+    Agents begin together and go on at the same pace, and a chunk has one first source
+    for all of them. In one order they would all meet at one entry after another, whose
+    links would be full in turn. So each has an order of its own within as many chunks
+    as there are ``entries`` near it; no more, since the origin sends chunks in order.
+    """
+    block = max(entries, 1)
+    return sorted(
+        range(count),
+        key=lambda index: (index // block, hash_text(f"{name}/{index}")),
+    )
+
+
 def choose_source(entries: list[Address], attempt: int) -> Address | None:
     """Return the entry that an agent asks at an attempt, ``None`` for the origin.
 
--- a/src/tamaracktray/delivery.py
+++ b/src/tamaracktray/delivery.py
@@ -42,6 +42,10 @@
 MANIFEST_PEERS = 2
 SLOT_RETRY_S = 1.0
 FAILED_RETRY_S = 30.0
+
+# Pause before a version is loaded again that failed before, in seconds: an engine that
+# crashes each time is away for a second or two.
+FAILED_LOAD_RETRY_S = 5.0
 WARM_REPORT_TIMEOUT_S = 30.0
 
 
@@ -339,7 +343,7 @@
     state.phase = Phase.FAILED
     state.target = choose_target(state, context.configuration)
     if state.target.manifest in state.failed_manifests:
-        state.retry_deadline = now + SLOT_RETRY_S
+        state.retry_deadline = now + FAILED_LOAD_RETRY_S
     return effects + advance(context, now)
 
 
--- a/src/tamaracktray/direct.py
+++ b/src/tamaracktray/direct.py
@@ -210,6 +210,9 @@
     members: list[Member] = state.knowledge.list_values(Collection.MEMBERS)
     others = [member for member in members if member.name != state.name]
     state.peers.follow(now, others)
+    if state.staging is not None:
+        near = list_local(state.zone, others, state.region_by_zone)
+        state.staging.local_entries = len(near)
     return _apply_roster(state, now) + follow_own_version(state, now)
 
 
--- a/src/tamaracktray/direct_agent.py
+++ b/src/tamaracktray/direct_agent.py
@@ -80,7 +80,9 @@
         self, path: Path, settings: DirectSettings, deployment: Deployment
     ) -> None:
         super().__init__(path, settings, deployment)
-        self.state.staging = StagingState(settings.bounds.version_ms / 1_000.0)
+        self.state.staging = StagingState(
+            settings.bounds.version_ms / 1_000.0, settings.node.name
+        )
         self.state.served = settings.engine.service
         self._chunk_by_digest: dict[str, bytes] = {}
         self._told: tuple = ()
--- a/src/tamaracktray/direct_context.py
+++ b/src/tamaracktray/direct_context.py
@@ -1,5 +1,7 @@
 """What decisions on calls read of the state of a process."""
 
+import msgspec
+
 from tamaracktray.calls import SendCall
 from tamaracktray.direct_state import DirectState
 from tamaracktray.exceptions import InvariantError
@@ -7,6 +9,10 @@
 from tamaracktray.placement import Surroundings
 from tamaracktray.withdrawing import is_resumable, is_sendable
 
+# Times that connecting took after which a request must not be on its way any more: once
+# to arrive, and once for its withdrawal.
+CONNECT_TIMES_AHEAD = 2.0
+
 
 def build_gateway_context(state: DirectState, now: float) -> GatewayContext:
     """Return what the gateway reads; raise ``InvariantError`` if there is none."""
@@ -33,9 +39,21 @@
     )
 
 
-def may_send(state: DirectState, now: float, decision: SendCall) -> bool:
-    """Tell whether a decision to send still holds at ``now``."""
-    return is_sendable(build_gateway_context(state, now), now, decision)
+def may_send(
+    state: DirectState, now: float, decision: SendCall, connect_s: float
+) -> bool:
+    """Tell whether a decision to send still holds at ``now``.
+
+    Over a full link a request takes about as long to arrive as its connection took to
+    stand, and so does its withdrawal.
+    """
+    context = build_gateway_context(state, now)
+    arrival = now + CONNECT_TIMES_AHEAD * connect_s
+    context.around = msgspec.structs.replace(
+        context.around,
+        last_floor_by_model=state.namings.list_last_floors(arrival),
+    )
+    return is_sendable(context, now, decision)
 
 
 def may_resume(state: DirectState, now: float, call_id: str) -> bool:
--- a/src/tamaracktray/direct_entry.py
+++ b/src/tamaracktray/direct_entry.py
@@ -240,8 +240,8 @@
             if ended.phase is AttemptPhase.ANSWERED:
                 return
 
-    def _may_send(self, decision: SendCall) -> bool:
-        return may_send(self.state, time.monotonic(), decision)
+    def _may_send(self, decision: SendCall, connect_s: float) -> bool:
+        return may_send(self.state, time.monotonic(), decision, connect_s)
 
     def _may_resume(self, call_id: str) -> bool:
         return may_resume(self.state, time.monotonic(), call_id)
--- a/src/tamaracktray/exchange.py
+++ b/src/tamaracktray/exchange.py
@@ -7,6 +7,7 @@
 import contextlib
 import socket as socket_module
 import struct
+import time
 from collections.abc import Callable
 
 import curio
@@ -179,7 +180,7 @@
         await self._socket.close()
 
 
-def _always() -> bool:
+def _always(connect_s: float) -> bool:
     return True
 
 
@@ -192,13 +193,14 @@
     *,
     connect_timeout_s: float = 2.0,
     is_host_given: bool = False,
-    may_send: Callable[[], bool] = _always,
+    may_send: Callable[[float], bool] = _always,
 ) -> Result[Exchange, TransportError]:
     """Connect, send one request and return the exchange.
 
     With ``is_host_given`` the headers name the host already. ``may_send`` is asked once
-    the connection stands, which may be long after the decision to send. The failure
-    tells whether any byte of the request was sent.
+    the connection stands, which may be long after the decision to send, with the time
+    that this took in seconds. The failure tells whether any byte of the request was
+    sent.
     """
     connection = h11.Connection(h11.CLIENT)
     framing = [("content-length", str(len(body))), ("connection", "close")]
@@ -207,13 +209,14 @@
     request = h11.Request(method=method, target=target, headers=[*headers, *framing])
     payload = connection.send(request) + connection.send(h11.Data(data=body))
     payload += connection.send(h11.EndOfMessage())
+    begun = time.monotonic()
     try:
         socket = await curio.timeout_after(connect_timeout_s, connect(address))
     except (OSError, curio.TaskTimeout) as error:
         reason = str(error) or "timed out"
         message = f"cannot connect to {address}: {reason}"
         return Failure(TransportError(message, sent=False))
-    if not may_send():
+    if not may_send(time.monotonic() - begun):
         await socket.close()
         message = "withdrawn while connecting"
         return Failure(TransportError(message, sent=False, is_withdrawn=True))
--- a/src/tamaracktray/relaying.py
+++ b/src/tamaracktray/relaying.py
@@ -102,8 +102,8 @@
 
     ``heard`` collects the endpoints that sent something. ``take_start`` is told of the
     first part of each answer, ``take_notice`` of what an endpoint says of itself, and
-    ``may_send`` tells whether a decision still holds. ``may_resume`` tells whether a
-    stalled stream can go on elsewhere.
+    ``may_send`` tells whether a decision still holds after the time that connecting
+    took. ``may_resume`` tells whether a stalled stream can go on elsewhere.
     With ``closes_connections`` callers are told to come back on a new connection.
     """
 
@@ -122,7 +122,7 @@
         protocol: RequestProtocol,
         take_start: Callable[[CallStarted], Awaitable[None]],
         take_notice: Callable[[EndpointNoticed], Awaitable[None]],
-        may_send: Callable[[SendCall], bool],
+        may_send: Callable[[SendCall, float], bool],
         may_resume: Callable[[str], bool],
     ) -> None:
         self._protocol = protocol
@@ -147,7 +147,7 @@
             request.body,
             connect_timeout_s=CONNECT_TIMEOUT_S,
             is_host_given=True,
-            may_send=lambda: self._may_send(decision),
+            may_send=lambda connect_s: self._may_send(decision, connect_s),
         )
         if isinstance(opened, Failure):
             error = opened.failure()
--- a/src/tamaracktray/staging.py
+++ b/src/tamaracktray/staging.py
@@ -6,6 +6,7 @@
 service as soon as it has been handed the weights.
 """
 
+from tamaracktray.chunk_sources import order_chunks
 from tamaracktray.effects import Effect
 from tamaracktray.engines import OrderOutcome, StartOrder
 from tamaracktray.staging_events import (
@@ -284,9 +285,13 @@
     for work in (state.current, state.following):
         if work is None or work.manifest is None:
             continue
+        if not work.fetch_order:
+            count = len(work.digests)
+            work.fetch_order = order_chunks(count, state.local_entries, state.name)
+        left = set(list_missing(state, work))
         # Chunks that could not be had leave their place to those not tried as often.
         missing = sorted(
-            list_missing(state, work),
+            (index for index in work.fetch_order if index in left),
             key=lambda index: work.attempts_by_index.get(index, 0),
         )
         for index in missing:
--- a/src/tamaracktray/staging_state.py
+++ b/src/tamaracktray/staging_state.py
@@ -41,15 +41,17 @@
 class VersionWork:
     """The work on one version.
 
-    ``attempts_by_index`` counts failed fetches. ``staged_at`` is when all chunks lay in
-    the engine's stage, ``None`` before. From ``due_at`` on the engine serves nobody
-    without the version, or one that was left out for it, which is due at
+    ``fetch_order`` are the positions in the order in which they are fetched, empty
+    before the first. ``attempts_by_index`` counts failed fetches. ``staged_at`` is when
+    all chunks lay in the engine's stage, ``None`` before. From ``due_at`` on the engine
+    serves nobody without the version, or one that was left out for it, which is due at
     ``left_out_due_at``.
     """
 
     __slots__ = (
         "attempts_by_index",
         "due_at",
+        "fetch_order",
         "in_flight",
         "left_out_due_at",
         "manifest",
@@ -67,6 +69,7 @@
         self.staged_at: float | None = None
         self.manifest: Manifest | None = None
         self.manifest_attempts = 0
+        self.fetch_order: list[int] = []
         self.in_flight: set[int] = set()
         self.attempts_by_index: dict[int, int] = {}
 
@@ -82,6 +85,7 @@
     ``is_probed`` tells that the engine was asked at least once. ``stage_by_index`` is
     what lies in its stage, as far as that is known; ``is_stage_known`` tells that it
     was read, which is worth its time only for an engine that has lost its model.
+    ``name`` is the agent's, and ``local_entries`` are those of its region.
     ``held`` are the digests of the chunks in memory. ``following`` is the version after
     the one that is being worked on.
     """
@@ -98,8 +102,10 @@
         "is_stage_known",
         "is_staging",
         "last_seen",
+        "local_entries",
         "manifest_retry_deadline",
         "model",
+        "name",
         "order_retry_deadline",
         "report",
         "stage_by_index",
@@ -108,8 +114,10 @@
         "version_bound_s",
     )
 
-    def __init__(self, version_bound_s: float) -> None:
+    def __init__(self, version_bound_s: float, name: str = "") -> None:
         self.version_bound_s = version_bound_s
+        self.name = name
+        self.local_entries = 1
         self.model = ""
         self.turn = Turn()
         self.report: EngineReport | None = None
--- /dev/null
+++ b/tests/test_slow_links.py
@@ -0,0 +1,110 @@
+"""Links that are full: chunks that all agents fetch, and requests that arrive late."""
+
+import pytest
+
+from gateways import MODEL, REGION_BY_ZONE, SERVICES, STREAM, ZONE, build_call, engine
+from tamaracktray.calls import CallArrived, SendCall
+from tamaracktray.chunk_sources import list_sources, order_chunks
+from tamaracktray.direct import reduce_direct
+from tamaracktray.direct_context import may_send
+from tamaracktray.direct_events import CollectionListed
+from tamaracktray.direct_state import DirectState
+from tamaracktray.gateway_state import GatewayBounds, GatewayState
+from tamaracktray.namings import LAST_MARGIN_S
+from tamaracktray.objects import StoredObject
+from tamaracktray.peers import Member
+from tamaracktray.routes import RoutingTable
+from tamaracktray.snapshots import Collection
+from tamaracktray.types import Address, Role
+
+CHUNKS = 96
+BOUND_S = 10.0
+
+# An availability zone of the large fleet.
+ENTRIES = 7
+AGENTS = 16
+IN_FLIGHT = 2
+
+
+class TestChunkOrder:
+    @pytest.mark.parametrize("entries", [0, 1, 2, ENTRIES])
+    def test_every_chunk_comes_once_and_near_its_place(self, entries):
+        order = order_chunks(CHUNKS, entries, "agent-1")
+        assert sorted(order) == list(range(CHUNKS))
+        for place, index in enumerate(order):
+            assert abs(place - index) < max(entries, 1)
+
+    def test_agents_do_not_all_ask_one_entry_at_a_time(self):
+        """Agents go on at the same pace; each chunk has one first source for all."""
+        members = [
+            Member(f"entry-{n}", ZONE, Address("10.0.0.1", 7_000 + n))
+            for n in range(ENTRIES)
+        ]
+        orders = [
+            order_chunks(CHUNKS, ENTRIES, f"agent-{number}") for number in range(AGENTS)
+        ]
+
+        def count_busiest(place: int) -> int:
+            asked: dict[Address, int] = {}
+            for order in orders:
+                for index in order[place : place + IN_FLIGHT]:
+                    key = f"/versions/kiln/2/{index}"
+                    source = list_sources(ZONE, members, REGION_BY_ZONE, key)[0]
+                    asked[source] = asked.get(source, 0) + 1
+            return max(asked.values())
+
+        busiest = [count_busiest(place) for place in range(0, CHUNKS, IN_FLIGHT)]
+        # In one order it is all of them, 16 to 32 chunks at one entry.
+        assert sum(busiest) / len(busiest) < AGENTS
+        assert max(busiest) < AGENTS * IN_FLIGHT
+
+
+def build_entry() -> DirectState:
+    state = DirectState(
+        "entry-0",
+        Role.ENTRY,
+        ZONE,
+        REGION_BY_ZONE,
+        now=0.0,
+        version_bound_s=BOUND_S,
+        grace_s=8.0,
+        quarantine_s=300.0,
+    )
+    state.gateway = GatewayState("entry-0", GatewayBounds())
+    table = RoutingTable(1, (STREAM,), SERVICES)
+    record = engine("a")
+    for collection, name, value in (
+        (Collection.ROUTING, "main", table),
+        (Collection.ENDPOINTS, record.id, record),
+    ):
+        item = StoredObject(name, 1, value, deleted=False)
+        reduce_direct(state, CollectionListed(0.0, collection, [item], 1))
+    return state
+
+
+class TestRequestsOnTheirWay:
+    """A call must begin before its engine's version is too old."""
+
+    @pytest.mark.parametrize(
+        ("before_due_s", "connect_s", "is_sent"),
+        [
+            (3.0, 0.005, True),
+            (3.0, 0.4, True),
+            (1.0, 0.005, True),
+            # Arrives about when it would have to begin, and its withdrawal later.
+            (1.0, 0.4, False),
+            (LAST_MARGIN_S + 0.05, 0.01, True),
+            (LAST_MARGIN_S + 0.05, 0.05, False),
+            (LAST_MARGIN_S - 0.01, 0.0, False),
+        ],
+    )
+    def test_slow_connection_tells_how_late_a_request_arrives(
+        self, before_due_s, connect_s, is_sent
+    ):
+        state = build_entry()
+        call = build_call("1", now=1.0)
+        effects = reduce_direct(state, CallArrived(1.0, call))[1]
+        (decision,) = [item for item in effects if isinstance(item, SendCall)]
+        state.namings.add(MODEL, 2, 0.0)
+        now = BOUND_S - before_due_s
+        assert may_send(state, now, decision, connect_s) is is_sent
