Wait before a version that crashed its engine is loaded again, also after its restart

The pause that the last change made was lost when the engine started again, so that an engine with a version that crashes it was away half of the time.

--- a/src/tamaracktray/delivery.py
+++ b/src/tamaracktray/delivery.py
@@ -219,6 +219,9 @@
         return []
     if not state.boot or now < state.retry_deadline:
         return []
+    has_failed = state.target.manifest in state.failed_manifests
+    if has_failed and now < state.load_retry_deadline:
+        return []
     state.phase = Phase.MANIFEST
     return [_fetch_manifest(state)]
 
@@ -343,7 +346,7 @@
     state.phase = Phase.FAILED
     state.target = choose_target(state, context.configuration)
     if state.target.manifest in state.failed_manifests:
-        state.retry_deadline = now + FAILED_LOAD_RETRY_S
+        state.load_retry_deadline = now + FAILED_LOAD_RETRY_S
     return effects + advance(context, now)
 
 
--- a/src/tamaracktray/delivery_state.py
+++ b/src/tamaracktray/delivery_state.py
@@ -50,7 +50,7 @@
 
     ``engine_manifest`` is what the engine last reported as loaded. ``serving`` is what
     the agent lets requests reach. ``failed_manifests`` are not tried again until the
-    rollout changes.
+    rollout changes, but for the version to go back to, from ``load_retry_deadline`` on.
     """
 
     __slots__ = (
@@ -61,6 +61,7 @@
         "holders",
         "last_report",
         "lease_deadline",
+        "load_retry_deadline",
         "manifest",
         "manifest_tries",
         "model",
@@ -96,6 +97,7 @@
         self.fence = 0
         self.lease_deadline = 0.0
         self.retry_deadline = 0.0
+        self.load_retry_deadline = 0.0
         self.failed_manifests: set[str] = set()
         self.reason = ""
         self.last_report: ReportEndpoint | None = None
--- a/src/tamaracktray_emulator/endpoint.py
+++ b/src/tamaracktray_emulator/endpoint.py
@@ -15,6 +15,10 @@
 POISON = b"poison"
 
 
+# What tests ask of the stand-in itself, also while the endpoint is down.
+CONTROL_PATHS = frozenset({"/behavior", "/log"})
+
+
 class EndpointBehavior(msgspec.Struct):
     """How an endpoint stand-in behaves; tests replace it with ``PUT /behavior``.
 
@@ -88,7 +92,7 @@
         await self.server.close_connections()
 
     async def _handle(self, request: Request, responder: Responder) -> None:
-        if time.monotonic() < self._down_deadline and request.path != "/log":
+        if time.monotonic() < self._down_deadline and request.path not in CONTROL_PATHS:
             await responder.abort()
             return
         await super()._handle(request, responder)
--- a/tests/test_delivery.py
+++ b/tests/test_delivery.py
@@ -1,6 +1,7 @@
 import curio
 import pytest
 
+from tamaracktray.delivery import FAILED_LOAD_RETRY_S
 from tamaracktray.delivery_state import Phase
 from tamaracktray.effects import (
     ClaimSlot,
@@ -332,6 +333,12 @@
         engine.grant(8, OLD)
         engine.report("", boot="boot-3")
         assert not engine.driver.find(FetchManifest)
+        # The engine starts again, which is no reason to crash it once more.
+        engine.report("", boot="boot-4")
+        assert not engine.driver.find(FetchManifest)
+        engine.driver.now += FAILED_LOAD_RETRY_S
+        engine.report("", boot="boot-4")
+        assert engine.driver.find(FetchManifest)
 
     @pytest.mark.parametrize(
         ("state", "target"),
