--- a/src/tamaracktray/direct.py
+++ b/src/tamaracktray/direct.py
@@ -43,9 +43,9 @@
     handle_call_ended,
     handle_call_started,
     handle_gateway_tick,
-    handle_notice,
 )
 from tamaracktray.gateway_fleet import deal_homes, follow_roster
+from tamaracktray.gateway_notices import handle_notice
 from tamaracktray.gateway_state import GatewayContext
 from tamaracktray.homes import Place
 from tamaracktray.notices import EndpointNoticed
--- /dev/null
+++ b/src/tamaracktray/direct_run.py
@@ -0,0 +1,55 @@
+"""Runs the process that a settings file describes, an entry or an agent."""
+
+import gc
+import sys
+from pathlib import Path
+
+import curio
+from returns.result import Failure
+
+from tamaracktray.deployment import Deployment
+from tamaracktray.direct_sections import DirectSettings, load_direct_settings
+from tamaracktray.direct_shell import DirectShell
+from tamaracktray.logs import configure_logs
+from tamaracktray.types import Role
+
+EXIT_SETTINGS = 2
+
+
+def run_direct(path: Path, deployment: Deployment) -> int:
+    """Run the process that a settings file describes and return its exit code.
+
+    The code is 0 after an ordered shutdown, 1 after a broken invariant and 2 when the
+    settings are invalid.
+    """
+    loaded = load_direct_settings(path)
+    if isinstance(loaded, Failure):
+        print(f"tamaracktrayd: {loaded.failure().message}", file=sys.stderr)
+        return EXIT_SETTINGS
+    settings = loaded.unwrap()
+    logs = configure_logs(
+        settings.logs.level,
+        sys.stdout.fileno(),
+        is_buffered=True,
+        process=settings.node.name,
+    )
+    shell = _build_shell(path, settings, deployment)
+    shell.logs = logs
+    # Objects made so far live as long as the process; the collector need not see them.
+    gc.freeze()
+    curio.run(shell.run)
+    logs.flush()
+    return shell.exit_code
+
+
+def _build_shell(
+    path: Path, settings: DirectSettings, deployment: Deployment
+) -> DirectShell:
+    """Return the shell of the role, importing nothing that the other role needs."""
+    if settings.node.role is Role.ENTRY:
+        from tamaracktray.direct_entry import DirectEntryShell
+
+        return DirectEntryShell(path, settings, deployment)
+    from tamaracktray.direct_agent import DirectAgentShell
+
+    return DirectAgentShell(path, settings, deployment)
--- a/src/tamaracktray/direct_shell.py
+++ b/src/tamaracktray/direct_shell.py
@@ -1,9 +1,7 @@
 """The part of a process that follows the platform's store which touches sockets."""
 
-import gc
 import itertools
 import socket as socket_module
-import sys
 import time
 from collections.abc import Awaitable, Callable, Iterable
 from pathlib import Path
@@ -36,16 +34,15 @@
 from tamaracktray.exceptions import ConflictError, PlatformError
 from tamaracktray.exchange import fetch
 from tamaracktray.http import Headers, HttpServer, Request, Responder
-from tamaracktray.logs import Logs, configure_logs
+from tamaracktray.logs import Logs
 from tamaracktray.metrics import ExposedMetrics, Metrics, NullMetrics
 from tamaracktray.runtime import Runtime
 from tamaracktray.snapshot_decoding import decode_snapshots
 from tamaracktray.snapshots import Collection
 from tamaracktray.store_follower import StoreCalls, StoreFollower
-from tamaracktray.types import Address, Role
+from tamaracktray.types import Address
 
 TICK_S = 0.025
-EXIT_SETTINGS = 2
 
 # Time that the store has to tell a new process what it needs before the seeds are
 # asked, and the pause between them, in seconds.
@@ -385,42 +382,3 @@
         collection, name, value, failure.current_version, ""
     )
     return None if isinstance(written, Success) else written.failure()
-
-
-def run_direct(path: Path, deployment: Deployment) -> int:
-    """Run the process that a settings file describes and return its exit code.
-
-    The code is 0 after an ordered shutdown, 1 after a broken invariant and 2 when the
-    settings are invalid.
-    """
-    loaded = load_direct_settings(path)
-    if isinstance(loaded, Failure):
-        print(f"tamaracktrayd: {loaded.failure().message}", file=sys.stderr)
-        return EXIT_SETTINGS
-    settings = loaded.unwrap()
-    logs = configure_logs(
-        settings.logs.level,
-        sys.stdout.fileno(),
-        is_buffered=True,
-        process=settings.node.name,
-    )
-    shell = _build_shell(path, settings, deployment)
-    shell.logs = logs
-    # Objects made so far live as long as the process; the collector need not see them.
-    gc.freeze()
-    curio.run(shell.run)
-    logs.flush()
-    return shell.exit_code
-
-
-def _build_shell(
-    path: Path, settings: DirectSettings, deployment: Deployment
-) -> DirectShell:
-    """Return the shell of the role, importing nothing that the other role needs."""
-    if settings.node.role is Role.ENTRY:
-        from tamaracktray.direct_entry import DirectEntryShell
-
-        return DirectEntryShell(path, settings, deployment)
-    from tamaracktray.direct_agent import DirectAgentShell
-
-    return DirectAgentShell(path, settings, deployment)
--- a/src/tamaracktray/gateway.py
+++ b/src/tamaracktray/gateway.py
@@ -23,16 +23,8 @@
 )
 from tamaracktray.gateway_state import (
     GatewayContext,
-    GatewayState,
     PendingCall,
 )
-from tamaracktray.notices import (
-    MS_PER_S,
-    EndpointNoticed,
-    Life,
-    NoteNotice,
-    bound_pause,
-)
 from tamaracktray.outcomes import AttemptPhase
 from tamaracktray.placement import (
     EndpointLoad,
@@ -98,70 +90,6 @@
     return []
 
 
-def handle_notice(context: GatewayContext, event: EndpointNoticed) -> list[Effect]:
-    """Send nothing more to an endpoint that leaves, and nothing yet to one that pauses.
-
-    Calls that wait for such endpoints alone are refused at once. An endpoint that
-    leaves says so in each of its answers, of which the first is news.
-    """
-    state = context.state
-    speakers = _list_speakers(context, event)
-    if event.pause_s is None and all(_is_known_leaving(state, id_) for id_ in speakers):
-        return []
-    now_ms = (event.now + context.unix_offset_s) * MS_PER_S
-    for endpoint_id in speakers:
-        load = state.loads_by_id.get(endpoint_id)
-        born_ms = 0 if load is None else load.record.born_ms
-        life = Life(endpoint_id, max(now_ms, born_ms))
-        if event.is_leaving:
-            state.notices.note_leaving(life)
-        if event.pause_s is not None:
-            deadline = event.now + bound_pause(event.pause_s)
-            state.notices.note_pause(life, deadline)
-        if load is not None:
-            state.follow_notices(load)
-    effects = [_note_notice(event), *_refuse_unavailable(context, event.now)]
-    return effects + fill_room(context, event.now)
-
-
-def _list_speakers(context: GatewayContext, event: EndpointNoticed) -> list[str]:
-    """Return the endpoints that an answer may have come from."""
-    loads_by_id = context.state.loads_by_id
-    load = loads_by_id.get(event.endpoint_id)
-    if load is None or not event.is_misdirected:
-        return [event.endpoint_id]
-    address = load.record.address
-    return [name for name in loads_by_id if loads_by_id[name].record.address == address]
-
-
-def _is_known_leaving(state: GatewayState, endpoint_id: str) -> bool:
-    load = state.loads_by_id.get(endpoint_id)
-    return load is not None and load.is_leaving
-
-
-def _note_notice(event: EndpointNoticed) -> NoteNotice:
-    if event.pause_s is None:
-        return NoteNotice(event.endpoint_id, event.is_leaving)
-    pause_s = bound_pause(event.pause_s)
-    return NoteNotice(
-        event.endpoint_id,
-        event.is_leaving,
-        pause_s,
-        event.pause_s,
-        is_bounded=pause_s != event.pause_s,
-    )
-
-
-def _refuse_unavailable(context: GatewayContext, now: float) -> list[Effect]:
-    effects: list[Effect] = []
-    for call in context.state.waiting.list_ordered():
-        pending = context.state.pending_by_id.get(call.id)
-        if pending is None or has_available(context, now, pending):
-            continue
-        effects.extend(_refuse(context, now, pending))
-    return effects
-
-
 def _note_start(context: GatewayContext, now: float, pending: PendingCall) -> None:
     call = pending.call
     reading_s = _estimate_reading(context, call)
@@ -218,7 +146,7 @@
     for call in state.waiting.remove_expired(now):
         pending = state.pending_by_id.get(call.id)
         if pending is not None:
-            effects.extend(_refuse(context, now, pending))
+            effects.extend(refuse(context, now, pending))
     return effects
 
 
@@ -253,7 +181,7 @@
     if load is not None:
         return _send(context, now, pending, load)
     if not has_available(context, now, pending):
-        return _refuse(context, now, pending)
+        return refuse(context, now, pending)
     call = pending.call
     bands = context.state.find_bands(call.route.name)
     is_waiting = context.state.waiting.push(
@@ -266,7 +194,7 @@
         is_resumed=pending.is_started,
     )
     if not is_waiting:
-        return _refuse(context, now, pending)
+        return refuse(context, now, pending)
     return []
 
 
@@ -352,7 +280,7 @@
         pending.unreachable += 1
         pending.tried.add(event.endpoint_id)
         if pending.unreachable > MAX_UNREACHABLE:
-            return _refuse(context, now, pending)
+            return refuse(context, now, pending)
         return _place(context, now, pending)
     pending.tried.add(event.endpoint_id)
     if not event.phase.is_not_run:
@@ -361,7 +289,7 @@
         if event.is_reset:
             context.ledger.record(now, pending.call.fingerprint, event.endpoint_id)
     if not _may_repeat(context, now, pending):
-        return _refuse(context, now, pending)
+        return refuse(context, now, pending)
     return _place(context, now, pending)
 
 
@@ -378,7 +306,7 @@
     return context.state.find_budget(call.services[0]).spend(now)
 
 
-def _refuse(context: GatewayContext, now: float, pending: PendingCall) -> list[Effect]:
+def refuse(context: GatewayContext, now: float, pending: PendingCall) -> list[Effect]:
     """Give the caller its final answer, promising "not run" only when it is true."""
     call = pending.call
     view = view_fleet(context, now, pending)
--- a/src/tamaracktray/platform/__main__.py
+++ b/src/tamaracktray/platform/__main__.py
@@ -13,7 +13,7 @@
     """Run the process that the platform's settings file describes."""
     hold_reloads()
     # Loading these takes most of the start; a reload may be asked for meanwhile.
-    from tamaracktray.direct_shell import run_direct
+    from tamaracktray.direct_run import run_direct
     from tamaracktray.platform.deployment import PlatformDeployment
 
     sys.exit(run_direct(Path(os.environ[SETTINGS_VARIABLE]), PlatformDeployment()))
--- a/tests/test_notices.py
+++ b/tests/test_notices.py
@@ -22,7 +22,7 @@
 from platforms import PlatformFleet, run_fleet
 from tamaracktray.budgets import RepeatBudget
 from tamaracktray.calls import RefuseCall, SendCall
-from tamaracktray.gateway import handle_notice
+from tamaracktray.gateway_notices import handle_notice
 from tamaracktray.notices import (
     DEFAULT_PAUSE_S,
     MAX_PAUSE_S,
