Leave room on an entry's link beside the chunks that it hands on

The origin had been down for 6 s until a moment before, so that all 16 agents of the zone wanted the same few chunks at once, of which this entry, with 20 Mbit/s, was the first source. Chunks now take three quarters of an entry's link at most (link_mbps, which the platform fills in), so that they wait in the entry and not before callers' requests.

--- a/src/tamaracktray/chunk_relay.py
+++ b/src/tamaracktray/chunk_relay.py
@@ -13,10 +13,11 @@
 from tamaracktray.exceptions import SourceLostError, WeightError
 from tamaracktray.exchange import fetch
 from tamaracktray.http import Request, Responder
+from tamaracktray.rates import TokenBucket
 from tamaracktray.types import Address
+from tamaracktray.version_keys import VersionKey, read_version_key
 from tamaracktray.weights import MAX_CHUNK_BYTES, Manifest, verify_chunk
 
-VERSIONS_PATH = "/versions/"
 MANIFEST_PART = "/manifest"
 
 # Longest call to a peer for a chunk, in seconds: the chunk may have to come from the
@@ -55,26 +56,6 @@
 PREFETCH_RETRY_S = 0.1
 
 
-class VersionKey(msgspec.Struct, frozen=True):
-    """A version of a model."""
-
-    model: str
-    version: int
-
-    @property
-    def path(self) -> str:
-        """Return the path under which peers ask for its parts."""
-        return f"{VERSIONS_PATH}{self.model}/{self.version}"
-
-
-def read_version_key(path: str) -> VersionKey | None:
-    """Return the version that a peer's call is about, ``None`` if it names none."""
-    parts = path.removeprefix(VERSIONS_PATH).split("/")
-    if len(parts) != 3 or not parts[1].isdigit():
-        return None
-    return VersionKey(parts[0], int(parts[1]))
-
-
 async def read_peer_manifest(
     address: Address, key: VersionKey
 ) -> Result[Manifest, WeightError]:
@@ -159,6 +140,7 @@
     ``find_upstream`` returns the peer to ask for a part, ``None`` for the origin.
     ``is_first`` tells whether this entry is the first of its region for a part.
     ``note_lost`` is told of peers that do not answer, so that others are chosen.
+    ``upload`` bounds what is handed on.
     """
 
     __slots__ = (
@@ -171,6 +153,7 @@
         "_origin_deadline",
         "_pending_by_part",
         "_prefetching",
+        "_upload",
         "_refusals",
         "bytes_from_origin",
     )
@@ -181,7 +164,9 @@
         is_first: Callable[[str], bool],
         open_origin: Callable[[], VersionOrigin | None],
         note_lost: Callable[[Address], Awaitable[None]],
+        upload: TokenBucket,
     ) -> None:
+        self._upload = upload
         self._find_upstream = find_upstream
         self._is_first = is_first
         self._open_origin = open_origin
@@ -209,6 +194,7 @@
         if isinstance(encoded, Failure):
             await responder.respond(503, [])
             return
+        await self._upload.take(len(encoded.unwrap()))
         await responder.respond(200, [], encoded.unwrap())
 
     async def prefetch(self, key: VersionKey) -> None:
--- a/src/tamaracktray/direct_agent.py
+++ b/src/tamaracktray/direct_agent.py
@@ -12,7 +12,6 @@
 
 from tamaracktray.beacons import Beacon, EndpointStatus
 from tamaracktray.chunk_relay import (
-    VersionKey,
     read_origin_chunk,
     read_origin_manifest,
     read_peer_chunk,
@@ -50,6 +49,7 @@
 from tamaracktray.staging_state import StagingState
 from tamaracktray.swap_turns import plan_swap
 from tamaracktray.types import Address
+from tamaracktray.version_keys import VersionKey
 from tamaracktray.weights import Manifest, digest_bytes
 
 # Time between reads of the report while an order is being carried out, in seconds.
--- a/src/tamaracktray/direct_entry.py
+++ b/src/tamaracktray/direct_entry.py
@@ -22,7 +22,7 @@
     SendCall,
     TellLoads,
 )
-from tamaracktray.chunk_relay import VERSIONS_PATH, ChunkRelay, VersionKey
+from tamaracktray.chunk_relay import ChunkRelay
 from tamaracktray.chunk_sources import choose_upstream, find_first
 from tamaracktray.deployment import Deployment
 from tamaracktray.direct_context import may_resume, may_send
@@ -47,10 +47,12 @@
 from tamaracktray.objects import StoredObject
 from tamaracktray.outcomes import AttemptPhase
 from tamaracktray.peers import Member
+from tamaracktray.rates import open_upload
 from tamaracktray.refusals import refuse_late
 from tamaracktray.relaying import CallRelay, OpenCall
 from tamaracktray.snapshots import Collection
 from tamaracktray.types import Address, Refusal
+from tamaracktray.version_keys import VERSIONS_PATH, VersionKey
 
 # Pause before the own entry among the members is written again, in seconds.
 REGISTER_RETRY_S = 0.5
@@ -82,7 +84,11 @@
         )
         self._call_log = CallLog(self.state.knowledge, self.metrics)
         self._chunk_relay = ChunkRelay(
-            self._find_upstream, self._is_first, self.open_origin, self.note_peer_lost
+            self._find_upstream,
+            self._is_first,
+            self.open_origin,
+            self.note_peer_lost,
+            open_upload(settings.peers.link_mbps),
         )
         self._call_relay = CallRelay(
             deployment.protocol,
--- a/src/tamaracktray/direct_sections.py
+++ b/src/tamaracktray/direct_sections.py
@@ -84,6 +84,10 @@
     beacon_s: Annotated[
         float, seconds_meta("Time between beacons under load.", 0.01, 10.0)
     ] = 0.05
+    link_mbps: Annotated[
+        float,
+        meta("Bandwidth of the instance's link; 0 if unknown.", "Mbit/s", ge=0, le=1e6),
+    ] = 0.0
 
 
 class EngineSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
--- a/src/tamaracktray/rates.py
+++ b/src/tamaracktray/rates.py
@@ -6,18 +6,26 @@
 
 BURST_S = 0.25
 
+# Part of an instance's link that chunks of versions may take, and for how long at once
+# more, in seconds. Callers' requests and answers need less than the rest, and must not
+# wait behind chunks.
+UPLOAD_SHARE = 0.75
+UPLOAD_BURST_S = 0.05
+BYTES_PER_MEGABIT = 125_000.0
+
 
 class TokenBucket:
     """Limits bytes to a rate; rate 0 is unlimited.
 
-    ``_free_at`` is the monotonic time in seconds at which all bytes taken so far have
-    been paid for.
+    What was not used in the last ``burst_s`` seconds may be taken at once. ``_free_at``
+    is the monotonic time in seconds at which all bytes taken so far have been paid for.
     """
 
-    __slots__ = ("_free_at", "rate_bytes_s")
+    __slots__ = ("_burst_s", "_free_at", "rate_bytes_s")
 
-    def __init__(self, rate_bytes_s: float) -> None:
+    def __init__(self, rate_bytes_s: float, burst_s: float = BURST_S) -> None:
         self.rate_bytes_s = rate_bytes_s
+        self._burst_s = burst_s
         self._free_at = 0.0
 
     async def take(self, amount: int) -> None:
@@ -25,7 +33,12 @@
         if not self.rate_bytes_s:
             return
         now = time.monotonic()
-        start = max(self._free_at, now - BURST_S)
+        start = max(self._free_at, now - self._burst_s)
         self._free_at = start + amount / self.rate_bytes_s
         if self._free_at > now:
             await curio.sleep(self._free_at - now)
+
+
+def open_upload(link_mbps: float) -> TokenBucket:
+    """Return the bucket for chunks on a link of ``link_mbps``; 0 is unlimited."""
+    return TokenBucket(link_mbps * UPLOAD_SHARE * BYTES_PER_MEGABIT, UPLOAD_BURST_S)
--- a/tests/test_slow_links.py
+++ b/tests/test_slow_links.py
@@ -1,18 +1,25 @@
 """Links that are full: chunks that all agents fetch, and requests that arrive late."""
 
+import time
+
+import curio
 import pytest
+from returns.result import Success
 
 from gateways import MODEL, REGION_BY_ZONE, SERVICES, STREAM, ZONE, build_call, engine
 from tamaracktray.calls import CallArrived, SendCall
+from tamaracktray.chunk_relay import ChunkRelay
 from tamaracktray.chunk_sources import list_sources, order_chunks
 from tamaracktray.direct import reduce_direct
 from tamaracktray.direct_context import may_send
 from tamaracktray.direct_events import CollectionListed
 from tamaracktray.direct_state import DirectState
 from tamaracktray.gateway_state import GatewayBounds, GatewayState
+from tamaracktray.http import Request
 from tamaracktray.namings import LAST_MARGIN_S
 from tamaracktray.objects import StoredObject
 from tamaracktray.peers import Member
+from tamaracktray.rates import UPLOAD_BURST_S, TokenBucket, open_upload
 from tamaracktray.routes import RoutingTable
 from tamaracktray.snapshots import Collection
 from tamaracktray.types import Address, Role
@@ -24,6 +31,7 @@
 ENTRIES = 7
 AGENTS = 16
 IN_FLIGHT = 2
+CHUNK_BYTES = 24_576
 
 
 class TestChunkOrder:
@@ -108,3 +116,53 @@
         state.namings.add(MODEL, 2, 0.0)
         now = BOUND_S - before_due_s
         assert may_send(state, now, decision, connect_s) is is_sent
+
+
+class HeldResponder:
+    """Notes what was answered, and when."""
+
+    def __init__(self) -> None:
+        self.sent: list[tuple[float, int]] = []
+
+    async def respond(self, status: int, headers, body: bytes = b"") -> None:
+        assert status == 200
+        self.sent.append((time.monotonic(), len(body)))
+
+
+class FullRelay(ChunkRelay):
+    """A relay that holds every chunk."""
+
+    async def find_chunk(self, key, index):
+        return Success(bytes(CHUNK_BYTES))
+
+
+class TestUpload:
+    """Many agents want the same chunks at once when the origin is back."""
+
+    RATE_BYTES_S = 1_000_000.0
+
+    def test_chunks_leave_room_on_the_link(self):
+        responder = HeldResponder()
+
+        async def scenario() -> float:
+            upload = TokenBucket(self.RATE_BYTES_S, UPLOAD_BURST_S)
+            relay = FullRelay(lambda _: None, lambda _: True, None, None, upload)
+            begun = time.monotonic()
+            async with curio.TaskGroup() as group:
+                for index in range(AGENTS):
+                    path = f"/versions/kiln/2/{index}"
+                    request = Request("GET", path, path, {}, {})
+                    await group.spawn(relay.handle, request, responder)
+            return begun
+
+        begun = curio.run(scenario)
+        handed_on = 0
+        for sent_at, amount in responder.sent:
+            handed_on += amount
+            allowed = (sent_at - begun + UPLOAD_BURST_S + 0.02) * self.RATE_BYTES_S
+            assert handed_on <= allowed + CHUNK_BYTES
+        assert handed_on == AGENTS * CHUNK_BYTES
+
+    def test_three_quarters_of_a_link_are_for_chunks(self):
+        assert open_upload(20.0).rate_bytes_s == 0.75 * 20e6 / 8
+        assert open_upload(0.0).rate_bytes_s == 0.0
