--- a/tests/test_load.py
+++ b/tests/test_load.py
@@ -8,6 +8,7 @@
 
 import pytest
 
+from tamaracktray.swap_turns import find_turn
 from tamaracktray.waiting import WaitingLine
 from tamaracktray_emulator.admission import (
     AdmissionExperiment,
@@ -16,6 +17,11 @@
     FirstComeLine,
     NoLine,
 )
+from tamaracktray_emulator.swap_experiment import (
+    SwapExperiment,
+    SwapPlan,
+    SwapReport,
+)
 
 # Calls a second that one engine of the model works on with a full batch of 16.
 ENGINE_RATE = 11.5
@@ -77,3 +83,25 @@
     def test_homes_earn_what_shared_counts_alone_lose(self):
         shared = self.play_fleet(0.95, 16, has_homes=False)
         assert self.play_fleet(0.95, 16).worth >= 1.3 * shared.worth
+
+
+class TestChangeOfVersion:
+    """All engines get new weights within the bound, under load."""
+
+    def play_swap(self, load: float, find=find_turn) -> SwapReport:
+        plan = SwapPlan(rate=load * 10 * ENGINE_RATE, engines=10, duration_s=25.0)
+        return SwapExperiment(plan, find).play()
+
+    @staticmethod
+    def swap_at_once(state, work, ready_at: float) -> float:
+        return ready_at
+
+    def test_half_load_is_hardly_touched(self):
+        assert self.play_swap(0.5).worst >= 0.95
+
+    @pytest.mark.parametrize("load", [0.8, 1.0])
+    def test_turns_lift_the_worst_seconds_of_a_change_of_all_at_once(self, load):
+        turns = self.play_swap(load)
+        at_once = self.play_swap(load, self.swap_at_once)
+        assert turns.worst > at_once.worst
+        assert turns.whole >= 0.98 * at_once.whole
