--- a/src/tamaracktray/direct_entry.py
+++ b/src/tamaracktray/direct_entry.py
@@ -50,6 +50,7 @@
 from tamaracktray.rates import open_upload
 from tamaracktray.refusals import refuse_late
 from tamaracktray.relaying import CallRelay, OpenCall
+from tamaracktray.snapshot_decoding import encode_snapshots
 from tamaracktray.snapshots import Collection
 from tamaracktray.types import Address, Refusal
 from tamaracktray.version_keys import VERSIONS_PATH, VersionKey
@@ -176,7 +177,7 @@
         known = self.state.knowledge.by_collection[Collection.ROUTING]
         part = StoredObject(name, known.revision, table, deleted=False)
         snapshot = msgspec.structs.replace(known, objects_by_name={name: part})
-        body = msgspec.msgpack.encode({Collection.ROUTING: snapshot})
+        body = encode_snapshots({Collection.ROUTING: snapshot})
         await responder.respond(200, [], body)
 
     @override
--- a/src/tamaracktray/direct_shell.py
+++ b/src/tamaracktray/direct_shell.py
@@ -37,7 +37,7 @@
 from tamaracktray.logs import Logs
 from tamaracktray.metrics import ExposedMetrics, Metrics, NullMetrics
 from tamaracktray.runtime import Runtime
-from tamaracktray.snapshot_decoding import decode_snapshots
+from tamaracktray.snapshot_decoding import decode_snapshots, encode_snapshots
 from tamaracktray.snapshots import Collection
 from tamaracktray.store_follower import StoreCalls, StoreFollower
 from tamaracktray.types import Address
@@ -307,7 +307,7 @@
             await responder.respond(400, [])
             return
         newer = self.state.knowledge.select_newer(known)
-        await responder.respond(200, [], msgspec.msgpack.encode(newer))
+        await responder.respond(200, [], encode_snapshots(newer))
 
     async def _start_pull(self, effect: PullSnapshots) -> None:
         if len(self._pulls) >= MAX_PULLS or effect.address in self._pulls:
--- a/src/tamaracktray/snapshot_decoding.py
+++ b/src/tamaracktray/snapshot_decoding.py
@@ -1,4 +1,10 @@
-"""Reads the snapshots that peers send, with their values in their types."""
+"""How peers send each other snapshots: packed, and read with their values typed.
+
+A configuration with thousands of routes is alike from route to route, so that it takes
+a tenth of its size on links that callers' answers share.
+"""
+
+import zlib
 
 import msgspec
 from returns.result import Failure, Result, Success
@@ -20,17 +26,30 @@
 }
 
 
+# Fast packing: most of the gain for a few milliseconds.
+PACKING_LEVEL = 1
+
+# Largest snapshots that are unpacked, in bytes.
+MAX_UNPACKED_BYTES = 32 * 1_048_576
+
+
+def encode_snapshots(snapshots: dict[Collection, Snapshot]) -> bytes:
+    """Return the answer that carries snapshots."""
+    return zlib.compress(msgspec.msgpack.encode(snapshots), PACKING_LEVEL)
+
+
 def decode_snapshots(
     body: bytes,
 ) -> Result[dict[Collection, Snapshot], ProtocolError]:
     """Return the snapshots that a peer sent, with their values in their types."""
     try:
-        received = msgspec.msgpack.decode(body, type=dict[Collection, Snapshot])
+        unpacked = zlib.decompressobj().decompress(body, MAX_UNPACKED_BYTES)
+        received = msgspec.msgpack.decode(unpacked, type=dict[Collection, Snapshot])
         snapshots = {
             collection: _convert_values(collection, snapshot)
             for collection, snapshot in received.items()
         }
-    except (msgspec.DecodeError, RecursionError) as error:
+    except (zlib.error, msgspec.DecodeError, RecursionError) as error:
         return Failure(ProtocolError(f"unreadable snapshots: {error}"))
     return Success(snapshots)
 
--- a/tests/test_reported_faults.py
+++ b/tests/test_reported_faults.py
@@ -3,6 +3,7 @@
 import math
 import struct
 import time
+import zlib
 
 import curio
 import msgspec
@@ -35,7 +36,7 @@
 from tamaracktray.platform.wire import PlatformWire
 from tamaracktray.relaying import measure_patience
 from tamaracktray.routes import RepeatKind
-from tamaracktray.snapshot_decoding import decode_snapshots
+from tamaracktray.snapshot_decoding import MAX_UNPACKED_BYTES, decode_snapshots
 from tamaracktray.types import Address, Role
 from tamaracktray.withdrawing import is_resumable
 from tamaracktray_emulator.platform.documents import build_tenant
@@ -433,11 +434,18 @@
         run_fleet(scenario)
 
     def test_snapshot_with_a_value_of_another_type_is_refused(self):
-        body = msgspec.msgpack.encode(
-            {"members": {"revision": 1, "objects_by_name": {"m": {"name": 3}}}}
-        )
+        document = {"members": {"revision": 1, "objects_by_name": {"m": {"name": 3}}}}
+        body = zlib.compress(msgspec.msgpack.encode(document))
+        assert decode_snapshots(body).failure()
+
+    def test_snapshots_that_unpack_without_end_are_cut(self):
+        body = zlib.compress(bytes(4 * MAX_UNPACKED_BYTES))
         assert decode_snapshots(body).failure()
 
+    @given(st.binary(max_size=200))
+    def test_any_packed_snapshot_answer_is_taken(self, data):
+        decode_snapshots(zlib.compress(data))
+
 
 class TestInUseAgain:
     """After a restart a withdrawn key, or a server that had left, was in use again."""
--- a/tests/test_snapshots.py
+++ b/tests/test_snapshots.py
@@ -8,7 +8,8 @@
 from tamaracktray.engines import VersionTarget
 from tamaracktray.objects import StoredObject
 from tamaracktray.roster import EndpointRecord
-from tamaracktray.snapshot_decoding import decode_snapshots
+from tamaracktray.routes import Backend, RepeatKind, Route, RoutingTable
+from tamaracktray.snapshot_decoding import decode_snapshots, encode_snapshots
 from tamaracktray.snapshots import Collection, Knowledge, Snapshot
 from tamaracktray.types import Address
 
@@ -107,11 +108,11 @@
             ),
             Collection.EVACUATIONS: Snapshot().replace_all([item("z", 3, "z")], 3),
         }
-        assert decode_snapshots(msgspec.msgpack.encode(sent)).unwrap() == sent
+        assert decode_snapshots(encode_snapshots(sent)).unwrap() == sent
 
     def test_unreadable_objects_stay_unreadable(self):
         sent = {Collection.ENDPOINTS: Snapshot().replace_all([item("i-1", 1)], 1)}
-        assert decode_snapshots(msgspec.msgpack.encode(sent)).unwrap() == sent
+        assert decode_snapshots(encode_snapshots(sent)).unwrap() == sent
 
 
 class TestBeacons:
@@ -135,3 +136,24 @@
         accepted = BeaconFilter()
         assert accepted.accept(self.build(9, 500))
         assert accepted.accept(self.build(2, 1))
+
+    def test_large_configuration_takes_a_fraction_of_its_size(self):
+        routes = tuple(
+            Route(
+                f"r-{n:06x}",
+                f"host{n % 7}.example",
+                f"/path{n:05x}/",
+                RepeatKind.STREAM,
+                (Backend("engines", 0.7), Backend("others", 0.3)),
+                6.0,
+                0.4,
+                is_resumable=True,
+                gap_target_s=0.3,
+            )
+            for n in range(1_848)
+        )
+        table = RoutingTable(3, routes)
+        sent = {Collection.ROUTING: Snapshot().replace_all([item("main", 1, table)], 1)}
+        packed = encode_snapshots(sent)
+        assert len(packed) < len(msgspec.msgpack.encode(sent)) / 5
+        assert decode_snapshots(packed).unwrap() == sent
