--- a/src/tamaracktray_emulator/soak/callers.py
+++ b/src/tamaracktray_emulator/soak/callers.py
@@ -152,7 +152,7 @@
         call.status = answer.status
         signer = answer.headers.get(SIGNATURE, "").removeprefix("sig.")
         if self.check is not None and signer and LEAVING in answer.headers:
-            self.check.note_passed_on(call.entry, signer, call.ended_at)
+            self.check.note_passed_on(call, signer)
         self.record.note_answer(call)
         if 200 <= answer.status < 300:
             self._check_success(call, answer)
--- a/src/tamaracktray_emulator/soak/notice_faults.py
+++ b/src/tamaracktray_emulator/soak/notice_faults.py
@@ -47,7 +47,7 @@
                 if endpoint.is_leaving:
                     endpoint.is_leaving = False
                     endpoint.born = int(time.time() * MS_PER_S)
-                    self._check.note_new_life(endpoint.id)
+                    self._check.note_new_life(endpoint.id, self._fleet.now)
                     self._fleet.list_endpoint(endpoint)
 
     def _draw_pause(self) -> str:
--- a/src/tamaracktray_emulator/soak/notices.py
+++ b/src/tamaracktray_emulator/soak/notices.py
@@ -32,14 +32,21 @@
         self._record = record
         self._calm = calm
         self._left_at: dict[tuple[str, str], float] = {}
+        self._born_at: dict[str, float] = {}
         self._pauses: list[Pause] = []
 
-    def note_passed_on(self, entry: str, endpoint: str, now: float) -> None:
-        """Take in that an entry passed on an answer of an endpoint that leaves."""
-        self._left_at.setdefault((entry, endpoint), now)
+    def note_passed_on(self, call: SoakCall, endpoint: str) -> None:
+        """Take in that an entry passed on an answer of an endpoint that leaves.
 
-    def note_new_life(self, endpoint: str) -> None:
+        The answer to a call from before the endpoint's present life may be of an
+        earlier one, which this life is not bound by.
+        """
+        if call.sent_at > self._born_at.get(endpoint, 0.0):
+            self._left_at.setdefault((call.entry, endpoint), call.ended_at)
+
+    def note_new_life(self, endpoint: str, now: float) -> None:
         """Take in that an endpoint starts again, and nothing of before binds."""
+        self._born_at[endpoint] = now
         for key in [key for key in self._left_at if key[1] == endpoint]:
             del self._left_at[key]
 
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -5,7 +5,10 @@
 
 import pytest
 
+from tamaracktray_emulator.soak.calm import CalmLog
+from tamaracktray_emulator.soak.notices import DRAIN_S, NoticeCheck
 from tamaracktray_emulator.soak.plan import SoakPlan
+from tamaracktray_emulator.soak.record import Kind, SoakCall, SoakRecord
 from tamaracktray_emulator.soak.run import run_soak
 
 # Promises that any soak must have checked at least once to be worth something.
@@ -20,6 +23,37 @@
 }
 
 
+class TestNoticeCheck:
+    """What the soak itself says of endpoints that leave."""
+
+    def build(self) -> tuple[SoakRecord, NoticeCheck]:
+        record = SoakRecord()
+        return record, NoticeCheck(record, CalmLog())
+
+    def call(self, record: SoakRecord, name: str, sent_at: float) -> SoakCall:
+        call = SoakCall(name, Kind.STREAM, "entry-0", "/", b"", "team", sent_at)
+        call.ended_at = sent_at + 0.06
+        record.calls_by_id[name] = call
+        return call
+
+    def test_later_request_breaks_the_promise(self):
+        record, check = self.build()
+        check.note_passed_on(self.call(record, "1", 5.0), "e-1")
+        self.call(record, "2", 5.1 + DRAIN_S)
+        check.note_arrival("2", "e-1", 5.2 + DRAIN_S)
+        assert [item.detail for item in record.violations] == ["2"]
+
+    def test_answer_of_an_earlier_life_does_not_bind_the_next(self):
+        """Seed 507 once: a stream of the old life ended after the new one began."""
+        record, check = self.build()
+        before = self.call(record, "1", 5.0)
+        check.note_new_life("e-1", 5.03)
+        check.note_passed_on(before, "e-1")
+        self.call(record, "2", 5.1 + DRAIN_S)
+        check.note_arrival("2", "e-1", 5.2 + DRAIN_S)
+        assert record.violations == []
+
+
 class TestSoak:
     @pytest.mark.parametrize("seed", [1])
     def test_promises_hold_under_faults(self, seed, tmp_path):
