--- a/tests/gateways.py
+++ b/tests/gateways.py
@@ -3,6 +3,7 @@
 from collections.abc import Iterable
 
 from tamaracktray.calls import Call, CallArrived, CallAttemptEnded, CallEnded
+from tamaracktray.direct_state import DirectState
 from tamaracktray.effects import Effect
 from tamaracktray.gateway import (
     handle_attempt_ended,
@@ -24,7 +25,7 @@
     Route,
     Service,
 )
-from tamaracktray.types import Address
+from tamaracktray.types import Address, Role
 
 MODEL = "kiln"
 ENGINES = "engines"
@@ -94,6 +95,24 @@
     return Call(name, name, route, services, now, now + route.timeout_s, **options)
 
 
+def build_entry_state(
+    gateway: GatewayState | None = None, version_bound_s: float = 8.0
+) -> DirectState:
+    """Return the state of an entry that follows the platform's store."""
+    state = DirectState(
+        "entry-0",
+        Role.ENTRY,
+        ZONE,
+        REGION_BY_ZONE,
+        now=0.0,
+        version_bound_s=version_bound_s,
+        grace_s=8.0,
+        quarantine_s=300.0,
+    )
+    state.gateway = gateway or GatewayState("entry-0", GatewayBounds())
+    return state
+
+
 class Gateway:
     """A gateway whose effects and time the test follows."""
 
--- a/tests/test_reported_faults.py
+++ b/tests/test_reported_faults.py
@@ -13,12 +13,12 @@
 
 from gateways import (
     MODEL,
-    REGION_BY_ZONE,
     STREAM,
     UNSAFE,
     ZONE,
     Gateway,
     build_call,
+    build_entry_state,
     build_route,
     engine,
 )
@@ -37,7 +37,7 @@
 from tamaracktray.relaying import measure_patience
 from tamaracktray.routes import RepeatKind
 from tamaracktray.snapshot_decoding import MAX_UNPACKED_BYTES, decode_snapshots
-from tamaracktray.types import Address, Role
+from tamaracktray.types import Address
 from tamaracktray.withdrawing import is_resumable
 from tamaracktray_emulator.platform.documents import build_tenant
 from tamaracktray_emulator.platform.store import Outage
@@ -51,19 +51,8 @@
 ID_HEADER = b"x-tamaracktray-request-id"
 
 
-def build_entry_state() -> DirectState:
-    state = DirectState(
-        "entry-0",
-        Role.ENTRY,
-        ZONE,
-        REGION_BY_ZONE,
-        now=0.0,
-        version_bound_s=8.0,
-        grace_s=8.0,
-        quarantine_s=300.0,
-    )
-    state.gateway = Gateway(engine("a"), engine("bb")).state
-    return state
+def build_entry() -> DirectState:
+    return build_entry_state(Gateway(engine("a"), engine("bb")).state)
 
 
 async def _listed(fleet: PlatformFleet, count: int) -> None:
@@ -175,7 +164,7 @@
         assert curio.run(scenario) == b""
 
     def test_process_stays_while_a_request_is_being_received_or_answered(self):
-        state = build_entry_state()
+        state = build_entry()
         reduce_direct(state, ShutdownRequested(0.0))
         effects = reduce_direct(state, Tick(3.0, open_connections=1))[1]
         assert not any(isinstance(effect, Exit) for effect in effects)
@@ -184,7 +173,7 @@
         assert any(isinstance(effect, Exit) for effect in effects)
 
     def test_process_ends_before_it_is_killed(self):
-        state = build_entry_state()
+        state = build_entry()
         reduce_direct(state, ShutdownRequested(0.0))
         effects = reduce_direct(state, Tick(7.8, open_connections=1))[1]
         assert any(isinstance(effect, Exit) for effect in effects)
@@ -391,7 +380,7 @@
         )
     )
     def test_any_beacon_is_reduced_and_calls_go_on(self, beacon):
-        state = build_entry_state()
+        state = build_entry()
         decoded = decode_beacon(encode_beacon(beacon)).unwrap()
         reduce_direct(state, BeaconHeard(0.0, decoded, Address("10.0.1.1", 1)))
         reduce_direct(state, Tick(0.1))
--- a/tests/test_slow_links.py
+++ b/tests/test_slow_links.py
@@ -6,7 +6,16 @@
 import pytest
 from returns.result import Success
 
-from gateways import MODEL, REGION_BY_ZONE, SERVICES, STREAM, ZONE, build_call, engine
+from gateways import (
+    MODEL,
+    REGION_BY_ZONE,
+    SERVICES,
+    STREAM,
+    ZONE,
+    build_call,
+    build_entry_state,
+    engine,
+)
 from tamaracktray.calls import CallArrived, SendCall
 from tamaracktray.chunk_relay import ChunkRelay
 from tamaracktray.chunk_sources import list_sources, order_chunks
@@ -14,7 +23,6 @@
 from tamaracktray.direct_context import may_send
 from tamaracktray.direct_events import CollectionListed
 from tamaracktray.direct_state import DirectState
-from tamaracktray.gateway_state import GatewayBounds, GatewayState
 from tamaracktray.http import Request
 from tamaracktray.namings import LAST_MARGIN_S
 from tamaracktray.objects import StoredObject
@@ -22,7 +30,7 @@
 from tamaracktray.rates import UPLOAD_BURST_S, TokenBucket, open_upload
 from tamaracktray.routes import RoutingTable
 from tamaracktray.snapshots import Collection
-from tamaracktray.types import Address, Role
+from tamaracktray.types import Address
 
 CHUNKS = 96
 BOUND_S = 10.0
@@ -68,17 +76,7 @@
 
 
 def build_entry() -> DirectState:
-    state = DirectState(
-        "entry-0",
-        Role.ENTRY,
-        ZONE,
-        REGION_BY_ZONE,
-        now=0.0,
-        version_bound_s=BOUND_S,
-        grace_s=8.0,
-        quarantine_s=300.0,
-    )
-    state.gateway = GatewayState("entry-0", GatewayBounds())
+    state = build_entry_state(version_bound_s=BOUND_S)
     table = RoutingTable(1, (STREAM,), SERVICES)
     record = engine("a")
     for collection, name, value in (
--- a/tests/test_work.py
+++ b/tests/test_work.py
@@ -7,11 +7,10 @@
 
 from gateways import (
     ORDERS,
-    REGION_BY_ZONE,
     SAFE,
-    ZONE,
     Gateway,
     build_call,
+    build_entry_state,
     engine,
     worker,
 )
@@ -20,11 +19,10 @@
 from tamaracktray.beacons import Beacon, EndpointStatus, encode_beacon
 from tamaracktray.calls import SendCall
 from tamaracktray.direct_events import BeaconHeard
-from tamaracktray.direct_state import DirectState
 from tamaracktray.homes import Place
 from tamaracktray.outcomes import AttemptPhase
 from tamaracktray.placement import PEER_COUNT_S, EndpointLoad, choose_endpoint
-from tamaracktray.types import Address, Role
+from tamaracktray.types import Address
 
 ENDPOINTS = 29
 WAITING = 50
@@ -87,34 +85,18 @@
         assert choices == ["second"]
 
 
-def build_state() -> DirectState:
-    state = DirectState(
-        "entry-0",
-        Role.ENTRY,
-        ZONE,
-        REGION_BY_ZONE,
-        now=0.0,
-        version_bound_s=8.0,
-        grace_s=8.0,
-        quarantine_s=300.0,
-    )
-    state.gateway = Gateway(engine("a")).state
-    return state
-
-
 class TestBeacons:
     """An entry of a large fleet takes hundreds of beacons a second."""
 
     def hear(self, gateway: Gateway, name: str, *, number: int = 1, **fields) -> list:
-        state = build_state()
-        state.gateway = gateway.state
+        state = build_entry_state(gateway.state)
         beacon = Beacon(name, 1, number, {}, {}, **fields)
         event = BeaconHeard(gateway.now, beacon, Address("10.0.1.1", 1))
         return direct.reduce_direct(state, event)[1]
 
     def test_beacon_on_loads_tells_nothing_of_revisions(self):
         """It must not look like a peer that has lost what it knew."""
-        state = build_state()
+        state = build_entry_state()
         state.newer_peer = "peer"
         state.behind_since = 0.0
         beacon = Beacon("peer", 1, 1, {}, {}, {"a": 1})
