--- a/src/tamaracktray/admission.py
+++ b/src/tamaracktray/admission.py
@@ -6,7 +6,7 @@
 import msgspec
 
 from tamaracktray.configuration import Configuration
-from tamaracktray.dispatch import refuse_late, refuse_quarantined
+from tamaracktray.dispatch import refuse_late
 from tamaracktray.effects import (
     ClaimKey,
     Effect,
@@ -26,6 +26,7 @@
 from tamaracktray.membership import Membership
 from tamaracktray.outcomes import ClaimOutcome, RunOutcome
 from tamaracktray.quarantine import CrashLedger
+from tamaracktray.refusals import refuse_crashing
 from tamaracktray.types import ErrorCode, Load, Refusal, RunState, TargetKind
 
 SERVICE_TIME_WEIGHT = 0.1
@@ -249,7 +250,7 @@
         return _refuse(ErrorCode.NOT_SERVING, message, NOT_SERVING_RETRY_S)
     release = context.ledger.find_release(now, request.fingerprint)
     if release is not None:
-        return refuse_quarantined(release - now)
+        return refuse_crashing(release - now)
     if request.deadline <= now:
         return refuse_late()
     return None
--- a/src/tamaracktray/daemon.py
+++ b/src/tamaracktray/daemon.py
@@ -16,13 +16,12 @@
 from tamaracktray.instances import HttpInstanceList
 from tamaracktray.logs import configure_logs
 from tamaracktray.objects import HttpObjectStore
+from tamaracktray.runtime import EXIT_SETTINGS
 from tamaracktray.settings import Settings, load_settings
 from tamaracktray.shell import Shell
 from tamaracktray.signals import hold_reloads
 from tamaracktray.types import Address, Role
 
-EXIT_SETTINGS = 2
-
 
 def build_shell(settings: Settings) -> Shell:
     """Return the shell of the configured role."""
--- a/src/tamaracktray/direct_agent.py
+++ b/src/tamaracktray/direct_agent.py
@@ -29,7 +29,7 @@
 )
 from tamaracktray.exceptions import SourceLostError, WeightError
 from tamaracktray.exchange import fetch
-from tamaracktray.snapshot_decoding import decode_snapshots
+from tamaracktray.snapshot_codec import decode_snapshots
 from tamaracktray.snapshots import Collection
 from tamaracktray.staging_events import (
     CheckStage,
--- a/src/tamaracktray/direct_context.py
+++ b/src/tamaracktray/direct_context.py
@@ -1,7 +1,5 @@
 """What decisions on calls read of the state of a process."""
 
-import msgspec
-
 from tamaracktray.calls import SendCall
 from tamaracktray.direct_state import DirectState
 from tamaracktray.exceptions import InvariantError
@@ -14,28 +12,33 @@
 CONNECT_TIMES_AHEAD = 2.0
 
 
-def build_gateway_context(state: DirectState, now: float) -> GatewayContext:
-    """Return what the gateway reads; raise ``InvariantError`` if there is none."""
+def build_gateway_context(
+    state: DirectState, now: float, *, transit_s: float = 0.0
+) -> GatewayContext:
+    """Return what the gateway reads; raise ``InvariantError`` if there is none.
+
+    Calls take ``transit_s`` to their endpoints.
+    """
     if state.gateway is None:
         raise InvariantError(f"{state.name} is not an entry")
     return GatewayContext(
         state.gateway,
-        build_surroundings(state, now),
+        build_surroundings(state, now, now + transit_s),
         state.ledger,
         state.is_leaving and now >= state.close_deadline,
         state.unix_offset_s,
     )
 
 
-def build_surroundings(state: DirectState, now: float) -> Surroundings:
-    """Return what placing needs to know at ``now``."""
+def build_surroundings(state: DirectState, now: float, arrival: float) -> Surroundings:
+    """Return what placing needs to know at ``now`` of calls arriving at ``arrival``."""
     return Surroundings(
         state.zone,
         state.region_by_zone,
         state.evacuated_zones,
         state.services_by_name,
         state.namings.list_floors(now),
-        state.namings.list_last_floors(now),
+        state.namings.list_last_floors(arrival),
     )
 
 
@@ -47,12 +50,8 @@
     Over a full link a request takes about as long to arrive as its connection took to
     stand, and so does its withdrawal.
     """
-    context = build_gateway_context(state, now)
-    arrival = now + CONNECT_TIMES_AHEAD * connect_s
-    context.around = msgspec.structs.replace(
-        context.around,
-        last_floor_by_model=state.namings.list_last_floors(arrival),
-    )
+    transit_s = CONNECT_TIMES_AHEAD * connect_s
+    context = build_gateway_context(state, now, transit_s=transit_s)
     return is_sendable(context, now, decision)
 
 
--- a/src/tamaracktray/direct_entry.py
+++ b/src/tamaracktray/direct_entry.py
@@ -50,7 +50,7 @@
 from tamaracktray.rates import open_upload
 from tamaracktray.refusals import refuse_late
 from tamaracktray.relaying import CallRelay, OpenCall
-from tamaracktray.snapshot_decoding import encode_snapshots
+from tamaracktray.snapshot_codec import encode_snapshots
 from tamaracktray.snapshots import Collection
 from tamaracktray.types import Address, Refusal
 from tamaracktray.version_keys import VERSIONS_PATH, VersionKey
@@ -383,17 +383,16 @@
                 is_far_due = now >= far_deadline
                 if is_far_due:
                     far_deadline = now + FAR_BEACON_S
-                await self._tell_counts(is_far_due=is_far_due)
+                await self._tell_counts(counts, is_far_due=is_far_due)
             await curio.sleep(MIN_BEACON_GAP_S)
 
-    async def _tell_counts(self, *, is_far_due: bool) -> None:
+    async def _tell_counts(self, counts: dict[str, int], *, is_far_due: bool) -> None:
         node = self.settings.node
         members = self.state.peers.members_by_name.values()
         near = list_local(node.zone, members, self.state.region_by_zone)
         told = members if is_far_due else near
         # Revisions and namings are told as they change, and again with idle beacons.
         beacon = msgspec.structs.replace(
-            self.build_short_beacon(),
-            in_flight_by_endpoint=self.state.gateway.count_in_flight(),
+            self.build_short_beacon(), in_flight_by_endpoint=counts
         )
         await self.send_beacon([member.address for member in told], beacon)
--- a/src/tamaracktray/direct_run.py
+++ b/src/tamaracktray/direct_run.py
@@ -11,10 +11,9 @@
 from tamaracktray.direct_sections import DirectSettings, load_direct_settings
 from tamaracktray.direct_shell import DirectShell
 from tamaracktray.logs import configure_logs
+from tamaracktray.runtime import EXIT_SETTINGS
 from tamaracktray.types import Role
 
-EXIT_SETTINGS = 2
-
 
 def run_direct(path: Path, deployment: Deployment) -> int:
     """Run the process that a settings file describes and return its exit code.
--- a/src/tamaracktray/direct_shell.py
+++ b/src/tamaracktray/direct_shell.py
@@ -37,7 +37,7 @@
 from tamaracktray.logs import Logs
 from tamaracktray.metrics import ExposedMetrics, Metrics, NullMetrics
 from tamaracktray.runtime import Runtime
-from tamaracktray.snapshot_decoding import decode_snapshots, encode_snapshots
+from tamaracktray.snapshot_codec import decode_snapshots, encode_snapshots
 from tamaracktray.snapshots import Collection
 from tamaracktray.store_follower import StoreCalls, StoreFollower
 from tamaracktray.types import Address
--- a/src/tamaracktray/dispatch.py
+++ b/src/tamaracktray/dispatch.py
@@ -13,6 +13,7 @@
 from tamaracktray.membership import Membership
 from tamaracktray.outcomes import AttemptPhase
 from tamaracktray.quarantine import CrashLedger
+from tamaracktray.refusals import refuse_crashing
 from tamaracktray.resources import Kind
 from tamaracktray.routing import (
     AffinityPolicy,
@@ -192,7 +193,7 @@
         )
     release = context.ledger.find_release(now, request.fingerprint)
     if release is not None:
-        return refuse_quarantined(release - now)
+        return refuse_crashing(release - now)
     if request.deadline <= now:
         return refuse_late()
     if not _is_known(context, request):
@@ -292,7 +293,7 @@
     request = pending.request
     release = context.ledger.find_release(now, request.fingerprint)
     if release is not None:
-        return _answer(context.state, pending, refuse_quarantined(release - now))
+        return _answer(context.state, pending, refuse_crashing(release - now))
     if not request.is_repeatable or not context.state.budget.withdraw():
         return _answer(context.state, pending, refusal)
     return _send_next(context, now, pending, refusal)
@@ -373,14 +374,3 @@
         502,
         SHORT_RETRY_S,
     )
-
-
-def refuse_quarantined(left_s: float) -> Refusal:
-    """Return the refusal of a request that crashes endpoints."""
-    return Refusal(
-        ErrorCode.QUARANTINED,
-        "this request crashed several endpoints and is refused for a while",
-        RunState.NOT_RUN,
-        503,
-        left_s,
-    )
--- a/src/tamaracktray/gateway_fleet.py
+++ b/src/tamaracktray/gateway_fleet.py
@@ -9,7 +9,12 @@
     PendingCall,
 )
 from tamaracktray.homes import Place, find_homes
-from tamaracktray.placement import EndpointLoad, choose_endpoint, is_eligible
+from tamaracktray.placement import (
+    EndpointLoad,
+    choose_endpoint,
+    is_available,
+    is_eligible,
+)
 from tamaracktray.roster import EndpointRecord
 from tamaracktray.routes import Service
 
@@ -135,8 +140,7 @@
     """Tell whether any endpoint that may run a call has not asked for a pause."""
     return any(
         load.record.id not in pending.tried
-        and not load.is_paused(now)
-        and is_eligible(pending.call, load, context.around)
+        and is_available(now, pending.call, load, context.around)
         for load in context.state.loads_by_id.values()
     )
 
--- a/src/tamaracktray/gateway_notices.py
+++ b/src/tamaracktray/gateway_notices.py
@@ -20,9 +20,10 @@
     leaves says so in each of its answers, of which the first is news.
     """
     state = context.state
-    speakers = _list_speakers(context, event)
+    speakers = _list_speakers(state, event)
     if event.pause_s is None and all(_is_known_leaving(state, id_) for id_ in speakers):
         return []
+    note = _note_notice(event)
     now_ms = (event.now + context.unix_offset_s) * MS_PER_S
     for endpoint_id in speakers:
         load = state.loads_by_id.get(endpoint_id)
@@ -30,23 +31,20 @@
         life = Life(endpoint_id, max(now_ms, born_ms))
         if event.is_leaving:
             state.notices.note_leaving(life)
-        if event.pause_s is not None:
-            deadline = event.now + bound_pause(event.pause_s)
-            state.notices.note_pause(life, deadline)
+        if note.pause_s is not None:
+            state.notices.note_pause(life, event.now + note.pause_s)
         if load is not None:
             state.follow_notices(load)
-    effects = [_note_notice(event), *_refuse_unavailable(context, event.now)]
+    effects = [note, *_refuse_unavailable(context, event.now)]
     return effects + fill_room(context, event.now)
 
 
-def _list_speakers(context: GatewayContext, event: EndpointNoticed) -> list[str]:
+def _list_speakers(state: GatewayState, event: EndpointNoticed) -> list[str]:
     """Return the endpoints that an answer may have come from."""
-    loads_by_id = context.state.loads_by_id
-    load = loads_by_id.get(event.endpoint_id)
+    load = state.loads_by_id.get(event.endpoint_id)
     if load is None or not event.is_misdirected:
         return [event.endpoint_id]
-    address = load.record.address
-    return [name for name in loads_by_id if loads_by_id[name].record.address == address]
+    return state.ids_by_address[str(load.record.address)]
 
 
 def _is_known_leaving(state: GatewayState, endpoint_id: str) -> bool:
--- a/src/tamaracktray/http.py
+++ b/src/tamaracktray/http.py
@@ -210,9 +210,7 @@
     @property
     def busy_connections(self) -> int:
         """Return the connections on which a request is being received or answered."""
-        idle = sum(
-            not _has_arrived(client) for client in self._idle_sockets_by_task.values()
-        )
+        idle = sum(not peek(client) for client in self._idle_sockets_by_task.values())
         return len(self._tasks) - idle
 
     async def open(self) -> None:
@@ -248,7 +246,7 @@
         One whose next request has arrived, though no task has read it yet, stays open.
         """
         for task, client in list(self._idle_sockets_by_task.items()):
-            if not _has_arrived(client):
+            if not peek(client):
                 await task.cancel(blocking=False)
 
     async def _run_connection(self, client: curio.io.Socket) -> None:
@@ -277,7 +275,8 @@
             if request is None:
                 return
             if self._cancels_abandoned:
-                if _is_closed(client):
+                if peek(client) == b"":
+                    # A process that was held up finds requests of callers long gone.
                     return
                 await self._handle_watched(request, responder, connection, client)
             else:
@@ -351,25 +350,17 @@
         return 0
 
 
-def _has_arrived(client: curio.io.Socket) -> bool:
-    """Tell whether bytes wait to be read, without taking them."""
-    try:
-        return bool(client._socket.recv(1, socket_module.MSG_PEEK))
-    except OSError:
-        return False
-
-
-def _is_closed(client: curio.io.Socket) -> bool:
-    """Tell whether the client has closed, without taking anything from the socket.
+def peek(socket: curio.io.Socket) -> bytes | None:
+    """Return what waits to be read without taking it, ``None`` if nothing does.
 
-    A process that was held up finds requests whose senders have given up long ago.
+    It is empty once the peer has closed or the connection is lost.
     """
     try:
-        return not client._socket.recv(1, socket_module.MSG_PEEK)
+        return socket._socket.recv(1, socket_module.MSG_PEEK)
     except BlockingIOError:
-        return False
+        return None
     except OSError:
-        return True
+        return b""
 
 
 async def _watch_client(
--- a/src/tamaracktray/kept_client.py
+++ b/src/tamaracktray/kept_client.py
@@ -1,14 +1,12 @@
 """A client that keeps its connection from one request to the next."""
 
-import socket as socket_module
-
 import curio
 import h11
 from returns.result import Failure, Result, Success
 
 from tamaracktray.exceptions import TransportError
 from tamaracktray.exchange import Exchange, connect
-from tamaracktray.http import Headers, Reply
+from tamaracktray.http import Headers, Reply, peek
 from tamaracktray.types import Address
 
 # For reads that a surrounding timeout bounds, in seconds.
@@ -82,7 +80,7 @@
         body: bytes,
         max_bytes: int,
     ) -> Reply:
-        if self._socket is not None and not _is_quiet(self._socket):
+        if self._socket is not None and peek(self._socket) is not None:
             # A late second answer would be taken for that to the next request.
             await self._close()
         if self._socket is None or self._connection is None:
@@ -111,17 +109,6 @@
         self._connection = None
 
 
-def _is_quiet(socket: curio.io.Socket) -> bool:
-    """Tell whether a connection is open and nothing waits to be read on it."""
-    try:
-        socket._socket.recv(1, socket_module.MSG_PEEK)
-    except BlockingIOError:
-        return True
-    except OSError:
-        return False
-    return False
-
-
 async def _read_reply(
     exchange: Exchange, max_bytes: int
 ) -> tuple[int, dict[str, str], bytes]:
--- a/src/tamaracktray/notices.py
+++ b/src/tamaracktray/notices.py
@@ -81,10 +81,8 @@
 
     def note_pause(self, life: Life, deadline: float) -> None:
         """Take in that an endpoint takes nothing before ``deadline``."""
-        known = self._pause_by_id.get(life.endpoint_id)
-        if known is not None and known[1] > deadline:
-            deadline = known[1]
-        self._pause_by_id[life.endpoint_id] = (life, deadline)
+        _, known = self._pause_by_id.get(life.endpoint_id, (None, 0.0))
+        self._pause_by_id[life.endpoint_id] = (life, max(known, deadline))
 
     def is_leaving(self, record: EndpointRecord) -> bool:
         """Tell whether the endpoint of a record has said that it leaves."""
--- a/src/tamaracktray/placement.py
+++ b/src/tamaracktray/placement.py
@@ -314,6 +314,13 @@
     return load.find_version(call.model) >= floor
 
 
+def is_available(
+    now: float, call: Call, load: EndpointLoad, around: Surroundings
+) -> bool:
+    """Tell whether an endpoint may run a call and has not asked for a pause."""
+    return not load.is_paused(now) and is_eligible(call, load, around)
+
+
 def count_room(load: EndpointLoad, now: float) -> int:
     """Return how many more calls the endpoint can work on at once."""
     if load.blocked_deadline > now or load.is_swapping or load.is_paused(now):
@@ -343,15 +350,13 @@
     Endpoints of the service drawn for the call come first; those of the route's other
     services take it only when the drawn one has none that may run it now.
     """
-    eligible = [
+    available = [
         load
         for load in loads
-        if load.record.id not in tried
-        and not load.is_paused(now)
-        and is_eligible(call, load, around)
+        if load.record.id not in tried and is_available(now, call, load, around)
     ]
     for service in call.services:
-        candidates = [load for load in eligible if load.record.service == service]
+        candidates = [load for load in available if load.record.service == service]
         if candidates:
             return _choose_emptiest(now, call, candidates, around)
     return None
--- a/src/tamaracktray/refusals.py
+++ b/src/tamaracktray/refusals.py
@@ -39,7 +39,7 @@
 
     Callers who come back at the same moment would meet each other.
     """
-    return_s = least_s + spread_s * hash_text(call.request_id) / HASH_RANGE
+    return_s = least_s + spread_s * _draw_share(call)
     if not call.wait_s:
         return return_s
     left_s = call.arrived + call.wait_s - now
@@ -51,8 +51,16 @@
 
     In seconds; callers come back spread over some time after it.
     """
-    share = hash_text(call.request_id) / HASH_RANGE
-    return max(deadline - now, 0.0) + PAUSE_SPREAD_S * share
+    return max(deadline - now, 0.0) + PAUSE_SPREAD_S * _draw_share(call)
+
+
+def _draw_share(call: Call) -> float:
+    """Return a number from 0 to 1 that differs from caller to caller."""
+    return hash_text(call.request_id) / HASH_RANGE
+
+
+def _refuse_unrun(code: ErrorCode, message: str, retry_after_s: float) -> Refusal:
+    return Refusal(code, message, RunState.NOT_RUN, 503, retry_after_s)
 
 
 def refuse_unanswered() -> Refusal:
@@ -67,12 +75,8 @@
 
 def refuse_leaving() -> Refusal:
     """Return the refusal of a process that shuts down; another takes the call now."""
-    return Refusal(
-        ErrorCode.LEAVING,
-        "this entry is shutting down",
-        RunState.NOT_RUN,
-        503,
-        LEAVING_RETRY_S,
+    return _refuse_unrun(
+        ErrorCode.LEAVING, "this entry is shutting down", LEAVING_RETRY_S
     )
 
 
@@ -85,54 +89,36 @@
             RunState.UNKNOWN,
             504,
         )
-    return Refusal(
+    return _refuse_unrun(
         ErrorCode.DEADLINE_EXCEEDED,
         "the deadline passed before the request could run",
-        RunState.NOT_RUN,
-        503,
         BUSY_RETRY_S,
     )
 
 
 def refuse_busy(retry_after_s: float) -> Refusal:
     """Return the refusal of a call for which no endpoint has room."""
-    return Refusal(
-        ErrorCode.OVERLOADED,
-        "all endpoints are busy",
-        RunState.NOT_RUN,
-        503,
-        retry_after_s,
-    )
+    return _refuse_unrun(ErrorCode.OVERLOADED, "all endpoints are busy", retry_after_s)
 
 
 def refuse_paused(retry_after_s: float) -> Refusal:
     """Return the refusal of a call whose endpoints all want a pause."""
-    return Refusal(
-        ErrorCode.OVERLOADED,
-        "all endpoints have asked for a pause",
-        RunState.NOT_RUN,
-        503,
-        retry_after_s,
+    return _refuse_unrun(
+        ErrorCode.OVERLOADED, "all endpoints have asked for a pause", retry_after_s
     )
 
 
 def refuse_no_endpoint(retry_after_s: float) -> Refusal:
     """Return the refusal of a call that no endpoint may run now."""
-    return Refusal(
-        ErrorCode.NO_ENDPOINT,
-        "no endpoint can take the request now",
-        RunState.NOT_RUN,
-        503,
-        retry_after_s,
+    return _refuse_unrun(
+        ErrorCode.NO_ENDPOINT, "no endpoint can take the request now", retry_after_s
     )
 
 
 def refuse_crashing(left_s: float) -> Refusal:
     """Return the refusal of a request that crashed endpoints, for ``left_s`` more."""
-    return Refusal(
+    return _refuse_unrun(
         ErrorCode.QUARANTINED,
         "this request crashed several endpoints and is refused for a while",
-        RunState.NOT_RUN,
-        503,
         left_s,
     )
--- a/src/tamaracktray/runtime.py
+++ b/src/tamaracktray/runtime.py
@@ -21,6 +21,7 @@
 
 MAX_EXIT_WAIT_S = 10.0
 EXIT_BROKEN = 1
+EXIT_SETTINGS = 2
 
 
 class Runtime(ABC):
--- a/src/tamaracktray/store_follower.py
+++ b/src/tamaracktray/store_follower.py
@@ -136,10 +136,10 @@
             if failure is None:
                 await self._note_success(collection, failed_at)
                 failed_at = 0.0
-                settled_at = begun + SETTLE_S_BY_COLLECTION.get(collection, SETTLE_S)
-                if changes:
-                    settled_at += time.monotonic() - begun
-                await curio.sleep(max(settled_at - time.monotonic(), 0.0))
+                settle_s = SETTLE_S_BY_COLLECTION.get(collection, SETTLE_S)
+                if not changes:
+                    settle_s -= time.monotonic() - begun
+                await curio.sleep(max(settle_s, 0.0))
                 continue
             if isinstance(failure, RevisionExpiredError):
                 self._log.info("history expired", collection=collection.value)
--- a/src/tamaracktray/withdrawing.py
+++ b/src/tamaracktray/withdrawing.py
@@ -10,7 +10,7 @@
 from tamaracktray.effects import Effect
 from tamaracktray.gateway_fleet import choose
 from tamaracktray.gateway_state import GatewayContext, PendingCall
-from tamaracktray.placement import is_eligible
+from tamaracktray.placement import is_available
 
 # Silence of an endpoint after which its calls go elsewhere, in seconds: before the
 # first part of an answer, and within a stream, whose reader knows pauses.
@@ -77,12 +77,12 @@
     if pending is None or pending.endpoint_id != decision.endpoint_id:
         return False
     load = context.state.loads_by_id.get(decision.endpoint_id)
-    if load is None or pending.is_abandoned or load.is_paused(now):
+    if load is None or pending.is_abandoned:
         return False
     # A call on its way is bound by the oldest version on which it may still begin.
     floors = context.around.last_floor_by_model
     around = msgspec.structs.replace(context.around, version_floor_by_model=floors)
-    return is_eligible(pending.call, load, around)
+    return is_available(now, pending.call, load, around)
 
 
 def _is_outdated(context: GatewayContext, pending: PendingCall) -> bool:
--- a/src/tamaracktray_emulator/soak/callers.py
+++ b/src/tamaracktray_emulator/soak/callers.py
@@ -155,7 +155,7 @@
             self.check.note_passed_on(call, signer)
         self.record.note_answer(call)
         if 200 <= answer.status < 300:
-            self._check_success(call, answer)
+            self._check_success(call, answer, signer)
         return answer.headers.get("connection", "").lower() != "close"
 
     def _build(self, entry: str) -> SoakCall:
@@ -172,9 +172,8 @@
     def _end(self, call: SoakCall) -> None:
         call.ended_at = time.monotonic() - self._started
 
-    def _check_success(self, call: SoakCall, answer: Answer) -> None:
+    def _check_success(self, call: SoakCall, answer: Answer, signer: str) -> None:
         """Check that a success is the whole answer of an endpoint to this request."""
-        signer = answer.headers.get(SIGNATURE, "").removeprefix("sig.")
         runners = {run.endpoint for run in self.record.runs_by_id.get(call.id, [])}
         is_own = answer.headers.get(REQUEST_ID) == call.id and signer in runners
         if call.kind is Kind.STREAM:
--- a/src/tamaracktray_emulator/soak/calm.py
+++ b/src/tamaracktray_emulator/soak/calm.py
@@ -10,6 +10,10 @@
     start: float
     end: float | None = None
 
+    def touches(self, start: float, end: float) -> bool:
+        """Tell whether the fault fell into a time."""
+        return self.start < end and (self.end is None or self.end > start)
+
 
 class CalmLog:
     """The faults of one soak, planned work apart."""
@@ -31,15 +35,9 @@
     def is_harmed(self, subject: str, start: float, end: float) -> bool:
         """Tell whether a fault named ``subject`` between ``start`` and ``end``."""
         return any(
-            subject in item.name
-            and item.start < end
-            and (item.end is None or item.end > start)
-            for item in self._unrest
+            subject in item.name and item.touches(start, end) for item in self._unrest
         )
 
     def is_calm(self, start: float, end: float) -> bool:
         """Tell whether no fault touched the time from ``start`` to ``end``."""
-        return not any(
-            item.start < end and (item.end is None or item.end > start)
-            for item in self._unrest
-        )
+        return not any(item.touches(start, end) for item in self._unrest)
--- a/src/tamaracktray_emulator/swap_experiment.py
+++ b/src/tamaracktray_emulator/swap_experiment.py
@@ -5,6 +5,7 @@
 """
 
 from collections.abc import Callable
+from functools import partial
 
 import msgspec
 from typing_extensions import override
@@ -86,8 +87,9 @@
         self._after(plan.named_at, self._tell_statuses)
         self._after(plan.named_at + plan.bound_s - VERSION_MARGIN_S, self._let_due)
         for name, swap in self._swaps.items():
-            self._after(swap.order_at - NOTICE_S, self._bind(self._announce, name))
-            self._after(swap.order_at, self._bind(self._order, name))
+            announce = partial(self._tell_status, name, is_swapping=True)
+            self._after(swap.order_at - NOTICE_S, announce)
+            self._after(swap.order_at, partial(self._order, name))
 
     def play(self) -> SwapReport:
         """Play the plan and report on the callers from the naming on."""
@@ -104,9 +106,6 @@
         whole = measure_worth([caller for callers in windows for caller in callers])
         return SwapReport(whole, round(sum(sorted(worths)[:2]) / 2, 3), worths)
 
-    def _bind(self, action: Callable[[str], None], name: str) -> Callable[[], None]:
-        return lambda: action(name)
-
     def _plan_engine(self, name: str, find: TurnChooser) -> SwapEngine:
         plan = self._swap
         state = StagingState(plan.bound_s)
@@ -147,9 +146,6 @@
 
         self._after(BEACON_DELAY_S, tell)
 
-    def _announce(self, name: str) -> None:
-        self._tell_status(name, is_swapping=True)
-
     def _order(self, name: str) -> None:
         self._swaps[name].is_closed = True
         self._note_pass(name)
--- a/tests/gateways.py
+++ b/tests/gateways.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Iterable
 
-from tamaracktray.calls import Call, CallArrived, CallAttemptEnded, CallEnded
+from tamaracktray.calls import Call, CallArrived, CallAttemptEnded, CallEnded, SendCall
 from tamaracktray.direct_state import DirectState
 from tamaracktray.effects import Effect
 from tamaracktray.gateway import (
@@ -113,6 +113,11 @@
     return state
 
 
+def sent(effects: Iterable[Effect]) -> list[str]:
+    """Return the endpoints that calls are sent to."""
+    return [item.endpoint_id for item in effects if isinstance(item, SendCall)]
+
+
 class Gateway:
     """A gateway whose effects and time the test follows."""
 
--- a/tests/platforms.py
+++ b/tests/platforms.py
@@ -286,6 +286,11 @@
             assert time.monotonic() < deadline, "the condition did not come about"
             await curio.sleep(0.01)
 
+    async def until_listed(self, count: int) -> None:
+        """Wait until the first entry uses that many endpoints."""
+        roster = self.entries[0].state.roster
+        await self.until(lambda: len(roster.records_by_id) == count)
+
     async def call(
         self,
         path: str,
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -16,6 +16,7 @@
     build_call,
     build_route,
     engine,
+    sent,
     worker,
 )
 from tamaracktray.calls import (
@@ -41,10 +42,6 @@
 from tamaracktray.withdrawing import is_sendable
 
 
-def sent(effects) -> list[str]:
-    return [item.endpoint_id for item in effects if isinstance(item, SendCall)]
-
-
 def refusal(effects):
     (found,) = [item.refusal for item in effects if isinstance(item, RefuseCall)]
     return found
--- a/tests/test_notices.py
+++ b/tests/test_notices.py
@@ -17,6 +17,7 @@
     build_call,
     build_route,
     engine,
+    sent,
     worker,
 )
 from platforms import PlatformFleet, run_fleet
@@ -46,10 +47,6 @@
 ALLOWED_IN_PAUSE = 2
 
 
-def sent(effects) -> list[str]:
-    return [item.endpoint_id for item in effects if isinstance(item, SendCall)]
-
-
 def refusals(effects):
     return [item.refusal for item in effects if isinstance(item, RefuseCall)]
 
@@ -344,11 +341,6 @@
                     assert not is_sendable(gateway.context, gateway.now, decision)
 
 
-async def _listed(fleet: PlatformFleet, count: int) -> None:
-    roster = fleet.entries[0].state.roster
-    await fleet.until(lambda: len(roster.records_by_id) == count)
-
-
 class TestRealSockets:
     @pytest.mark.parametrize("mode", [Mode.GOOD, Mode.FULL, Mode.FAILING, Mode.CROSSED])
     def test_worker_that_says_it_leaves_gets_nothing_more(self, mode):
@@ -357,7 +349,7 @@
             leaving = await fleet.add_worker("w-1")
             leaving.is_leaving = True
             leaving.mode = mode
-            await _listed(fleet, 1)
+            await fleet.until_listed(1)
             await fleet.call("/order/1", "id-1")
             arrivals = leaving.arrivals
             assert arrivals
@@ -373,7 +365,7 @@
             await fleet.start()
             leaving = await fleet.add_engine("e-1")
             leaving.is_leaving = True
-            await _listed(fleet, 1)
+            await fleet.until_listed(1)
             reply = await fleet.call("/talk/1", "id-1")
             assert reply.status == 200
             assert (await fleet.call("/talk/1", "id-2")).status == 503
@@ -388,7 +380,7 @@
             resting = await fleet.add_worker("w-1")
             resting.pause = "0.6"
             resting.is_pause_marked = is_marked
-            await _listed(fleet, 1)
+            await fleet.until_listed(1)
             first = await fleet.call("/order/1", "id-0")
             assert (first.status == 503) is is_marked
             arrivals = resting.arrivals
@@ -408,7 +400,7 @@
             await fleet.start()
             leaving = await fleet.add_worker("w-1")
             leaving.is_leaving = True
-            await _listed(fleet, 1)
+            await fleet.until_listed(1)
             await fleet.call("/order/1", "id-1")
             fleet.store.faults.outage = Outage.RESET
             await curio.sleep(0.3)
--- a/tests/test_reported_faults.py
+++ b/tests/test_reported_faults.py
@@ -36,7 +36,7 @@
 from tamaracktray.platform.wire import PlatformWire
 from tamaracktray.relaying import measure_patience
 from tamaracktray.routes import RepeatKind
-from tamaracktray.snapshot_decoding import MAX_UNPACKED_BYTES, decode_snapshots
+from tamaracktray.snapshot_codec import MAX_UNPACKED_BYTES, decode_snapshots
 from tamaracktray.types import Address
 from tamaracktray.withdrawing import is_resumable
 from tamaracktray_emulator.platform.documents import build_tenant
@@ -55,11 +55,6 @@
     return build_entry_state(Gateway(engine("a"), engine("bb")).state)
 
 
-async def _listed(fleet: PlatformFleet, count: int) -> None:
-    roster = fleet.entries[0].state.roster
-    await fleet.until(lambda: len(roster.records_by_id) == count)
-
-
 class TestSecondAnswer:
     """A server sent a second copy of an answer, late, on a connection in use again."""
 
@@ -129,16 +124,21 @@
 class TestPlannedStop:
     """During a planned stop requests that had just been accepted were cut off."""
 
+    async def connect(self, server: HttpServer) -> curio.io.Socket:
+        """Open a connection on which the server waits for a request."""
+        await server.open()
+        await curio.spawn(server.serve, daemon=True)
+        client = await curio.open_connection("127.0.0.1", server.address.port)
+        await curio.sleep(0.05)
+        return client
+
     def test_request_that_has_arrived_is_answered_when_idle_ones_are_closed(self):
         async def handle(request: Request, responder) -> None:
             await responder.respond(200, [], b"answer")
 
         async def scenario() -> bytes:
             server = HttpServer(Address("127.0.0.1", 0), handle)
-            await server.open()
-            await curio.spawn(server.serve, daemon=True)
-            client = await curio.open_connection("127.0.0.1", server.address.port)
-            await curio.sleep(0.05)
+            client = await self.connect(server)
             # Sent without giving the server's task a chance to run.
             client._socket.send(b"GET / HTTP/1.1\r\nhost: a\r\n\r\n")
             time.sleep(0.01)
@@ -153,10 +153,7 @@
     def test_connection_without_a_request_is_closed(self):
         async def scenario() -> bytes:
             server = HttpServer(Address("127.0.0.1", 0), None)
-            await server.open()
-            await curio.spawn(server.serve, daemon=True)
-            client = await curio.open_connection("127.0.0.1", server.address.port)
-            await curio.sleep(0.05)
+            client = await self.connect(server)
             assert server.busy_connections == 0
             await server.close_idle()
             return await curio.timeout_after(1.0, client.recv, 65_536)
@@ -188,7 +185,7 @@
             slow = await fleet.add_engine("e-1")
             slow.pause_after = 2
             slow.pause_s = SLOW_PAUSE_S
-            await _listed(fleet, 1)
+            await fleet.until_listed(1)
             reply = await fleet.call("/talk/1", wait_ms=6_000)
             assert reply.status == 200
             assert reply.body.count(b"id:") == EVENTS
@@ -203,7 +200,7 @@
                 stalled = await fleet.add_engine(name)
                 stalled.pause_after = 2
                 stalled.pause_s = 30.0
-            await _listed(fleet, 2)
+            await fleet.until_listed(2)
             other: list[str] = []
 
             async def release_the_other() -> None:
@@ -226,7 +223,7 @@
             await fleet.start()
             dripping = await fleet.add_engine("e-1")
             dripping.mode = Mode.DRIPPING
-            await _listed(fleet, 1)
+            await fleet.until_listed(1)
             begun = time.monotonic()
             reply = await fleet.call("/talk/1", wait_ms=9_000)
             assert reply.status == 502
@@ -266,7 +263,7 @@
             crossing = await fleet.add_worker("w-1")
             crossing.mode = Mode.CROSSED_REFUSAL
             await fleet.add_worker("w-2", zone="zone-b")
-            await _listed(fleet, 2)
+            await fleet.until_listed(2)
             reply = await fleet.call("/order/1", "id-1")
             runs = sum(
                 len(worker.runs.get("id-1", [])) for worker in fleet.workers.values()
@@ -306,7 +303,7 @@
             fleet.store.write("members", "entry-1", value)
             await curio.sleep(0.3)
             await fleet.add_worker("w-1")
-            await _listed(fleet, 1)
+            await fleet.until_listed(1)
             assert (await fleet.call("/order/1")).status == 200
             assert all(not entry.is_halted for entry in fleet.entries)
 
@@ -443,7 +440,7 @@
         async def scenario(fleet: PlatformFleet) -> None:
             await fleet.start(entries=2)
             await fleet.add_worker("w-1")
-            await _listed(fleet, 1)
+            await fleet.until_listed(1)
             # All watches are open when the store falls silent, and never answered.
             fleet.store.faults.outage = Outage.SILENT
             await curio.sleep(0.3)
@@ -464,11 +461,11 @@
             await fleet.start(entries=2)
             await fleet.add_worker("w-1")
             await fleet.add_worker("w-2")
-            await _listed(fleet, 2)
+            await fleet.until_listed(2)
             fleet.store.remove("servers", "w-1")
             fleet.tenants = [build_tenant("team-1", "key-2")]
             fleet.configure()
-            await _listed(fleet, 1)
+            await fleet.until_listed(1)
             entry = await fleet.restart_entry(0)
             await fleet.until(lambda: entry.state.is_informed)
             reply = await fleet.call("/order/1", "old-key", key=KEY)
--- a/tests/test_snapshots.py
+++ b/tests/test_snapshots.py
@@ -9,7 +9,7 @@
 from tamaracktray.objects import StoredObject
 from tamaracktray.roster import EndpointRecord
 from tamaracktray.routes import Backend, RepeatKind, Route, RoutingTable
-from tamaracktray.snapshot_decoding import decode_snapshots, encode_snapshots
+from tamaracktray.snapshot_codec import decode_snapshots, encode_snapshots
 from tamaracktray.snapshots import Collection, Knowledge, Snapshot
 from tamaracktray.types import Address
 
