--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 PYTHON := $(VENV)/bin/python
 STAMP := $(VENV)/.installed
 
-.PHONY: demo test lint format bench slopes proto soak
+.PHONY: demo test lint format bench slopes proto soak regression
 
 $(STAMP): pyproject.toml
 	python3 -m venv $(VENV)
@@ -36,3 +36,12 @@
 proto: $(STAMP)
 	$(PYTHON) -m grpc_tools.protoc -I src --python_out=src --grpc_python_out=src \
 		src/tamaracktray/control.proto
+
+# Needs FLEETBENCH, the users' bench, and SITES, the folder with their site files.
+regression:
+	@test -n "$(FLEETBENCH)" -a -d "$(SITES)" || \
+		{ echo "set FLEETBENCH and SITES" >&2; exit 2; }
+	@for site in $$(grep -v '^#' bench/regression.txt); do \
+		$(FLEETBENCH) score $$(find "$(SITES)" -name "$$site.toml") \
+			--jobs $(or $(JOBS),3) || exit 1; \
+	done
