--- a/src/tamaracktray_emulator/platform/worker.py
+++ b/src/tamaracktray_emulator/platform/worker.py
@@ -27,6 +27,7 @@
 VERSION = "x-tamaracktray-weight-versions"
 LEAVING = "server-leaving"
 PAUSE = "retry-after"
+PROMPT_PARTS = "x-tamaracktray-prefix-hash"
 
 EVENTS = 6
 EVENT_S = 0.01
@@ -77,6 +78,13 @@
     SILENCE = "silence"
 
 
+class CrashPoint(str, Enum):
+    """When an engine crashes on a fatal prompt part, as it begins its answer."""
+
+    BEFORE_HEAD = "before_head"
+    AFTER_FIRST_EVENT = "after_first_event"
+
+
 class WorkerStandIn(StandIn):
     """Answers requests and records those it ran.
 
@@ -196,7 +204,8 @@
 class EngineStandIn(WorkerStandIn):
     """A worker that streams events and accepts weights and load orders.
 
-    A stream pauses for ``pause_s`` seconds after event ``pause_after``.
+    A stream pauses for ``pause_s`` seconds after event ``pause_after``. A request whose
+    prompt holds one of the ``fatal_parts`` crashes the engine at ``crash_point``.
     """
 
     def __init__(self, address: Address, endpoint_id: str, service: str) -> None:
@@ -210,9 +219,12 @@
         self.load_s = 0.05
         self.pause_after = 0
         self.pause_s = 0.0
+        self.fatal_parts: frozenset[str] = frozenset()
+        self.crash_point = CrashPoint.BEFORE_HEAD
 
     def restart(self) -> None:
         """Unload the model but keep staged chunks, as after a crash."""
+        self.crashed_at = 0.0
         self.version = 0
         self.sequence = 0
         self.start_time_ms = max(self.start_time_ms + 1, int(time.time() * MS_PER_S))
@@ -307,6 +319,10 @@
             return
         headers = [*headers, (VERSION, str(self.version))]
         headers.append(("content-type", "text/event-stream"))
+        is_fatal = self._is_fatal(request)
+        if is_fatal and self.crash_point is CrashPoint.BEFORE_HEAD:
+            await self._crash(responder)
+            return
         await responder.send_head(200, headers)
         while self.mode is Mode.DRIPPING:
             await responder.send_data(b":")
@@ -323,4 +339,17 @@
                 await responder.abort()
                 return
             await responder.send_data(event)
+            if is_fatal:
+                await self._crash(responder)
+                return
         await responder.finish()
+
+    def _is_fatal(self, request: Request) -> bool:
+        parts = request.headers.get(PROMPT_PARTS, "").split(",")
+        return any(part.partition(":")[0] in self.fatal_parts for part in parts)
+
+    async def _crash(self, responder: Responder) -> None:
+        """Break off all answers, as an engine that ends in the middle of a batch."""
+        if not self.crashed_at:
+            self.crashed_at = time.monotonic()
+        await self._drop_request(responder)
