--- a/src/tamaracktray/beacons.py
+++ b/src/tamaracktray/beacons.py
@@ -9,9 +9,9 @@
 import msgspec
 from returns.result import Failure, Result, Success
 
-from tamaracktray.crash_watch import CrashReport
 from tamaracktray.exceptions import ProtocolError
 from tamaracktray.snapshots import Collection
+from tamaracktray.suspicions import CrashReport
 
 MAX_BEACON_BYTES = 60_000
 
--- a/src/tamaracktray/call_log.py
+++ b/src/tamaracktray/call_log.py
@@ -10,12 +10,12 @@
 import structlog
 
 from tamaracktray.calls import Call, CallAttemptEnded, RefuseCall, SendCall
-from tamaracktray.crash_watch import LogFinding
 from tamaracktray.exceptions import PlatformError
 from tamaracktray.metrics import Metrics
 from tamaracktray.notices import LogNotice
 from tamaracktray.quarantine_records import RecordQuarantine
 from tamaracktray.snapshots import Collection, SnapshotCache
+from tamaracktray.suspicions import LogFinding
 from tamaracktray.types import Refusal
 
 TIME_DECIMALS = 4
--- a/src/tamaracktray/crash_watch.py
+++ b/src/tamaracktray/crash_watch.py
@@ -9,11 +9,15 @@
 """
 
 from collections.abc import Iterable, Mapping
-from enum import Enum
 
-import msgspec
-
-from tamaracktray.effects import Effect
+from tamaracktray.suspicions import (
+    CrashReport,
+    Finding,
+    Incarnation,
+    ListedEndpoint,
+    LogFinding,
+    Suspicion,
+)
 
 # Suspicions, each about another incarnation, that quarantine a request.
 SUSPICIONS_TO_QUARANTINE = 2
@@ -39,118 +43,6 @@
 # seconds. Peers remember it, so it needn't be repeated for longer.
 REPORT_TTL_S = 10.0
 
-# Shortest quarantine while the endpoint list can't be read, in seconds.
-MIN_QUARANTINE_S = 0.5
-
-
-class Incarnation(msgspec.Struct, frozen=True, array_like=True):
-    """One incarnation of an endpoint.
-
-    ``start_time_ms`` is its start time, a Unix time in milliseconds.
-    """
-
-    endpoint_id: str
-    start_time_ms: int = 0
-
-
-class CrashReport(msgspec.Struct, frozen=True, array_like=True):
-    """A suspicion as reported to peers; ``age_s`` is its age in seconds."""
-
-    fingerprint: str
-    endpoint: Incarnation
-    age_s: float
-    is_confirmed: bool = False
-
-
-class Finding(str, Enum):
-    """A change in the state of a suspicion."""
-
-    SUSPECTED = "suspected"
-    REPORTED = "told"
-    CONFIRMED = "confirmed"
-    ANSWERED = "answered"
-    LISTED = "listed"
-    DROPPED = "dropped"
-
-
-class LogFinding(Effect, frozen=True):
-    """Log a change in the state of a suspicion that is ``age_s`` seconds old."""
-
-    fingerprint: str
-    endpoint: Incarnation
-    finding: Finding
-    age_s: float = 0.0
-    reason: str = ""
-
-
-class ListedEndpoint(msgspec.Struct, frozen=True):
-    """The list's entry for an endpoint that is suspected to have crashed."""
-
-    start_time_ms: int
-    is_leaving: bool = False
-
-
-class Suspicion:
-    """A call that broke off or stalled at an endpoint at ``seen_at``.
-
-    ``is_local`` is set if this process observed it and ``is_answering`` if the endpoint
-    sent data later. ``was_listed`` and ``is_leaving`` are taken from the endpoint list.
-    An up-to-date list shows a crash by ``verdict_deadline``. ``is_overdue`` is set if
-    the endpoint was still listed then; a delayed list may still confirm the crash.
-    """
-
-    __slots__ = (
-        "endpoint",
-        "fingerprint",
-        "quarantine_deadline",
-        "is_answering",
-        "is_confirmed",
-        "is_leaving",
-        "is_overdue",
-        "is_local",
-        "seen_at",
-        "verdict_deadline",
-        "was_listed",
-    )
-
-    def __init__(
-        self,
-        fingerprint: str,
-        endpoint: Incarnation,
-        seen_at: float,
-        verdict_deadline: float,
-        quarantine_deadline: float,
-        *,
-        is_local: bool,
-    ) -> None:
-        self.fingerprint = fingerprint
-        self.endpoint = endpoint
-        self.seen_at = seen_at
-        self.verdict_deadline = verdict_deadline
-        self.quarantine_deadline = quarantine_deadline
-        self.is_local = is_local
-        self.is_answering = False
-        self.is_confirmed = False
-        self.is_leaving = False
-        self.is_overdue = False
-        self.was_listed = is_local
-
-    @property
-    def is_active(self) -> bool:
-        """Whether the suspicion counts toward a quarantine of its request."""
-        return self.is_confirmed or not (self.is_answering or self.is_overdue)
-
-    def find_deadline(self, now: float) -> float:
-        """Return the time until which the suspicion counts toward a quarantine."""
-        if self.is_confirmed:
-            return self.quarantine_deadline
-        return max(self.verdict_deadline, now + MIN_QUARANTINE_S)
-
-    def describe(self, now: float, finding: Finding, reason: str = "") -> LogFinding:
-        """Return the effect that logs a change in its state."""
-        age_s = now - self.seen_at
-        return LogFinding(self.fingerprint, self.endpoint, finding, age_s, reason)
-
 
 class CrashWatch:
     """Suspicions by request fingerprint.
--- a/src/tamaracktray/entry_process.py
+++ b/src/tamaracktray/entry_process.py
@@ -27,7 +27,6 @@
     SendLoadBeacon,
 )
 from tamaracktray.chunk_relay import ChunkRelay
-from tamaracktray.crash_watch import LogFinding
 from tamaracktray.deployment import Deployment
 from tamaracktray.effects import Effect
 from tamaracktray.events import Event, Tick
@@ -53,6 +52,7 @@
 from tamaracktray.snapshot_codec import encode_snapshots
 from tamaracktray.snapshots import Collection
 from tamaracktray.store_readers import list_local
+from tamaracktray.suspicions import LogFinding
 from tamaracktray.types import Address, Refusal
 from tamaracktray.upstreams import Upstreams
 from tamaracktray.version_keys import VERSIONS_PATH, VersionKey
--- a/src/tamaracktray/gateway_crashes.py
+++ b/src/tamaracktray/gateway_crashes.py
@@ -1,9 +1,9 @@
 """An entry's handling of requests that crash the endpoints which run them."""
 
-from tamaracktray.crash_watch import Incarnation, ListedEndpoint
 from tamaracktray.effects import Effect
 from tamaracktray.gateway_state import GatewayContext, PendingCall
 from tamaracktray.placement import EndpointLoad
+from tamaracktray.suspicions import Incarnation, ListedEndpoint
 
 # Silence of an endpoint after which it may have crashed, in seconds.
 SUSPECT_SILENCE_S = 0.5
--- a/src/tamaracktray/quarantine_records.py
+++ b/src/tamaracktray/quarantine_records.py
@@ -9,10 +9,10 @@
 
 import msgspec
 
-from tamaracktray.crash_watch import CrashReport, Incarnation, Suspicion
 from tamaracktray.effects import Effect
 from tamaracktray.hashing import count_ranked_before
 from tamaracktray.objects import StoredObject
+from tamaracktray.suspicions import CrashReport, Incarnation, Suspicion
 
 # Time in quarantine after which a request is recorded, in seconds. Most suspicions
 # about harmless requests are dropped by then.
--- a/src/tamaracktray/quarantine_sync.py
+++ b/src/tamaracktray/quarantine_sync.py
@@ -2,7 +2,6 @@
 
 from collections.abc import Iterable
 
-from tamaracktray.crash_watch import CrashReport
 from tamaracktray.effects import Effect
 from tamaracktray.node_state import NodeState
 from tamaracktray.quarantine_records import (
@@ -13,6 +12,7 @@
     read_reports,
 )
 from tamaracktray.snapshots import Collection
+from tamaracktray.suspicions import CrashReport
 
 
 def merge_quarantine_records(state: NodeState, now: float) -> list[Effect]:
--- a/tests/gateways.py
+++ b/tests/gateways.py
@@ -3,7 +3,7 @@
 from collections.abc import Iterable
 
 from tamaracktray.calls import Call, CallArrived, CallAttemptEnded, CallEnded, SendCall
-from tamaracktray.crash_watch import CrashWatch, LogFinding
+from tamaracktray.crash_watch import CrashWatch
 from tamaracktray.effects import Effect
 from tamaracktray.gateway import (
     handle_attempt_ended,
@@ -25,6 +25,7 @@
     Route,
     Service,
 )
+from tamaracktray.suspicions import LogFinding
 from tamaracktray.types import Address, Role
 
 MODEL = "kiln"
--- a/tests/test_crash_watch.py
+++ b/tests/test_crash_watch.py
@@ -19,11 +19,7 @@
     MAX_REPORTS,
     MAX_SUSPICIONS,
     REPORT_TTL_S,
-    CrashReport,
     CrashWatch,
-    Finding,
-    Incarnation,
-    ListedEndpoint,
 )
 from tamaracktray.objects import StoredObject
 from tamaracktray.outcomes import AttemptPhase
@@ -41,6 +37,7 @@
     sync_quarantine_records,
 )
 from tamaracktray.snapshots import Collection, Snapshot
+from tamaracktray.suspicions import CrashReport, Finding, Incarnation, ListedEndpoint
 from tamaracktray.types import ErrorCode, RunState
 
 QUARANTINE_S = 300.0
