Quarantine prompt parts that crash the engines which answer them

Cause: crashes were counted by the digest of the whole request, so a part that different requests share was never quarantined. The class of fault: evidence keyed by less than what the fault follows. Change: the parts of calls whose answers had hardly begun when an endpoint crashed are suspected; answers that go on, at any entry, refute the suspicion, and so does another part that explains more crashes.

--- a/src/tamaracktray/attempt_abandonment.py
+++ b/src/tamaracktray/attempt_abandonment.py
@@ -78,6 +78,24 @@
     return effects
 
 
+def abandon_quarantined_attempts(context: GatewayContext, now: float) -> list[Effect]:
+    """Abandon attempts that have not begun and hold a quarantined prompt part."""
+    if context.part_crashes.is_empty:
+        return []
+    effects: list[Effect] = []
+    for pending in context.state.pending_by_id.values():
+        if not pending.endpoint_id or pending.is_answer_started or pending.is_abandoned:
+            continue
+        if not any(
+            context.part_crashes.find_quarantine_end(now, part) is not None
+            for part in pending.call.parts
+        ):
+            continue
+        pending.is_abandoned = True
+        effects.append(AbandonAttempt(pending.call.id, "prompt part is quarantined"))
+    return effects
+
+
 def is_sendable(context: GatewayContext, now: float, decision: SendCall) -> bool:
     """Return whether a decision to send is still valid once the connection is open."""
     pending = context.state.pending_by_id.get(decision.call_id)
--- a/src/tamaracktray/beacons.py
+++ b/src/tamaracktray/beacons.py
@@ -10,6 +10,7 @@
 from returns.result import Failure, Result, Success
 
 from tamaracktray.exceptions import ProtocolError
+from tamaracktray.part_watch import SoundAnswer
 from tamaracktray.snapshots import Collection
 from tamaracktray.suspicions import CrashReport
 
@@ -40,7 +41,8 @@
     both are empty in the frequent load reports. ``version_floor_by_model`` are the due
     versions and ``announcement_ages_by_model`` the ages of announced versions in
     seconds. ``has_store`` is set if the sender can reach the platform's store.
-    ``crash_reports`` are the requests that may have crashed endpoints.
+    ``crash_reports`` are the requests that may have crashed endpoints, ``part_reports``
+    the prompt parts, and ``sound_answers`` refute such reports.
     """
 
     name: str
@@ -55,6 +57,8 @@
     has_store: bool = True
     is_leaving: bool = False
     crash_reports: list[CrashReport] = []
+    part_reports: list[CrashReport] = []
+    sound_answers: list[SoundAnswer] = []
 
 
 _ENCODER = msgspec.msgpack.Encoder()
@@ -86,8 +90,12 @@
         return False
     if any(count < 0 for count in beacon.in_flight_by_endpoint.values()):
         return False
-    reports = beacon.crash_reports
-    if any(not math.isfinite(item.age_s) or item.age_s < 0 for item in reports):
+    if not all(
+        _is_duration(item.age_s) and _is_duration(item.run_s)
+        for item in beacon.crash_reports + beacon.part_reports
+    ):
+        return False
+    if not all(_is_duration(item.age_s) for item in beacon.sound_answers):
         return False
     ages = beacon.announcement_ages_by_model.values()
     return all(
@@ -95,6 +103,10 @@
     )
 
 
+def _is_duration(value_s: float) -> bool:
+    return math.isfinite(value_s) and value_s >= 0
+
+
 class BeaconFilter:
     """Rejects beacons that are older than the newest one of the same sender."""
 
--- a/src/tamaracktray/call_building.py
+++ b/src/tamaracktray/call_building.py
@@ -12,6 +12,12 @@
 from tamaracktray.routes import Route, RouteIndex, Team
 from tamaracktray.types import ErrorCode, Refusal, RunState
 
+# Shared parts of a prompt that are watched for crashes, the first ones.
+MAX_PARTS = 32
+
+# Distinguishes records of parts from those of requests.
+PART_PREFIX = "part-"
+
 # Retry-After of a process that has no routing table yet, in seconds.
 UNCONFIGURED_RETRY_S = 0.5
 
@@ -77,6 +83,7 @@
         session=fields.session,
         fingerprint=_digest_request(request, fields),
         last_event_id=fields.last_event_id,
+        parts=digest_parts(fields.shared_parts),
     )
 
 
@@ -111,6 +118,15 @@
     return by_route & by_team or frozenset({""})
 
 
+def digest_parts(parts: tuple[str, ...]) -> tuple[str, ...]:
+    """Return the digests of prompt parts, whose ids callers choose freely."""
+    return tuple(
+        PART_PREFIX
+        + hashlib.blake2b(part.encode("utf-8", "replace"), digest_size=8).hexdigest()
+        for part in dict.fromkeys(parts[:MAX_PARTS])
+    )
+
+
 def _digest_request(request: Request, fields: CallerFields) -> str:
     digest = hashlib.blake2b(digest_size=16)
     for part in (request.method, request.target, fields.key):
--- a/src/tamaracktray/call_context.py
+++ b/src/tamaracktray/call_context.py
@@ -28,6 +28,7 @@
         state.gateway,
         build_placement_context(state, now, now + transit_s),
         state.crashes,
+        state.part_crashes,
         state.is_leaving and now >= state.close_deadline,
         state.unix_offset_s,
         math.inf if state.is_store_lost else state.outage_end,
--- a/src/tamaracktray/calls.py
+++ b/src/tamaracktray/calls.py
@@ -21,7 +21,8 @@
     allows all. Token counts are 0 for calls without a prompt; ``output_tokens`` is the
     estimated length of the output and ``max_output`` its limit. ``wait_s`` is the time
     that the caller says it still waits, in seconds, 0 if unknown. ``fingerprint`` is
-    equal for equal requests of one caller.
+    equal for equal requests of one caller. ``parts`` are digests of the prompt parts
+    that other requests may share.
     """
 
     id: str
@@ -41,6 +42,7 @@
     session: str = ""
     fingerprint: str = ""
     last_event_id: str = ""
+    parts: tuple[str, ...] = ()
 
     @property
     def size(self) -> float:
--- a/src/tamaracktray/crash_watch.py
+++ b/src/tamaracktray/crash_watch.py
@@ -74,16 +74,23 @@
         return not self._by_fingerprint
 
     def suspect(
-        self, now: float, fingerprint: str, endpoint: Incarnation
+        self,
+        now: float,
+        fingerprint: str,
+        endpoint: Incarnation,
+        run_s: float = 0.0,
     ) -> list[LogFinding]:
-        """Record that a call of this process broke off or stalled at an endpoint."""
-        if self._was_answered_recently(now, fingerprint):
+        """Record that a call of this process broke off or stalled at an endpoint.
+
+        ``run_s`` is the time since the call was sent, in seconds.
+        """
+        if self._is_cleared(now, fingerprint, now):
             return []
         known = self._by_fingerprint.get(fingerprint, {}).get(endpoint)
         if known is not None:
             known.is_local = True
             return []
-        suspicion = self._add(fingerprint, endpoint, now, is_local=True)
+        suspicion = self._add(fingerprint, endpoint, now, run_s, is_local=True)
         return [suspicion.describe(now, Finding.SUSPECTED)]
 
     def merge(self, now: float, reports: Iterable[CrashReport]) -> list[LogFinding]:
@@ -93,13 +100,17 @@
             seen_at = now - report.age_s
             if not 0.0 <= report.age_s < self.quarantine_s:
                 continue
-            if self._was_answered_recently(now, report.fingerprint):
+            if self._is_cleared(now, report.fingerprint, seen_at):
                 continue
             suspicions = self._by_fingerprint.get(report.fingerprint, {})
             suspicion = suspicions.get(report.endpoint)
             if suspicion is None:
                 suspicion = self._add(
-                    report.fingerprint, report.endpoint, seen_at, is_local=False
+                    report.fingerprint,
+                    report.endpoint,
+                    seen_at,
+                    report.run_s,
+                    is_local=False,
                 )
                 notes.append(suspicion.describe(now, Finding.REPORTED))
             if report.is_confirmed and not suspicion.is_confirmed:
@@ -270,15 +281,23 @@
                 item.endpoint,
                 max(now - item.seen_at, 0.0),
                 item.is_confirmed,
+                item.seen_at - item.sent_at,
             )
             for item in selected[:MAX_REPORTS]
         ]
 
-    def _was_answered_recently(self, now: float, fingerprint: str) -> bool:
+    def _is_cleared(self, now: float, fingerprint: str, seen_at: float) -> bool:
+        """Return whether a suspicion that arose at ``seen_at`` is already refuted."""
         return self._answered_deadline_by_fingerprint.get(fingerprint, 0.0) > now
 
     def _add(
-        self, fingerprint: str, endpoint: Incarnation, seen_at: float, *, is_local: bool
+        self,
+        fingerprint: str,
+        endpoint: Incarnation,
+        seen_at: float,
+        run_s: float,
+        *,
+        is_local: bool,
     ) -> Suspicion:
         if len(self) >= MAX_SUSPICIONS:
             self._drop_oldest()
@@ -289,6 +308,7 @@
             seen_at + self.verdict_s,
             seen_at + self.quarantine_s,
             is_local=is_local,
+            run_s=run_s,
         )
         self._by_fingerprint.setdefault(fingerprint, {})[endpoint] = suspicion
         return suspicion
--- a/src/tamaracktray/entry_process.py
+++ b/src/tamaracktray/entry_process.py
@@ -146,6 +146,8 @@
             version_floor_by_model=self.state.announcements.list_floors(now),
             announcement_ages_by_model=self.state.announcements.list_ages(now),
             crash_reports=self.state.crashes.list_reports(now),
+            part_reports=self.state.part_crashes.list_reports(now),
+            sound_answers=self.state.part_crashes.list_sound(now),
         )
 
     @override
--- a/src/tamaracktray/gateway.py
+++ b/src/tamaracktray/gateway.py
@@ -4,6 +4,7 @@
 
 from tamaracktray.attempt_abandonment import (
     abandon_outdated_attempts,
+    abandon_quarantined_attempts,
     abandon_silent_attempts,
 )
 from tamaracktray.calls import (
@@ -22,6 +23,9 @@
 from tamaracktray.effects import Effect
 from tamaracktray.gateway_crashes import (
     evaluate_suspicions,
+    find_quarantine_end,
+    is_quarantined,
+    record_sound_answer,
     suspect_on_disconnect,
     suspect_on_silence,
 )
@@ -94,6 +98,8 @@
     if pending is not None:
         if not pending.is_started and pending.call.route.kind is RepeatKind.STREAM:
             _record_start_delay(context, event.now, pending)
+        if not pending.is_answer_started:
+            pending.answer_began_at = event.now
         pending.is_started = True
         pending.is_answer_started = True
         pending.version = event.version or pending.version
@@ -159,6 +165,7 @@
     effects = evaluate_suspicions(context, now, responsive_ids)
     effects.extend(abandon_silent_attempts(context, now))
     effects.extend(abandon_outdated_attempts(context))
+    effects.extend(abandon_quarantined_attempts(context, now))
     effects.extend(_refuse_waiting_quarantined(context, now))
     effects.extend(send_queued_calls(context, now))
     for call in state.waiting.remove_expired(now):
@@ -172,11 +179,10 @@
     """Refuse the queued calls whose requests have since been quarantined."""
     if not len(context.state.waiting):
         return []
-    quarantined = context.crashes.list_quarantined(now)
-    if not quarantined:
+    if context.crashes.is_empty and context.part_crashes.is_empty:
         return []
     return _refuse_waiting(
-        context, now, lambda pending: pending.call.fingerprint in quarantined
+        context, now, lambda pending: is_quarantined(context, now, pending)
     )
 
 
@@ -284,6 +290,7 @@
     pending.sent_at = now
     pending.held_version = held_version
     pending.is_answer_started = False
+    pending.is_sound = False
     pending.is_abandoned = False
     running = load.count_running(now)
     load.note_sent(now)
@@ -325,7 +332,11 @@
     if event.phase is AttemptPhase.ANSWERED:
         del context.state.pending_by_id[event.call_id]
         context.state.note_outcome(pending.call, is_served=True)
-        return list(context.crashes.record_answered(now, pending.call.fingerprint))
+        effects: list[Effect] = []
+        if event.status < 300:
+            effects.extend(record_sound_answer(context, now, pending))
+        effects.extend(context.crashes.record_answered(now, pending.call.fingerprint))
+        return effects
     if event.phase is AttemptPhase.WITHDRAWN:
         pending.attempts -= 1
         pending.tried.add(event.endpoint_id)
@@ -338,7 +349,7 @@
             return refuse(context, now, pending)
         return _place_call(context, now, pending)
     pending.tried.add(event.endpoint_id)
-    effects: list[Effect] = []
+    effects = []
     if not event.phase.is_not_run:
         pending.may_have_run = True
         pending.has_failed_answer = event.phase is AttemptPhase.FAILED
@@ -397,7 +408,7 @@
     context: GatewayContext, now: float, call: Call
 ) -> Refusal | None:
     """Return the refusal of a call whose request is quarantined, or ``None``."""
-    quarantine_end = context.crashes.find_quarantine_end(now, call.fingerprint)
+    quarantine_end = find_quarantine_end(context, now, call)
     if quarantine_end is None:
         return None
     verdict_s = context.crashes.verdict_s
--- a/src/tamaracktray/gateway_crashes.py
+++ b/src/tamaracktray/gateway_crashes.py
@@ -1,7 +1,9 @@
 """An entry's handling of requests that crash the endpoints which run them."""
 
+from tamaracktray.calls import Call
 from tamaracktray.effects import Effect
 from tamaracktray.gateway_state import GatewayContext, PendingCall
+from tamaracktray.part_watch import SOUND_ANSWER_S
 from tamaracktray.placement import EndpointLoad
 from tamaracktray.suspicions import Incarnation, ListedEndpoint
 
@@ -12,14 +14,61 @@
 def suspect_endpoint(
     context: GatewayContext, now: float, pending: PendingCall, endpoint_id: str
 ) -> list[Effect]:
-    """Suspect a call's request of having crashed an endpoint.
+    """Suspect a call's request, and its prompt parts, of having crashed an endpoint.
 
-    Endpoints that had announced that they are leaving are not suspected.
+    Endpoints that had announced that they are leaving are not suspected. The parts are
+    not suspected either if the answer had gone on for a while.
     """
     if pending.is_endpoint_leaving:
         return []
     endpoint = Incarnation(endpoint_id, pending.start_time_ms)
-    return list(context.crashes.suspect(now, pending.call.fingerprint, endpoint))
+    run_s = now - pending.sent_at
+    fingerprint = pending.call.fingerprint
+    effects = list(context.crashes.suspect(now, fingerprint, endpoint, run_s))
+    if pending.is_sound or _is_going_on(context, now, pending, endpoint_id):
+        return effects
+    for part in pending.call.parts:
+        effects.extend(context.part_crashes.suspect(now, part, endpoint, run_s))
+    return effects
+
+
+def _is_going_on(
+    context: GatewayContext, now: float, pending: PendingCall, endpoint_id: str
+) -> bool:
+    """Return whether an answer has gone on for longer than a fatal one can."""
+    if not pending.is_answer_started:
+        return False
+    load = context.state.loads_by_id.get(endpoint_id)
+    last_contact_at = now if load is None else load.last_contact_at
+    return last_contact_at - pending.answer_began_at >= SOUND_ANSWER_S
+
+
+def record_sound_answer(
+    context: GatewayContext, now: float, pending: PendingCall
+) -> list[Effect]:
+    """Clear the prompt parts of a call whose answer is sound."""
+    began_at = pending.sent_at
+    if pending.is_answer_started:
+        began_at = pending.answer_began_at
+    effects: list[Effect] = []
+    for part in pending.call.parts:
+        effects.extend(context.part_crashes.record_sound(now, part, began_at))
+    return effects
+
+
+def _record_sound_answers(context: GatewayContext, now: float) -> list[Effect]:
+    """Clear the prompt parts of answers in progress, while any part is suspected."""
+    if context.part_crashes.is_empty:
+        return []
+    effects: list[Effect] = []
+    for pending in context.state.pending_by_id.values():
+        if pending.is_sound or not pending.endpoint_id:
+            continue
+        if not _is_going_on(context, now, pending, pending.endpoint_id):
+            continue
+        pending.is_sound = True
+        effects.extend(record_sound_answer(context, now, pending))
+    return effects
 
 
 def suspect_on_disconnect(
@@ -60,17 +109,20 @@
     context: GatewayContext, now: float, responsive_ids: frozenset[str]
 ) -> list[Effect]:
     """Update suspicions from the endpoint list and from received data."""
-    if context.crashes.is_empty:
-        return []
+    effects = _record_sound_answers(context, now)
     loads = context.state.loads_by_id
-    listed = {
-        endpoint_id: _describe(loads[endpoint_id])
-        for endpoint_id in context.crashes.list_endpoints()
-        if endpoint_id in loads
-    }
-    return list(
-        context.crashes.evaluate(now, listed, responsive_ids, context.list_valid_from)
-    )
+    for crashes in (context.crashes, context.part_crashes):
+        if crashes.is_empty:
+            continue
+        listed = {
+            endpoint_id: _describe(loads[endpoint_id])
+            for endpoint_id in crashes.list_endpoints()
+            if endpoint_id in loads
+        }
+        effects.extend(
+            crashes.evaluate(now, listed, responsive_ids, context.list_valid_from)
+        )
+    return effects
 
 
 def _describe(load: EndpointLoad) -> ListedEndpoint:
@@ -100,7 +152,17 @@
 
 
 def is_quarantined(context: GatewayContext, now: float, pending: PendingCall) -> bool:
-    """Return whether a call's request is quarantined."""
-    return (
-        context.crashes.find_quarantine_end(now, pending.call.fingerprint) is not None
-    )
+    """Return whether a call's request or a part of its prompt is quarantined."""
+    return find_quarantine_end(context, now, pending.call) is not None
+
+
+def find_quarantine_end(
+    context: GatewayContext, now: float, call: Call
+) -> float | None:
+    """Return when a call is no longer quarantined, ``None`` if it isn't at all."""
+    latest = context.crashes.find_quarantine_end(now, call.fingerprint)
+    for part in call.parts:
+        end = context.part_crashes.find_quarantine_end(now, part)
+        if end is not None and (latest is None or end > latest):
+            latest = end
+    return latest
--- a/src/tamaracktray/gateway_state.py
+++ b/src/tamaracktray/gateway_state.py
@@ -11,6 +11,7 @@
 from tamaracktray.fairness import ServedRate, SizeBands
 from tamaracktray.notices import EndpointNotices
 from tamaracktray.ownership import FleetNode
+from tamaracktray.part_watch import PartWatch
 from tamaracktray.placement import EndpointLoad, PlacementContext
 from tamaracktray.wait_queue import WaitQueue
 
@@ -47,13 +48,16 @@
     ``is_abandoned`` whether it is being abandoned, ``is_endpoint_leaving`` whether the
     endpoint has announced that it leaves, ``held_version`` the version of the weights
     that the endpoint was expected to hold, and ``is_answer_started`` whether its answer
-    has begun. ``is_started`` is also set if the answer of an earlier attempt has begun.
+    has begun, at ``answer_began_at``. ``is_sound`` is set once that answer has gone on
+    long enough to refute suspicions. ``is_started`` is also set if the answer of an
+    earlier attempt has begun.
 
     ``prior_wait_s`` is the time that the caller waited in earlier tries, in seconds.
     ``version`` is the version of the weights that began a stream.
     """
 
     __slots__ = (
+        "answer_began_at",
         "attempts",
         "start_time_ms",
         "call",
@@ -63,6 +67,7 @@
         "held_version",
         "is_abandoned",
         "is_endpoint_leaving",
+        "is_sound",
         "is_started",
         "last_event_id",
         "may_have_run",
@@ -85,6 +90,8 @@
         self.held_version = 0
         self.is_started = False
         self.is_answer_started = False
+        self.answer_began_at = 0.0
+        self.is_sound = False
         self.is_abandoned = False
         self.sent_at = 0.0
         self.prior_wait_s = 0.0
@@ -262,6 +269,7 @@
     state: GatewayState
     placement_context: PlacementContext
     crashes: CrashWatch
+    part_crashes: PartWatch
     is_closing: bool
     unix_offset_s: float = 0.0
     list_valid_from: float = 0.0
--- a/src/tamaracktray/node_reducer.py
+++ b/src/tamaracktray/node_reducer.py
@@ -258,7 +258,7 @@
             effects.append(
                 LogAnnouncement(model, announcement.version, age_s, beacon.name)
             )
-        effects.extend(merge_crash_reports(state, event.now, beacon.crash_reports))
+        effects.extend(merge_crash_reports(state, event.now, beacon))
         state.gateway.record_peer_counts(
             event.now, beacon.name, beacon.in_flight_by_endpoint
         )
--- a/src/tamaracktray/node_state.py
+++ b/src/tamaracktray/node_state.py
@@ -8,6 +8,7 @@
 from tamaracktray.crash_watch import CrashWatch
 from tamaracktray.engines import VersionTarget
 from tamaracktray.gateway_state import GatewayState
+from tamaracktray.part_watch import PartWatch
 from tamaracktray.peers import Peers
 from tamaracktray.quarantine_records import QuarantineRecords
 from tamaracktray.roster import Roster
@@ -56,6 +57,7 @@
         "logged_floor_by_model",
         "outage_end",
         "own_engine",
+        "part_crashes",
         "peers",
         "quarantine_records",
         "announcement_records",
@@ -94,6 +96,7 @@
         self.roster = Roster(OUTAGE_RECOVERY_S)
         self.quarantine_records = QuarantineRecords()
         self.crashes = CrashWatch(quarantine_s, heartbeat_s)
+        self.part_crashes = PartWatch(quarantine_s, heartbeat_s)
         self.beacons = BeaconFilter()
         self.index: RouteIndex | None = None
         self.evacuated_zones: frozenset[str] = frozenset()
--- a/src/tamaracktray/platform/protocol.py
+++ b/src/tamaracktray/platform/protocol.py
@@ -91,7 +91,10 @@
             key = authorization[len(KEY_SCHEME) :].strip()
         wait_ms = _read_int(headers.get(DEADLINE_MS, ""))
         prompt_tokens, _, max_output = headers.get(TOKEN_COUNTS, "").partition(",")
-        parts = headers.get(PROMPT_PARTS, "")
+        parts = [
+            item.partition(":")[0].strip()
+            for item in headers.get(PROMPT_PARTS, "").split(",")
+        ]
         return CallerFields(
             headers.get(REQUEST_ID, ""),
             key,
@@ -100,8 +103,9 @@
             _read_int(prompt_tokens) or 0,
             _read_int(max_output) or 0,
             _read_int(headers.get(OUTPUT_ESTIMATE, "")) or 0,
-            parts.rpartition(",")[2].partition(":")[0].strip(),
+            parts[-1],
             headers.get(LAST_EVENT_ID, ""),
+            tuple(part for part in parts[:-1] if part),
         )
 
     @override
--- a/src/tamaracktray/protocol.py
+++ b/src/tamaracktray/protocol.py
@@ -13,8 +13,8 @@
     ``wait_s`` is the caller's timeout for the whole answer in seconds, ``None`` if it
     is absent. Token counts are 0 for a request without a prompt. ``expected_output``
     is the caller's estimate of the tokens to generate, ``max_output`` their maximum.
-    ``session`` identifies the last shared part of the prompt. ``last_event_id`` is set
-    if the caller resumes a stream.
+    ``session`` identifies the last part of the prompt and ``shared_parts`` the ones
+    before it. ``last_event_id`` is set if the caller resumes a stream.
     """
 
     request_id: str
@@ -26,6 +26,7 @@
     expected_output: int = 0
     session: str = ""
     last_event_id: str = ""
+    shared_parts: tuple[str, ...] = ()
 
 
 class AttemptFields(msgspec.Struct, frozen=True):
--- a/src/tamaracktray/quarantine_records.py
+++ b/src/tamaracktray/quarantine_records.py
@@ -30,10 +30,14 @@
 
 
 class RecordedSuspicion(msgspec.Struct, frozen=True):
-    """An endpoint that a request may have crashed, with the Unix time in seconds."""
+    """An endpoint that a request may have crashed, with the Unix time in seconds.
+
+    ``run_s`` is the time that the call had been at the endpoint, in seconds.
+    """
 
     endpoint: Incarnation
     unix_s: float
+    run_s: float = 0.0
 
 
 class QuarantineRecord(msgspec.Struct, frozen=True):
@@ -67,7 +71,11 @@
     """Return the record of the suspicions about a request."""
     return QuarantineRecord(
         tuple(
-            RecordedSuspicion(item.endpoint, round(item.seen_at + unix_offset_s, 3))
+            RecordedSuspicion(
+                item.endpoint,
+                round(item.seen_at + unix_offset_s, 3),
+                round(item.seen_at - item.sent_at, 3),
+            )
             for item in suspicions
         )
     )
@@ -85,6 +93,7 @@
             fingerprint,
             suspicion.endpoint,
             max(now + unix_offset_s - suspicion.unix_s, 0.0),
+            run_s=suspicion.run_s,
         )
         for suspicion in record.ends
     ]
--- a/src/tamaracktray/quarantine_sync.py
+++ b/src/tamaracktray/quarantine_sync.py
@@ -2,6 +2,9 @@
 
 from collections.abc import Iterable
 
+from tamaracktray.beacons import Beacon
+from tamaracktray.call_building import PART_PREFIX
+from tamaracktray.crash_watch import CrashWatch
 from tamaracktray.effects import Effect
 from tamaracktray.node_state import NodeState
 from tamaracktray.quarantine_records import (
@@ -12,42 +15,59 @@
     read_reports,
 )
 from tamaracktray.snapshots import Collection
-from tamaracktray.suspicions import CrashReport
+from tamaracktray.suspicions import CrashReport, LogFinding
 
 
 def merge_quarantine_records(state: NodeState, now: float) -> list[Effect]:
     """Merge the suspicions of new quarantine records in the store."""
     objects = state.snapshot_cache.by_collection[Collection.QUARANTINES].objects_by_name
-    reports: list[CrashReport] = []
+    effects: list[Effect] = []
     for item in state.quarantine_records.select_unread(objects.values()):
         record: QuarantineRecord | None = item.value
-        if record is not None:
-            reports += read_reports(item.name, record, now, state.unix_offset_s)
-    return list(state.crashes.merge(now, reports))
+        if record is None:
+            continue
+        reports = read_reports(item.name, record, now, state.unix_offset_s)
+        effects.extend(_find_watch(state, item.name).merge(now, reports))
+    return effects
+
+
+def _find_watch(state: NodeState, name: str) -> CrashWatch:
+    """Return the watch to which a record's name, a fingerprint or a part, belongs."""
+    return state.part_crashes if name.startswith(PART_PREFIX) else state.crashes
 
 
-def merge_crash_reports(
-    state: NodeState, now: float, reports: Iterable[CrashReport]
-) -> list[Effect]:
-    """Merge a peer's crash reports.
+def merge_crash_reports(state: NodeState, now: float, beacon: Beacon) -> list[Effect]:
+    """Merge a peer's crash reports, and its sound answers before them."""
+    effects: list[Effect] = []
+    effects.extend(state.part_crashes.merge_sound(now, beacon.sound_answers))
+    effects.extend(_merge_reports(state.crashes, now, beacon.crash_reports))
+    effects.extend(_merge_reports(state.part_crashes, now, beacon.part_reports))
+    return effects
+
 
-    Reports that are old enough for a verdict are ignored unless they are confirmed.
-    """
+def _merge_reports(
+    crashes: CrashWatch, now: float, reports: Iterable[CrashReport]
+) -> list[LogFinding]:
+    """Merge reports, except those old enough for a verdict that are unconfirmed."""
     accepted = [
         report
         for report in reports
-        if report.is_confirmed or report.age_s < state.crashes.verdict_s
+        if report.is_confirmed or report.age_s < crashes.verdict_s
     ]
-    return list(state.crashes.merge(now, accepted))
+    return crashes.merge(now, accepted)
 
 
 def sync_quarantine_records(state: NodeState, now: float) -> list[Effect]:
     """Write missing quarantine records and remove those that are no longer needed."""
     objects = state.snapshot_cache.by_collection[Collection.QUARANTINES].objects_by_name
-    if state.is_store_lost or (state.crashes.is_empty and not objects):
+    is_unsuspicious = state.crashes.is_empty and state.part_crashes.is_empty
+    if state.is_store_lost or (is_unsuspicious and not objects):
         return []
-    records, crashes = state.quarantine_records, state.crashes
-    quarantined = crashes.list_quarantined(now)
+    records = state.quarantine_records
+    quarantined = {
+        **state.crashes.list_quarantined(now),
+        **state.part_crashes.list_quarantined(now),
+    }
     peers: list[str] = []
     if quarantined or objects:
         peers = [member.name for member in state.peers.list_with_store(now)]
@@ -55,7 +75,7 @@
     for name in records.select_unrecorded(now, state.name, peers, quarantined, objects):
         record = build_record(quarantined[name], state.unix_offset_s)
         effects.append(RecordQuarantine(name, record))
-    needed = {name for name in objects if crashes.is_suspected(name)}
+    needed = {name for name in objects if _find_watch(state, name).is_suspected(name)}
     for item in records.select_unneeded(
         now, state.name, peers, needed, objects.values()
     ):
--- a/src/tamaracktray/suspicions.py
+++ b/src/tamaracktray/suspicions.py
@@ -21,12 +21,17 @@
 
 
 class CrashReport(msgspec.Struct, frozen=True, array_like=True):
-    """A suspicion as reported to peers; ``age_s`` is its age in seconds."""
+    """A suspicion as reported to peers.
+
+    ``age_s`` is its age and ``run_s`` how long the call had been at the endpoint, both
+    in seconds.
+    """
 
     fingerprint: str
     endpoint: Incarnation
     age_s: float
     is_confirmed: bool = False
+    run_s: float = 0.0
 
 
 class Finding(str, Enum):
@@ -58,7 +63,7 @@
 
 
 class Suspicion:
-    """A call that broke off or stalled at an endpoint at ``seen_at``.
+    """A call, sent at ``sent_at``, that broke off or stalled at ``seen_at``.
 
     ``is_local`` is set if this process observed it and ``is_answering`` if the endpoint
     sent data later. ``was_listed`` and ``is_leaving`` are taken from the endpoint list.
@@ -76,6 +81,7 @@
         "is_overdue",
         "is_local",
         "seen_at",
+        "sent_at",
         "verdict_deadline",
         "was_listed",
     )
@@ -89,10 +95,12 @@
         quarantine_deadline: float,
         *,
         is_local: bool,
+        run_s: float = 0.0,
     ) -> None:
         self.fingerprint = fingerprint
         self.endpoint = endpoint
         self.seen_at = seen_at
+        self.sent_at = seen_at - run_s
         self.verdict_deadline = verdict_deadline
         self.quarantine_deadline = quarantine_deadline
         self.is_local = is_local
--- a/src/tamaracktray_emulator/admission.py
+++ b/src/tamaracktray_emulator/admission.py
@@ -37,6 +37,7 @@
 from tamaracktray.gateway_state import GatewayBounds, GatewayContext, GatewayState
 from tamaracktray.outcomes import AttemptPhase
 from tamaracktray.ownership import FleetNode
+from tamaracktray.part_watch import PartWatch
 from tamaracktray.placement import PlacementContext
 from tamaracktray.roster import EndpointRecord, LoadedModel
 from tamaracktray.routes import (
@@ -297,7 +298,11 @@
 
     def _build_context(self, state: GatewayState) -> GatewayContext:
         return GatewayContext(
-            state, self._placement_context, CrashWatch(1.0, 0.1), False
+            state,
+            self._placement_context,
+            CrashWatch(1.0, 0.1),
+            PartWatch(1.0, 0.1),
+            False,
         )
 
     def run(self) -> AdmissionReport:
--- a/tests/gateways.py
+++ b/tests/gateways.py
@@ -15,6 +15,7 @@
 from tamaracktray.gateway_state import GatewayBounds, GatewayContext, GatewayState
 from tamaracktray.node_state import NodeState
 from tamaracktray.outcomes import AttemptPhase
+from tamaracktray.part_watch import PartWatch
 from tamaracktray.placement import PlacementContext
 from tamaracktray.roster import EndpointRecord, LoadedModel
 from tamaracktray.routes import (
@@ -133,6 +134,7 @@
         names = [record.id for record in records] if owned is None else owned
         self.state.owned_ids = frozenset(names)
         self.crashes = CrashWatch(300.0, 1.2)
+        self.part_crashes = PartWatch(300.0, 1.2)
         self.floors: dict[str, int] = {}
         self.last_floors: dict[str, int] = {}
         self.evacuated: frozenset[str] = frozenset()
@@ -150,7 +152,9 @@
             self.floors,
             self.last_floors,
         )
-        return GatewayContext(self.state, placement_context, self.crashes, False)
+        return GatewayContext(
+            self.state, placement_context, self.crashes, self.part_crashes, False
+        )
 
     def follow(self, *records: EndpointRecord) -> None:
         apply_roster(self.context, self.now, {record.id: record for record in records})
