--- a/src/tamaracktray/headers.py
+++ b/src/tamaracktray/headers.py
@@ -1,4 +1,4 @@
-"""Names of the HTTP headers between callers, entries, agents and endpoints."""
+"""Names of the product's own HTTP headers, and helpers to read header values."""
 
 import math
 
@@ -26,6 +26,26 @@
 PENDING = "x-tray-pending"
 PEER_KEY = "x-tray-key"
 
+# Headers that concern a single connection.
+HOP_HEADERS = frozenset(
+    {
+        "connection",
+        "content-length",
+        "expect",
+        "keep-alive",
+        "proxy-authenticate",
+        "proxy-authorization",
+        "proxy-connection",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+    }
+)
+
+# Longer numbers are treated as malformed.
+MAX_DIGITS = 15
+
 
 def read_seconds(text: str | None) -> float | None:
     """Parse a time in seconds; return ``None`` if absent and NaN if malformed."""
@@ -35,3 +55,17 @@
         return float(text)
     except ValueError:
         return math.nan
+
+
+def list_connection_headers(headers: dict[str, str]) -> set[str]:
+    """Return the names listed in the ``connection`` header, in lower case."""
+    value = headers.get("connection", "")
+    return {part.strip().lower() for part in value.split(",") if part.strip()}
+
+
+def read_int(text: str) -> int | None:
+    """Parse a non-negative integer; return ``None`` if absent or malformed."""
+    text = text.strip()
+    if not text.isascii() or not text.isdigit() or len(text) > MAX_DIGITS:
+        return None
+    return int(text)
--- a/src/tamaracktray/platform/protocol.py
+++ b/src/tamaracktray/platform/protocol.py
@@ -2,7 +2,12 @@
 
 from typing_extensions import override
 
-from tamaracktray.headers import read_seconds
+from tamaracktray.headers import (
+    HOP_HEADERS,
+    list_connection_headers,
+    read_int,
+    read_seconds,
+)
 from tamaracktray.http import RawHeaders, Request
 from tamaracktray.protocol import (
     AnswerFields,
@@ -45,25 +50,6 @@
 
 MS_PER_S = 1_000.0
 
-# Longer numbers are treated as malformed.
-MAX_DIGITS = 15
-
-HOP_HEADERS = frozenset(
-    {
-        "connection",
-        "content-length",
-        "expect",
-        "keep-alive",
-        "proxy-authenticate",
-        "proxy-authorization",
-        "proxy-connection",
-        "te",
-        "trailer",
-        "transfer-encoding",
-        "upgrade",
-    }
-)
-
 # Headers that only this system may set; they are removed from callers' requests.
 RESERVED_HEADERS = frozenset(
     {
@@ -89,7 +75,7 @@
         key = ""
         if authorization[: len(KEY_SCHEME)].lower() == KEY_SCHEME:
             key = authorization[len(KEY_SCHEME) :].strip()
-        wait_ms = _read_int(headers.get(DEADLINE_MS, ""))
+        wait_ms = read_int(headers.get(DEADLINE_MS, ""))
         prompt_tokens, _, max_output = headers.get(TOKEN_COUNTS, "").partition(",")
         parts = [
             item.partition(":")[0].strip()
@@ -100,9 +86,9 @@
             key,
             None if wait_ms is None else wait_ms / MS_PER_S,
             headers.get(MODEL, ""),
-            _read_int(prompt_tokens) or 0,
-            _read_int(max_output) or 0,
-            _read_int(headers.get(OUTPUT_ESTIMATE, "")) or 0,
+            read_int(prompt_tokens) or 0,
+            read_int(max_output) or 0,
+            read_int(headers.get(OUTPUT_ESTIMATE, "")) or 0,
             parts[-1],
             headers.get(LAST_EVENT_ID, ""),
             tuple(part for part in parts[:-1] if part),
@@ -110,7 +96,7 @@
 
     @override
     def build_attempt(self, request: Request, fields: AttemptFields) -> RawHeaders:
-        listed = _list_connection_headers(request.headers)
+        listed = list_connection_headers(request.headers)
         headers: RawHeaders = []
         for name, value in request.raw_headers:
             header = name.decode("ascii").lower()
@@ -140,7 +126,7 @@
             NOT_EXECUTED in headers or is_misdirected,
             is_misdirected,
             SIGNATURE in headers,
-            _read_int(headers.get(VERSION, "")) or 0,
+            read_int(headers.get(VERSION, "")) or 0,
             headers.get(LEAVING, "").strip() == "1",
             read_seconds(headers.get(RETRY_AFTER)) if status == UNAVAILABLE else None,
         )
@@ -153,16 +139,3 @@
                 continue
             selected.append((name, value))
         return selected
-
-
-def _list_connection_headers(headers: dict[str, str]) -> set[str]:
-    """Return the names listed in the ``connection`` header, in lower case."""
-    value = headers.get("connection", "")
-    return {part.strip().lower() for part in value.split(",") if part.strip()}
-
-
-def _read_int(text: str) -> int | None:
-    text = text.strip()
-    if not text.isascii() or not text.isdigit() or len(text) > MAX_DIGITS:
-        return None
-    return int(text)
