Test the evidence for and against a prompt part

Cause: the tests of the fleet show the outcome only. Change: tests of crashes in a row, of two fatal parts, of parts that sound requests share, of wrong blame, of reports, records and bounds.

--- /dev/null
+++ b/tests/test_part_watch.py
@@ -0,0 +1,300 @@
+"""Prompt parts that crash endpoints are distinguished from parts that sound ones share.
+
+A wrong verdict refuses the requests of a whole team, or lets a fatal part crash one
+endpoint after the other.
+"""
+
+import pytest
+
+from gateways import Gateway, build_call, build_entry_state, engine, sent
+from tamaracktray.beacons import Beacon, decode_beacon, encode_beacon
+from tamaracktray.calls import AbandonAttempt, CallStarted, RefuseCall
+from tamaracktray.crash_watch import MAX_REPORTS, MAX_SUSPICIONS
+from tamaracktray.gateway import handle_call_started
+from tamaracktray.objects import StoredObject
+from tamaracktray.outcomes import AttemptPhase
+from tamaracktray.part_watch import (
+    CRASHES_TO_QUARANTINE,
+    MAX_QUARANTINE_REPORTS,
+    MAX_SOUND_PARTS,
+    SOUND_ANSWER_S,
+    PartWatch,
+    SoundAnswer,
+)
+from tamaracktray.quarantine_records import RecordQuarantine, build_record
+from tamaracktray.quarantine_sync import (
+    merge_quarantine_records,
+    sync_quarantine_records,
+)
+from tamaracktray.snapshots import Collection, Snapshot
+from tamaracktray.suspicions import CrashReport, Incarnation
+from tamaracktray.types import ErrorCode, RunState
+
+QUARANTINE_S = 300.0
+HEARTBEAT_S = 1.2
+FATAL = "part-fatal"
+OTHER_FATAL = "part-other"
+SHARED = "part-shared"
+RUN_S = 0.2
+NO_ENDPOINTS: frozenset[str] = frozenset()
+
+
+def build_watch() -> PartWatch:
+    return PartWatch(QUARANTINE_S, HEARTBEAT_S)
+
+
+def crash(watch: PartWatch, now: float, number: int, *parts: str, run_s=RUN_S) -> None:
+    """Record that an endpoint crashed under a request with these parts."""
+    for part in parts:
+        watch.suspect(now, part, Incarnation(f"e-{number}", 1), run_s)
+
+
+def crash_repeatedly(watch: PartWatch, count: int, *parts: str, since=0.0) -> float:
+    """Crash endpoints one second apart and return the time after the last crash."""
+    for number in range(count):
+        crash(watch, since + number + 1.0, number, *parts)
+    return since + count + 0.1
+
+
+def is_quarantined(watch: PartWatch, now: float, part: str) -> bool:
+    return watch.find_quarantine_end(now, part) is not None
+
+
+class TestFatalPart:
+    def test_crashes_in_a_row_quarantine_a_part(self):
+        watch = build_watch()
+        now = crash_repeatedly(watch, CRASHES_TO_QUARANTINE - 1, FATAL)
+        assert not is_quarantined(watch, now, FATAL)
+        crash(watch, now + 1.0, 9, FATAL)
+        assert is_quarantined(watch, now + 1.0, FATAL)
+
+    def test_two_fatal_parts_at_once_are_both_quarantined(self):
+        watch = build_watch()
+        for number in range(CRASHES_TO_QUARANTINE):
+            crash(watch, number + 1.0, number, FATAL, SHARED)
+            crash(watch, number + 1.5, 10 + number, OTHER_FATAL, SHARED)
+            watch.record_sound(number + 1.9, SHARED, number + 1.8)
+        assert is_quarantined(watch, 5.0, FATAL)
+        assert is_quarantined(watch, 5.0, OTHER_FATAL)
+        assert not is_quarantined(watch, 5.0, SHARED)
+
+    def test_part_that_was_sound_before_is_quarantined(self):
+        watch = build_watch()
+        watch.record_sound(0.5, FATAL, 0.4)
+        now = crash_repeatedly(watch, CRASHES_TO_QUARANTINE, FATAL)
+        assert is_quarantined(watch, now, FATAL)
+
+    def test_quarantine_ends_once_the_crashes_are_long_past(self):
+        watch = build_watch()
+        now = crash_repeatedly(watch, CRASHES_TO_QUARANTINE, FATAL)
+        watch.evaluate(now + 10.0, {}, NO_ENDPOINTS, 0.0)
+        assert is_quarantined(watch, now + QUARANTINE_S - 10.0, FATAL)
+        assert not is_quarantined(watch, now + QUARANTINE_S, FATAL)
+        watch.evaluate(now + QUARANTINE_S, {}, NO_ENDPOINTS, 0.0)
+        assert watch.is_empty
+
+    def test_suspicions_are_bounded_and_quarantines_are_kept(self):
+        watch = build_watch()
+        now = crash_repeatedly(watch, CRASHES_TO_QUARANTINE, FATAL)
+        for number in range(2 * MAX_SUSPICIONS):
+            crash(watch, now, 7, f"part-{number}")
+        assert len(watch) <= MAX_SUSPICIONS
+        assert is_quarantined(watch, now, FATAL)
+
+    def test_sound_parts_are_bounded(self):
+        watch = build_watch()
+        crash(watch, 0.5, 1, "part-0")
+        for number in range(MAX_SOUND_PARTS + 10):
+            watch.record_sound(1.0, f"part-{number}", 0.9)
+        assert len(watch.list_sound(1.0)) <= 1
+
+
+class TestHarmlessPart:
+    def test_part_with_sound_answers_between_crashes_is_not_quarantined(self):
+        watch = build_watch()
+        for number in range(10):
+            crash(watch, number + 1.0, number, SHARED)
+            watch.record_sound(number + 1.6, SHARED, number + 1.2)
+        assert not is_quarantined(watch, 11.0, SHARED)
+
+    def test_crashes_at_the_same_moment_count_as_one(self):
+        watch = build_watch()
+        for number in range(8):
+            crash(watch, 1.0 + number / 100, number, SHARED, run_s=0.5)
+        assert not is_quarantined(watch, 1.1, SHARED)
+
+    def test_part_beside_a_fatal_one_is_not_quarantined(self):
+        watch = build_watch()
+        crash_repeatedly(watch, CRASHES_TO_QUARANTINE, FATAL, SHARED)
+        crash(watch, 4.0, 7, FATAL)
+        assert is_quarantined(watch, 4.1, FATAL)
+        assert not is_quarantined(watch, 4.1, SHARED)
+
+    def test_part_blamed_wrongly_is_cleared_by_a_sound_answer(self):
+        watch = build_watch()
+        now = crash_repeatedly(watch, CRASHES_TO_QUARANTINE, SHARED)
+        assert is_quarantined(watch, now, SHARED)
+        watch.record_sound(now + SOUND_ANSWER_S, SHARED, now)
+        assert not is_quarantined(watch, now, SHARED)
+        assert watch.is_empty
+
+    def test_answer_that_began_before_the_crashes_clears_nothing(self):
+        watch = build_watch()
+        now = crash_repeatedly(watch, CRASHES_TO_QUARANTINE, FATAL)
+        watch.record_sound(now, FATAL, 0.5)
+        assert is_quarantined(watch, now, FATAL)
+
+
+class TestReports:
+    def test_crashes_seen_by_different_entries_are_added_up(self):
+        entries = [build_watch() for _ in range(CRASHES_TO_QUARANTINE)]
+        for number, watch in enumerate(entries):
+            crash(watch, number + 1.0, number, FATAL)
+        for watch in entries:
+            for other in entries:
+                watch.merge(4.0, other.list_reports(4.0))
+        assert all(is_quarantined(watch, 4.0, FATAL) for watch in entries)
+
+    def test_sound_answers_of_other_entries_clear_a_part(self):
+        blamed, sound = build_watch(), build_watch()
+        now = crash_repeatedly(blamed, CRASHES_TO_QUARANTINE, SHARED)
+        sound.record_sound(now, SHARED, now - 0.05)
+        assert sound.list_sound(now) == []
+        sound.merge(now, blamed.list_reports(now))
+        assert sound.is_empty
+        blamed.merge_sound(now, sound.list_sound(now))
+        assert not is_quarantined(blamed, now, SHARED)
+
+    def test_reports_are_bounded_and_list_quarantines_first(self):
+        watch = build_watch()
+        now = crash_repeatedly(watch, 2 * MAX_QUARANTINE_REPORTS, FATAL)
+        for number in range(100):
+            crash(watch, now, 50, f"part-{number}")
+        reports = watch.list_reports(now)
+        assert len(reports) == MAX_REPORTS
+        assert sum(report.fingerprint == FATAL for report in reports) == (
+            MAX_QUARANTINE_REPORTS
+        )
+        peer = build_watch()
+        peer.merge(now, reports[:MAX_QUARANTINE_REPORTS])
+        assert is_quarantined(peer, now, FATAL)
+
+    @pytest.mark.parametrize("age_s", [float("nan"), float("inf"), -1.0])
+    def test_beacons_with_invalid_times_are_rejected(self, age_s):
+        endpoint = Incarnation("e-1", 1)
+        beacons = [
+            Beacon("a", 1, 1, {}, {}, sound_answers=[SoundAnswer(SHARED, age_s)]),
+            Beacon(
+                "a", 1, 1, {}, {}, part_reports=[CrashReport(SHARED, endpoint, age_s)]
+            ),
+            Beacon(
+                "a",
+                1,
+                1,
+                {},
+                {},
+                part_reports=[CrashReport(SHARED, endpoint, 1.0, run_s=age_s)],
+            ),
+        ]
+        for beacon in beacons:
+            assert decode_beacon(encode_beacon(beacon)).value_or(None) is None
+
+
+class TestRecords:
+    def test_restarted_process_quarantines_recorded_parts(self):
+        state = build_entry_state()
+        now = crash_repeatedly(state.part_crashes, CRASHES_TO_QUARANTINE, FATAL)
+        sync_quarantine_records(state, now)
+        effects = sync_quarantine_records(state, now + 1.0)
+        assert [it.fingerprint for it in effects] == [FATAL]
+        assert isinstance(effects[0], RecordQuarantine)
+        restarted = build_entry_state()
+        record = StoredObject(FATAL, 1, effects[0].record, deleted=False)
+        snapshots = restarted.snapshot_cache.by_collection
+        snapshots[Collection.QUARANTINES] = Snapshot(1, 1, {FATAL: record})
+        merge_quarantine_records(restarted, now + 5.0)
+        assert is_quarantined(restarted.part_crashes, now + 5.0, FATAL)
+        assert restarted.crashes.is_empty
+
+    def test_record_keeps_how_long_the_calls_ran(self):
+        watch = build_watch()
+        now = crash_repeatedly(watch, CRASHES_TO_QUARANTINE, FATAL)
+        record = build_record(watch.list_quarantined(now)[FATAL], 0.0)
+        assert [item.run_s for item in record.ends] == [RUN_S] * len(record.ends)
+
+
+class TestGatewayParts:
+    def crash_engine(self, gateway: Gateway, name: str, *parts: str) -> None:
+        """Send a call that crashes its engine, which then starts again."""
+        call = build_call(name, now=gateway.now, parts=parts)
+        (endpoint,) = sent(gateway.arrive(call))
+        gateway.now += RUN_S
+        gateway.end(call, endpoint, AttemptPhase.SENT, is_reset=True)
+        gateway.leave(call)
+        loads = gateway.state.loads_by_id
+        records = {key: load.record for key, load in loads.items()}
+        start_time_ms = records[endpoint].start_time_ms + 1
+        records[endpoint] = engine(endpoint, start_time_ms=start_time_ms)
+        gateway.follow(*records.values())
+
+    def build_gateway(self, engines: int = 8) -> Gateway:
+        return Gateway(*(engine(f"e-{number}") for number in range(engines)))
+
+    def quarantine(self, gateway: Gateway) -> None:
+        for number in range(CRASHES_TO_QUARANTINE):
+            self.crash_engine(gateway, f"f-{number}", SHARED, FATAL)
+            sound = build_call(f"s-{number}", now=gateway.now, parts=(SHARED,))
+            (endpoint,) = sent(gateway.arrive(sound))
+            gateway.now += RUN_S
+            gateway.end(sound, endpoint, AttemptPhase.ANSWERED, status=200)
+            gateway.tick(0.1)
+
+    def test_different_request_with_a_fatal_part_is_refused_as_not_run(self):
+        gateway = self.build_gateway()
+        self.quarantine(gateway)
+        call = build_call("new", now=gateway.now, parts=(SHARED, FATAL))
+        (refused,) = gateway.arrive(call)
+        assert isinstance(refused, RefuseCall)
+        assert refused.refusal.code is ErrorCode.QUARANTINED
+        assert refused.refusal.run is RunState.NOT_RUN
+
+    def test_request_that_shares_all_other_parts_is_served(self):
+        gateway = self.build_gateway()
+        self.quarantine(gateway)
+        assert sent(gateway.arrive(build_call("new", now=gateway.now, parts=(SHARED,))))
+
+    def test_queued_call_is_refused_once_its_part_is_quarantined(self):
+        gateway = Gateway(engine("e-0", max_batch=1))
+        running = build_call("running")
+        assert sent(gateway.arrive(running))
+        queued = build_call("queued", parts=(SHARED, FATAL))
+        assert gateway.arrive(queued) == []
+        crash_repeatedly(gateway.part_crashes, CRASHES_TO_QUARANTINE, FATAL, since=-4.0)
+        refused = [item for item in gateway.tick(0.1) if isinstance(item, RefuseCall)]
+        assert [item.call_id for item in refused] == ["queued"]
+
+    def test_answer_that_went_on_is_not_blamed_for_a_crash(self):
+        gateway = self.build_gateway()
+        call = build_call("long", parts=(SHARED,))
+        (endpoint,) = sent(gateway.arrive(call))
+        handle_call_started(gateway.context, CallStarted(0.2, call.id, endpoint))
+        gateway.tick(2 * SOUND_ANSWER_S, endpoint)
+        gateway.end(call, endpoint, AttemptPhase.CUT, is_reset=True)
+        assert not gateway.part_crashes.is_suspected(SHARED)
+
+    def test_answer_in_progress_clears_a_part(self):
+        gateway = self.build_gateway()
+        call = build_call("long", parts=(SHARED,))
+        (endpoint,) = sent(gateway.arrive(call))
+        gateway.part_crashes.suspect(0.1, SHARED, Incarnation("x", 1), RUN_S)
+        handle_call_started(gateway.context, CallStarted(0.2, call.id, endpoint))
+        gateway.tick(2 * SOUND_ANSWER_S, endpoint)
+        assert not gateway.part_crashes.is_suspected(SHARED)
+
+    def test_fatal_attempt_in_flight_is_abandoned_on_quarantine(self):
+        gateway = self.build_gateway()
+        call = build_call("early", parts=(FATAL,))
+        assert sent(gateway.arrive(call))
+        crash_repeatedly(gateway.part_crashes, CRASHES_TO_QUARANTINE, FATAL, since=-4.0)
+        abandoned = [it for it in gateway.tick(0.1) if isinstance(it, AbandonAttempt)]
+        assert [item.call_id for item in abandoned] == ["early"]
