Break off streams that end inside an event

Callers got such a stream as a complete answer, its last event cut in half. Cause: at the end of the connection the relay passed on what it had buffered of an event and finished the answer, which only framing can show to be incomplete. Change: the rest of an event at the end of an event stream fails the attempt, so that another endpoint resumes the stream or the answer is aborted. Evidence: three of the new tests fail without the change; all 79 of the relay's tests pass with it.

--- a/src/tamaracktray/attempt_relay.py
+++ b/src/tamaracktray/attempt_relay.py
@@ -31,6 +31,8 @@
 # relayed as it arrives and can't be retried.
 MAX_BUFFERED_ANSWER_BYTES = 262_144
 
+EVENT_STREAM_TYPE = "text/event-stream"
+
 # Statuses with which an entry promises its caller that the request was not run. An
 # endpoint that sends one without this promise has run the request and failed.
 NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
@@ -291,11 +293,15 @@
             data = read.unwrap()
             self.responsive_ids.add(decision.endpoint_id)
             events = buffer.feed(data) if data else buffer.take_incomplete()
+            fault = ""
             if buffer.is_too_large:
                 await exchange.abandon()
-                message = "an event is too large"
+                fault = "an event is too large"
+            elif not data and events.strip() and _is_event_stream(open_call, exchange):
+                fault = "the stream ended inside an event"
+            if fault:
                 return _build_failed_end(
-                    decision, exchange, message, open_call.last_event_id
+                    decision, exchange, fault, open_call.last_event_id
                 )
             if events:
                 progress_at = time.monotonic()
@@ -346,6 +352,14 @@
             await responder.send_data(data)
 
 
+def _is_event_stream(open_call: OpenCall, exchange: Exchange) -> bool:
+    """Return whether an answer, of which only whole events are relayed, has events."""
+    if open_call.is_head_sent:
+        return True
+    content_type = exchange.headers.get("content-type", "")
+    return content_type.partition(";")[0].strip().lower() == EVENT_STREAM_TYPE
+
+
 def _build_started(decision: SendCall, fields: AnswerFields) -> CallStarted:
     return CallStarted(
         time.monotonic(), decision.call_id, decision.endpoint_id, fields.version
