--- a/src/tamaracktray/entry_process.py
+++ b/src/tamaracktray/entry_process.py
@@ -9,7 +9,7 @@
 from returns.result import Failure
 from typing_extensions import override
 
-from tamaracktray.attempt_relay import CallRelay, OpenCall
+from tamaracktray.attempt_relay import CallRelay
 from tamaracktray.beacons import Beacon
 from tamaracktray.byte_rates import build_upload_bucket
 from tamaracktray.call_building import build_call, refuse_unconfigured
@@ -44,6 +44,7 @@
 from tamaracktray.node_settings import NodeProcessSettings
 from tamaracktray.notices import LogNotice
 from tamaracktray.objects import StoredObject, overwrite_object
+from tamaracktray.open_calls import OpenCall
 from tamaracktray.outcomes import AttemptPhase
 from tamaracktray.peers import Member
 from tamaracktray.quarantine_records import RecordQuarantine, RemoveQuarantine
