--- a/src/tamaracktray_emulator/platform/worker.py
+++ b/src/tamaracktray_emulator/platform/worker.py
@@ -27,6 +27,7 @@
 VERSION = "x-tamaracktray-weight-versions"
 LEAVING = "server-leaving"
 PAUSE = "retry-after"
+LIMIT = "server-limit"
 PROMPT_PARTS = "x-tamaracktray-prefix-hash"
 
 EVENTS = 6
@@ -92,7 +93,8 @@
     answers carry a leaving notice. With ``pause`` set, the worker refuses requests and
     asks for a pause of that many seconds; ``is_pause_marked`` also marks them as not
     run. A request with the body ``fatal_body`` crashes the worker as ``crash_mode``
-    says; ``crashed_at`` is the time of the crash, or 0.
+    says; ``crashed_at`` is the time of the crash, or 0. A non-empty ``limit`` is named
+    in all answers; ``arrived_at`` are the times at which requests arrived.
     """
 
     def __init__(self, address: Address, endpoint_id: str, service: str) -> None:
@@ -106,6 +108,8 @@
         self.arrivals = 0
         self.is_leaving = False
         self.pause = ""
+        self.limit = ""
+        self.arrived_at: list[float] = []
         self.is_pause_marked = True
         self.start_time_ms = 1
         self.fatal_body: bytes | None = None
@@ -125,10 +129,13 @@
     @override
     async def answer(self, request: Request, responder: Responder) -> None:
         self.arrivals += 1
+        self.arrived_at.append(time.monotonic())
         if self.crashed_at:
             await self._drop_request(responder)
             return
         notices = [(LEAVING, "1")] if self.is_leaving else []
+        if self.limit:
+            notices.append((LIMIT, self.limit))
         if request.headers.get(EXPECTED_ENDPOINT, self.id) != self.id:
             await responder.respond(421, notices)
             return
@@ -168,6 +175,8 @@
         headers = [(REQUEST_ID, request_id), (SIGNATURE, f"sig.{self.id}")]
         if self.is_leaving:
             headers.append((LEAVING, "1"))
+        if self.limit:
+            headers.append((LIMIT, self.limit))
         return headers[:1] if self.mode is Mode.UNSIGNED else headers
 
     async def run(
