--- a/src/tamaracktray/gateway.py
+++ b/src/tamaracktray/gateway.py
@@ -21,6 +21,7 @@
 )
 from tamaracktray.costs import estimate_cost, estimate_prefill
 from tamaracktray.effects import Effect
+from tamaracktray.endpoint_loads import EndpointLoad
 from tamaracktray.gateway_crashes import (
     evaluate_suspicions,
     find_quarantine_end,
@@ -41,11 +42,7 @@
     PendingCall,
 )
 from tamaracktray.outcomes import AttemptPhase
-from tamaracktray.placement import (
-    EndpointLoad,
-    is_eligible,
-    list_with_capacity,
-)
+from tamaracktray.placement import is_eligible, list_with_capacity
 from tamaracktray.refusals import (
     BUSY_RETRY_S,
     NO_ENDPOINT_RETRY_S,
--- a/src/tamaracktray/gateway_crashes.py
+++ b/src/tamaracktray/gateway_crashes.py
@@ -2,9 +2,9 @@
 
 from tamaracktray.calls import Call
 from tamaracktray.effects import Effect
+from tamaracktray.endpoint_loads import EndpointLoad
 from tamaracktray.gateway_state import GatewayContext, PendingCall
 from tamaracktray.part_watch import SOUND_ANSWER_S
-from tamaracktray.placement import EndpointLoad
 from tamaracktray.suspicions import Incarnation, ListedEndpoint
 
 # Silence of an endpoint after which it may have crashed, in seconds.
--- a/src/tamaracktray/gateway_fleet.py
+++ b/src/tamaracktray/gateway_fleet.py
@@ -2,6 +2,7 @@
 
 from tamaracktray.budgets import PermitBucket
 from tamaracktray.calls import Call, FleetView
+from tamaracktray.endpoint_loads import EndpointLoad
 from tamaracktray.gateway_crashes import is_quarantined, list_avoided, note_leaving
 from tamaracktray.gateway_state import (
     USABLE_LIMIT_SHARE,
@@ -10,12 +11,7 @@
     PendingCall,
 )
 from tamaracktray.ownership import FleetNode, find_owned_endpoints
-from tamaracktray.placement import (
-    EndpointLoad,
-    choose_endpoint,
-    is_available,
-    is_eligible,
-)
+from tamaracktray.placement import choose_endpoint, is_available, is_eligible
 from tamaracktray.roster import EndpointRecord
 from tamaracktray.routes import Service
 
--- a/src/tamaracktray/gateway_state.py
+++ b/src/tamaracktray/gateway_state.py
@@ -8,11 +8,12 @@
 from tamaracktray.budgets import RetryBudget
 from tamaracktray.calls import Call
 from tamaracktray.crash_watch import CrashWatch
+from tamaracktray.endpoint_loads import EndpointLoad
 from tamaracktray.fairness import ServedRate, SizeBands
 from tamaracktray.notices import EndpointNotices
 from tamaracktray.ownership import FleetNode
 from tamaracktray.part_watch import PartWatch
-from tamaracktray.placement import EndpointLoad, PlacementContext
+from tamaracktray.placement import PlacementContext
 from tamaracktray.wait_queue import WaitQueue
 
 # Weight of a new measurement in the moving average of the start delay; about the last
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -32,9 +32,9 @@
     RelayFailure,
     SendCall,
 )
+from tamaracktray.endpoint_loads import MISDIRECTED_BLOCK_S
 from tamaracktray.gateway import handle_call_started
 from tamaracktray.outcomes import AttemptPhase
-from tamaracktray.placement import MISDIRECTED_BLOCK_S
 from tamaracktray.refusals import (
     BUSY_RETRY_S,
     NO_ENDPOINT_RETRY_S,
--- a/tests/test_work.py
+++ b/tests/test_work.py
@@ -21,10 +21,11 @@
 from tamaracktray import call_context, gateway_fleet, node_process, node_reducer
 from tamaracktray.beacons import Beacon, EndpointStatus, encode_beacon
 from tamaracktray.calls import SendCall
+from tamaracktray.endpoint_loads import PEER_COUNT_VALID_S, EndpointLoad
 from tamaracktray.node_events import BeaconReceived
 from tamaracktray.outcomes import AttemptPhase
 from tamaracktray.ownership import FleetNode
-from tamaracktray.placement import PEER_COUNT_VALID_S, EndpointLoad, choose_endpoint
+from tamaracktray.placement import choose_endpoint
 from tamaracktray.suspicions import Incarnation
 from tamaracktray.types import Address
 
