Keep the limit that an endpoint names, over all entries together

Endpoints that had named 1.7 or 1.8 requests a second got 28 and 29 in 4 s from entries that knew it, and 39 to 218 in the tests. Cause: no code read the header. The class of fault: a bound on the whole fleet that each process can only keep together with the others. Change: the adapter reads the limit; few entries send to a limited endpoint, an engine's owner or the first by rank, at shares that add up to the limit; the others leave it to them for as long as beacons report it, and take over one after the other if none does. Requests sent shortly before count. An answer to a later request that names no limit ends it. Weighed: equal shares of all entries exceed the bound by their bursts alone from 10 entries on; counts told to peers lag by their interval.

--- a/src/tamaracktray/attempt_relay.py
+++ b/src/tamaracktray/attempt_relay.py
@@ -6,6 +6,7 @@
 from returns.result import Failure, Result
 
 from tamaracktray.calls import CallAttemptEnded, CallStarted, SendCall
+from tamaracktray.endpoint_limits import EndpointLimitReceived
 from tamaracktray.exceptions import TransportError
 from tamaracktray.exchange import Exchange, open_exchange
 from tamaracktray.http import RawHeaders, Responder
@@ -43,12 +44,14 @@
     with the start of each answer, and ``on_notice`` with what an endpoint reports about
     itself. ``may_send`` checks whether a decision is still valid, given the seconds
     that connecting took, and ``may_resume`` whether a stalled stream can resume at
-    another endpoint. An answer of more than ``answer_bytes`` is cut. With
-    ``closes_connections``, answers ask callers to close their connection.
+    another endpoint. ``is_limited`` checks whether an endpoint has named a limit, which
+    ends with an answer that names none. An answer of more than ``answer_bytes`` is cut.
+    With ``closes_connections``, answers ask callers to close their connection.
     """
 
     __slots__ = (
         "_answer_bytes",
+        "_is_limited",
         "_may_resume",
         "_may_send",
         "_protocol",
@@ -62,14 +65,18 @@
         self,
         protocol: RequestProtocol,
         on_start: Callable[[CallStarted], Awaitable[None]],
-        on_notice: Callable[[EndpointNoticeReceived], Awaitable[None]],
+        on_notice: Callable[
+            [EndpointNoticeReceived | EndpointLimitReceived], Awaitable[None]
+        ],
         may_send: Callable[[SendCall, float], bool],
         may_resume: Callable[[str], bool],
+        is_limited: Callable[[str], bool],
         answer_bytes: int,
     ) -> None:
         self._answer_bytes = answer_bytes
         self._protocol = protocol
         self._may_resume = may_resume
+        self._is_limited = is_limited
         self._may_send = may_send
         self._on_start = on_start
         self._on_notice = on_notice
@@ -82,6 +89,7 @@
         """Send a call to an endpoint, relay the answer and return the outcome."""
         request = open_call.request
         open_call.is_abandoned = False
+        started_at = time.monotonic()
         opened = await open_exchange(
             decision.address,
             request.method,
@@ -104,7 +112,7 @@
         try:
             if open_call.is_abandoned:
                 await exchange.abandon()
-            return await self._read_answer(open_call, decision, exchange)
+            return await self._read_answer(open_call, decision, exchange, started_at)
         finally:
             open_call.exchange = None
             await exchange.close()
@@ -133,7 +141,11 @@
         return selected
 
     async def _read_answer(
-        self, open_call: OpenCall, decision: SendCall, exchange: Exchange
+        self,
+        open_call: OpenCall,
+        decision: SendCall,
+        exchange: Exchange,
+        started_at: float,
     ) -> CallAttemptEnded:
         call = open_call.call
         head = await exchange.read_head(compute_start_timeout(call))
@@ -144,6 +156,8 @@
         if fields.is_leaving or fields.pause_s is not None:
             await self._on_notice(_build_notice(decision, fields))
         is_other_request = fields.request_id not in ("", call.request_id)
+        if not (is_other_request or fields.is_misdirected):
+            await self._note_limit(decision, fields, started_at)
         if fields.is_not_run and not is_other_request:
             detail = f"not run ({exchange.status})"
             phase = AttemptPhase.REFUSED
@@ -161,6 +175,19 @@
             return await self._relay_stream(open_call, decision, exchange, fields)
         return await self._relay_whole(open_call, decision, exchange, fields)
 
+    async def _note_limit(
+        self, decision: SendCall, fields: AnswerFields, started_at: float
+    ) -> None:
+        """Report the limit that an answer names, or that it names none any more."""
+        endpoint_id = decision.endpoint_id
+        if fields.limit_per_s is None and not self._is_limited(endpoint_id):
+            return
+        await self._on_notice(
+            EndpointLimitReceived(
+                time.monotonic(), endpoint_id, fields.limit_per_s, started_at
+            )
+        )
+
     async def _relay_whole(
         self,
         open_call: OpenCall,
--- a/src/tamaracktray/beacons.py
+++ b/src/tamaracktray/beacons.py
@@ -9,6 +9,7 @@
 import msgspec
 from returns.result import Failure, Result, Success
 
+from tamaracktray.endpoint_limits import is_valid_limit
 from tamaracktray.exceptions import ProtocolError
 from tamaracktray.part_watch import SoundAnswer
 from tamaracktray.snapshots import Collection
@@ -42,7 +43,8 @@
     versions and ``announcement_ages_by_model`` the ages of announced versions in
     seconds. ``has_store`` is set if the sender can reach the platform's store.
     ``crash_reports`` are the requests that may have crashed endpoints, ``part_reports``
-    the prompt parts, and ``sound_answers`` refute such reports.
+    the prompt parts, and ``sound_answers`` refute such reports. ``limits_by_endpoint``
+    are the requests a second that endpoints named to the sender as their limit.
     """
 
     name: str
@@ -59,6 +61,7 @@
     crash_reports: list[CrashReport] = []
     part_reports: list[CrashReport] = []
     sound_answers: list[SoundAnswer] = []
+    limits_by_endpoint: dict[str, float] = {}
 
 
 _ENCODER = msgspec.msgpack.Encoder()
@@ -97,6 +100,8 @@
         return False
     if not all(_is_duration(item.age_s) for item in beacon.sound_answers):
         return False
+    if not all(is_valid_limit(rate) for rate in beacon.limits_by_endpoint.values()):
+        return False
     ages = beacon.announcement_ages_by_model.values()
     return all(
         math.isfinite(age_s) and age_s >= 0 for item in ages for _, age_s in item
--- a/src/tamaracktray/budgets.py
+++ b/src/tamaracktray/budgets.py
@@ -29,6 +29,15 @@
         self._level -= 1.0
         return True
 
+    def fill(self, now: float) -> None:
+        """Fill the bucket to its burst."""
+        self._level = self.burst
+        self._updated = now
+
+    def charge(self, amount: float) -> None:
+        """Take permits that were used before, even if that leaves a deficit."""
+        self._level -= amount
+
     def resize(self, rate: float, burst: float) -> None:
         """Change the limits; permits beyond the new burst are dropped."""
         self.rate = rate
--- a/src/tamaracktray/call_log.py
+++ b/src/tamaracktray/call_log.py
@@ -10,6 +10,7 @@
 import structlog
 
 from tamaracktray.calls import Call, CallAttemptEnded, RefuseCall, SendCall
+from tamaracktray.endpoint_limits import LogLimit
 from tamaracktray.exceptions import PlatformError
 from tamaracktray.metrics import Metrics
 from tamaracktray.notices import LogNotice
@@ -164,6 +165,20 @@
             request_line=True,
         )
 
+    def note_limit(self, effect: LogLimit) -> None:
+        """Log that an endpoint's limit came into force, changed or ended."""
+        self._metrics.count("endpoint_limits", valid=str(effect.is_valid).lower())
+        write = self._log.info if effect.is_valid else self._log.warning
+        write(
+            "endpoint limit" if effect.rate_per_s is not None else "endpoint unlimited",
+            endpoint=effect.endpoint_id,
+            rate_per_s=effect.rate_per_s,
+            share_per_s=round(effect.share_per_s, TIME_DECIMALS),
+            recent=effect.recent,
+            is_valid=effect.is_valid,
+            request_line=True,
+        )
+
     def note_finding(self, note: LogFinding) -> None:
         """Log a change in a suspicion that a request crashed an endpoint."""
         self._metrics.count("crash_findings", finding=note.finding.value)
--- a/src/tamaracktray/endpoint_loads.py
+++ b/src/tamaracktray/endpoint_loads.py
@@ -1,8 +1,10 @@
 """Load and health of an endpoint, as known to one process."""
 
 import math
+from collections import deque
 
 from tamaracktray.budgets import PermitBucket
+from tamaracktray.endpoint_limits import RECENT_S, EndpointLimit
 from tamaracktray.hashing import HASH_RANGE, hash_text
 from tamaracktray.roster import EndpointRecord
 
@@ -28,6 +30,9 @@
 # lags by up to three heartbeats.
 MISDIRECTED_BLOCK_S = 1.5
 
+# Calls whose sending time is remembered.
+MAX_RECENT = 32
+
 # Penalty for borrowing a slot at an endpoint that another entry owns, in running calls.
 # Each entry adds a fixed part of the spread per endpoint, so that entries borrow at
 # different endpoints.
@@ -45,14 +50,15 @@
     ``stale_deadline``, if the list is known to be wrong about the endpoint.
     ``last_contact_at`` is the time when the endpoint last sent data, or got a call
     while idle. ``is_owned`` is set if this entry owns the endpoint; slots elsewhere are
-    borrowed, which costs ``borrow_penalty`` running calls. ``is_leaving`` and
-    ``pause_deadline`` come from the endpoint's own answers.
+    borrowed, which costs ``borrow_penalty`` running calls. ``is_leaving``,
+    ``pause_deadline`` and ``limit`` come from the endpoint's own answers.
     """
 
     __slots__ = (
         "_peer_counts",
         "_peer_expiry",
         "_peer_total",
+        "_sent_at",
         "blocked_deadline",
         "borrow_penalty",
         "cold_budget",
@@ -60,6 +66,7 @@
         "failures",
         "last_contact_at",
         "in_flight",
+        "limit",
         "_version_by_model",
         "is_owned",
         "is_leaving",
@@ -89,6 +96,8 @@
         self.is_leaving = False
         self.pause_deadline = 0.0
         self.borrow_penalty = 0.0
+        self.limit: EndpointLimit | None = None
+        self._sent_at: deque[float] = deque(maxlen=MAX_RECENT)
         self._version_by_model: dict[str, int] | None = None
         self._peer_counts: dict[str, tuple[int, float]] = {}
         self._peer_expiry = math.inf
@@ -127,6 +136,8 @@
             self._version_by_model = None
         if now >= self.stale_deadline:
             self.is_record_stale = False
+        if self.limit is not None and self.limit.is_expired(now):
+            self.limit = None
 
     def set_owned(self, entry: str, *, is_owned: bool) -> None:
         """Set whether ``entry``, this process, owns the endpoint."""
@@ -178,6 +189,9 @@
         if not self.in_flight:
             self.last_contact_at = now
         self.in_flight += 1
+        self._sent_at.append(now)
+        if self.limit is not None:
+            self.limit.budget.take(now)
         if self.cold_budget is not None and now < self.cold_deadline:
             self.cold_budget.take(now)
 
@@ -228,6 +242,18 @@
         """Return the seconds without data while calls are in flight, 0 if none are."""
         return now - self.last_contact_at if self.in_flight else 0.0
 
+    def count_recent(self, now: float) -> int:
+        """Return the number of calls sent in the last ``RECENT_S``, bounded."""
+        return sum(sent_at > now - RECENT_S for sent_at in self._sent_at)
+
+    def is_reserved(self, now: float) -> bool:
+        """Return whether the endpoint's limit leaves it to other entries for now."""
+        return self.limit is not None and self.limit.is_reserved(now)
+
+    def has_limit_permit(self, now: float) -> bool:
+        """Return whether the endpoint's own limit allows one more call."""
+        return self.limit is None or self.limit.has_permit(now)
+
     def has_cold_permit(self, now: float) -> bool:
         """Return whether the limit for cold endpoints allows one more call."""
         if self.cold_budget is None or now >= self.cold_deadline:
--- a/src/tamaracktray/entry_process.py
+++ b/src/tamaracktray/entry_process.py
@@ -29,8 +29,10 @@
 from tamaracktray.chunk_relay import ChunkRelay
 from tamaracktray.deployment import Deployment
 from tamaracktray.effects import Effect
+from tamaracktray.endpoint_limits import LogLimit
 from tamaracktray.events import Event, Tick
 from tamaracktray.exceptions import PlatformError
+from tamaracktray.gateway_limits import list_limits
 from tamaracktray.gateway_state import GatewayBounds, GatewayState
 from tamaracktray.http import HttpLimits, HttpServer, Request, Responder
 from tamaracktray.messages import encode_refusal
@@ -99,6 +101,7 @@
             self.dispatch,
             self._may_send,
             self._may_resume,
+            self._is_limited,
             bounds.answer_bytes,
         )
         self._loads_changed = curio.Event()
@@ -112,6 +115,7 @@
         self.add_performer(PrefetchVersion, self._prefetch_version)
         self.add_performer(CloseIdleConnections, self._close_idle_connections)
         self.add_performer(LogNotice, self._log_notice)
+        self.add_performer(LogLimit, self._log_limit)
         self.add_performer(SendLoadBeacon, self._schedule_load_beacon)
         self.add_performer(LogFinding, self._log_finding)
         writer = RecordWriter(self.store, self._call_log, self.spawn, self.dispatch)
@@ -149,6 +153,7 @@
             crash_reports=self.state.crashes.list_reports(now),
             part_reports=self.state.part_crashes.list_reports(now),
             sound_answers=self.state.part_crashes.list_sound(now),
+            limits_by_endpoint=list_limits(self.state.gateway, now),
         )
 
     @override
@@ -267,6 +272,10 @@
     def _may_resume(self, call_id: str) -> bool:
         return may_resume(self.state, time.monotonic(), call_id)
 
+    def _is_limited(self, endpoint_id: str) -> bool:
+        load = self.state.gateway.loads_by_id.get(endpoint_id)
+        return load is not None and load.limit is not None
+
     async def _on_start(self, event: CallStarted) -> None:
         open_call = self._open_by_id.get(event.call_id)
         if open_call is not None:
@@ -327,6 +336,9 @@
     async def _log_notice(self, effect: LogNotice) -> None:
         self._call_log.note_notice(effect)
 
+    async def _log_limit(self, effect: LogLimit) -> None:
+        self._call_log.note_limit(effect)
+
     async def _prefetch_version(self, effect: PrefetchVersion) -> None:
         key = VersionKey(effect.model, effect.version)
         await self.spawn(self._chunk_relay.prefetch, key)
--- a/src/tamaracktray/headers.py
+++ b/src/tamaracktray/headers.py
@@ -47,8 +47,8 @@
 MAX_DIGITS = 15
 
 
-def read_seconds(text: str | None) -> float | None:
-    """Parse a time in seconds; return ``None`` if absent and NaN if malformed."""
+def read_decimal(text: str | None) -> float | None:
+    """Parse a decimal number; return ``None`` if absent and NaN if malformed."""
     if text is None:
         return None
     try:
--- a/src/tamaracktray/node_reducer.py
+++ b/src/tamaracktray/node_reducer.py
@@ -16,6 +16,7 @@
     CallStarted,
 )
 from tamaracktray.effects import Effect, Exit
+from tamaracktray.endpoint_limits import EndpointLimitReceived
 from tamaracktray.events import Event, ShutdownRequested, Tick
 from tamaracktray.exceptions import InvariantError
 from tamaracktray.gateway import (
@@ -27,6 +28,11 @@
     send_queued_calls,
 )
 from tamaracktray.gateway_fleet import apply_roster, update_ownership
+from tamaracktray.gateway_limits import (
+    handle_limit,
+    merge_peer_limits,
+    update_limit_shares,
+)
 from tamaracktray.gateway_notices import handle_notice
 from tamaracktray.gateway_state import GatewayContext
 from tamaracktray.node_events import (
@@ -259,6 +265,9 @@
                 LogAnnouncement(model, announcement.version, age_s, beacon.name)
             )
         effects.extend(merge_crash_reports(state, event.now, beacon))
+        if beacon.limits_by_endpoint:
+            context = build_gateway_context(state, event.now)
+            merge_peer_limits(context, event.now, beacon.limits_by_endpoint)
         state.gateway.record_peer_counts(
             event.now, beacon.name, beacon.in_flight_by_endpoint
         )
@@ -297,6 +306,7 @@
         if event.now >= state.assignment_deadline:
             state.assignment_deadline = event.now + ASSIGNMENT_INTERVAL_S
             update_ownership(context)
+            update_limit_shares(context, event.now)
         effects.extend(handle_gateway_tick(context, event.now, event.responsive_ids))
     if state.staging is not None:
         effects.extend(advance(state.staging, event.now))
@@ -357,6 +367,7 @@
     CallAttemptEnded: _with_gateway(handle_attempt_ended),
     CallEnded: _with_gateway(handle_call_ended),
     EndpointNoticeReceived: _with_gateway(handle_notice),
+    EndpointLimitReceived: _with_gateway(handle_limit),
     EngineAnswered: _with_staging(handle_engine_answered),
     EngineUnreachable: _with_staging(handle_engine_unreachable),
     ManifestRead: _with_staging(handle_manifest_read),
--- a/src/tamaracktray/placement.py
+++ b/src/tamaracktray/placement.py
@@ -94,15 +94,17 @@
 def is_available(
     now: float, call: Call, load: EndpointLoad, placement_context: PlacementContext
 ) -> bool:
-    """Return whether an endpoint is eligible for a call and not paused."""
-    return not load.is_paused(now) and is_eligible(call, load, placement_context)
+    """Return whether an endpoint is eligible, not paused and not left to others."""
+    if load.is_paused(now) or load.is_reserved(now):
+        return False
+    return is_eligible(call, load, placement_context)
 
 
 def count_free_slots(load: EndpointLoad, now: float) -> int:
     """Return the free slots of an endpoint, 0 while it must get no calls."""
     if load.blocked_deadline > now or load.is_swapping or load.is_paused(now):
         return 0
-    if not load.has_cold_permit(now):
+    if not load.has_cold_permit(now) or not load.has_limit_permit(now):
         return 0
     slots = load.record.max_batch
     if not load.is_owned:
--- a/src/tamaracktray/platform/protocol.py
+++ b/src/tamaracktray/platform/protocol.py
@@ -5,8 +5,8 @@
 from tamaracktray.headers import (
     HOP_HEADERS,
     list_connection_headers,
+    read_decimal,
     read_int,
-    read_seconds,
 )
 from tamaracktray.http import RawHeaders, Request
 from tamaracktray.protocol import (
@@ -37,6 +37,8 @@
 LEAVING = "server-leaving"
 # On a 503, seconds for which this process must send the endpoint no requests.
 RETRY_AFTER = "retry-after"
+# Requests a second from all processes together, on every answer of a limited endpoint.
+LIMIT = "server-limit"
 LAST_EVENT_ID = "last-event-id"
 AUTHORIZATION = "authorization"
 KEY_SCHEME = "token "
@@ -128,7 +130,8 @@
             SIGNATURE in headers,
             read_int(headers.get(VERSION, "")) or 0,
             headers.get(LEAVING, "").strip() == "1",
-            read_seconds(headers.get(RETRY_AFTER)) if status == UNAVAILABLE else None,
+            read_decimal(headers.get(RETRY_AFTER)) if status == UNAVAILABLE else None,
+            read_decimal(headers.get(LIMIT)),
         )
 
     @override
--- a/src/tamaracktray/protocol.py
+++ b/src/tamaracktray/protocol.py
@@ -53,7 +53,8 @@
     the answer comes from an endpoint. ``version`` is the version of the weights, 0 if
     it is absent. ``is_leaving`` means that the endpoint is about to shut down.
     ``pause_s`` is the time in seconds for which it accepts no requests from this
-    process, ``None`` if it is absent and NaN if it cannot be parsed.
+    process. ``limit_per_s`` is the number of requests a second that it accepts from
+    all processes together. Both are ``None`` if absent and NaN if malformed.
     """
 
     request_id: str = ""
@@ -63,6 +64,7 @@
     version: int = 0
     is_leaving: bool = False
     pause_s: float | None = None
+    limit_per_s: float | None = None
 
 
 class RequestProtocol(ABC):
--- a/tests/test_endpoint_limits.py
+++ b/tests/test_endpoint_limits.py
@@ -5,12 +5,31 @@
 """
 
 import itertools
+import math
 import time
 
 import curio
 import pytest
 
+from gateways import SAFE, Gateway, build_call, engine, sent, worker
 from platforms import PlatformFleet, run_fleet
+from tamaracktray.beacons import Beacon, decode_beacon, encode_beacon
+from tamaracktray.calls import RefuseCall
+from tamaracktray.effects import Effect
+from tamaracktray.endpoint_limits import (
+    MIN_RATE_PER_S,
+    REPORT_TTL_S,
+    EndpointLimitReceived,
+)
+from tamaracktray.gateway_limits import (
+    handle_limit,
+    list_limits,
+    merge_peer_limits,
+    update_limit_shares,
+)
+from tamaracktray.outcomes import AttemptPhase
+from tamaracktray.ownership import FleetNode
+from tamaracktray.types import RunState
 from tamaracktray_emulator.platform.worker import WorkerStandIn
 
 # The platform's bound: multiple of the limit, requests beyond it, window in seconds,
@@ -116,3 +135,188 @@
             assert used >= limit_per_s
 
         run_scenario(scenario, path, entries=entries, workers=workers)
+
+
+OWN, PEER = "entry-0", "entry-1"
+
+
+def name_limit(
+    gateway: Gateway, endpoint: str, rate_per_s: float | None, sent_at: float = 0.0
+) -> list[Effect]:
+    event = EndpointLimitReceived(gateway.now, endpoint, rate_per_s, sent_at)
+    return handle_limit(gateway.context, event)
+
+
+def count_sent(
+    gateway: Gateway, seconds: float, calls_per_s: int = 20, rate_per_s=None
+) -> int:
+    """Offer calls and return how many were sent; each is answered at once.
+
+    The answers name the limit ``rate_per_s`` if it is given.
+    """
+    count = 0
+    for number in range(int(seconds * calls_per_s)):
+        gateway.tick(1.0 / calls_per_s)
+        call = build_call(f"{gateway.now}-{number}", SAFE, now=gateway.now)
+        for endpoint in sent(gateway.arrive(call)):
+            count += 1
+            if rate_per_s is not None:
+                name_limit(gateway, endpoint, rate_per_s)
+            gateway.end(call, endpoint, AttemptPhase.ANSWERED, status=200)
+        gateway.leave(call)
+    return count
+
+
+class TestNamedLimit:
+    def build_gateway(self, *, peers: int = 0) -> Gateway:
+        gateway = Gateway(worker("w-0"), peers=peers)
+        nodes = [FleetNode(OWN, "r")]
+        nodes += [FleetNode(f"entry-{number}", "r") for number in range(1, peers + 1)]
+        gateway.state.entries = tuple(nodes)
+        return gateway
+
+    def test_limit_is_kept_until_an_answer_names_none(self):
+        gateway = self.build_gateway()
+        name_limit(gateway, "w-0", 2.0)
+        assert count_sent(gateway, 10.0) <= 21
+        (note,) = name_limit(gateway, "w-0", None, sent_at=gateway.now)
+        assert note.rate_per_s is None
+        assert count_sent(gateway, 1.0) == 20
+
+    def test_answer_to_an_earlier_request_does_not_end_a_limit(self):
+        gateway = self.build_gateway()
+        gateway.now = 5.0
+        name_limit(gateway, "w-0", 2.0)
+        assert name_limit(gateway, "w-0", None, sent_at=4.0) == []
+        assert gateway.load("w-0").limit is not None
+
+    @pytest.mark.parametrize("rate_per_s", [math.nan, math.inf, -1.0])
+    def test_unreadable_limit_is_logged_and_changes_nothing(self, rate_per_s):
+        gateway = self.build_gateway()
+        (note,) = name_limit(gateway, "w-0", rate_per_s)
+        assert not note.is_valid
+        assert gateway.load("w-0").limit is None
+        name_limit(gateway, "w-0", 2.0)
+        name_limit(gateway, "w-0", rate_per_s)
+        assert gateway.load("w-0").limit.rate_per_s == 2.0
+
+    def test_limit_of_zero_leaves_a_request_now_and_then(self):
+        gateway = self.build_gateway()
+        name_limit(gateway, "w-0", 0.0)
+        assert 1 <= count_sent(gateway, 20.0) <= 20.0 * MIN_RATE_PER_S + 1
+
+    @pytest.mark.parametrize("rate_per_s", [1e6, 1e300])
+    def test_absurdly_large_limit_limits_nothing(self, rate_per_s):
+        gateway = self.build_gateway()
+        name_limit(gateway, "w-0", rate_per_s)
+        assert count_sent(gateway, 2.0) == 40
+
+    def test_changed_limit_applies_at_once(self):
+        gateway = self.build_gateway()
+        name_limit(gateway, "w-0", 10.0)
+        name_limit(gateway, "w-0", 1.0)
+        assert count_sent(gateway, 10.0) <= 13
+
+    def test_requests_from_before_the_limit_count(self):
+        gateway = self.build_gateway()
+        before = count_sent(gateway, 1.0)
+        name_limit(gateway, "w-0", 2.0)
+        after = count_sent(gateway, CONTACT_S)
+        assert before + after <= max(before, ALLOWED_MULTIPLE * 2.0 * WINDOW_S + 5)
+
+    def test_restarted_endpoint_has_no_limit(self):
+        gateway = self.build_gateway()
+        name_limit(gateway, "w-0", 2.0)
+        gateway.follow(worker("w-0", start_time_ms=5))
+        assert gateway.load("w-0").limit is None
+
+    def test_call_is_refused_at_once_if_only_others_may_send(self):
+        gateway = Gateway(engine("e-0"), owned=[])
+        gateway.state.entries = (FleetNode(OWN, "r"), FleetNode(PEER, "r"))
+        load = gateway.load("e-0")
+        load.set_owned(OWN, is_owned=False)
+        name_limit(gateway, "e-0", 2.0)
+        (refused,) = gateway.arrive(build_call("c"))
+        assert isinstance(refused, RefuseCall)
+        assert refused.refusal.run is RunState.NOT_RUN
+        assert refused.refusal.retry_after_s > 0
+
+
+class TestSharedLimit:
+    def build_gateways(self, entries: int) -> list[Gateway]:
+        """Return the gateways of entries that all know one worker."""
+        nodes = tuple(FleetNode(f"entry-{number}", "r") for number in range(entries))
+        gateways: list[Gateway] = []
+        for node in nodes:
+            gateway = Gateway(worker("w-0", max_batch=100), peers=entries - 1)
+            gateway.state.name = node.name
+            gateway.state.entries = nodes
+            gateways.append(gateway)
+        return gateways
+
+    def report(self, gateways: list[Gateway]) -> None:
+        """Exchange beacons between all gateways."""
+        for sender in gateways:
+            limits = list_limits(sender.state, sender.now)
+            for receiver in gateways:
+                if receiver is not sender and limits:
+                    merge_peer_limits(receiver.context, receiver.now, limits)
+
+    @pytest.mark.parametrize("entries", [1, 2, 5, 10, 40])
+    @pytest.mark.parametrize("rate_per_s", [0.0, 0.4, 1.7, 6.0, 50.0])
+    def test_shares_of_all_entries_stay_within_the_bound(self, entries, rate_per_s):
+        gateways = self.build_gateways(entries)
+        for gateway in gateways:
+            name_limit(gateway, "w-0", rate_per_s)
+        counts: list[int] = []
+        for _ in range(40):
+            self.report(gateways)
+            counts.append(
+                sum(
+                    count_sent(gateway, 0.5, rate_per_s=rate_per_s)
+                    for gateway in gateways
+                )
+            )
+        steps = int(WINDOW_S / 0.5)
+        most = max(sum(counts[n : n + steps]) for n in range(len(counts)))
+        assert most <= ALLOWED_MULTIPLE * rate_per_s * WINDOW_S + ALLOWED_EXTRA
+
+    def test_limit_that_only_peers_report_ends_with_their_reports(self):
+        gateway, _ = self.build_gateways(2)
+        merge_peer_limits(gateway.context, gateway.now, {"w-0": 1.0, "gone": 1.0})
+        assert count_sent(gateway, REPORT_TTL_S / 2) <= 2
+        assert list_limits(gateway.state, gateway.now) == {}
+        gateway.tick(REPORT_TTL_S)
+        assert gateway.load("w-0").limit is None
+
+    def test_engine_is_left_to_its_owner_while_it_reports_the_limit(self):
+        gateway = Gateway(engine("e-0"), owned=[])
+        gateway.state.entries = (FleetNode(OWN, "r"), FleetNode(PEER, "r"))
+        gateway.load("e-0").set_owned(OWN, is_owned=False)
+        name_limit(gateway, "e-0", 2.0)
+        for number in range(20):
+            merge_peer_limits(gateway.context, gateway.now, {"e-0": 2.0})
+            gateway.tick(REPORT_TTL_S / 2)
+            call = build_call(f"early-{number}", now=gateway.now)
+            assert not sent(gateway.arrive(call))
+        gateway.tick(2 * REPORT_TTL_S)
+        late = build_call("late", now=gateway.now)
+        assert sent(gateway.arrive(late)) == ["e-0"]
+        name_limit(gateway, "e-0", None, sent_at=gateway.now)
+        assert gateway.load("e-0").limit is None
+
+    def test_new_owner_keeps_the_limit_that_the_old_one_reported(self):
+        gateway = Gateway(engine("e-0", max_batch=16), owned=[])
+        gateway.state.entries = (FleetNode(OWN, "r"), FleetNode(PEER, "r"))
+        load = gateway.load("e-0")
+        load.set_owned(OWN, is_owned=False)
+        merge_peer_limits(gateway.context, gateway.now, {"e-0": 2.0})
+        load.set_owned(OWN, is_owned=True)
+        update_limit_shares(gateway.context, gateway.now)
+        calls = [build_call(f"c-{number}", now=gateway.now) for number in range(5)]
+        assert sum(len(sent(gateway.arrive(call))) for call in calls) == 1
+
+    @pytest.mark.parametrize("rate_per_s", [math.nan, math.inf, -1.0])
+    def test_beacon_with_an_invalid_limit_is_rejected(self, rate_per_s):
+        beacon = Beacon("a", 1, 1, {}, {}, limits_by_endpoint={"w-0": rate_per_s})
+        assert decode_beacon(encode_beacon(beacon)).value_or(None) is None
