Test a fatal part through restarts, outages, silence and without beacons

Cause: the first tests of the fleet vary entries and the moment of the crash only. Change: two fatal parts at once, engines that fall silent, a restart of all entries, entries without beacons and an outage of the store followed by a restart. The outage's test first waited 2 s, the scaled time of contact, before the restart and failed with 8 requests (3 allowed): the store's client, whose timeouts aren't scaled, had not recovered; it now waits the platform's 3 s.

--- a/tests/test_crashing_parts.py
+++ b/tests/test_crashing_parts.py
@@ -6,11 +6,19 @@
 
 import time
 
+import curio
 import pytest
 
 from crashes import CONTACT_S
 from part_crashes import ALLOWED_REQUESTS, PartCrashHarness, run_scenario
-from tamaracktray_emulator.platform.worker import CrashPoint
+from tamaracktray.node_process import NodeProcess
+from tamaracktray_emulator.platform.store import Outage
+from tamaracktray_emulator.platform.worker import CrashMode, CrashPoint
+
+FATAL_PARTS = ("dead01", "dead02")
+
+# Time of contact of the platform; timeouts of the store's client are not scaled down.
+OUTAGE_RECOVERY_S = 3.0
 
 # Smallest share of sound requests that are served beside fatal ones.
 MIN_SOUND_SHARE = 0.5
@@ -32,3 +40,57 @@
         run_scenario(
             scenario, entries=entries, engines=engines, crash_point=crash_point
         )
+
+    def test_engines_that_fall_silent_on_a_fatal_part_are_recognized(self):
+        async def scenario(harness: PartCrashHarness) -> None:
+            await harness.send_series(duration_s=9.0, gap_s=0.3)
+            assert harness.count_uncontained() <= ALLOWED_REQUESTS
+
+        run_scenario(scenario, entries=4, engines=16, crash_mode=CrashMode.SILENCE)
+
+    def test_two_fatal_parts_at_once_stop_reaching_engines(self):
+        async def scenario(harness: PartCrashHarness) -> None:
+            started_at = time.monotonic()
+            await harness.send_series(duration_s=9.0, gap_s=0.2)
+            for part in FATAL_PARTS:
+                assert harness.count_uncontained(part) <= ALLOWED_REQUESTS
+            share = harness.measure_sound_share(started_at + 2 * CONTACT_S)
+            assert share >= MIN_SOUND_SHARE
+
+        run_scenario(scenario, entries=4, engines=24, fatal_parts=FATAL_PARTS)
+
+    def test_restart_of_all_entries_keeps_the_quarantine(self):
+        async def scenario(harness: PartCrashHarness) -> None:
+            await harness.send_series(duration_s=4.0, gap_s=0.3)
+            await curio.sleep(CONTACT_S)
+            await harness.fleet.restart_all()
+            await harness.send_series(duration_s=4.0, gap_s=0.3)
+            assert harness.count_uncontained() <= ALLOWED_REQUESTS
+
+        run_scenario(scenario, entries=4, engines=16)
+
+    def test_quarantine_reaches_entries_without_beacons(self, monkeypatch):
+        async def send_nothing(*_args, **_options) -> None:
+            return
+
+        monkeypatch.setattr(NodeProcess, "send_beacon", send_nothing)
+
+        async def scenario(harness: PartCrashHarness) -> None:
+            await harness.send_series(duration_s=9.0, gap_s=0.3)
+            assert harness.count_uncontained() <= ALLOWED_REQUESTS
+
+        run_scenario(scenario, entries=2, engines=24)
+
+    @pytest.mark.parametrize("outage", [Outage.SILENT, Outage.RESET])
+    def test_quarantine_from_a_store_outage_reaches_all_entries(self, outage):
+        async def scenario(harness: PartCrashHarness) -> None:
+            faults = harness.fleet.store.faults
+            faults.outage = outage
+            await harness.send_series(duration_s=4.0, gap_s=0.3)
+            faults.outage = Outage.NONE
+            await curio.sleep(OUTAGE_RECOVERY_S)
+            await harness.fleet.restart_all()
+            await harness.send_series(duration_s=4.0, gap_s=0.3)
+            assert harness.count_uncontained() <= ALLOWED_REQUESTS
+
+        run_scenario(scenario, entries=4, engines=20)
