Soak: fatal prompt parts and limits of endpoints

Change: streams share a part; different streams with a fatal part crash engines before their head or after their first event, by reset or silence, and endpoints name limits for some seconds. Checked: few requests with the part run after it crashed five engines, a sound stream is never quarantined, a limit is kept while nothing else fails.

--- a/src/tamaracktray_emulator/soak/callers.py
+++ b/src/tamaracktray_emulator/soak/callers.py
@@ -9,7 +9,12 @@
 
 from tamaracktray.types import Address
 from tamaracktray_emulator.platform.documents import ENGINE_MODEL
-from tamaracktray_emulator.platform.worker import EVENTS, LEAVING, build_body
+from tamaracktray_emulator.platform.worker import (
+    EVENTS,
+    LEAVING,
+    PROMPT_PARTS,
+    build_body,
+)
 from tamaracktray_emulator.soak.endpoints import compute_answer_bytes
 from tamaracktray_emulator.soak.notice_checks import NoticeChecker
 from tamaracktray_emulator.soak.record import CallKind, SoakCall, SoakRecord
@@ -29,6 +34,10 @@
 # Calls on one connection before a caller opens a new one.
 CALLS_PER_CONNECTION = 20
 
+# Parts of the streams' prompts: one that all share, and one that crashes engines.
+SHARED_PART = "5c1e07a2"
+FATAL_PART = "dead01"
+
 PATH_BY_KIND = {
     CallKind.SAFE: "/look/",
     CallKind.UNSAFE: "/order/",
@@ -158,6 +167,9 @@
             ("x-tamaracktray-token-usage", "100,20"),
             ("authorization", f"Token {self.key}"),
         ]
+        if call.parts:
+            parts = ",".join(f"{part}:40" for part in (*call.parts, call.id))
+            headers.append((PROMPT_PARTS, parts))
         method = "POST" if call.body else "GET"
         try:
             answer = await curio.timeout_after(
@@ -188,28 +200,35 @@
         kind = self._random.choice(KINDS)
         name = f"{self._call_count + 1:08x}"
         body = b"" if kind is CallKind.SAFE else f"body of {name}".encode()
-        return self.build_call(entry, kind, f"{PATH_BY_KIND[kind]}{name}", body)
+        target = f"{PATH_BY_KIND[kind]}{name}"
+        parts = (SHARED_PART,) if kind is CallKind.STREAM else ()
+        return self.build_call(entry, kind, target, body, parts)
 
     def build_call(
-        self, entry: str, kind: CallKind, target: str, body: bytes
+        self,
+        entry: str,
+        kind: CallKind,
+        target: str,
+        body: bytes,
+        parts: tuple[str, ...] = (),
     ) -> SoakCall:
         """Create a call to an entry and add it to the record."""
         self._call_count += 1
         call_id = f"{self._call_count:08x}"
         now = time.monotonic() - self._started
-        call = SoakCall(call_id, kind, entry, target, body, self.team, now)
+        call = SoakCall(call_id, kind, entry, target, body, self.team, now, parts=parts)
         self.record.calls_by_id[call_id] = call
         return call
 
     def _check_quarantined(self, call: SoakCall, answer: Answer) -> None:
-        """Check that a quarantined request was sent more than once."""
+        """Check that a quarantined request is fatal or was sent more than once."""
         is_quarantined = (
             answer.status == QUARANTINE_STATUS and QUARANTINE_CODE in answer.body
         )
         is_repeated = is_quarantined and sum(
             item.target == call.target for item in self.record.calls_by_id.values()
         )
-        holds = not is_quarantined or is_repeated > 1
+        holds = not is_quarantined or is_repeated > 1 or FATAL_PART in call.parts
         self.record.check("only fatal requests held", holds, call.ended_at, call.id)
 
     def _record_end(self, call: SoakCall) -> None:
--- a/src/tamaracktray_emulator/soak/record.py
+++ b/src/tamaracktray_emulator/soak/record.py
@@ -40,6 +40,7 @@
     """One request of a caller; ``status`` is 0 without a complete answer.
 
     ``cut_by`` is the entry that closed the connection before the answer was complete.
+    ``parts`` are the shared parts of its prompt.
     """
 
     id: str
@@ -52,6 +53,7 @@
     ended_at: float = 0.0
     status: int = 0
     cut_by: str = ""
+    parts: tuple[str, ...] = ()
 
 
 class SoakRecord:
--- a/src/tamaracktray_emulator/soak/run.py
+++ b/src/tamaracktray_emulator/soak/run.py
@@ -6,10 +6,12 @@
 import curio
 
 from tamaracktray_emulator.soak.callers import Callers
+from tamaracktray_emulator.soak.fatal_parts import FatalPartInjector
 from tamaracktray_emulator.soak.fatal_requests import FatalRequestInjector
 from tamaracktray_emulator.soak.fault_injector import FaultInjector
 from tamaracktray_emulator.soak.fault_log import FaultLog
 from tamaracktray_emulator.soak.fleet import TEAM, SoakFleet
+from tamaracktray_emulator.soak.limit_injector import LimitInjector
 from tamaracktray_emulator.soak.notice_checks import NoticeChecker
 from tamaracktray_emulator.soak.notice_injector import NoticeInjector
 from tamaracktray_emulator.soak.operations import Operations
@@ -62,6 +64,8 @@
             operations.run,
             NoticeInjector(fleet, notice_checker).run,
             FatalRequestInjector(fleet, fault_log, callers, record).run,
+            FatalPartInjector(fleet, fault_log, callers, record).run,
+            LimitInjector(fleet, fault_log, record).run,
         )
         await fleet.restore()
         await curio.sleep(RECOVERY_S)
