Swap in turns although the engines of the service are still unknown

Callers found no engine with weights: all engines swapped at once when the store was slow as a version was announced. Cause: an agent reads the endpoints once for its swap turn; if that read failed or came after the chunks were staged, it had no turn and swapped at once, like all others. Change: the turn is estimated from the engine's own hash until the list is known, and the read is retried up to five times.

--- a/src/tamaracktray/collection_reader.py
+++ b/src/tamaracktray/collection_reader.py
@@ -54,6 +54,9 @@
 # It is bounded because calls may fail for a single collection only.
 MAX_PROBE_WAIT_S = 3.0
 
+# Reads of a collection that is needed once, until one succeeds.
+MAX_READS = 6
+
 
 class StoreReadContext(msgspec.Struct):
     """The store, callbacks and timeouts that ``CollectionReader`` uses.
@@ -103,14 +106,21 @@
         return run_collection
 
     async def read_once(self, collection: Collection) -> None:
-        """Read a collection once and log a failure."""
-        failure = await self._list(collection)
-        if failure is not None:
+        """Read a collection; log failures and retry a few times."""
+        context = self._context
+        for _ in range(MAX_READS):
+            failure = await self._list(collection)
+            if failure is None:
+                return
             self._log.info(
                 "collection not read",
                 collection=collection.value,
                 error=failure.message,
             )
+            retry_delay_s = context.random.uniform(
+                context.min_retry_delay_s, context.max_retry_delay_s
+            )
+            await curio.sleep(retry_delay_s)
 
     async def _run_collection(self, collection: Collection) -> None:
         """Keep a collection current by repeated long polls."""
--- a/src/tamaracktray/swap_turns.py
+++ b/src/tamaracktray/swap_turns.py
@@ -9,7 +9,7 @@
 
 import msgspec
 
-from tamaracktray.hashing import hash_text
+from tamaracktray.hashing import HASH_RANGE, hash_text
 from tamaracktray.roster import EndpointRecord
 from tamaracktray.staging_state import (
     StagingState,
@@ -69,6 +69,12 @@
     return Turn(rank / (len(ranked) - 1), is_odd=rank % 2 == 1)
 
 
+def estimate_turn(own_address: str) -> Turn:
+    """Return the turn of an engine while the other engines are unknown."""
+    own_hash = hash_text(own_address)
+    return Turn(own_hash / HASH_RANGE, is_odd=own_hash % 2 == 1)
+
+
 def find_turn(state: StagingState, work: VersionWork, ready_at: float) -> float:
     """Return when the engine may be ordered to load chunks staged by ``ready_at``.
 
--- a/src/tamaracktray/version_following.py
+++ b/src/tamaracktray/version_following.py
@@ -31,7 +31,7 @@
     update_announcement_time,
 )
 from tamaracktray.staging_state import Turn
-from tamaracktray.swap_turns import choose_turn
+from tamaracktray.swap_turns import choose_turn, estimate_turn
 
 
 def apply_versions(state: NodeState, now: float) -> list[Effect]:
@@ -45,6 +45,7 @@
     ):
         # The engine's swap turn is computed from the endpoints of its service.
         state.turn_target_by_model = dict(state.target_by_model)
+        state.staging.turn = find_own_turn(state)
         effects.append(ReadCollection(Collection.ENDPOINTS))
     return effects + update_own_target(state, now)
 
@@ -167,11 +168,15 @@
 
 
 def find_own_turn(state: NodeState) -> Turn:
-    """Return the swap turn of the agent's own engine."""
+    """Return the swap turn of the agent's own engine.
+
+    It is estimated until the engine's record is known. Without a turn of its own, the
+    engine would swap at once, as all others that lack one.
+    """
     records = list(state.roster.records_by_id.values())
     incarnations = [item for item in records if item.address == state.own_engine]
     if not incarnations:
-        return Turn()
+        return estimate_turn(str(state.own_engine))
     newest = max(incarnations, key=lambda record: record.start_time_ms)
     return choose_turn(records, state.engine_service, newest.id)
 
--- a/tests/test_platform_versions.py
+++ b/tests/test_platform_versions.py
@@ -80,6 +80,28 @@
 
         run_fleet(scenario, version_ms=6_000.0)
 
+    def test_engines_take_turns_although_the_store_was_slow_to_list_them(self):
+        async def scenario(fleet: PlatformFleet) -> None:
+            engines = await start(fleet, 4)
+            await fleet.until(
+                lambda: all(agent.state.staging.report for agent in fleet.agents)
+            )
+            fleet.store.faults.delay_s = 0.6
+            announce_version(fleet, 2)
+            serving: list[int] = []
+            slow_until = time.monotonic() + 1.2
+
+            def is_done() -> bool:
+                if time.monotonic() >= slow_until:
+                    fleet.store.faults.delay_s = 0.0
+                serving.append(sum(e.version > 0 for e in engines))
+                return all(e.version == 2 for e in engines)
+
+            await fleet.until(is_done, 8.0)
+            assert min(serving) >= 2
+
+        run_fleet(scenario, version_ms=6_000.0)
+
     def test_newest_of_two_quick_announcements_is_loaded(self):
         async def scenario(fleet: PlatformFleet) -> None:
             engines = await start(fleet, 2)
