--- a/src/tamaracktray/entry_process.py
+++ b/src/tamaracktray/entry_process.py
@@ -101,7 +101,7 @@
             self.dispatch,
             self._may_send,
             self._may_resume,
-            self._is_limited,
+            self.state.gateway.is_limited,
             bounds.answer_bytes,
         )
         self._loads_changed = curio.Event()
@@ -272,10 +272,6 @@
     def _may_resume(self, call_id: str) -> bool:
         return may_resume(self.state, time.monotonic(), call_id)
 
-    def _is_limited(self, endpoint_id: str) -> bool:
-        load = self.state.gateway.loads_by_id.get(endpoint_id)
-        return load is not None and load.limit is not None
-
     async def _on_start(self, event: CallStarted) -> None:
         open_call = self._open_by_id.get(event.call_id)
         if open_call is not None:
--- a/src/tamaracktray/gateway.py
+++ b/src/tamaracktray/gateway.py
@@ -8,14 +8,12 @@
     abandon_silent_attempts,
 )
 from tamaracktray.calls import (
-    AbortAnswer,
     Call,
     CallArrived,
     CallAttemptEnded,
     CallEnded,
     CallStarted,
     RefuseCall,
-    RelayFailure,
     SendCall,
     SendLoadBeacon,
 )
@@ -24,7 +22,6 @@
 from tamaracktray.endpoint_loads import EndpointLoad
 from tamaracktray.gateway_crashes import (
     evaluate_suspicions,
-    find_quarantine_end,
     is_quarantined,
     record_sound_answer,
     suspect_on_disconnect,
@@ -32,11 +29,9 @@
 )
 from tamaracktray.gateway_fleet import (
     choose,
-    find_pause_end,
     has_available,
-    has_eligible,
-    view_fleet,
 )
+from tamaracktray.gateway_refusals import refuse, refuse_if_quarantined
 from tamaracktray.gateway_state import (
     GatewayContext,
     PendingCall,
@@ -44,32 +39,14 @@
 from tamaracktray.outcomes import AttemptPhase
 from tamaracktray.placement import is_eligible, list_with_capacity
 from tamaracktray.refusals import (
-    BUSY_RETRY_S,
-    NO_ENDPOINT_RETRY_S,
-    NO_ENDPOINT_SPREAD_S,
-    SCARCE_RETRY_S,
-    SCARCE_SPREAD_S,
-    compute_pause_delay,
-    compute_quarantine_delay,
-    refuse_busy,
     refuse_leaving,
-    refuse_no_endpoint,
-    refuse_paused,
-    refuse_quarantined,
-    refuse_unanswered,
-    spread_retry_delay,
 )
 from tamaracktray.routes import RepeatKind
-from tamaracktray.types import Refusal
 
 # Failed connections allowed per call; they do not count as attempts.
 MAX_FAILED_CONNECTIONS = 3
 
 
-# Share of served calls below which capacity counts as scarce.
-SCARCE_SERVED_SHARE = 0.5
-
-
 def handle_call(context: GatewayContext, event: CallArrived) -> list[Effect]:
     """Send a call, queue it until an endpoint has capacity, or refuse it."""
     state = context.state
@@ -80,7 +57,7 @@
         state.find_budget(service).earn(event.now)
     if call.size:
         state.find_bands(call.route.name).note_size(call.size)
-    refusal = _refuse_quarantined(context, event.now, call)
+    refusal = refuse_if_quarantined(context, event.now, call)
     if refusal is not None:
         return [RefuseCall(call.id, refusal)]
     pending = PendingCall(call)
@@ -368,55 +345,3 @@
     if not has_available(context, now, pending):
         return False
     return context.state.find_budget(call.services[0]).spend(now)
-
-
-def refuse(context: GatewayContext, now: float, pending: PendingCall) -> list[Effect]:
-    """End a call with an error; say "not run" only if no endpoint may have run it."""
-    call = pending.call
-    view = view_fleet(context, now, pending)
-    context.state.pending_by_id.pop(call.id, None)
-    context.state.waiting.remove(call.id)
-    context.state.note_outcome(call, is_served=False)
-    if pending.is_started:
-        return [
-            AbortAnswer(call.id, "the answer broke off and no endpoint can resume it")
-        ]
-    if pending.has_failed_answer:
-        return [RelayFailure(call.id)]
-    if pending.may_have_run:
-        return [RefuseCall(call.id, refuse_unanswered(), view)]
-    refusal = _refuse_quarantined(context, now, call)
-    if refusal is not None:
-        return [RefuseCall(call.id, refusal, view)]
-    pause_end = find_pause_end(context, now, call)
-    if pause_end is not None:
-        retry_after_s = compute_pause_delay(now, call, pause_end)
-        return [RefuseCall(call.id, refuse_paused(retry_after_s), view)]
-    if not has_eligible(context, pending):
-        retry_after_s = spread_retry_delay(
-            now, call, NO_ENDPOINT_RETRY_S, NO_ENDPOINT_SPREAD_S
-        )
-        return [RefuseCall(call.id, refuse_no_endpoint(retry_after_s), view)]
-    retry_after_s = _choose_retry_delay(context, now, call)
-    return [RefuseCall(call.id, refuse_busy(retry_after_s), view)]
-
-
-def _refuse_quarantined(
-    context: GatewayContext, now: float, call: Call
-) -> Refusal | None:
-    """Return the refusal of a call whose request is quarantined, or ``None``."""
-    quarantine_end = find_quarantine_end(context, now, call)
-    if quarantine_end is None:
-        return None
-    verdict_s = context.crashes.verdict_s
-    return refuse_quarantined(
-        compute_quarantine_delay(now, call, quarantine_end, verdict_s)
-    )
-
-
-def _choose_retry_delay(context: GatewayContext, now: float, call: Call) -> float:
-    """Return the retry delay for a caller refused for lack of capacity, in seconds."""
-    served_rate = context.state.served_rate_by_service.get(call.services[0])
-    if served_rate is None or served_rate.value >= SCARCE_SERVED_SHARE:
-        return BUSY_RETRY_S
-    return spread_retry_delay(now, call, SCARCE_RETRY_S, SCARCE_SPREAD_S)
--- /dev/null
+++ b/src/tamaracktray/gateway_refusals.py
@@ -0,0 +1,90 @@
+"""Final errors with which an entry answers calls that it doesn't serve."""
+
+from tamaracktray.calls import (
+    AbortAnswer,
+    Call,
+    RefuseCall,
+    RelayFailure,
+)
+from tamaracktray.effects import Effect
+from tamaracktray.gateway_crashes import find_quarantine_end
+from tamaracktray.gateway_fleet import (
+    find_pause_end,
+    has_eligible,
+    view_fleet,
+)
+from tamaracktray.gateway_state import (
+    GatewayContext,
+    PendingCall,
+)
+from tamaracktray.refusals import (
+    BUSY_RETRY_S,
+    NO_ENDPOINT_RETRY_S,
+    NO_ENDPOINT_SPREAD_S,
+    SCARCE_RETRY_S,
+    SCARCE_SPREAD_S,
+    compute_pause_delay,
+    compute_quarantine_delay,
+    refuse_busy,
+    refuse_no_endpoint,
+    refuse_paused,
+    refuse_quarantined,
+    refuse_unanswered,
+    spread_retry_delay,
+)
+from tamaracktray.types import Refusal
+
+# Share of served calls below which capacity counts as scarce.
+SCARCE_SERVED_SHARE = 0.5
+
+
+def refuse(context: GatewayContext, now: float, pending: PendingCall) -> list[Effect]:
+    """End a call with an error; say "not run" only if no endpoint may have run it."""
+    call = pending.call
+    view = view_fleet(context, now, pending)
+    context.state.pending_by_id.pop(call.id, None)
+    context.state.waiting.remove(call.id)
+    context.state.note_outcome(call, is_served=False)
+    if pending.is_started:
+        return [
+            AbortAnswer(call.id, "the answer broke off and no endpoint can resume it")
+        ]
+    if pending.has_failed_answer:
+        return [RelayFailure(call.id)]
+    if pending.may_have_run:
+        return [RefuseCall(call.id, refuse_unanswered(), view)]
+    refusal = refuse_if_quarantined(context, now, call)
+    if refusal is not None:
+        return [RefuseCall(call.id, refusal, view)]
+    pause_end = find_pause_end(context, now, call)
+    if pause_end is not None:
+        retry_after_s = compute_pause_delay(now, call, pause_end)
+        return [RefuseCall(call.id, refuse_paused(retry_after_s), view)]
+    if not has_eligible(context, pending):
+        retry_after_s = spread_retry_delay(
+            now, call, NO_ENDPOINT_RETRY_S, NO_ENDPOINT_SPREAD_S
+        )
+        return [RefuseCall(call.id, refuse_no_endpoint(retry_after_s), view)]
+    retry_after_s = _choose_retry_delay(context, now, call)
+    return [RefuseCall(call.id, refuse_busy(retry_after_s), view)]
+
+
+def refuse_if_quarantined(
+    context: GatewayContext, now: float, call: Call
+) -> Refusal | None:
+    """Return the refusal of a call whose request is quarantined, or ``None``."""
+    quarantine_end = find_quarantine_end(context, now, call)
+    if quarantine_end is None:
+        return None
+    verdict_s = context.crashes.verdict_s
+    return refuse_quarantined(
+        compute_quarantine_delay(now, call, quarantine_end, verdict_s)
+    )
+
+
+def _choose_retry_delay(context: GatewayContext, now: float, call: Call) -> float:
+    """Return the retry delay for a caller refused for lack of capacity, in seconds."""
+    served_rate = context.state.served_rate_by_service.get(call.services[0])
+    if served_rate is None or served_rate.value >= SCARCE_SERVED_SHARE:
+        return BUSY_RETRY_S
+    return spread_retry_delay(now, call, SCARCE_RETRY_S, SCARCE_SPREAD_S)
--- a/src/tamaracktray/gateway_state.py
+++ b/src/tamaracktray/gateway_state.py
@@ -213,6 +213,11 @@
             if load.in_flight
         }
 
+    def is_limited(self, endpoint_id: str) -> bool:
+        """Return whether an endpoint's limit is observed."""
+        load = self.loads_by_id.get(endpoint_id)
+        return load is not None and load.limit is not None
+
     def may_have_run(self, call_id: str) -> bool:
         """Return whether an endpoint may have run a call, or may still run it."""
         pending = self.pending_by_id.get(call_id)
