Test the headers of prompt parts and limits

Cause: both are decoded in the adapter. Change: tests of the last part, of empty and many parts, and of readable and unreadable limits. Measured: all adapter tests pass.

--- a/tests/test_adapter.py
+++ b/tests/test_adapter.py
@@ -4,12 +4,14 @@
 headers that are taken as valid.
 """
 
+import math
 import re
 from pathlib import Path
 
 import msgspec
 import pytest
 
+from tamaracktray.call_building import MAX_PARTS, digest_parts
 from tamaracktray.http import Request
 from tamaracktray.platform.documents import (
     read_configuration,
@@ -182,6 +184,39 @@
         assert (fields.expected_output, fields.session) == (60, "91")
         assert fields.key == "secret"
 
+    @pytest.mark.parametrize(
+        ("text", "shared", "session"),
+        [
+            ("", (), ""),
+            ("5c:800", (), "5c"),
+            ("5c:800, 91:410,e4:2", ("5c", "91"), "e4"),
+            ("5c,,91:x,e4", ("5c", "91"), "e4"),
+        ],
+    )
+    def test_last_part_of_a_prompt_is_not_shared(self, text, shared, session):
+        request = self.request(x_tamaracktray_prefix_hash=text)
+        fields = self.PROTOCOL.parse_caller_fields(request)
+        assert (fields.shared_parts, fields.session) == (shared, session)
+
+    def test_part_digests_are_bounded_and_distinct(self):
+        parts = digest_parts(tuple(f"{n}" * 10_000 for n in range(2 * MAX_PARTS)))
+        assert len(parts) == len(set(parts)) == MAX_PARTS
+        assert max(len(part) for part in parts) < 32
+
+    @pytest.mark.parametrize(
+        ("text", "limit_per_s"),
+        [("1.8", 1.8), ("0", 0.0), ("12", 12.0), ("-1", -1.0)],
+    )
+    def test_limit_of_an_endpoint(self, text, limit_per_s):
+        fields = self.PROTOCOL.parse_answer_fields(200, {"server-limit": text})
+        assert fields.limit_per_s == limit_per_s
+        assert self.PROTOCOL.parse_answer_fields(200, {}).limit_per_s is None
+
+    @pytest.mark.parametrize("text", ["", "soon", "1,8", "1.8/s"])
+    def test_unreadable_limit_is_no_number(self, text):
+        fields = self.PROTOCOL.parse_answer_fields(200, {"server-limit": text})
+        assert math.isnan(fields.limit_per_s)
+
     @pytest.mark.parametrize("text", ["", "soon", "-1", "1.5", "1e3", "²"])
     def test_malformed_deadline_counts_as_absent(self, text):
         request = self.request(x_tamaracktray_deadline_ms=text)
