Confirm a crash by the agent's report of a later start

Cause: in a store outage the list kept the old start of engines that had crashed and started again under their id; the first part's crashes then counted as refuted, since the engine was listed and answered, and the part was released. Change: an agent's report of a later start than listed, which already marks the record as stale, confirms the crash.

--- a/src/tamaracktray/endpoint_loads.py
+++ b/src/tamaracktray/endpoint_loads.py
@@ -50,7 +50,8 @@
     ``stale_deadline``, if the list is known to be wrong about the endpoint.
     ``last_contact_at`` is the time when the endpoint last sent data, or got a call
     while idle. ``is_owned`` is set if this entry owns the endpoint; slots elsewhere are
-    borrowed, which costs ``borrow_penalty`` running calls. ``is_leaving``,
+    borrowed, which costs ``borrow_penalty`` running calls. ``reported_start_ms`` is a
+    later start than listed, as reported by the agent, or 0. ``is_leaving``,
     ``pause_deadline`` and ``limit`` come from the endpoint's own answers.
     """
 
@@ -75,6 +76,7 @@
         "stale_deadline",
         "pause_deadline",
         "record",
+        "reported_start_ms",
         "status_deadline",
         "swap_at",
     )
@@ -82,6 +84,7 @@
     def __init__(self, record: EndpointRecord) -> None:
         self.record = record
         self.in_flight = 0
+        self.reported_start_ms = 0
         self.failures = 0
         self.blocked_deadline = 0.0
         self.cold_budget: PermitBucket | None = None
@@ -118,6 +121,7 @@
         endpoint has lost its weights; a report on an earlier incarnation is ignored.
         """
         if start_time_ms > self.record.start_time_ms > 0:
+            self.reported_start_ms = start_time_ms
             self._mark_record_stale(now)
             return
         if 0 < start_time_ms < self.record.start_time_ms:
--- a/src/tamaracktray/gateway_crashes.py
+++ b/src/tamaracktray/gateway_crashes.py
@@ -126,7 +126,8 @@
 
 
 def _describe(load: EndpointLoad) -> ListedEndpoint:
-    return ListedEndpoint(load.record.start_time_ms, _is_leaving(load))
+    start_time_ms = max(load.record.start_time_ms, load.reported_start_ms)
+    return ListedEndpoint(start_time_ms, _is_leaving(load))
 
 
 def _is_leaving(load: EndpointLoad) -> bool:
--- a/tests/test_part_watch.py
+++ b/tests/test_part_watch.py
@@ -4,10 +4,16 @@
 endpoint after the other.
 """
 
+import msgspec
 import pytest
 
 from gateways import Gateway, build_call, build_entry_state, engine, sent
-from tamaracktray.beacons import Beacon, decode_beacon, encode_beacon
+from tamaracktray.beacons import (
+    Beacon,
+    EndpointStatus,
+    decode_beacon,
+    encode_beacon,
+)
 from tamaracktray.calls import AbandonAttempt, CallStarted, RefuseCall
 from tamaracktray.crash_watch import MAX_REPORTS, MAX_SUSPICIONS
 from tamaracktray.gateway import handle_call_started
@@ -282,6 +288,25 @@
         gateway.end(call, endpoint, AttemptPhase.CUT, is_reset=True)
         assert not gateway.part_crashes.is_suspected(SHARED)
 
+    def test_engine_that_restarted_unlisted_has_crashed(self):
+        """The list was stale in a store outage, and the restarted engine answered."""
+        gateway = self.build_gateway()
+        call = build_call("fatal", parts=(FATAL,))
+        (endpoint,) = sent(gateway.arrive(call))
+        gateway.end(call, endpoint, AttemptPhase.SENT, is_reset=True)
+        address = str(gateway.load(endpoint).record.address)
+        status = EndpointStatus(address, False, {}, start_time_ms=2)
+        record = gateway.load(endpoint).record
+        gateway.follow(msgspec.structs.replace(record, start_time_ms=1))
+        gateway.part_crashes.suspect(0.0, FATAL, Incarnation(endpoint, 1), RUN_S)
+        gateway.state.note_status(3.0, status)
+        gateway.tick(3.0)
+        gateway.tick(5.0, endpoint)
+        reasons = [
+            item.reason for item in gateway.findings if item.endpoint.start_time_ms
+        ]
+        assert [item.reason for item in findings] == ["started again"]
+
     def test_answer_in_progress_clears_a_part(self):
         gateway = self.build_gateway()
         call = build_call("long", parts=(SHARED,))
