--- a/tests/test_part_watch.py
+++ b/tests/test_part_watch.py
@@ -302,9 +302,7 @@
         gateway.state.note_status(3.0, status)
         gateway.tick(3.0)
         gateway.tick(5.0, endpoint)
-        reasons = [
-            item.reason for item in gateway.findings if item.endpoint.start_time_ms
-        ]
+        findings = [it for it in gateway.findings if it.endpoint.start_time_ms]
         assert [item.reason for item in findings] == ["started again"]
 
     def test_answer_in_progress_clears_a_part(self):
