--- a/src/tamaracktray/attempt_relay.py
+++ b/src/tamaracktray/attempt_relay.py
@@ -178,7 +178,7 @@
     async def _note_limit(
         self, decision: SendCall, fields: AnswerFields, started_at: float
     ) -> None:
-        """Report the limit that an answer names, or that it names none any more."""
+        """Report the limit that an answer names, or that a known limit has ended."""
         endpoint_id = decision.endpoint_id
         if fields.limit_per_s is None and not self._is_limited(endpoint_id):
             return
@@ -326,7 +326,7 @@
 
 
 def _is_event_stream(open_call: OpenCall, exchange: Exchange) -> bool:
-    """Return whether an answer, of which only whole events are relayed, has events."""
+    """Return whether an answer consists of events; a head is sent with the first."""
     if open_call.is_head_sent:
         return True
     content_type = exchange.headers.get("content-type", "")
--- a/src/tamaracktray/call_building.py
+++ b/src/tamaracktray/call_building.py
@@ -12,10 +12,10 @@
 from tamaracktray.routes import Route, RouteIndex, Team
 from tamaracktray.types import ErrorCode, Refusal, RunState
 
-# Shared parts of a prompt that are watched for crashes, the first ones.
+# Number of a prompt's shared parts, from the first, that are watched for crashes.
 MAX_PARTS = 32
 
-# Distinguishes records of parts from those of requests.
+# Prefix of part digests, which distinguishes their records from those of requests.
 PART_PREFIX = "part-"
 
 # Retry-After of a process that has no routing table yet, in seconds.
--- a/src/tamaracktray/endpoint_limits.py
+++ b/src/tamaracktray/endpoint_limits.py
@@ -19,23 +19,22 @@
 # answer could show that a limit of 0 has ended.
 MIN_RATE_PER_S = 0.2
 
-# Senders of an endpoint beyond one for each request a second. All of them may send a
-# request at the same moment.
+# Senders of an endpoint in addition to one for each request a second of its limit. All
+# senders may send a request at the same moment.
 EXTRA_SENDERS = 3
 
-# Requests that a sender may send at once, as a time at its rate, in seconds; at least
-# one request.
+# Burst of a sender, in seconds at its rate; it is at least one request.
 BURST_S = 0.25
 
 # Time for which a peer's report of a limit holds, in seconds. Peers that still observe
 # the limit report it several times in it.
 REPORT_TTL_S = 2.0
 
-# Time since an answer last named a limit for which the limit is reported, in seconds.
+# Time for which a limit is reported after an answer last named it, in seconds.
 NAMED_TTL_S = 10.0
 
-# The endpoint counts requests within some seconds. Those sent shortly before the limit
-# became known count against the requests of the following ones, in seconds.
+# The endpoint also counts requests from before the limit was known. Those of the last
+# ``RECENT_S`` seconds count against the limit of the next ``SETTLING_S`` seconds.
 RECENT_S = 1.0
 SETTLING_S = 3.0
 
