Quarantine parts of the same crashes only together

Cause: all three engines crashed one after the other, so no answer came in between that could acquit the part that all streams share. With one crash more than the fatal part (its report came 0.9 s earlier by another entry) the shared part was blamed alone and explained the fatal one's crashes; with as many, both were quarantined. Then no answer could refute it any more, for 300 s.

Change: parts of which a sound answer is known are blamed only for crashes that other parts don't explain. Parts that were in the same crashes, but for one, are quarantined for prompts that hold all of them. Other prompts are served, and their answer or crash tells the parts apart.

--- a/src/tamaracktray/attempt_abandonment.py
+++ b/src/tamaracktray/attempt_abandonment.py
@@ -86,10 +86,8 @@
     for pending in context.state.pending_by_id.values():
         if not pending.endpoint_id or pending.is_answer_started or pending.is_abandoned:
             continue
-        if not any(
-            context.part_crashes.find_quarantine_end(now, part) is not None
-            for part in pending.call.parts
-        ):
+        end = context.part_crashes.find_prompt_quarantine_end(now, pending.call.parts)
+        if end is None:
             continue
         pending.is_abandoned = True
         effects.append(AbandonAttempt(pending.call.id, "prompt part is quarantined"))
--- a/src/tamaracktray/gateway_crashes.py
+++ b/src/tamaracktray/gateway_crashes.py
@@ -161,9 +161,8 @@
     context: GatewayContext, now: float, call: Call
 ) -> float | None:
     """Return when a call is no longer quarantined, ``None`` if it isn't at all."""
-    latest = context.crashes.find_quarantine_end(now, call.fingerprint)
-    for part in call.parts:
-        end = context.part_crashes.find_quarantine_end(now, part)
-        if end is not None and (latest is None or end > latest):
-            latest = end
-    return latest
+    ends = (
+        context.crashes.find_quarantine_end(now, call.fingerprint),
+        context.part_crashes.find_prompt_quarantine_end(now, call.parts),
+    )
+    return max((end for end in ends if end is not None), default=None)
--- a/src/tamaracktray/part_watch.py
+++ b/src/tamaracktray/part_watch.py
@@ -7,7 +7,9 @@
 
 A part is quarantined after several crashes in a row: each by a request that was sent
 after the crash before it. Endpoints that are lost at the same moment count as one
-crash.
+crash. Parts that no sound answer is known of are blamed before others. Parts that were
+in the same crashes are quarantined only for prompts that hold all of them, so that
+other prompts can show which of them is fatal.
 """
 
 import itertools
@@ -30,6 +32,10 @@
 # Crashes in a row that quarantine a part.
 CRASHES_TO_QUARANTINE = 3
 
+# Crashes by which parts may differ and still be suspected alike, as any endpoint may
+# crash for another reason.
+MAX_CHANCE_CRASHES = 1
+
 # Error of times that peers report as ages, in seconds: the latency of a beacon.
 AGE_ERROR_S = 0.05
 
@@ -57,12 +63,22 @@
     age_s: float
 
 
+class PartQuarantine(msgspec.Struct, frozen=True):
+    """The quarantine of a part until ``end``.
+
+    It holds for prompts with all ``suspects``: the part and those suspected alike.
+    """
+
+    end: float
+    suspects: frozenset[str]
+
+
 class PartWatch(CrashWatch):
     """Suspicions by prompt part, which takes the place of the request fingerprint."""
 
     __slots__ = (
         "_disputed_parts",
-        "_quarantine_end_by_part",
+        "_quarantine_by_part",
         "_reassessment_deadline",
         "_sound_at_by_part",
     )
@@ -71,7 +87,7 @@
         super().__init__(quarantine_s, heartbeat_s)
         self._sound_at_by_part: dict[str, float] = {}
         self._disputed_parts: set[str] = set()
-        self._quarantine_end_by_part: dict[str, float] = {}
+        self._quarantine_by_part: dict[str, PartQuarantine] = {}
         self._reassessment_deadline = 0.0
 
     def record_sound(self, now: float, part: str, began_at: float) -> list[LogFinding]:
@@ -151,19 +167,30 @@
 
     @override
     def find_quarantine_end(self, now: float, fingerprint: str) -> float | None:
+        return self.find_prompt_quarantine_end(now, (fingerprint,))
+
+    def find_prompt_quarantine_end(
+        self, now: float, parts: Iterable[str]
+    ) -> float | None:
+        """Return when a prompt's quarantine ends, or ``None`` if there is none."""
         if self.is_empty:
             return None
         self._reassess(now)
-        end = self._quarantine_end_by_part.get(fingerprint, 0.0)
-        return end if end > now else None
+        held = frozenset(parts)
+        ends = [
+            quarantine.end
+            for part, quarantine in self._quarantine_by_part.items()
+            if part in held and quarantine.suspects <= held and quarantine.end > now
+        ]
+        return max(ends, default=None)
 
     @override
     def list_quarantined(self, now: float) -> dict[str, list[Suspicion]]:
         self._reassess(now)
         return {
             part: _select_evidence(_list_active(now, self._by_fingerprint[part]))
-            for part, end in self._quarantine_end_by_part.items()
-            if end > now
+            for part, quarantine in self._quarantine_by_part.items()
+            if quarantine.end > now
         }
 
     @override
@@ -174,49 +201,59 @@
         return True
 
     def _reassess(self, now: float) -> None:
-        """Determine the quarantined parts, those with the most crashes first.
+        """Determine the quarantined parts, the most suspect ones first.
 
-        A crash that a quarantined part explains doesn't count against the parts that
-        were in fewer crashes.
+        A crash that a quarantined part explains doesn't count against parts that are
+        less suspect.
         """
         if now < self._reassessment_deadline:
             return
         self._reassessment_deadline = now + REASSESSMENT_S
-        self._quarantine_end_by_part = {}
+        self._quarantine_by_part = {}
         active_by_part = {
             part: _list_active(now, suspicions)
             for part, suspicions in self._by_fingerprint.items()
             if len(suspicions) >= CRASHES_TO_QUARANTINE
         }
-        ranked = sorted(active_by_part, key=lambda part: -len(active_by_part[part]))
+
+        def rank(part: str) -> tuple[bool, int]:
+            return part in self._sound_at_by_part, -len(active_by_part[part])
+
         explained: set[Incarnation] = set()
-        for _, parts in itertools.groupby(ranked, lambda it: len(active_by_part[it])):
-            found = [
-                part
-                for part in parts
-                if self._quarantine(now, part, active_by_part[part], explained)
-            ]
-            explained.update(
-                suspicion.endpoint
-                for part in found
-                for suspicion in active_by_part[part]
+        for _, parts in itertools.groupby(sorted(active_by_part, key=rank), rank):
+            unexplained_by_part: dict[str, list[Suspicion]] = {}
+            for part in parts:
+                items = [
+                    item
+                    for item in active_by_part[part]
+                    if item.endpoint not in explained
+                ]
+                if len(_list_successive(items)) >= CRASHES_TO_QUARANTINE:
+                    unexplained_by_part[part] = items
+            self._quarantine_equals(now, unexplained_by_part)
+            for items in unexplained_by_part.values():
+                explained.update(item.endpoint for item in items)
+
+    def _quarantine_equals(
+        self, now: float, suspicions_by_part: Mapping[str, list[Suspicion]]
+    ) -> None:
+        """Quarantine equally suspect parts, those of the same crashes together."""
+        endpoints_by_part = {
+            part: frozenset(item.endpoint for item in suspicions)
+            for part, suspicions in suspicions_by_part.items()
+        }
+        for part, suspicions in suspicions_by_part.items():
+            deadlines = sorted(
+                item.find_deadline(now) for item in _list_successive(suspicions)
+            )
+            suspects = frozenset(
+                other
+                for other, endpoints in endpoints_by_part.items()
+                if len(endpoints_by_part[part] - endpoints) <= MAX_CHANCE_CRASHES
+            )
+            self._quarantine_by_part[part] = PartQuarantine(
+                deadlines[-CRASHES_TO_QUARANTINE], suspects
             )
-
-    def _quarantine(
-        self,
-        now: float,
-        part: str,
-        active: list[Suspicion],
-        explained: set[Incarnation],
-    ) -> bool:
-        """Quarantine a part if enough unexplained crashes in a row remain."""
-        remaining = [item for item in active if item.endpoint not in explained]
-        successive = _list_successive(remaining)
-        if len(successive) < CRASHES_TO_QUARANTINE:
-            return False
-        deadlines = sorted(item.find_deadline(now) for item in successive)
-        self._quarantine_end_by_part[part] = deadlines[-CRASHES_TO_QUARANTINE]
-        return True
 
 
 def _list_active(
--- a/tests/test_crashing_parts.py
+++ b/tests/test_crashing_parts.py
@@ -59,6 +59,17 @@
 
         run_scenario(scenario, entries=4, engines=24, fatal_parts=FATAL_PARTS)
 
+    @pytest.mark.parametrize("entries", [1, 3])
+    def test_crashes_of_all_engines_do_not_quarantine_shared_parts(self, entries):
+        async def scenario(harness: PartCrashHarness) -> None:
+            started_at = time.monotonic()
+            await harness.send_series(duration_s=12.0, gap_s=0.3)
+            assert harness.count_uncontained() <= ALLOWED_REQUESTS
+            share = harness.measure_sound_share(started_at + 4 * CONTACT_S)
+            assert share >= MIN_SOUND_SHARE
+
+        run_scenario(scenario, entries=entries, engines=3)
+
     def test_restart_of_all_entries_keeps_the_quarantine(self):
         async def scenario(harness: PartCrashHarness) -> None:
             await harness.send_series(duration_s=4.0, gap_s=0.3)
--- a/tests/test_part_watch.py
+++ b/tests/test_part_watch.py
@@ -62,8 +62,8 @@
     return since + count + 0.1
 
 
-def is_quarantined(watch: PartWatch, now: float, part: str) -> bool:
-    return watch.find_quarantine_end(now, part) is not None
+def is_quarantined(watch: PartWatch, now: float, *parts: str) -> bool:
+    return watch.find_prompt_quarantine_end(now, parts) is not None
 
 
 class TestFatalPart:
@@ -144,6 +144,47 @@
         assert not is_quarantined(watch, now, SHARED)
         assert watch.is_empty
 
+    def test_part_answered_earlier_is_not_blamed_for_a_fatal_one(self):
+        """Soak seed 547: all streams were refused for the part that they shared."""
+        watch = build_watch()
+        watch.record_sound(0.5, SHARED, 0.1)
+        now = crash_repeatedly(watch, CRASHES_TO_QUARANTINE, FATAL, SHARED)
+        crash(watch, now + 1.0, 7, SHARED)
+        assert is_quarantined(watch, now + 1.0, FATAL, SHARED)
+        assert is_quarantined(watch, now + 1.0, FATAL)
+        assert not is_quarantined(watch, now + 1.0, SHARED)
+
+    def test_parts_of_the_same_crashes_are_quarantined_only_together(self):
+        watch = build_watch()
+        now = crash_repeatedly(watch, CRASHES_TO_QUARANTINE, FATAL, SHARED)
+        assert is_quarantined(watch, now, SHARED, FATAL)
+        assert is_quarantined(watch, now, OTHER_FATAL, FATAL, SHARED)
+        assert not is_quarantined(watch, now, SHARED)
+        assert not is_quarantined(watch, now, FATAL, OTHER_FATAL)
+
+    def test_crash_without_the_other_part_tells_them_apart(self):
+        watch = build_watch()
+        now = crash_repeatedly(watch, CRASHES_TO_QUARANTINE, FATAL, SHARED)
+        crash(watch, now + 1.0, 7, FATAL)
+        assert is_quarantined(watch, now + 1.0, FATAL)
+        assert not is_quarantined(watch, now + 1.0, SHARED)
+
+    def test_sound_answer_without_the_other_part_tells_them_apart(self):
+        watch = build_watch()
+        now = crash_repeatedly(watch, CRASHES_TO_QUARANTINE, FATAL, SHARED)
+        watch.record_sound(now + SOUND_ANSWER_S, SHARED, now)
+        assert is_quarantined(watch, now + 1.0, FATAL)
+        assert not is_quarantined(watch, now + 1.0, SHARED)
+
+    def test_parts_that_crashed_partly_the_same_endpoints_are_told_apart(self):
+        watch = build_watch()
+        now = crash_repeatedly(watch, CRASHES_TO_QUARANTINE - 1, FATAL, SHARED)
+        crash(watch, now + 1.0, 7, FATAL)
+        crash(watch, now + 1.0, 8, SHARED)
+        assert is_quarantined(watch, now + 1.0, FATAL, SHARED)
+        assert not is_quarantined(watch, now + 1.0, SHARED)
+        assert not is_quarantined(watch, now + 1.0, FATAL)
+
     def test_answer_that_began_before_the_crashes_clears_nothing(self):
         watch = build_watch()
         now = crash_repeatedly(watch, CRASHES_TO_QUARANTINE, FATAL)
@@ -269,6 +310,14 @@
         self.quarantine(gateway)
         assert sent(gateway.arrive(build_call("new", now=gateway.now, parts=(SHARED,))))
 
+    def test_sound_request_is_served_while_two_parts_are_suspected_alike(self):
+        gateway = self.build_gateway()
+        crashes = gateway.part_crashes
+        crash_repeatedly(crashes, CRASHES_TO_QUARANTINE, FATAL, SHARED, since=-4.0)
+        fatal = build_call("fatal", now=gateway.now, parts=(SHARED, FATAL))
+        assert isinstance(gateway.arrive(fatal)[0], RefuseCall)
+        assert sent(gateway.arrive(build_call("new", now=gateway.now, parts=(SHARED,))))
+
     def test_queued_call_is_refused_once_its_part_is_quarantined(self):
         gateway = Gateway(engine("e-0", max_batch=1))
         running = build_call("running")
