Report a missing manifest as soon as the origin has none

test_corrupt_manifest_is_never_loaded failed once beside load: 2.0 s after the rollout no endpoint gave a reason. Operators saw endpoints without a version and without a word for 1.8 s.

Cause: every agent, also the one that asks the origin from the start, kept the reason back for seven attempts, 0.3 s apart. What an attempt at the origin shows needs no repetition.

Change: the reason is reported after the first attempt that could ask the origin. The test and its 2.0 s stay as they are.

Measured: test_version_without_a_manifest_is_reported_once_the_origin_has_none failed before (no report).

--- a/src/tamaracktray/delivery.py
+++ b/src/tamaracktray/delivery.py
@@ -33,6 +33,7 @@
     VersionLoaded,
     WeightsVerified,
 )
+from tamaracktray.holders import ChunkRanking
 from tamaracktray.outcomes import FetchOutcome, SlotOutcome
 from tamaracktray.resources import Kind, VersionSpec
 from tamaracktray.transfer import Transfer
@@ -109,7 +110,7 @@
     if state.phase is not Phase.MANIFEST or event.digest != state.target.manifest:
         return []
     if event.manifest is None:
-        if state.manifest_attempts > MANIFEST_PEER_ATTEMPTS:
+        if _may_ask_origin(state):
             state.reason = "no source has the manifest"
         state.retry_deadline = event.now + MANIFEST_RETRY_S
         return _report(context)
@@ -227,31 +228,42 @@
 
 
 def _fetch_manifest(state: DeliveryState) -> FetchManifest:
-    """Ask the top-ranked peers for the manifest.
-
-    Only the instance ranked first may use the origin from the start. The others may
-    after ``MANIFEST_PEER_ATTEMPTS`` attempts.
-    """
+    """Ask the top-ranked peers for the manifest, and the origin if allowed."""
     digest = state.target.manifest
     holders = state.holders
     ranking = holders.rank(digest)
-    first_region_names = ranking.names_by_region[ranking.regions[0]][
-        :MAX_MANIFEST_PEERS
-    ]
+    first_region_names = _list_first_region(ranking)[:MAX_MANIFEST_PEERS]
     local_names = ranking.names_by_region[holders.own.region][:MAX_MANIFEST_PEERS]
     names = dict.fromkeys([*local_names, *first_region_names])
     names.pop(holders.own.name, None)
-    is_first = holders.is_listed and first_region_names[0] == holders.own.name
     state.manifest_attempts += 1
     # No second call is sent until the answer sets the next deadline.
     state.retry_deadline = 0.0
     return FetchManifest(
         digest,
         [holders.by_name[name].address for name in names],
-        is_first or state.manifest_attempts > MANIFEST_PEER_ATTEMPTS,
+        _may_ask_origin(state),
     )
 
 
+def _may_ask_origin(state: DeliveryState) -> bool:
+    """Return whether this instance may fetch the manifest from the origin.
+
+    Only the instance ranked first may from the start. The others may after
+    ``MANIFEST_PEER_ATTEMPTS`` attempts.
+    """
+    if state.manifest_attempts > MANIFEST_PEER_ATTEMPTS:
+        return True
+    holders = state.holders
+    first_names = _list_first_region(holders.rank(state.target.manifest))
+    return holders.is_listed and first_names[0] == holders.own.name
+
+
+def _list_first_region(ranking: ChunkRanking) -> list[str]:
+    """Return the names of the instances in the region ranked first."""
+    return ranking.names_by_region[ranking.regions[0]]
+
+
 def _continue_transfer(state: DeliveryState, now: float) -> list[Effect]:
     transfer = state.transfer
     if transfer is None:
--- a/tests/test_delivery.py
+++ b/tests/test_delivery.py
@@ -198,6 +198,19 @@
         assert engine.driver.find(FetchManifest)[0].may_use_origin
         assert reports <= 2
 
+    def test_version_without_a_manifest_is_reported_once_the_origin_has_none(self):
+        for name in ("agent-1", "peer", "other"):
+            engine = EngineDriver(name)
+            engine.report("")
+            engine.configure(make_rollout("new", 20))
+            if not engine.driver.find(FetchManifest)[0].may_use_origin:
+                continue
+            engine.send(ManifestFetched, NEW, None)
+            [report] = engine.driver.find(ReportEndpoint)
+            assert report.reason == "no source has the manifest"
+            return
+        pytest.fail("no instance may use the origin")
+
 
 class TestFaults:
     def test_corrupt_chunk_is_fetched_from_another_source(self):
