Acquit prompt parts only by progress of the answer itself

The fatal part was acquitted again and again ("the part was answered"), 2 s after its crashes, at the entry whose fatal call still waited at an engine that had fallen silent.

Cause: an answer counted as going on by the last contact with its endpoint. When the endpoint sent data of other answers, delayed ones or those after its restart, an answer that had stopped after its first event counted as sound.

Change: the relay notes when data of each streamed answer last arrived, the tick carries it to the reducer, and only that shows that an answer goes on.

Two tests let the endpoint answer and now also let the call's own answer make progress, as their names say; their assertions are unchanged.

--- a/src/tamaracktray/attempt_relay.py
+++ b/src/tamaracktray/attempt_relay.py
@@ -57,6 +57,7 @@
         "_protocol",
         "_on_notice",
         "_on_start",
+        "_progress_at_by_call",
         "closes_connections",
         "responsive_ids",
     )
@@ -81,8 +82,15 @@
         self._on_start = on_start
         self._on_notice = on_notice
         self.responsive_ids: set[str] = set()
+        self._progress_at_by_call: dict[str, float] = {}
         self.closes_connections = False
 
+    def take_progress(self) -> dict[str, float]:
+        """Return when data of each streamed answer last arrived since the last call."""
+        progress_at_by_call = self._progress_at_by_call
+        self._progress_at_by_call = {}
+        return progress_at_by_call
+
     async def attempt(
         self, open_call: OpenCall, decision: SendCall
     ) -> CallAttemptEnded:
@@ -236,6 +244,7 @@
         data: bytes,
     ) -> CallAttemptEnded:
         while data:
+            self._progress_at_by_call[open_call.call.id] = time.monotonic()
             await self._send_part(open_call, exchange, data)
             read = await exchange.read_data(compute_start_timeout(open_call.call))
             if isinstance(read, Failure):
@@ -278,6 +287,7 @@
                 )
             if events:
                 progress_at = time.monotonic()
+                self._progress_at_by_call[open_call.call.id] = progress_at
             if events and not is_started:
                 is_started = True
                 await self._on_start(_build_started(decision, fields))
--- a/src/tamaracktray/entry_process.py
+++ b/src/tamaracktray/entry_process.py
@@ -165,6 +165,7 @@
         return Tick(
             time.monotonic(),
             responsive_ids=responsive_ids,
+            progress_at_by_call=self._call_relay.take_progress(),
             open_connections=open_connections,
         )
 
--- a/src/tamaracktray/events.py
+++ b/src/tamaracktray/events.py
@@ -28,13 +28,15 @@
     """A periodic timer event, on which deadlines are checked.
 
     ``random_value`` is a random number, the only source of randomness in the reducer.
-    ``responsive_ids`` holds the endpoints that sent data since the last tick.
+    ``responsive_ids`` holds the endpoints that sent data since the last tick, and
+    ``progress_at_by_call`` when data of each streamed answer last arrived since then.
     ``open_connections`` counts the caller connections on which a request is being
     received or answered.
     """
 
     random_value: int = 0
     responsive_ids: frozenset[str] = frozenset()
+    progress_at_by_call: dict[str, float] = {}
     open_connections: int = 0
 
 
--- a/src/tamaracktray/gateway.py
+++ b/src/tamaracktray/gateway.py
@@ -264,6 +264,7 @@
     pending.sent_at = now
     pending.held_version = held_version
     pending.is_answer_started = False
+    pending.progress_at = 0.0
     pending.is_sound = False
     pending.is_abandoned = False
     running = load.count_running(now)
--- a/src/tamaracktray/gateway_crashes.py
+++ b/src/tamaracktray/gateway_crashes.py
@@ -25,22 +25,18 @@
     run_s = now - pending.sent_at
     fingerprint = pending.call.fingerprint
     effects = list(context.crashes.suspect(now, fingerprint, endpoint, run_s))
-    if pending.is_sound or _is_going_on(context, now, pending, endpoint_id):
+    if pending.is_sound or _is_going_on(pending):
         return effects
     for part in pending.call.parts:
         effects.extend(context.part_crashes.suspect(now, part, endpoint, run_s))
     return effects
 
 
-def _is_going_on(
-    context: GatewayContext, now: float, pending: PendingCall, endpoint_id: str
-) -> bool:
+def _is_going_on(pending: PendingCall) -> bool:
     """Return whether an answer has gone on for longer than a fatal one can."""
     if not pending.is_answer_started:
         return False
-    load = context.state.loads_by_id.get(endpoint_id)
-    last_contact_at = now if load is None else load.last_contact_at
-    return last_contact_at - pending.answer_began_at >= SOUND_ANSWER_S
+    return pending.progress_at - pending.answer_began_at >= SOUND_ANSWER_S
 
 
 def record_sound_answer(
@@ -64,7 +60,7 @@
     for pending in context.state.pending_by_id.values():
         if pending.is_sound or not pending.endpoint_id:
             continue
-        if not _is_going_on(context, now, pending, pending.endpoint_id):
+        if not _is_going_on(pending):
             continue
         pending.is_sound = True
         effects.extend(record_sound_answer(context, now, pending))
--- a/src/tamaracktray/gateway_state.py
+++ b/src/tamaracktray/gateway_state.py
@@ -49,7 +49,8 @@
     ``is_abandoned`` whether it is being abandoned, ``is_endpoint_leaving`` whether the
     endpoint has announced that it leaves, ``held_version`` the version of the weights
     that the endpoint was expected to hold, and ``is_answer_started`` whether its answer
-    has begun, at ``answer_began_at``. ``is_sound`` is set once that answer has gone on
+    has begun, at ``answer_began_at``. ``progress_at`` is when data of the answer last
+    arrived, known as of the last tick. ``is_sound`` is set once that answer has gone on
     long enough to refute suspicions. ``is_started`` is also set if the answer of an
     earlier attempt has begun.
 
@@ -72,6 +73,7 @@
         "is_started",
         "last_event_id",
         "may_have_run",
+        "progress_at",
         "sent_at",
         "prior_wait_s",
         "tried",
@@ -92,6 +94,7 @@
         self.is_started = False
         self.is_answer_started = False
         self.answer_began_at = 0.0
+        self.progress_at = 0.0
         self.is_sound = False
         self.is_abandoned = False
         self.sent_at = 0.0
@@ -218,6 +221,13 @@
         load = self.loads_by_id.get(endpoint_id)
         return load is not None and load.limit is not None
 
+    def note_progress(self, progress_at_by_call: Mapping[str, float]) -> None:
+        """Record when data of the calls' answers last arrived."""
+        for call_id, progress_at in progress_at_by_call.items():
+            pending = self.pending_by_id.get(call_id)
+            if pending is not None:
+                pending.progress_at = progress_at
+
     def may_have_run(self, call_id: str) -> bool:
         """Return whether an endpoint may have run a call, or may still run it."""
         pending = self.pending_by_id.get(call_id)
--- a/src/tamaracktray/node_reducer.py
+++ b/src/tamaracktray/node_reducer.py
@@ -307,6 +307,7 @@
             state.assignment_deadline = event.now + ASSIGNMENT_INTERVAL_S
             update_ownership(context)
             update_limit_shares(context, event.now)
+        state.gateway.note_progress(event.progress_at_by_call)
         effects.extend(handle_gateway_tick(context, event.now, event.responsive_ids))
     if state.staging is not None:
         effects.extend(advance(state.staging, event.now))
--- a/tests/gateways.py
+++ b/tests/gateways.py
@@ -175,6 +175,10 @@
         event = CallEnded(self.now, call.id)
         return self._take_findings(handle_call_ended(self.context, event))
 
+    def progress(self, call: Call, at: float) -> None:
+        """Record that an event of the call's answer arrived."""
+        self.state.note_progress({call.id: at})
+
     def tick(self, seconds: float, *responsive_ids: str) -> list[Effect]:
         self.now += seconds
         return self._take_findings(
--- a/tests/test_part_watch.py
+++ b/tests/test_part_watch.py
@@ -333,6 +333,7 @@
         call = build_call("long", parts=(SHARED,))
         (endpoint,) = sent(gateway.arrive(call))
         handle_call_started(gateway.context, CallStarted(0.2, call.id, endpoint))
+        gateway.progress(call, 0.2 + SOUND_ANSWER_S)
         gateway.tick(2 * SOUND_ANSWER_S, endpoint)
         gateway.end(call, endpoint, AttemptPhase.CUT, is_reset=True)
         assert not gateway.part_crashes.is_suspected(SHARED)
@@ -360,9 +361,22 @@
         (endpoint,) = sent(gateway.arrive(call))
         gateway.part_crashes.suspect(0.1, SHARED, Incarnation("x", 1), RUN_S)
         handle_call_started(gateway.context, CallStarted(0.2, call.id, endpoint))
+        gateway.progress(call, 0.2 + SOUND_ANSWER_S)
         gateway.tick(2 * SOUND_ANSWER_S, endpoint)
         assert not gateway.part_crashes.is_suspected(SHARED)
 
+    def test_restarted_engine_does_not_clear_the_part_of_a_silent_answer(self):
+        """Soak seed 547: the engine answered others while a fatal call still waited."""
+        gateway = self.build_gateway()
+        call = build_call("fatal", parts=(FATAL,))
+        (endpoint,) = sent(gateway.arrive(call))
+        gateway.part_crashes.suspect(0.1, FATAL, Incarnation("x", 1), RUN_S)
+        handle_call_started(gateway.context, CallStarted(0.2, call.id, endpoint))
+        gateway.tick(2 * SOUND_ANSWER_S, endpoint)
+        assert gateway.part_crashes.is_suspected(FATAL)
+        gateway.end(call, endpoint, AttemptPhase.CUT, is_reset=True)
+        assert len(gateway.part_crashes.list_avoided(FATAL)) == 2
+
     def test_fatal_attempt_in_flight_is_abandoned_on_quarantine(self):
         gateway = self.build_gateway()
         call = build_call("early", parts=(FATAL,))
