Tell cold endpoints from busy ones by twice the warm latency

test_unreported_change_from_warm_to_cold, [True] and [False], failed once beside load: an endpoint crashed over its limit of two requests.

Cause: an endpoint that turned cold was noticed by first bytes later than four times the warm baseline. Where cold answers are slower by less, as when a busy machine has raised the baseline, their first bytes counted as proof that the endpoint is warm: two more requests went to it while the first two still ran, and eight such answers made the window warm and let it grow.

Change: a request counts against the cold limit until a first byte within twice the baseline shows that the endpoint is warm, and slower ones don't count towards warm while the baseline is known.

The one failure itself left no trace, so that it was this is an inference.

--- a/src/tamaracktray/admission.py
+++ b/src/tamaracktray/admission.py
@@ -42,10 +42,18 @@
 class Run:
     """An admitted attempt, until its answer ends.
 
-    ``started_at`` is 0 until the attempt is sent to the endpoint.
+    ``started_at`` is 0 until the attempt is sent to the endpoint. ``is_proven`` is set
+    if its first byte came as soon as from a warm endpoint.
     """
 
-    __slots__ = ("has_first_byte", "is_sent", "manifest", "request", "started_at")
+    __slots__ = (
+        "has_first_byte",
+        "is_proven",
+        "is_sent",
+        "manifest",
+        "request",
+        "started_at",
+    )
 
     def __init__(self, request: CallerRequest) -> None:
         self.request = request
@@ -53,6 +61,7 @@
         self.is_sent = False
         self.started_at = 0.0
         self.has_first_byte = False
+        self.is_proven = False
 
 
 class AdmissionState:
@@ -97,8 +106,8 @@
     def has_capacity(self) -> bool:
         """Return whether the window has a free slot for another attempt."""
         runs = self.runs_by_id.values()
-        awaiting_first_byte = sum(not run.has_first_byte for run in runs)
-        return self.window.has_capacity(len(self.runs_by_id), awaiting_first_byte)
+        unproven = sum(not run.is_proven for run in runs)
+        return self.window.has_capacity(len(self.runs_by_id), unproven)
 
     def is_idle(self) -> bool:
         """Return whether no attempt is queued or running."""
@@ -159,6 +168,7 @@
         return []
     run.has_first_byte = True
     latency_s = event.now - run.started_at
+    run.is_proven = state.window.is_proof(latency_s)
     state.window.note_first_byte(event.now, latency_s, len(state.runs_by_id))
     return start_queued(context, event.now)
 
--- a/src/tamaracktray/limits.py
+++ b/src/tamaracktray/limits.py
@@ -3,10 +3,11 @@
 The window has two states. A cold endpoint gets at most ``cold_limit`` concurrent
 requests. After several healthy answers in a row it counts as warm and the window grows.
 A latency jump, a failure or the endpoint's own report marks it cold again at once.
-In both states, at most ``cold_limit`` requests await their first byte. An answer only
-shows that the endpoint was warm when the request arrived, so only this bound protects
-a warm endpoint that turns cold without warning: even before the change is detected, it
-receives no more new requests than the cold limit.
+In both states, at most ``cold_limit`` requests are unproven: they await their first
+byte, or it came so late that the endpoint may be cold. An answer only shows that the
+endpoint was warm when the request arrived, so only this bound protects a warm endpoint
+that turns cold without warning: even before the change is detected, it receives no more
+new requests than the cold limit.
 """
 
 from collections import deque
@@ -67,13 +68,17 @@
         """Return the maximum number of concurrent requests."""
         return int(self._size)
 
-    def has_capacity(self, running: int, awaiting_first_byte: int) -> bool:
+    def has_capacity(self, running: int, unproven: int) -> bool:
         """Return whether another request may start.
 
-        ``running`` counts all requests at the endpoint, ``awaiting_first_byte`` those
-        of them without a first byte.
+        ``running`` counts all requests at the endpoint, ``unproven`` those of them that
+        haven't shown that the endpoint is warm.
         """
-        return running < self.size and awaiting_first_byte < self._settings.cold_limit
+        return running < self.size and unproven < self._settings.cold_limit
+
+    def is_proof(self, latency_s: float) -> bool:
+        """Return whether a time to the first byte shows that the endpoint is warm."""
+        return not self._baseline_s or latency_s <= OVERLOAD_FACTOR * self._baseline_s
 
     def note_first_byte(self, now: float, latency_s: float, running: int) -> None:
         """Update the window with the time to the first byte of one answer."""
@@ -115,6 +120,9 @@
         self._baseline_s = 0.0
 
     def _count_healthy_answer(self, now: float, latency_s: float) -> None:
+        if now < self._baseline_deadline and not self.is_proof(latency_s):
+            self._healthy_answers = 0
+            return
         self._healthy_answers += 1
         if self._healthy_answers < self._settings.warm_proofs:
             return
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -162,6 +162,25 @@
         driver.send(Tick(driver.now))
         assert not admission.window.is_warm
 
+    def test_slow_first_bytes_below_the_jump_leave_no_room_for_more_cold_runs(self):
+        """A busy machine had raised the baseline, so the cold ones were no jump."""
+        driver = make_running_agent()
+        admission = driver.state.admission
+        for _ in range(40):
+            admission.window.note_first_byte(driver.now, 0.1, admission.window.size)
+        assert admission.window.size >= 4
+        for number in range(4):
+            send_attempt(driver, f"c{number}")
+        driver.now += 0.3
+        started = 0
+        for number in range(WINDOW.cold_limit):
+            driver.send(RunProgressed(driver.now, f"c{number}"))
+            started += len(driver.find(StartRun))
+        assert admission.window.is_warm
+        assert started == 0
+        driver.send(RunEnded(driver.now, "c0", RunOutcome.COMPLETED))
+        assert len(driver.find(StartRun)) == 1
+
 
 class TestClaims:
     @pytest.mark.parametrize(
--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -50,6 +50,17 @@
         assert window.is_latency_jump(2.0, 0.5)
         assert not window.is_latency_jump(1.0 + SETTINGS.baseline_ttl_s, 0.5)
 
+    def test_slow_answers_below_the_jump_do_not_make_a_cold_endpoint_warm(self):
+        window = Window(SETTINGS)
+        make_warm(window)
+        window.mark_cold(1.0)
+        for _ in range(20):
+            window.note_first_byte(2.0, 0.3, 2)
+        assert not window.is_warm
+        for _ in range(SETTINGS.warm_proofs):
+            window.note_first_byte(2.0, 0.1, 2)
+        assert window.is_warm
+
     def test_overload_shrinks_once_per_round_trip(self):
         window = Window(SETTINGS)
         make_warm(window)
