Reserve a block of ports for each run of the launcher

Cause: each run took ports from an offset by its process id, and found one free before the process that was to use it had bound it; runs with close process ids walked through the same ports.

Change: a process reserves one of twelve blocks of ports by a lock that ends with it, as the stand-ins of the platform reserve a network.

Two whole runs at a time were not made for this.

--- a/src/tamaracktray_emulator/launcher.py
+++ b/src/tamaracktray_emulator/launcher.py
@@ -5,6 +5,7 @@
 """
 
 import contextlib
+import functools
 import http.client
 import itertools
 import os
@@ -13,6 +14,7 @@
 import subprocess
 import sys
 import time
+from collections.abc import Iterator
 from pathlib import Path
 from typing import Any
 
@@ -24,14 +26,13 @@
 START_TIMEOUT_S = 20.0
 STOP_TIMEOUT_S = 15.0
 POLL_S = 0.05
-FIRST_PORT = 12_000
-PORT_COUNT = 18_000
-PORT_SPREAD = 9_000
-
 
-_PORTS = itertools.cycle(
-    range(FIRST_PORT + os.getpid() % PORT_SPREAD, FIRST_PORT + PORT_COUNT)
-)
+# Ports are handed out in blocks, each reserved by one process at a time. They lie below
+# the range of ephemeral ports, so no outgoing connection can take one.
+FIRST_PORT = 12_000
+BLOCK_PORTS = 1_500
+BLOCKS = 12
+FIRST_LOCK_PORT = FIRST_PORT - BLOCKS
 
 
 class HttpAnswer(msgspec.Struct, frozen=True):
@@ -76,13 +77,25 @@
     return HttpAnswer(response.status, lowered, data)
 
 
-def find_free_port() -> int:
-    """Return a port that is free now and was not returned before.
+@functools.cache
+def _reserve_ports() -> tuple[Iterator[int], socket.socket]:
+    """Reserve a block of ports for this process; return the ports and the lock."""
+    for block in range(BLOCKS):
+        lock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        try:
+            lock.bind((HOST, FIRST_LOCK_PORT + block))
+        except OSError:
+            lock.close()
+            continue
+        first = FIRST_PORT + block * BLOCK_PORTS
+        return itertools.cycle(range(first, first + BLOCK_PORTS)), lock
+    raise LaunchError("all blocks of ports are reserved")
+
 
-    The ports lie below the range of ephemeral ports, so no outgoing connection can take
-    one before its process binds it.
-    """
-    for port in _PORTS:
+def find_free_port() -> int:
+    """Return a port of this process's block that is free now."""
+    ports, _ = _reserve_ports()
+    for port in itertools.islice(ports, BLOCK_PORTS):
         with socket.socket() as probe:
             try:
                 probe.bind((HOST, port))
