Excuse sound parts for the crashes of parts that crash repeatedly

Cause: a part that was answered before is blamed after parts without a known sound answer, but only a quarantined one explained its crashes. Two crashes of the fatal part came at the same moment, and the engine of a third had announced that it leaves, so it was one short of three in a row while the shared part had three.

Change: parts with a known sound answer are also excused for the crashes of a part without one that was in two crashes or more.

Measured: test_part_answered_earlier_is_not_blamed_before_the_fatal_one_is_known failed before; all 54 of test_part_watch and test_work pass.

What remains: a part that turns fatal after it was answered, always beside the same part that never was, is blamed after that one, two or three crashes later.

--- a/src/tamaracktray/part_watch.py
+++ b/src/tamaracktray/part_watch.py
@@ -32,6 +32,9 @@
 # Crashes in a row that quarantine a part.
 CRASHES_TO_QUARANTINE = 3
 
+# Crashes of a part without a known sound answer that excuse parts with one.
+CRASHES_TO_EXCUSE = 2
+
 # Crashes by which parts may differ and still be suspected alike, as any endpoint may
 # crash for another reason.
 MAX_CHANCE_CRASHES = 1
@@ -204,7 +207,8 @@
         """Determine the quarantined parts, the most suspect ones first.
 
         A crash that a quarantined part explains doesn't count against parts that are
-        less suspect.
+        less suspect. Parts with a known sound answer are also excused for crashes of
+        parts without one that have crashed repeatedly.
         """
         if now < self._reassessment_deadline:
             return
@@ -220,7 +224,10 @@
             return part in self._sound_at_by_part, -len(active_by_part[part])
 
         explained: set[Incarnation] = set()
-        for _, parts in itertools.groupby(sorted(active_by_part, key=rank), rank):
+        ranked = sorted(active_by_part, key=rank)
+        for (is_known_sound, _), parts in itertools.groupby(ranked, rank):
+            if is_known_sound:
+                explained.update(self._list_excused(now))
             unexplained_by_part: dict[str, list[Suspicion]] = {}
             for part in parts:
                 items = [
@@ -234,6 +241,17 @@
             for items in unexplained_by_part.values():
                 explained.update(item.endpoint for item in items)
 
+    def _list_excused(self, now: float) -> set[Incarnation]:
+        """Return the crashes that excuse parts with a known sound answer."""
+        excused: set[Incarnation] = set()
+        for part, suspicions in self._by_fingerprint.items():
+            if part in self._sound_at_by_part:
+                continue
+            active = _list_active(now, suspicions)
+            if len(active) >= CRASHES_TO_EXCUSE:
+                excused.update(item.endpoint for item in active)
+        return excused
+
     def _quarantine_equals(
         self, now: float, suspicions_by_part: Mapping[str, list[Suspicion]]
     ) -> None:
--- a/tests/test_part_watch.py
+++ b/tests/test_part_watch.py
@@ -154,6 +154,26 @@
         assert is_quarantined(watch, now + 1.0, FATAL)
         assert not is_quarantined(watch, now + 1.0, SHARED)
 
+    def test_part_answered_earlier_is_not_blamed_before_the_fatal_one_is_known(self):
+        """Soak seed 740: two of the fatal part's crashes came at the same moment."""
+        watch = build_watch()
+        watch.record_sound(0.5, SHARED, 0.1)
+        for number in (0, 1):
+            crash(watch, 1.0, number, FATAL, SHARED)
+        crash(watch, 2.0, 2, SHARED)
+        crash(watch, 3.0, 3, FATAL, SHARED)
+        assert not is_quarantined(watch, 3.0, SHARED)
+        crash(watch, 4.0, 4, FATAL, SHARED)
+        assert is_quarantined(watch, 4.0, FATAL)
+        assert not is_quarantined(watch, 4.0, SHARED)
+
+    def test_part_answered_earlier_is_blamed_despite_different_parts_beside_it(self):
+        watch = build_watch()
+        watch.record_sound(0.5, FATAL, 0.1)
+        for number in range(CRASHES_TO_QUARANTINE):
+            crash(watch, number + 1.0, number, FATAL, f"part-own-{number}")
+        assert is_quarantined(watch, 4.0, FATAL)
+
     def test_parts_of_the_same_crashes_are_quarantined_only_together(self):
         watch = build_watch()
         now = crash_repeatedly(watch, CRASHES_TO_QUARANTINE, FATAL, SHARED)
