--- a/tests/test_crashing_parts.py
+++ b/tests/test_crashing_parts.py
@@ -80,6 +80,18 @@
 
         run_scenario(scenario, entries=4, engines=16)
 
+    def test_entries_restarted_amid_crashes_of_all_engines_serve_sound_requests(self):
+        async def scenario(harness: PartCrashHarness) -> None:
+            await harness.send_series(duration_s=2.0, gap_s=0.3)
+            await harness.fleet.restart_all()
+            restarted_at = time.monotonic()
+            await harness.send_series(duration_s=12.0, gap_s=0.3)
+            assert harness.count_uncontained() <= ALLOWED_REQUESTS
+            share = harness.measure_sound_share(restarted_at + 4 * CONTACT_S)
+            assert share >= MIN_SOUND_SHARE
+
+        run_scenario(scenario, entries=4, engines=3)
+
     def test_quarantine_reaches_entries_without_beacons(self, monkeypatch):
         async def send_nothing(*_args, **_options) -> None:
             return
