Soak: a planned restart of an entry excuses it from earlier notices

Trace: entry-0 passed on the leaving notice of w-0.f87, was stopped and started again as planned (stopped 1.7 s, started 1.3 s before the request), and sent the endpoint one request, whose answer told it again. An entry keeps nothing, and the users' page says that a restart of the machine since then excuses it. The check knew restarts by faults, as they are in the fault log, but not planned ones.

Change: a planned restart forgets the notices that the entry got before. One that it gets afterwards binds as before; the new test checks both.

--- a/src/tamaracktray_emulator/soak/notice_checks.py
+++ b/src/tamaracktray_emulator/soak/notice_checks.py
@@ -50,6 +50,12 @@
         for key in [key for key in self._left_at if key[1] == endpoint]:
             del self._left_at[key]
 
+    def note_entry_restart(self, entry: str) -> None:
+        """Forget the notices that an entry got before a restart, as it keeps none."""
+        for key in [key for key in self._left_at if key[0] == entry]:
+            del self._left_at[key]
+        self._pauses = [pause for pause in self._pauses if pause.entry != entry]
+
     def note_arrival(self, call_id: str, endpoint: str, now: float) -> None:
         """Check a request that reached the endpoint it was addressed to."""
         call = self._record.calls_by_id.get(call_id)
--- a/src/tamaracktray_emulator/soak/operations.py
+++ b/src/tamaracktray_emulator/soak/operations.py
@@ -218,6 +218,8 @@
         if not has_ended:
             self._fleet.send_signal(daemon, signal.SIGKILL)
             await self._fleet.wait_ended(daemon, 2.0)
+        if self._callers.notice_checker is not None:
+            self._callers.notice_checker.note_entry_restart(daemon.name)
         self._fleet.launch(daemon)
 
     def _check_cuts(self, entry: str, start: float, end: float) -> None:
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -55,6 +55,19 @@
         check.note_arrival("2", "e-1", 5.2 + DRAIN_S)
         assert record.violations == []
 
+    def test_notice_from_before_a_restart_of_the_entry_binds_no_more(self):
+        """Seed 712: the entry had been restarted as planned since its answer."""
+        record, check = self.build()
+        check.note_forwarded_notice(self.call(record, "1", 5.0), "e-1")
+        check.note_entry_restart("entry-0")
+        self.call(record, "2", 5.1 + DRAIN_S)
+        check.note_arrival("2", "e-1", 5.2 + DRAIN_S)
+        assert record.violations == []
+        check.note_forwarded_notice(self.call(record, "3", 8.0), "e-1")
+        self.call(record, "4", 8.1 + DRAIN_S)
+        check.note_arrival("4", "e-1", 8.2 + DRAIN_S)
+        assert [item.detail for item in record.violations] == ["4"]
+
 
 class TestSoak:
     @pytest.mark.parametrize("seed", [1])
