Excuse peers for the time in which this process was held up

test_origin_sends_about_one_copy_of_a_version failed once beside load: 15 chunks from the origin where 14.4 are allowed; two entries drew 5 and 10 of 12.

Cause: an entry judges by the clock whether peers are silent. After a time in which it did not run, here for want of a processor, all peers had been silent for longer than the contact timeout, since their beacons waited unread. Until it had read them it took over the chunks of the others, and owned all engines.

The one failure itself left no log.

Change: a process that has not run for 0.25 s or more (ten ticks) doesn't count that time as its peers' silence. A peer that stays silent afterwards is found as before.

--- a/src/tamaracktray/node_reducer.py
+++ b/src/tamaracktray/node_reducer.py
@@ -289,6 +289,7 @@
     effects: list[Effect] = []
     if state.roster.expire(event.now):
         effects.extend(_apply_roster(state, event.now))
+    state.peers.note_running(event.now)
     if state.gateway is not None:
         _update_peer_count(state, event.now)
         reachable = tuple(
--- a/src/tamaracktray/peers.py
+++ b/src/tamaracktray/peers.py
@@ -15,6 +15,10 @@
 # than two of the longest intervals between a peer's beacons.
 CONTACT_TIMEOUT_S = 1.3
 
+# Time since this process last ran from which it counts as held up, in seconds. Beacons
+# that arrived meanwhile have not been read yet.
+HELD_UP_S = 0.25
+
 # Time without a beacon after which a peer no longer counts as a user of the endpoints,
 # in seconds. Regions that are disconnected for minutes continue to use them.
 INACTIVE_S = 300.0
@@ -60,6 +64,7 @@
         "_backoff_deadline_by_address",
         "_expects_beacons",
         "_last_contact_by_address",
+        "_ran_at",
         "_without_store",
         "members_by_name",
     )
@@ -68,6 +73,7 @@
         self._expects_beacons = expects_beacons
         self._last_contact_by_address: dict[Address, float] = {}
         self._backoff_deadline_by_address: dict[Address, float] = {}
+        self._ran_at: float | None = None
         self._without_store: set[Address] = set()
         self.members_by_name: dict[str, Member] = {}
 
@@ -77,6 +83,15 @@
         for member in self.members_by_name.values():
             self._last_contact_by_address.setdefault(member.address, now)
 
+    def note_running(self, now: float) -> None:
+        """Record that this process runs, and excuse peers for a time it was held up."""
+        held_up_s = self._measure_held_up(now)
+        if held_up_s:
+            for address, contact_at in self._last_contact_by_address.items():
+                contact_at = min(contact_at + held_up_s, now)
+                self._last_contact_by_address[address] = contact_at
+        self._ran_at = now
+
     def record_contact(
         self, now: float, address: Address, *, has_store: bool = True
     ) -> None:
@@ -124,4 +139,11 @@
     def _time_since_contact(self, now: float, address: Address) -> float:
         if not self._expects_beacons:
             return 0.0
-        return now - self._last_contact_by_address.get(address, now)
+        silence_s = now - self._last_contact_by_address.get(address, now)
+        return silence_s - self._measure_held_up(now)
+
+    def _measure_held_up(self, now: float) -> float:
+        """Return for how long this process has been held up, in seconds."""
+        if self._ran_at is None or now - self._ran_at < HELD_UP_S:
+            return 0.0
+        return now - self._ran_at
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -39,6 +39,18 @@
         peers.record_contact(CONTACT_TIMEOUT_S, NEAR.address)
         assert peers.list_reachable(CONTACT_TIMEOUT_S + 0.1) == [NEAR]
 
+    def test_time_in_which_this_process_was_held_up_is_no_silence(self):
+        peers = build_peers()
+        for number in range(40):
+            peers.note_running(number * 0.025)
+        woken_at = 0.975 + 10.0
+        assert peers.list_reachable(woken_at) == [NEAR, FAR]
+        peers.note_running(woken_at)
+        peers.record_contact(woken_at, NEAR.address)
+        for number in range(60):
+            peers.note_running(woken_at + number * 0.025)
+        assert peers.list_reachable(woken_at + CONTACT_TIMEOUT_S - 0.9) == [NEAR]
+
     def test_missing_beacons_are_ignored_if_none_are_expected(self):
         assert len(build_peers(expects_beacons=False).list_reachable(100.0)) == 2
 
