Record how each answer's body ended, in a type and in the log

Cause: a complete body and the end of a connection without framing were both an empty piece, so neither the code that reads an answer nor its log line could tell who had ended it. Change: the end of a body is a value of its own (by length, by last chunk, by the peer's close, cut, abandoned), which every reader has to handle; 'attempt ended' and a counter name it. Connecting and the events of an attempt move into modules of their own. What callers get is unchanged.

--- a/src/tamaracktray/attempt_relay.py
+++ b/src/tamaracktray/attempt_relay.py
@@ -5,6 +5,13 @@
 
 from returns.result import Failure, Result
 
+from tamaracktray.answer_ends import AnswerEnd
+from tamaracktray.attempt_events import (
+    build_attempt_end,
+    build_failed_end,
+    build_notice,
+    build_started,
+)
 from tamaracktray.calls import CallAttemptEnded, CallStarted, SendCall
 from tamaracktray.endpoint_limits import EndpointLimitReceived
 from tamaracktray.exceptions import TransportError
@@ -114,7 +121,7 @@
             phase = AttemptPhase.SENT if error.sent else AttemptPhase.NOT_SENT
             if error.is_withdrawn:
                 phase = AttemptPhase.WITHDRAWN
-            return _build_attempt_end(decision, phase, detail=error.message)
+            return build_attempt_end(decision, phase, detail=error.message)
         exchange = opened.unwrap()
         open_call.exchange = exchange
         try:
@@ -158,11 +165,11 @@
         call = open_call.call
         head = await exchange.read_head(compute_start_timeout(call))
         if isinstance(head, Failure):
-            return _build_failed_end(decision, exchange, head.failure().message)
+            return build_failed_end(decision, exchange, head.failure().message)
         self.responsive_ids.add(decision.endpoint_id)
         fields = self._protocol.parse_answer_fields(exchange.status, exchange.headers)
         if fields.is_leaving or fields.pause_s is not None:
-            await self._on_notice(_build_notice(decision, fields))
+            await self._on_notice(build_notice(decision, fields))
         is_other_request = fields.request_id not in ("", call.request_id)
         if not (is_other_request or fields.is_misdirected):
             await self._note_limit(decision, fields, started_at)
@@ -171,14 +178,14 @@
             phase = AttemptPhase.REFUSED
             if fields.is_misdirected:
                 phase = AttemptPhase.MISDIRECTED
-            return _build_attempt_end(decision, phase, exchange.status, detail=detail)
+            return build_attempt_end(decision, phase, exchange.status, detail=detail)
         if fields.request_id != call.request_id:
             detail = "the answer belongs to another request"
-            return _build_attempt_end(decision, AttemptPhase.SENT, detail=detail)
+            return build_attempt_end(decision, AttemptPhase.SENT, detail=detail)
         is_success = 200 <= exchange.status < 300
         if is_success and not fields.is_signed:
             detail = "the answer is not signed"
-            return _build_attempt_end(decision, AttemptPhase.SENT, detail=detail)
+            return build_attempt_end(decision, AttemptPhase.SENT, detail=detail)
         if is_success and call.route.kind is RepeatKind.STREAM:
             return await self._relay_stream(open_call, decision, exchange, fields)
         return await self._relay_whole(open_call, decision, exchange, fields)
@@ -208,50 +215,58 @@
         while len(body) <= MAX_BUFFERED_ANSWER_BYTES:
             read = await exchange.read_data(compute_start_timeout(open_call.call))
             if isinstance(read, Failure):
-                return _build_failed_end(decision, exchange, read.failure().message)
+                return build_failed_end(decision, exchange, read.failure().message)
             data = read.unwrap()
-            if not data:
+            if isinstance(data, AnswerEnd):
                 answer = BufferedAnswer(
                     exchange.status, exchange.raw_headers, bytes(body)
                 )
-                return await self._relay_buffered(open_call, decision, answer)
+                return await self._relay_buffered(open_call, decision, answer, data)
             body += data
         if exchange.status >= 500:
             detail = f"a failure of more than {MAX_BUFFERED_ANSWER_BYTES} bytes"
-            return _build_attempt_end(
+            return build_attempt_end(
                 decision, AttemptPhase.SENT, exchange.status, detail=detail
             )
-        await self._on_start(_build_started(decision, fields))
+        await self._on_start(build_started(decision, fields))
         return await self._relay_large(open_call, decision, exchange, bytes(body))
 
     async def _relay_buffered(
-        self, open_call: OpenCall, decision: SendCall, answer: BufferedAnswer
+        self,
+        open_call: OpenCall,
+        decision: SendCall,
+        answer: BufferedAnswer,
+        end: AnswerEnd,
     ) -> CallAttemptEnded:
         """Relay a success; keep an error answer in case no retry succeeds."""
+        phase = AttemptPhase.ANSWERED
         if answer.status in NOT_RUN_STATUSES:
-            return _build_attempt_end(decision, AttemptPhase.FAILED, answer.status)
-        if answer.status >= 500:
+            phase = AttemptPhase.FAILED
+        elif answer.status >= 500:
             open_call.failure = answer
-            return _build_attempt_end(decision, AttemptPhase.FAILED, answer.status)
-        await self.respond(open_call.responder, answer)
-        return _build_attempt_end(decision, AttemptPhase.ANSWERED, answer.status)
+            phase = AttemptPhase.FAILED
+        else:
+            await self.respond(open_call.responder, answer)
+        return build_attempt_end(decision, phase, answer.status, answer_end=end)
 
     async def _relay_large(
         self,
         open_call: OpenCall,
         decision: SendCall,
         exchange: Exchange,
-        data: bytes,
+        data: bytes | AnswerEnd,
     ) -> CallAttemptEnded:
-        while data:
+        while not isinstance(data, AnswerEnd):
             self._progress_at_by_call[open_call.call.id] = time.monotonic()
             await self._send_part(open_call, exchange, data)
             read = await exchange.read_data(compute_start_timeout(open_call.call))
             if isinstance(read, Failure):
-                return _build_failed_end(decision, exchange, read.failure().message, "")
+                return build_failed_end(decision, exchange, read.failure().message, "")
             data = read.unwrap()
         await open_call.responder.finish()
-        return _build_attempt_end(decision, AttemptPhase.ANSWERED, exchange.status)
+        return build_attempt_end(
+            decision, AttemptPhase.ANSWERED, exchange.status, answer_end=data
+        )
 
     async def _relay_stream(
         self,
@@ -269,20 +284,21 @@
             read = await self._read_event_data(open_call, exchange, progress_at)
             if isinstance(read, Failure):
                 message = read.failure().message
-                return _build_failed_end(
+                return build_failed_end(
                     decision, exchange, message, open_call.last_event_id
                 )
             data = read.unwrap()
+            is_end = isinstance(data, AnswerEnd)
             self.responsive_ids.add(decision.endpoint_id)
-            events = buffer.feed(data) if data else buffer.take_incomplete()
+            events = buffer.take_incomplete() if is_end else buffer.feed(data)
             fault = ""
             if buffer.is_too_large:
                 await exchange.abandon()
                 fault = "an event is too large"
-            elif not data and events.strip() and _is_event_stream(open_call, exchange):
+            elif is_end and events.strip() and _is_event_stream(open_call, exchange):
                 fault = "the stream ended inside an event"
             if fault:
-                return _build_failed_end(
+                return build_failed_end(
                     decision, exchange, fault, open_call.last_event_id
                 )
             if events:
@@ -290,18 +306,18 @@
                 self._progress_at_by_call[open_call.call.id] = progress_at
             if events and not is_started:
                 is_started = True
-                await self._on_start(_build_started(decision, fields))
-            if events or not data:
+                await self._on_start(build_started(decision, fields))
+            if events or is_end:
                 await self._send_part(open_call, exchange, events)
-            if not data:
+            if is_end:
                 await open_call.responder.finish()
-                return _build_attempt_end(
-                    decision, AttemptPhase.ANSWERED, exchange.status
+                return build_attempt_end(
+                    decision, AttemptPhase.ANSWERED, exchange.status, answer_end=data
                 )
 
     async def _read_event_data(
         self, open_call: OpenCall, exchange: Exchange, progress_at: float
-    ) -> Result[bytes, TransportError]:
+    ) -> Result[bytes | AnswerEnd, TransportError]:
         """Read from a stream whose last whole event arrived at ``progress_at``.
 
         Bytes that complete no event don't count as progress. A stalled stream fails
@@ -341,54 +357,3 @@
         return True
     content_type = exchange.headers.get("content-type", "")
     return content_type.partition(";")[0].strip().lower() == EVENT_STREAM_TYPE
-
-
-def _build_started(decision: SendCall, fields: AnswerFields) -> CallStarted:
-    return CallStarted(
-        time.monotonic(), decision.call_id, decision.endpoint_id, fields.version
-    )
-
-
-def _build_notice(decision: SendCall, fields: AnswerFields) -> EndpointNoticeReceived:
-    return EndpointNoticeReceived(
-        time.monotonic(),
-        decision.endpoint_id,
-        fields.is_leaving,
-        fields.pause_s,
-        fields.is_misdirected,
-    )
-
-
-def _build_attempt_end(
-    decision: SendCall, phase: AttemptPhase, status: int = 0, *, detail: str = ""
-) -> CallAttemptEnded:
-    return CallAttemptEnded(
-        time.monotonic(),
-        decision.call_id,
-        decision.endpoint_id,
-        phase,
-        status,
-        detail=detail,
-    )
-
-
-def _build_failed_end(
-    decision: SendCall,
-    exchange: Exchange,
-    detail: str,
-    last_event_id: str | None = None,
-) -> CallAttemptEnded:
-    """Return the end of an attempt whose answer is missing or incomplete.
-
-    ``last_event_id`` is ``None`` if no part of the answer was sent to the caller.
-    """
-    phase = AttemptPhase.SENT if last_event_id is None else AttemptPhase.CUT
-    return CallAttemptEnded(
-        time.monotonic(),
-        decision.call_id,
-        decision.endpoint_id,
-        phase,
-        is_reset=not exchange.is_abandoned,
-        last_event_id=last_event_id or "",
-        detail=detail,
-    )
--- a/src/tamaracktray/call_log.py
+++ b/src/tamaracktray/call_log.py
@@ -88,7 +88,9 @@
     def note_attempt_end(self, call: Call, ended: CallAttemptEnded) -> None:
         """Log how an attempt ended."""
         elapsed_s = ended.now - call.arrived
+        answer_end = "" if ended.answer_end is None else ended.answer_end.value
         self._metrics.count("attempt_ends", phase=ended.phase.value)
+        self._metrics.count("answer_ends", end=answer_end or "none")
         if ended.phase.is_answer:
             self._metrics.time("answer", elapsed_s, kind=call.route.kind.value)
         self._write(
@@ -101,6 +103,7 @@
             status=ended.status,
             after_s=round(elapsed_s, TIME_DECIMALS),
             last_event=ended.last_event_id,
+            answer_end=answer_end,
             detail=ended.detail,
         )
 
--- a/src/tamaracktray/calls.py
+++ b/src/tamaracktray/calls.py
@@ -2,6 +2,7 @@
 
 import msgspec
 
+from tamaracktray.answer_ends import AnswerEnd
 from tamaracktray.effects import Effect
 from tamaracktray.events import Event
 from tamaracktray.outcomes import AttemptPhase
@@ -60,7 +61,8 @@
     """An attempt at an endpoint ended.
 
     ``is_reset`` is set if the endpoint reset the connection. ``last_event_id`` is the
-    id of the last complete stream event that was passed to the caller.
+    id of the last complete stream event that was passed to the caller. ``answer_end``
+    is how the body of the answer ended, ``None`` if it wasn't read to an end.
     """
 
     call_id: str
@@ -70,6 +72,7 @@
     is_reset: bool = False
     last_event_id: str = ""
     detail: str = ""
+    answer_end: AnswerEnd | None = None
 
 
 class CallStarted(Event, frozen=True):
--- /dev/null
+++ b/src/tamaracktray/connections.py
@@ -0,0 +1,53 @@
+"""Outgoing TCP connections, and how connections end."""
+
+import contextlib
+import socket as socket_module
+import struct
+
+import curio
+
+from tamaracktray.types import Address
+
+# A peer lost without a reset is detected after the idle time and all probes.
+KEEPALIVE_IDLE_S = 1
+KEEPALIVE_INTERVAL_S = 1
+KEEPALIVE_PROBES = 2
+
+CONNECTION_OPTIONS = (
+    (socket_module.IPPROTO_TCP, socket_module.TCP_NODELAY, 1),
+    (socket_module.SOL_SOCKET, socket_module.SO_KEEPALIVE, 1),
+    (socket_module.IPPROTO_TCP, socket_module.TCP_KEEPIDLE, KEEPALIVE_IDLE_S),
+    (socket_module.IPPROTO_TCP, socket_module.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_S),
+    (socket_module.IPPROTO_TCP, socket_module.TCP_KEEPCNT, KEEPALIVE_PROBES),
+)
+
+# SO_LINGER value (on, 0 seconds) that makes close() discard unsent bytes and reset.
+RESET_ON_CLOSE = struct.pack("ii", 1, 0)
+
+
+async def connect(address: Address) -> curio.io.Socket:
+    """Open a connection with TCP keepalive.
+
+    The loss of the connection is detected within seconds, even while it is idle.
+    """
+    socket = curio.socket.socket(socket_module.AF_INET, socket_module.SOCK_STREAM)
+    try:
+        for level, option, value in CONNECTION_OPTIONS:
+            socket.setsockopt(level, option, value)
+        await socket.connect((address.host, address.port))
+    except BaseException:
+        await socket.close()
+        raise
+    return socket
+
+
+def reset_on_close(socket: curio.io.Socket) -> None:
+    """Make ``close`` reset the connection.
+
+    An ordinary close keeps retransmitting over a broken link, so the server could start
+    a request long after it was abandoned.
+    """
+    with contextlib.suppress(OSError):
+        socket.setsockopt(
+            socket_module.SOL_SOCKET, socket_module.SO_LINGER, RESET_ON_CLOSE
+        )
--- a/src/tamaracktray/entry.py
+++ b/src/tamaracktray/entry.py
@@ -8,6 +8,7 @@
 from typing_extensions import override
 
 from tamaracktray import headers as names
+from tamaracktray.answer_ends import AnswerEnd
 from tamaracktray.api import ResourceApi
 from tamaracktray.dispatch import DispatchState
 from tamaracktray.effects import AnswerRefusal, Effect, SendAttempt
@@ -17,7 +18,6 @@
     RequestArrived,
     RequestEnded,
 )
-from tamaracktray.exceptions import TransportError
 from tamaracktray.exchange import Exchange, open_exchange
 from tamaracktray.http import Headers, HttpServer, Reply, Request, Responder
 from tamaracktray.instances import InstanceList
@@ -266,10 +266,10 @@
                 decision, AttemptPhase.SENT, load=load, detail=detail
             )
         await responder.send_head(exchange.status, _select_headers(exchange))
-        piece: Result[bytes, TransportError] = first_piece
+        piece = first_piece
         while isinstance(piece, Success):
             data = piece.unwrap()
-            if not data:
+            if isinstance(data, AnswerEnd):
                 await responder.finish()
                 return _build_attempt_ended(decision, AttemptPhase.ANSWERED, load=load)
             await responder.send_data(data)
--- a/src/tamaracktray/exchange.py
+++ b/src/tamaracktray/exchange.py
@@ -6,7 +6,6 @@
 
 import contextlib
 import socket as socket_module
-import struct
 import time
 from collections.abc import Callable
 
@@ -14,6 +13,8 @@
 import h11
 from returns.result import Failure, Result, Success
 
+from tamaracktray.answer_ends import AnswerEnd
+from tamaracktray.connections import connect, reset_on_close
 from tamaracktray.exceptions import AnswerTooLargeError, TransportError
 from tamaracktray.http import (
     READ_BYTES,
@@ -24,12 +25,6 @@
 )
 from tamaracktray.types import Address
 
-# A peer lost without a reset is detected after the idle time and all probes.
-KEEPALIVE_IDLE_S = 1
-KEEPALIVE_INTERVAL_S = 1
-KEEPALIVE_PROBES = 2
-
-
 # Default size limit of an answer's body in bytes.
 MAX_ANSWER_BYTES = 16 * 1_048_576
 
@@ -49,24 +44,14 @@
 YIELD_AFTER_BYTES = 16_384
 YIELD_AFTER_CHUNKS = 128
 
-# SO_LINGER value (on, 0 seconds) that makes close() discard unsent bytes and reset.
-RESET_ON_CLOSE = struct.pack("ii", 1, 0)
-
-CONNECTION_OPTIONS = (
-    (socket_module.IPPROTO_TCP, socket_module.TCP_NODELAY, 1),
-    (socket_module.SOL_SOCKET, socket_module.SO_KEEPALIVE, 1),
-    (socket_module.IPPROTO_TCP, socket_module.TCP_KEEPIDLE, KEEPALIVE_IDLE_S),
-    (socket_module.IPPROTO_TCP, socket_module.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_S),
-    (socket_module.IPPROTO_TCP, socket_module.TCP_KEEPCNT, KEEPALIVE_PROBES),
-)
-
 
 class Exchange:
     """A request that has been sent and whose answer is being read.
 
     Each exchange has its own connection, so a late answer to an earlier request cannot
     be taken for this one. Reading fails if far more than ``max_bytes`` arrive, framing
-    included. ``is_abandoned`` is set if this side ended the exchange.
+    included. ``is_abandoned`` is set if this side ended the exchange. ``end`` is how
+    the body ended, ``None`` before that.
     """
 
     __slots__ = (
@@ -74,9 +59,10 @@
         "_connection",
         "_early_head",
         "_interim_answers",
-        "_is_complete",
-        "is_abandoned",
+        "_is_closed",
         "_socket",
+        "end",
+        "is_abandoned",
         "headers",
         "raw_headers",
         "status",
@@ -92,8 +78,9 @@
         self._interim_answers = 0
         self._connection = connection
         self._socket = socket
-        self._is_complete = False
+        self._is_closed = False
         self.is_abandoned = False
+        self.end: AnswerEnd | None = None
         self._early_head: h11.Event | None = None
         self.status = 0
         self.headers: dict[str, str] = {}
@@ -158,6 +145,7 @@
     async def _receive(self) -> None:
         """Receive data; raise ``AnswerTooLargeError`` above the limit."""
         data = await self._socket.recv(READ_BYTES)
+        self._is_closed = not data
         self._charge_bytes(len(data))
         self._connection.receive_data(data)
         if len(data) >= YIELD_AFTER_BYTES:
@@ -170,17 +158,17 @@
             self.is_abandoned = True
             raise AnswerTooLargeError("the answer has too many bytes")
 
-    async def read_data(self, timeout_s: float) -> Result[bytes, TransportError]:
-        """Return the next piece of the body, or ``b""`` at the end of a complete body.
+    async def read_data(
+        self, timeout_s: float
+    ) -> Result[bytes | AnswerEnd, TransportError]:
+        """Return the next piece of the body, or how the body ended.
 
         Chunks that arrived together are returned as one piece, so the cost of a relay
         depends on the number of reads and not on the sender's chunk size.
         """
-        if self._is_complete:
-            return Success(b"")
         pieces: list[bytes] = []
         try:
-            while True:
+            while self.end is None:
                 event = self._connection.next_event()
                 if event is h11.NEED_DATA:
                     if pieces:
@@ -193,14 +181,24 @@
                     if len(pieces) % YIELD_AFTER_CHUNKS == 0:
                         await curio.sleep(0)
                     continue
-                if isinstance(event, h11.EndOfMessage):
-                    self._is_complete = True
-                    return Success(b"".join(pieces))
-                return Failure(TransportError("answer was cut", sent=True))
+                is_complete = isinstance(event, h11.EndOfMessage)
+                self.end = self._find_end() if is_complete else AnswerEnd.CUT
         except curio.TaskTimeout:
             return Failure(TransportError("answer stalled", sent=True, is_timeout=True))
         except (OSError, h11.RemoteProtocolError) as error:
+            self.end = AnswerEnd.ABANDONED if self.is_abandoned else AnswerEnd.CUT
             return Failure(TransportError(f"answer was cut: {error}", sent=True))
+        if self.end is AnswerEnd.CUT:
+            return Failure(TransportError("answer was cut", sent=True))
+        return Success(b"".join(pieces) or self.end)
+
+    def _find_end(self) -> AnswerEnd:
+        """Return how the body ended that the protocol takes for complete."""
+        if "transfer-encoding" in self.headers:
+            return AnswerEnd.LAST_CHUNK
+        if not self._is_closed or "content-length" in self.headers:
+            return AnswerEnd.LENGTH
+        return AnswerEnd.ABANDONED if self.is_abandoned else AnswerEnd.CLOSE
 
     async def read_body(
         self, timeout_s: float, max_bytes: int
@@ -212,7 +210,7 @@
             if isinstance(piece, Failure):
                 return piece
             data = piece.unwrap()
-            if not data:
+            if isinstance(data, AnswerEnd):
                 return Success(bytes(body))
             body += data
             if len(body) > max_bytes:
@@ -227,8 +225,8 @@
 
     async def close(self) -> None:
         """Close the connection; reset it if the answer is incomplete."""
-        if not self._is_complete:
-            _discard_unsent(self._socket)
+        if self.end in (None, AnswerEnd.CUT, AnswerEnd.ABANDONED):
+            reset_on_close(self._socket)
         await self._socket.close()
 
 
@@ -276,44 +274,16 @@
     try:
         await curio.timeout_after(connect_timeout_s, socket.sendall(payload))
     except (OSError, curio.TaskTimeout) as error:
-        _discard_unsent(socket)
+        reset_on_close(socket)
         await socket.close()
         return Failure(TransportError(f"request was cut: {error}", sent=True))
     except curio.CancelledError:
-        _discard_unsent(socket)
+        reset_on_close(socket)
         await socket.close()
         raise
     return Success(Exchange(connection, socket, max_bytes))
 
 
-def _discard_unsent(socket: curio.io.Socket) -> None:
-    """Make ``close`` reset the connection.
-
-    An ordinary close keeps retransmitting over a broken link, so the server could start
-    a request long after it was abandoned.
-    """
-    with contextlib.suppress(OSError):
-        socket.setsockopt(
-            socket_module.SOL_SOCKET, socket_module.SO_LINGER, RESET_ON_CLOSE
-        )
-
-
-async def connect(address: Address) -> curio.io.Socket:
-    """Open a connection with TCP keepalive.
-
-    The loss of the connection is detected within seconds, even while it is idle.
-    """
-    socket = curio.socket.socket(socket_module.AF_INET, socket_module.SOCK_STREAM)
-    try:
-        for level, option, value in CONNECTION_OPTIONS:
-            socket.setsockopt(level, option, value)
-        await socket.connect((address.host, address.port))
-    except BaseException:
-        await socket.close()
-        raise
-    return socket
-
-
 async def fetch(
     address: Address,
     method: str,
--- a/src/tamaracktray/persistent_client.py
+++ b/src/tamaracktray/persistent_client.py
@@ -4,8 +4,9 @@
 import h11
 from returns.result import Failure, Result, Success
 
+from tamaracktray.connections import connect
 from tamaracktray.exceptions import TransportError
-from tamaracktray.exchange import Exchange, connect
+from tamaracktray.exchange import Exchange
 from tamaracktray.http import Headers, Reply, peek
 from tamaracktray.types import Address
 
--- a/src/tamaracktray/runs.py
+++ b/src/tamaracktray/runs.py
@@ -4,9 +4,10 @@
 from typing import TYPE_CHECKING
 
 import msgspec
-from returns.result import Failure, Result, Success
+from returns.result import Failure, Success
 
 from tamaracktray import headers as names
+from tamaracktray.answer_ends import AnswerEnd
 from tamaracktray.claims import MAX_RECORDED_ANSWER_BYTES, RecordedAnswer
 from tamaracktray.events import RunProgressed
 from tamaracktray.exceptions import TransportError
@@ -162,10 +163,10 @@
         ]
         await responder.send_head(exchange.status, headers)
         tail = b""
-        piece: Result[bytes, TransportError] = first
+        piece = first
         while isinstance(piece, Success):
             data = piece.unwrap()
-            if not data:
+            if isinstance(data, AnswerEnd):
                 return await self._end_stream(tail)
             tail = (tail + data)[-STREAM_TAIL_BYTES:]
             await responder.send_data(data)
