--- a/tests/platforms.py
+++ b/tests/platforms.py
@@ -122,7 +122,7 @@
 class PlatformFleet:
     """Stand-ins and processes of one test.
 
-    Changes to ``routes`` and ``tenants`` apply with ``configure``.
+    Changes to ``routes``, ``services`` and ``tenants`` apply with ``configure``.
     """
 
     def __init__(self, **bounds: Any) -> None:
@@ -139,6 +139,7 @@
             build_route("look", "safe", ORDERS),
             build_route("order", "unsafe", ORDERS, maxAttempts=1),
         ]
+        self.services = [build_engine_service(ENGINES), build_plain_service(ORDERS)]
         self.tenants = [build_tenant(TEAM, KEY)]
 
     async def start(self, *, entries: int = 1, zone: str = ZONE) -> None:
@@ -174,8 +175,7 @@
         """Store a new configuration with the current routes and tenants."""
         self.version += 1
         services = [
-            build_engine_service(ENGINES),
-            build_plain_service(ORDERS),
+            *self.services,
             {
                 "name": "origin",
                 "origin": str(self.origin.server.address),
