Never take this side's own end of reading for the end of an answer

Callers got half of a plain answer as a complete one, with a length that fits the half, when its endpoint fell silent in the middle of an answer without length and another endpoint was listed (test: 200, 'the first half'). An abandoned stream without framing ended as complete after whole events in the same way. Cause: an exchange is abandoned by shutting down its socket for reading, and h11 reports the end of the connection as the end of an answer that has no other. Change: an end that this side made raises, whatever the framing, so no reader of answers ever sees it as an end of the answer.

--- a/src/tamaracktray/exchange.py
+++ b/src/tamaracktray/exchange.py
@@ -145,6 +145,9 @@
     async def _receive(self) -> None:
         """Receive data; raise ``AnswerTooLargeError`` above the limit."""
         data = await self._socket.recv(READ_BYTES)
+        if not data and self.is_abandoned:
+            # This side shut down reading, which says nothing about the answer.
+            raise ConnectionAbortedError("the exchange was abandoned")
         self._is_closed = not data
         self._charge_bytes(len(data))
         self._connection.receive_data(data)
@@ -198,7 +201,7 @@
             return AnswerEnd.LAST_CHUNK
         if not self._is_closed or "content-length" in self.headers:
             return AnswerEnd.LENGTH
-        return AnswerEnd.ABANDONED if self.is_abandoned else AnswerEnd.CLOSE
+        return AnswerEnd.CLOSE
 
     async def read_body(
         self, timeout_s: float, max_bytes: int
