Reset the connection of an HTTP/1.0 caller whose answer is not complete

Callers that speak HTTP/1.0 took every broken-off stream for a complete one: the connection ended in order, the only sign of an end that HTTP/1.0 has. It was the same when a handler failed, when the server stopped and when the process was killed. Cause: an answer of unknown length has no framing for these clients, and each way out of a handler closed the socket in order. Change: from the head of such an answer on the socket resets when it is closed, until the answer is finished; the kernel does the same when the process is gone.

--- a/src/tamaracktray/connections.py
+++ b/src/tamaracktray/connections.py
@@ -23,6 +23,7 @@
 
 # SO_LINGER value (on, 0 seconds) that makes close() discard unsent bytes and reset.
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)
+CLOSE_IN_ORDER = struct.pack("ii", 0, 0)
 
 
 async def connect(address: Address) -> curio.io.Socket:
@@ -45,9 +46,17 @@
     """Make ``close`` reset the connection.
 
     An ordinary close keeps retransmitting over a broken link, so the server could start
-    a request long after it was abandoned.
+    a request long after it was abandoned. The peer can't take a reset for the end of
+    an answer without framing, even if it is the end of this process that closes.
     """
+    _set_linger(socket, RESET_ON_CLOSE)
+
+
+def close_in_order(socket: curio.io.Socket) -> None:
+    """Make ``close`` deliver what was sent, which is the default."""
+    _set_linger(socket, CLOSE_IN_ORDER)
+
+
+def _set_linger(socket: curio.io.Socket, value: bytes) -> None:
     with contextlib.suppress(OSError):
-        socket.setsockopt(
-            socket_module.SOL_SOCKET, socket_module.SO_LINGER, RESET_ON_CLOSE
-        )
+        socket.setsockopt(socket_module.SOL_SOCKET, socket_module.SO_LINGER, value)
--- a/src/tamaracktray/http.py
+++ b/src/tamaracktray/http.py
@@ -15,9 +15,14 @@
 import msgspec
 import structlog
 
+from tamaracktray.connections import close_in_order, reset_on_close
 from tamaracktray.types import Address, ErrorCode, Refusal, RunState
 
 READ_BYTES = 65_536
+
+# Older clients see the end of a body without length by the end of the connection.
+CHUNKED_SINCE = b"1.1"
+
 LISTEN_BACKLOG = 512
 
 Headers = list[tuple[str, str]]
@@ -115,7 +120,14 @@
 class _ConnectionResponder(Responder):
     """Answers one request on a server connection."""
 
-    __slots__ = ("_connection", "_socket", "_timeout_s", "is_aborted", "watcher")
+    __slots__ = (
+        "_connection",
+        "_resets_on_close",
+        "_socket",
+        "_timeout_s",
+        "is_aborted",
+        "watcher",
+    )
 
     def __init__(
         self, connection: h11.Connection, socket: curio.io.Socket, timeout_s: float
@@ -123,6 +135,7 @@
         self._connection = connection
         self._socket = socket
         self._timeout_s = timeout_s
+        self._resets_on_close = False
         self.is_aborted = False
         self.watcher: curio.Task | None = None
 
@@ -142,6 +155,9 @@
         )
 
     async def send_head(self, status: int, headers: Headers | RawHeaders) -> None:
+        if self._connection.their_http_version < CHUNKED_SINCE:
+            self._resets_on_close = True
+            reset_on_close(self._socket)
         framed_headers = [*headers, ("transfer-encoding", "chunked")]
         await self._send(h11.Response(status_code=status, headers=framed_headers))
 
@@ -150,6 +166,8 @@
 
     async def finish(self) -> None:
         await self._send(h11.EndOfMessage())
+        if self._resets_on_close:
+            close_in_order(self._socket)
 
     async def abort(self) -> None:
         self.is_aborted = True
--- a/tests/test_http.py
+++ b/tests/test_http.py
@@ -4,6 +4,10 @@
 as complete, and abandoned requests that still reach a server later.
 """
 
+import socket
+import subprocess
+import sys
+
 import curio
 import pytest
 from returns.result import Success
@@ -117,6 +121,80 @@
         handler_faults.clear()
 
 
+ENDLESS_SERVER = """
+import curio
+from tamaracktray.http import HttpServer
+from tamaracktray.types import Address
+
+async def begin(request, responder):
+    await responder.send_head(200, [])
+    await responder.send_data(b"half of ")
+    await curio.sleep(60.0)
+
+async def main():
+    server = HttpServer(Address("127.0.0.1", 0), begin)
+    await server.open()
+    print(server.address.port, flush=True)
+    await server.serve()
+
+curio.run(main)
+"""
+
+
+class TestAnswersWithoutFraming:
+    """Answers to HTTP/1.0, whose length no client knows in advance."""
+
+    REQUEST = b"GET / HTTP/1.0\r\nhost: a\r\n\r\n"
+
+    def test_complete_answer_ends_in_order(self):
+        async def respond(request, responder):
+            await responder.send_head(200, [])
+            await responder.send_data(b"half of ")
+            await responder.finish()
+
+        async def client(server):
+            return await send_raw(server.address, self.REQUEST)
+
+        assert serve(respond, client).endswith(b"\r\n\r\nhalf of ")
+
+    @pytest.mark.parametrize("way", ["abort", "raise", "return", "stop"])
+    def test_interrupted_answer_is_reset(self, way, handler_faults):
+        async def interrupt(request, responder):
+            await responder.send_head(200, [])
+            await responder.send_data(b"half of ")
+            if way == "abort":
+                await responder.abort()
+            elif way == "raise":
+                raise ValueError("the handler failed")
+            elif way == "stop":
+                await curio.sleep(60.0)
+
+        async def client(server):
+            reader = await curio.spawn(send_raw, server.address, self.REQUEST)
+            await curio.sleep(0.1)
+            if way == "stop":
+                await server.close_connections()
+            with pytest.raises(curio.TaskError) as error:
+                await reader.join()
+            return error.value.__cause__
+
+        assert isinstance(serve(interrupt, client), ConnectionResetError)
+        handler_faults.clear()
+
+    def test_answer_of_a_killed_process_is_reset(self):
+        arguments = [sys.executable, "-c", ENDLESS_SERVER]
+        with subprocess.Popen(arguments, stdout=subprocess.PIPE) as process:
+            port = int(process.stdout.readline())
+            with socket.create_connection(("127.0.0.1", port)) as client:
+                client.sendall(self.REQUEST)
+                received = b""
+                while not received.endswith(b"half of "):
+                    received += client.recv(4_096)
+                process.kill()
+                with pytest.raises(ConnectionResetError):
+                    client.recv(4_096)
+
+
 class TestSlowReader:
     """A client reads slower than the server's socket accepts data."""
 
