Continue a begun stream only with an answer of its kind

Callers found the text of an error, a JSON document or nothing behind two of six events, ended as complete, or were cut by an uncaught LocalProtocolError, when the endpoint that was to resume their stream answered 413 with a long body, 200 with JSON, 204, or 302, 400 and 404. Cause: the relay looked at the status and type of an answer, but not at what the caller had got before. Change: an answer to a call that has begun is relayed only if its status and media type are those of the head which the caller has; anything else fails the attempt, and the call is resumed elsewhere or cut.

--- a/src/tamaracktray/attempt_relay.py
+++ b/src/tamaracktray/attempt_relay.py
@@ -16,6 +16,7 @@
 from tamaracktray.endpoint_limits import EndpointLimitReceived
 from tamaracktray.exceptions import TransportError
 from tamaracktray.exchange import Exchange, open_exchange
+from tamaracktray.headers import read_media_type
 from tamaracktray.http import RawHeaders, Responder
 from tamaracktray.idle_timeouts import (
     STALL_CHECK_S,
@@ -186,6 +187,11 @@
         if is_success and not fields.is_signed:
             detail = "the answer is not signed"
             return build_attempt_end(decision, AttemptPhase.SENT, detail=detail)
+        if not open_call.is_continued_by(exchange):
+            detail = f"the answer ({exchange.status}) does not continue the begun one"
+            return build_attempt_end(
+                decision, AttemptPhase.FAILED, exchange.status, detail=detail
+            )
         if is_success and call.route.kind is RepeatKind.STREAM:
             return await self._relay_stream(open_call, decision, exchange, fields)
         return await self._relay_whole(open_call, decision, exchange, fields)
@@ -344,7 +350,7 @@
     ) -> None:
         responder = open_call.responder
         if not open_call.is_head_sent:
-            open_call.is_head_sent = True
+            open_call.begin(exchange)
             headers = self._select_headers(exchange.raw_headers)
             await responder.send_head(exchange.status, headers)
         if data:
@@ -355,5 +361,4 @@
     """Return whether an answer consists of events; a head is sent with the first."""
     if open_call.is_head_sent:
         return True
-    content_type = exchange.headers.get("content-type", "")
-    return content_type.partition(";")[0].strip().lower() == EVENT_STREAM_TYPE
+    return read_media_type(exchange.headers) == EVENT_STREAM_TYPE
--- a/src/tamaracktray/headers.py
+++ b/src/tamaracktray/headers.py
@@ -63,6 +63,11 @@
     return {part.strip().lower() for part in value.split(",") if part.strip()}
 
 
+def read_media_type(headers: dict[str, str]) -> str:
+    """Return the media type of a body in lower case, empty if absent."""
+    return headers.get("content-type", "").partition(";")[0].strip().lower()
+
+
 def read_int(text: str) -> int | None:
     """Parse a non-negative integer; return ``None`` if absent or malformed."""
     text = text.strip()
