Break off a resumed stream that repeats events which its caller has

Callers got events 1, 2, 1, 2, ... 6 as one complete stream, the parts of two runs, when the endpoint that was to resume it ignored Last-Event-Id. Cause: whatever came after the head was passed on; only the sender of the stream knew where it began. Change: the first id of a resumed stream has to be later than the last one that the caller has, else the attempt is broken off and nothing of it is passed on. Ids may jump, since endpoints only promise that they increase. The same holds for a caller that resumes a stream itself.

--- a/src/tamaracktray/attempt_relay.py
+++ b/src/tamaracktray/attempt_relay.py
@@ -283,7 +283,7 @@
     ) -> CallAttemptEnded:
         """Relay a stream in whole events, so that another endpoint can resume it."""
         buffer = open_call.buffer
-        buffer.take_incomplete()
+        buffer.resume(decision.last_event_id)
         is_started = False
         progress_at = time.monotonic()
         while True:
@@ -297,10 +297,9 @@
             is_end = isinstance(data, AnswerEnd)
             self.responsive_ids.add(decision.endpoint_id)
             events = buffer.take_incomplete() if is_end else buffer.feed(data)
-            fault = ""
-            if buffer.is_too_large:
+            fault = buffer.fault
+            if fault:
                 await exchange.abandon()
-                fault = "an event is too large"
             elif is_end and events.strip() and _is_event_stream(open_call, exchange):
                 fault = "the stream ended inside an event"
             if fault:
--- a/src/tamaracktray/event_stream.py
+++ b/src/tamaracktray/event_stream.py
@@ -1,5 +1,7 @@
 """Splits event streams between events, so that another endpoint can resume them."""
 
+from tamaracktray.headers import read_int
+
 # An empty line terminates an event.
 EVENT_TERMINATORS = (b"\n\n", b"\r\n\r\n")
 LONGEST_TERMINATOR = max(len(terminator) for terminator in EVENT_TERMINATORS)
@@ -15,17 +17,37 @@
     ``last_event_id`` is the id of the last event returned.
     """
 
-    __slots__ = ("_incomplete", "last_event_id")
+    __slots__ = ("_incomplete", "_is_repeating", "_resumed_id", "last_event_id")
 
     def __init__(self) -> None:
         self._incomplete = bytearray()
+        self._resumed_id = ""
+        self._is_repeating = False
         self.last_event_id = ""
 
+    def resume(self, last_event_id: str) -> None:
+        """Prepare for a stream that goes on after an event, empty for a new stream.
+
+        Such a stream is at fault if it begins with an event that its caller has.
+        """
+        self._incomplete.clear()
+        self._resumed_id = last_event_id
+        self._is_repeating = False
+
     @property
     def is_too_large(self) -> bool:
         """Whether the incomplete event exceeds ``MAX_EVENT_BYTES``."""
         return len(self._incomplete) > MAX_EVENT_BYTES
 
+    @property
+    def fault(self) -> str:
+        """Return why the rest of the stream can't be relayed, or an empty string."""
+        if self._is_repeating:
+            return "the stream repeats events"
+        if self.is_too_large:
+            return "an event is too large"
+        return ""
+
     def feed(self, data: bytes) -> bytes:
         """Append received bytes and return all complete events."""
         # Bytes buffered earlier contain no terminator; only one that spans the new
@@ -37,6 +59,10 @@
             return b""
         events = bytes(self._incomplete[:end])
         del self._incomplete[:end]
+        if self._resumed_id:
+            self._check_first_id(events)
+        if self._is_repeating:
+            return b""
         self._record_last_id(events)
         return events
 
@@ -50,8 +76,27 @@
         position = self._incomplete.rfind(terminator, start)
         return 0 if position < 0 else position + len(terminator)
 
+    def _check_first_id(self, events: bytes) -> None:
+        for line in events.splitlines():
+            if line.startswith(ID_FIELD):
+                self._is_repeating = not _is_later(_read_id(line), self._resumed_id)
+                self._resumed_id = ""
+                return
+
     def _record_last_id(self, events: bytes) -> None:
         for line in reversed(events.splitlines()):
             if line.startswith(ID_FIELD):
-                self.last_event_id = line[len(ID_FIELD) :].strip().decode("latin-1")
+                self.last_event_id = _read_id(line)
                 return
+
+
+def _read_id(line: bytes) -> str:
+    return line[len(ID_FIELD) :].strip().decode("latin-1")
+
+
+def _is_later(event_id: str, last_event_id: str) -> bool:
+    """Return whether an event follows the last one; ids need not be consecutive."""
+    number, last_number = read_int(event_id), read_int(last_event_id)
+    if number is None or last_number is None:
+        return event_id != last_event_id
+    return number > last_number
