Break off a stream without a type that ends inside its first event

Callers got a part of the first event as a complete answer if the stream had neither framing nor a content type and broke off there. Cause: only a stream of the type of events, or one that had begun, had to end behind an event. Change: on a stream route an answer without a type has to as well, unless its framing proves that it is complete. Evidence: test_stream_without_type_that_ends_inside_its_first_event_is_no_success failed before.

--- a/src/tamaracktray/attempt_relay.py
+++ b/src/tamaracktray/attempt_relay.py
@@ -300,7 +300,7 @@
             fault = buffer.fault
             if fault:
                 await exchange.abandon()
-            elif is_end and events.strip() and _is_event_stream(open_call, exchange):
+            elif is_end and events.strip() and _holds_events(open_call, exchange):
                 fault = "the stream ended inside an event"
             if fault:
                 return build_failed_end(
@@ -356,8 +356,15 @@
             await responder.send_data(data)
 
 
-def _is_event_stream(open_call: OpenCall, exchange: Exchange) -> bool:
-    """Return whether an answer consists of events; a head is sent with the first."""
+def _holds_events(open_call: OpenCall, exchange: Exchange) -> bool:
+    """Return whether a body on a stream route has to end behind an event.
+
+    A head is sent with the first event. Without a type, only framing proves that the
+    answer is complete although it holds no event.
+    """
     if open_call.is_head_sent:
         return True
-    return read_media_type(exchange.headers) == EVENT_STREAM_TYPE
+    media_type = read_media_type(exchange.headers)
+    if not media_type and exchange.end is not None:
+        return not exchange.end.is_proven
+    return media_type == EVENT_STREAM_TYPE
