Break off a stream that ends before its first event without framing

Callers got an empty success, or the events before a resumption as a complete stream, if the endpoint closed the connection right behind its head. Cause: the end of a connection was enough for a stream in which nothing had arrived, and a crash at that moment looks the same. Change: such an end fails the attempt. A length of 0 or a last chunk still completes an empty stream, as after a resumption behind the last event. Evidence: the test named for it and the case 'empty stream without framing' after each broken stream failed before.

--- a/src/tamaracktray/attempt_relay.py
+++ b/src/tamaracktray/attempt_relay.py
@@ -302,6 +302,8 @@
                 await exchange.abandon()
             elif is_end and events.strip() and _holds_events(open_call, exchange):
                 fault = "the stream ended inside an event"
+            elif data is AnswerEnd.CLOSE and not (is_started or events.strip()):
+                fault = "the stream ended before its first event"
             if fault:
                 return build_failed_end(
                     decision, exchange, fault, open_call.last_event_id
