Pass on the part of an answer that came before a protocol violation

Callers of a stream whose chunks turned into something else lost events that had arrived whole in the same read, and with a sole endpoint got a 502 instead of the events and a cut. Cause: a read that met the violation dropped the pieces it had collected. Change: it returns them, and the next read fails.

--- a/src/tamaracktray/exchange.py
+++ b/src/tamaracktray/exchange.py
@@ -190,8 +190,9 @@
             return Failure(TransportError("answer stalled", sent=True, is_timeout=True))
         except (OSError, h11.RemoteProtocolError) as error:
             self.end = AnswerEnd.ABANDONED if self.is_abandoned else AnswerEnd.CUT
-            return Failure(TransportError(f"answer was cut: {error}", sent=True))
-        if self.end is AnswerEnd.CUT:
+            if not pieces:
+                return Failure(TransportError(f"answer was cut: {error}", sent=True))
+        if not pieces and self.end in (AnswerEnd.CUT, AnswerEnd.ABANDONED):
             return Failure(TransportError("answer was cut", sent=True))
         return Success(b"".join(pieces) or self.end)
 
