Complete an agent's answer to the caller only if its framing proves it

An entry took the end of a connection to an agent for the end of an answer without framing, and completed it for its caller. Agents always frame their answers, so such an end means that the agent's process is gone. Change: only a length or a last chunk completes the answer; any other end aborts it.

--- a/src/tamaracktray/entry.py
+++ b/src/tamaracktray/entry.py
@@ -270,12 +270,16 @@
         while isinstance(piece, Success):
             data = piece.unwrap()
             if isinstance(data, AnswerEnd):
-                await responder.finish()
-                return _build_attempt_ended(decision, AttemptPhase.ANSWERED, load=load)
+                break
             await responder.send_data(data)
             piece = await exchange.read_data(self.settings.requests.stall_s)
+        if exchange.end is not None and exchange.end.is_proven:
+            await responder.finish()
+            return _build_attempt_ended(decision, AttemptPhase.ANSWERED, load=load)
         await responder.abort()
-        detail = piece.failure().message
+        detail = "the agent closed an answer without framing"
+        if isinstance(piece, Failure):
+            detail = piece.failure().message
         return _build_attempt_ended(
             decision, AttemptPhase.CUT, load=load, detail=detail
         )
--- a/tests/test_shell.py
+++ b/tests/test_shell.py
@@ -4,18 +4,26 @@
 prevents all updates.
 """
 
+from types import SimpleNamespace
+
 import curio
 import msgspec
 import pytest
 from returns.result import Failure, Success
 
+from raw_endpoints import Framing, RawAnswer, RawEndpoint
+from tamaracktray.effects import SendAttempt
 from tamaracktray.entry import EntryShell
 from tamaracktray.exceptions import RevisionExpiredError
+from tamaracktray.exchange import fetch, open_exchange
+from tamaracktray.http import HttpServer
 from tamaracktray.instances import InstanceList
 from tamaracktray.objects import CONFIGURATION
+from tamaracktray.outcomes import AttemptPhase
 from tamaracktray.resources import Kind
 from tamaracktray.settings import load_settings
 from tamaracktray.testing import MemoryObjectStore
+from tamaracktray.types import Address
 
 ENTRY_INI = """
 [node]
@@ -133,3 +141,40 @@
         configuration = curio.run(run)
         assert list(configuration.by_key) == ["zones.zone-a"]
         assert msgspec.json.encode(configuration)
+
+
+class TestAgentAnswers:
+    @pytest.mark.parametrize("framing", Framing)
+    def test_answer_of_an_agent_is_complete_only_by_its_framing(
+        self, make_shell, framing
+    ):
+        """Agents always frame their answers; one without framing was broken off."""
+        ended = []
+
+        async def answer(raw: RawAnswer) -> None:
+            await raw.respond(framing, b"the answer")
+
+        async def run():
+            shell = make_shell(MemoryObjectStore())
+            agent = RawEndpoint(answer)
+            await agent.open()
+
+            async def relay(request, responder):
+                opened = await open_exchange(agent.address, "GET", "/", [])
+                exchange = opened.unwrap()
+                await exchange.read_head(1.0)
+                decision = SendAttempt("id-1", 1, "agent-1", agent.address)
+                pending = SimpleNamespace(responder=responder)
+                ended.append(await shell._relay_body(pending, decision, exchange, None))
+                await exchange.close()
+
+            server = HttpServer(Address("127.0.0.1", 0), relay)
+            await server.open()
+            await curio.spawn(server.serve, daemon=True)
+            return await fetch(server.address, "GET", "/")
+
+        reply = curio.run(run)
+        is_complete = framing is not Framing.NEITHER
+        assert isinstance(reply, Success) is is_complete
+        expected = AttemptPhase.ANSWERED if is_complete else AttemptPhase.CUT
+        assert [attempt.phase for attempt in ended] == [expected]
