Reject a datagram that is nested too deeply instead of ending its reader

A process heard no peer any more after one such datagram: its beacons, loads, due versions and quarantines were lost to it until the next start. Cause: decode_beacon raised RecursionError, which ended the one task that reads datagrams. Change: a module decides once which errors of a decoder mean 'unreadable', and a too deep document is one of them.

--- a/src/tamaracktray/beacons.py
+++ b/src/tamaracktray/beacons.py
@@ -9,6 +9,7 @@
 import msgspec
 from returns.result import Failure, Result, Success
 
+from tamaracktray.decoding import UNREADABLE
 from tamaracktray.endpoint_limits import is_valid_limit
 from tamaracktray.exceptions import ProtocolError
 from tamaracktray.part_watch import SoundAnswer
@@ -77,7 +78,7 @@
     """Decode a datagram; fail if it is unreadable or has invalid values."""
     try:
         beacon = _DECODER.decode(data)
-    except msgspec.DecodeError as error:
+    except UNREADABLE as error:
         return Failure(ProtocolError(f"unreadable beacon: {error}"))
     if not _is_valid(beacon):
         return Failure(
