Treat a document that is too deep or too large as unreadable wherever one is read

The agent's report loop ended by RecursionError for one nested report, and so did whatever read a list of chunks, a manifest, a refusal, a resource, a member list or a peer's exchange; an exchange with a malformed document raised as well. Cause: each reader caught the errors of the decoder that its author had thought of. Change: they all use one decoder that returns a failure, or its one list of errors.

--- a/src/tamaracktray/api.py
+++ b/src/tamaracktray/api.py
@@ -16,6 +16,7 @@
 from returns.result import Failure, Result, Success
 
 from tamaracktray.claims import ClaimShard, is_outcome_unknown, name_shard, settle_claim
+from tamaracktray.decoding import UNREADABLE, decode_json
 from tamaracktray.events import ObjectsReceived
 from tamaracktray.exceptions import (
     ConflictError,
@@ -287,7 +288,7 @@
         try:
             settlement = msgspec.json.decode(request.body, type=SettleRequest)
             shard_name = name_shard(key)
-        except (msgspec.DecodeError, ValueError) as error:
+        except UNREADABLE as error:
             return _fail(400, "bad_request", str(error))
         found = await self._shell.store.get(CLAIMS, shard_name)
         if isinstance(found, Failure):
@@ -323,11 +324,11 @@
 def _decode_body(
     request: Request, kind: Kind, name: str
 ) -> Result[Resource, ResourceError]:
-    try:
-        document = msgspec.json.decode(request.body)
-    except msgspec.DecodeError as error:
+    document = decode_json(request.body, Any)
+    if isinstance(document, Failure):
+        error = document.failure().message
         return Failure(ResourceError(f"the body is not JSON: {error}"))
-    return decode_resource(document).bind(
+    return decode_resource(document.unwrap()).bind(
         lambda resource: _check_identity(resource, kind, name)
     )
 
--- a/src/tamaracktray/chunk_reads.py
+++ b/src/tamaracktray/chunk_reads.py
@@ -1,8 +1,8 @@
 """Reads of the manifest and chunks of a version from a peer or the origin."""
 
-import msgspec
 from returns.result import Failure, Result, Success
 
+from tamaracktray.decoding import decode_msgpack
 from tamaracktray.engines import VersionOrigin
 from tamaracktray.exceptions import SourceUnreachableError, WeightError
 from tamaracktray.exchange import fetch
@@ -60,10 +60,9 @@
     body = await _read_peer(address, key.path + MANIFEST_PART)
     if isinstance(body, Failure):
         return body
-    try:
-        return Success(msgspec.msgpack.decode(body.unwrap(), type=Manifest))
-    except msgspec.DecodeError as error:
-        return Failure(WeightError(f"{address}: unreadable manifest: {error}"))
+    return decode_msgpack(body.unwrap(), Manifest).alt(
+        lambda error: WeightError(f"{address}: manifest: {error.message}")
+    )
 
 
 async def read_peer_chunk(
--- a/src/tamaracktray/client.py
+++ b/src/tamaracktray/client.py
@@ -7,6 +7,7 @@
 from returns.result import Failure, Result, Success
 
 from tamaracktray.api import PREFIX, build_path
+from tamaracktray.decoding import decode_json
 from tamaracktray.exceptions import CommandError
 from tamaracktray.exchange import fetch
 from tamaracktray.http import Headers
@@ -108,14 +109,13 @@
             message = f"no entry answers at {self._address}: {reply.failure().message}"
             return Failure(UnreachableError(message))
         answer = reply.unwrap()
-        try:
-            decoded = msgspec.json.decode(answer.body)
-        except msgspec.DecodeError:
+        decoded = decode_json(answer.body, Any)
+        if isinstance(decoded, Failure):
             message = f"{self._address} is not a resource API ({answer.status})"
             return Failure(UnreachableError(message))
         if answer.status >= 400:
-            return Failure(_build_error(answer.status, decoded))
-        return Success(decoded)
+            return Failure(_build_error(answer.status, decoded.unwrap()))
+        return decoded
 
     async def _fetch(
         self, method: str, target: str, body: bytes, timeout_s: float
--- a/src/tamaracktray/console.py
+++ b/src/tamaracktray/console.py
@@ -15,6 +15,7 @@
     NotFoundError,
     UnreachableError,
 )
+from tamaracktray.decoding import UNREADABLE
 from tamaracktray.exceptions import CommandError
 from tamaracktray.progress import RolloutProgress
 from tamaracktray.resources import (
@@ -44,7 +45,7 @@
     """Read the resources of a JSON file, or exit with an error message."""
     try:
         document = msgspec.json.decode(path.read_bytes())
-    except (OSError, msgspec.DecodeError) as error:
+    except (OSError, *UNREADABLE) as error:
         fail(f"{path}: {error}", EXIT_USAGE)
     documents = document if isinstance(document, list) else [document]
     resources: list[Resource] = []
--- a/src/tamaracktray/control.py
+++ b/src/tamaracktray/control.py
@@ -9,6 +9,7 @@
 from collections import OrderedDict
 from collections.abc import Iterable
 from concurrent.futures import ThreadPoolExecutor
+from typing import Any
 
 import curio
 import grpc
@@ -17,6 +18,7 @@
 
 from tamaracktray import control_pb2, control_pb2_grpc
 from tamaracktray.configuration import Configuration
+from tamaracktray.decoding import decode_json
 from tamaracktray.events import CrashNote, PeerReported
 from tamaracktray.exceptions import TransportError
 from tamaracktray.resources import Resource, decode_resource, encode_resource
@@ -223,7 +225,7 @@
 ) -> Result[ExchangeResult, TransportError]:
     changes: list[Resource] = []
     for document in reply.changes:
-        decoded = decode_resource(msgspec.json.decode(document))
+        decoded = decode_json(document, Any).bind(decode_resource)
         if isinstance(decoded, Failure):
             message = f"peer {reply.sender}: {decoded.failure().message}"
             return Failure(TransportError(message, sent=True))
--- a/src/tamaracktray/decoding.py
+++ b/src/tamaracktray/decoding.py
@@ -32,7 +32,7 @@
         return Failure(ProtocolError(f"unreadable document: {error}"))
 
 
-def decode_listing(data: bytes, document: type[T]) -> Result[T, ProtocolError]:
+def decode_listing(data: bytes, document: type[T] | Any) -> Result[T, ProtocolError]:
     """Decode a JSON document with lists, leaving out only unreadable elements.
 
     A ``msgspec.Raw`` field of an element is kept apart, whatever it holds.
--- a/src/tamaracktray/endpoints.py
+++ b/src/tamaracktray/endpoints.py
@@ -10,6 +10,7 @@
 from returns.result import Failure, Result, Success
 from typing_extensions import override
 
+from tamaracktray.decoding import decode_json
 from tamaracktray.exceptions import TransportError, WeightError
 from tamaracktray.exchange import Exchange, fetch, open_exchange
 from tamaracktray.http import Headers, Reply
@@ -105,11 +106,9 @@
         reply = await fetch(self._address, "GET", "/admin/status", timeout_s=1.0)
         if isinstance(reply, Failure):
             return reply
-        try:
-            return Success(msgspec.json.decode(reply.unwrap().body, type=EngineStatus))
-        except msgspec.DecodeError as error:
-            message = f"unreadable engine status: {error}"
-            return Failure(TransportError(message, sent=True))
+        return decode_json(reply.unwrap().body, EngineStatus).alt(
+            lambda error: TransportError(f"status: {error.message}", sent=True)
+        )
 
     @override
     async def stage_chunk(self, digest: str, data: bytes) -> Result[None, WeightError]:
--- a/src/tamaracktray/engines.py
+++ b/src/tamaracktray/engines.py
@@ -6,6 +6,7 @@
 import msgspec
 from returns.result import Result
 
+from tamaracktray.decoding import UNREADABLE
 from tamaracktray.exceptions import TransportError, WeightError
 from tamaracktray.roster import LoadedModel
 from tamaracktray.weights import Manifest
@@ -37,7 +38,7 @@
     """Return ``target`` with the times in ``status``, unchanged if it is unreadable."""
     try:
         record = msgspec.convert(status or {}, AnnouncementRecord)
-    except msgspec.ValidationError:
+    except UNREADABLE:
         return target
     return VersionTarget(target.model, target.version, record.announcements)
 
--- a/src/tamaracktray/instances.py
+++ b/src/tamaracktray/instances.py
@@ -2,10 +2,10 @@
 
 from abc import ABC, abstractmethod
 
-import msgspec
-from returns.result import Failure, Result, Success
+from returns.result import Failure, Result
 from typing_extensions import override
 
+from tamaracktray.decoding import decode_listing
 from tamaracktray.exceptions import PlatformError, PlatformUnavailableError
 from tamaracktray.exchange import fetch
 from tamaracktray.types import Address, Instance
@@ -42,8 +42,6 @@
         if answer.status != 200:
             message = f"the instance list answered {answer.status}"
             return Failure(PlatformUnavailableError(message))
-        try:
-            return Success(msgspec.json.decode(answer.body, type=list[Instance]))
-        except msgspec.DecodeError as error:
-            message = f"unreadable instance list: {error}"
-            return Failure(PlatformUnavailableError(message))
+        return decode_listing(answer.body, list[Instance]).alt(
+            lambda error: PlatformUnavailableError(f"instance list: {error.message}")
+        )
--- a/src/tamaracktray/messages.py
+++ b/src/tamaracktray/messages.py
@@ -9,6 +9,7 @@
 
 from tamaracktray import headers as names
 from tamaracktray.claims import digest_key
+from tamaracktray.decoding import decode_json
 from tamaracktray.events import CallerRequest
 from tamaracktray.exceptions import ProtocolError
 from tamaracktray.http import Headers, Reply, Request
@@ -45,10 +46,7 @@
 
 def decode_refusal(reply: Reply) -> Result[Refusal, ProtocolError]:
     """Parse an agent's error answer."""
-    try:
-        return Success(msgspec.json.decode(reply.body, type=ErrorBody).error)
-    except msgspec.DecodeError as error:
-        return Failure(ProtocolError(f"unreadable refusal: {error}"))
+    return decode_json(reply.body, ErrorBody).map(lambda body: body.error)
 
 
 def refuse_bad_request(message: str) -> Refusal:
--- a/src/tamaracktray/node_process.py
+++ b/src/tamaracktray/node_process.py
@@ -13,6 +13,7 @@
 
 from tamaracktray.beacons import Beacon, decode_beacon, encode_beacon
 from tamaracktray.collection_reader import CollectionReader, StoreReadContext
+from tamaracktray.decoding import decode_msgpack
 from tamaracktray.deployment import Deployment
 from tamaracktray.effects import Effect
 from tamaracktray.engines import VersionOrigin
@@ -301,14 +302,11 @@
                 self.logs.flush()
 
     async def _serve_snapshots(self, request: Request, responder: Responder) -> None:
-        try:
-            known_revisions = msgspec.msgpack.decode(
-                request.body, type=dict[Collection, int]
-            )
-        except msgspec.DecodeError:
+        known_revisions = decode_msgpack(request.body, dict[Collection, int])
+        if isinstance(known_revisions, Failure):
             await responder.respond(400, [])
             return
-        newer = self.state.snapshot_cache.select_newer(known_revisions)
+        newer = self.state.snapshot_cache.select_newer(known_revisions.unwrap())
         await responder.respond(200, [], encode_snapshots(newer))
 
     async def _start_pull(self, effect: PullSnapshots) -> None:
--- a/src/tamaracktray/objects.py
+++ b/src/tamaracktray/objects.py
@@ -12,6 +12,7 @@
 from returns.result import Failure, Result, Success
 from typing_extensions import override
 
+from tamaracktray.decoding import UNREADABLE
 from tamaracktray.exceptions import (
     ConflictError,
     ObjectNotFoundError,
@@ -280,14 +281,14 @@
 def _read_current_version(body: bytes) -> int | None:
     try:
         return int(msgspec.json.decode(body)["details"]["resourceVersion"])
-    except (msgspec.DecodeError, KeyError, TypeError, ValueError):
+    except (*UNREADABLE, LookupError, TypeError):
         return None
 
 
 def _parse_document(body: bytes, read: Any) -> Result[Any, PlatformError]:
     try:
         return Success(read(msgspec.json.decode(body)))
-    except (msgspec.DecodeError, KeyError, TypeError, ValueError) as error:
+    except (*UNREADABLE, LookupError, TypeError, AttributeError) as error:
         return Failure(PlatformUnavailableError(f"unreadable platform answer: {error}"))
 
 
@@ -326,6 +327,6 @@
                 continue
             deleted = event["type"] == "DELETED"
             items.append(_read_object(event["object"], deleted=deleted))
-    except (msgspec.DecodeError, KeyError, TypeError, ValueError) as error:
+    except (*UNREADABLE, LookupError, TypeError, AttributeError) as error:
         return Failure(PlatformUnavailableError(f"unreadable watch event: {error}"))
     return Success(ObjectList(revision, items))
--- a/src/tamaracktray/platform/engine.py
+++ b/src/tamaracktray/platform/engine.py
@@ -4,6 +4,7 @@
 from returns.result import Failure, Result, Success
 from typing_extensions import override
 
+from tamaracktray.decoding import UNREADABLE, decode_json
 from tamaracktray.engines import (
     EngineReport,
     OrderOutcome,
@@ -56,7 +57,7 @@
         answer = reply.unwrap()
         try:
             return Success(read_report(answer.body))
-        except msgspec.DecodeError as error:
+        except UNREADABLE as error:
             message = f"unreadable report ({answer.status}): {error}"
             return Failure(TransportError(message, sent=True))
 
@@ -65,11 +66,10 @@
         reply = await self._call("GET", f"/stage-get/{model}")
         if isinstance(reply, Failure):
             return reply
-        try:
-            staged = msgspec.json.decode(reply.unwrap().body, type=dict[str, list[int]])
-        except msgspec.DecodeError as error:
-            return Failure(WeightError(f"unreadable list of staged chunks: {error}"))
-        return Success(staged.get("held", []))
+        staged = decode_json(reply.unwrap().body, dict[str, list[int]])
+        return staged.map(lambda by_name: by_name.get("held", [])).alt(
+            lambda error: WeightError(f"list of staged chunks: {error.message}")
+        )
 
     @override
     async def read_chunk(self, model: str, index: int) -> Result[bytes, WeightError]:
@@ -133,7 +133,7 @@
             return reply
         try:
             chunk_bytes, digests = read_manifest(reply.unwrap().body)
-        except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        except UNREADABLE as error:
             return Failure(WeightError(f"unreadable manifest: {error}"))
         return Success(Manifest(chunk_bytes, chunk_bytes * len(digests), digests))
 
--- a/src/tamaracktray/resources.py
+++ b/src/tamaracktray/resources.py
@@ -12,6 +12,7 @@
 from msgspec import Meta
 from returns.result import Failure, Result, Success
 
+from tamaracktray.decoding import UNREADABLE
 from tamaracktray.exceptions import ResourceError
 
 NAME_PATTERN = r"^[a-z0-9]([a-z0-9.-]{0,61}[a-z0-9])?$"
@@ -155,7 +156,7 @@
         return Failure(ResourceError("resource_version must be an integer >= 0"))
     try:
         spec = msgspec.convert(document.get("spec", {}), SPEC_TYPE_BY_KIND[kind])
-    except msgspec.ValidationError as error:
+    except UNREADABLE as error:
         return Failure(ResourceError(f"spec of {kind.value}/{name}: {error}"))
     deleted = document.get("deleted", False) is True
     return Success(Resource(kind, name, spec, version, deleted))
--- a/src/tamaracktray/snapshot_codec.py
+++ b/src/tamaracktray/snapshot_codec.py
@@ -9,6 +9,7 @@
 import msgspec
 from returns.result import Failure, Result, Success
 
+from tamaracktray.decoding import UNREADABLE
 from tamaracktray.engines import VersionTarget
 from tamaracktray.exceptions import ProtocolError
 from tamaracktray.objects import StoredObject
@@ -51,7 +52,7 @@
             collection: _convert_values(collection, snapshot)
             for collection, snapshot in received.items()
         }
-    except (zlib.error, msgspec.DecodeError, RecursionError) as error:
+    except (zlib.error, *UNREADABLE) as error:
         return Failure(ProtocolError(f"unreadable snapshots: {error}"))
     return Success(snapshots)
 
--- a/src/tamaracktray/version_keys.py
+++ b/src/tamaracktray/version_keys.py
@@ -2,6 +2,8 @@
 
 import msgspec
 
+from tamaracktray.headers import read_int
+
 VERSIONS_PATH = "/versions/"
 
 
@@ -20,6 +22,5 @@
 def read_version_key(path: str) -> VersionKey | None:
     """Return the version that a peer's request path names, or ``None``."""
     parts = path.removeprefix(VERSIONS_PATH).split("/")
-    if len(parts) != 3 or not parts[1].isdigit():
-        return None
-    return VersionKey(parts[0], int(parts[1]))
+    version = read_int(parts[1]) if len(parts) == 3 else None
+    return None if version is None else VersionKey(parts[0], version)
--- a/src/tamaracktray/weights.py
+++ b/src/tamaracktray/weights.py
@@ -8,6 +8,7 @@
 from typing_extensions import override
 
 from tamaracktray import headers as names
+from tamaracktray.decoding import UNREADABLE
 from tamaracktray.exceptions import WeightError
 from tamaracktray.exchange import fetch
 from tamaracktray.http import Headers, Reply
@@ -63,7 +64,7 @@
         return Failure(WeightError(f"manifest {digest[:12]} is corrupt"))
     try:
         manifest = msgspec.json.decode(data, type=Manifest)
-    except msgspec.DecodeError as error:
+    except UNREADABLE as error:
         return Failure(WeightError(f"manifest {digest[:12]} is unreadable: {error}"))
     if not manifest.chunks or not 0 < manifest.chunk_bytes <= MAX_CHUNK_BYTES:
         message = f"chunks must have 1 to {MAX_CHUNK_BYTES} bytes"
