Decode each entry of a list apart, so that an odd one costs only itself

With one odd entry among those of the workers, a list or watch failed as a whole or ended its task: entries kept outdated workers, a new entry had none, and all calls failed. Cause: an answer of the store was decoded as one document, and RecursionError wasn't caught. Change: the documents of objects are decoded one by one; if even the outline of an answer can't be decoded, for depth or half a surrogate pair, it is sliced by its brackets and each object is read from its own text. An unreadable object is a log line and a metric. A known worker with an odd change is not used until the next change; an evacuation consists of its name, whatever its document holds.

--- a/src/tamaracktray/collection_reader.py
+++ b/src/tamaracktray/collection_reader.py
@@ -226,6 +226,7 @@
         if isinstance(listed, Failure):
             return listed.failure()
         objects = listed.unwrap()
+        self._count_unreadable(collection, objects)
         await self._context.dispatch(
             CollectionListed(
                 time.monotonic(), collection, objects.items, objects.revision
@@ -243,6 +244,7 @@
         if isinstance(watched, Failure):
             return watched.failure(), 0
         changes = watched.unwrap()
+        self._count_unreadable(collection, changes)
         await self._context.dispatch(
             CollectionChanged(
                 time.monotonic(), collection, changes.items, changes.revision
@@ -276,6 +278,14 @@
         finally:
             del self._watches[collection]
 
+    def _count_unreadable(self, collection: Collection, objects: ObjectList) -> None:
+        for item in objects.items:
+            if item.value is not None or item.deleted:
+                continue
+            self._context.metrics.count(
+                "objects_unreadable", collection=collection.value
+            )
+
     def _count_call(self, collection: Collection, kind: str) -> None:
         metrics = self._context.metrics
         metrics.count("store_calls", kind=kind, collection=collection.value)
--- a/src/tamaracktray/platform/store.py
+++ b/src/tamaracktray/platform/store.py
@@ -7,6 +7,7 @@
 from returns.result import Failure, Result, Success
 from typing_extensions import override
 
+from tamaracktray.decoding import UNREADABLE, decode_json, decode_listing
 from tamaracktray.engines import VersionTarget, add_record
 from tamaracktray.exceptions import (
     ConflictError,
@@ -56,6 +57,8 @@
     Collection.QUARANTINES: "quarantines",
 }
 
+NULL = msgspec.Raw(b"null")
+
 READER_BY_COLLECTION: dict[str, DocumentReader] = {
     Collection.ROUTING: read_configuration,
     Collection.ENDPOINTS: read_endpoint,
@@ -73,8 +76,9 @@
 
 class _Object(msgspec.Struct, frozen=True):
     metadata: _Metadata
-    spec: Any = None
-    status: Any = None
+    # Documents of other writers, which may be unreadable.
+    spec: msgspec.Raw = NULL
+    status: msgspec.Raw = NULL
 
 
 class _Page(msgspec.Struct, frozen=True, rename="camel"):
@@ -235,17 +239,14 @@
 
 
 def _read_revision(body: bytes) -> int | None:
-    try:
-        return msgspec.json.decode(body, type=_Object).metadata.revision
-    except msgspec.DecodeError:
-        return None
+    decoded = decode_listing(body, _Object)
+    return decoded.map(lambda item: item.metadata.revision).value_or(None)
 
 
 def _decode(answer: Reply, document: type) -> Result[Any, PlatformError]:
-    try:
-        return Success(msgspec.json.decode(answer.body, type=document))
-    except msgspec.DecodeError as error:
-        return Failure(PlatformUnavailableError(f"unreadable answer: {error}"))
+    return decode_listing(answer.body, document).alt(
+        lambda error: PlatformUnavailableError(error.message)
+    )
 
 
 def _build_stored_object(
@@ -256,15 +257,18 @@
     if not is_removed:
         value = _read_value(collection, metadata.name, item.spec)
     if isinstance(value, VersionTarget):
-        value = add_record(value, item.status)
+        value = add_record(value, decode_json(item.status, Any).value_or(None))
     return StoredObject(metadata.name, metadata.revision, value, deleted=is_removed)
 
 
-def _read_value(collection: str, name: str, spec: Any) -> Any:
+def _read_value(collection: str, name: str, spec: msgspec.Raw) -> Any:
     """Return the decoded document, or log a warning and return ``None`` if invalid."""
+    reader = READER_BY_COLLECTION[collection]
     try:
-        return READER_BY_COLLECTION[collection](name, spec)
-    except (msgspec.ValidationError, ValueError) as error:
+        # An evacuation consists of its name only.
+        document = None if reader is read_evacuation else msgspec.json.decode(spec)
+        return reader(name, document)
+    except UNREADABLE as error:
         structlog.get_logger().warning(
             "object unreadable", collection=collection, name=name, error=str(error)
         )
