Tell a late copy of an answer from the answer on a kept connection

An agent took a second copy of an earlier answer of its engine for the answer to its next request, if the copy arrived between that request and its own answer: an old report as the newest one. Cause: the persistent client looked for stray bytes only before it sent. Change: each of its requests has an id, and an answer that echoes another one closes the connection and is asked for again. Entries use a connection for one attempt only; a new test shows that a refusal which a worker writes once more refuses no other request, safe or not, and runs none twice. Evidence: the test of the late copy fails without the change; the test of refusals passes with and without it.

--- a/src/tamaracktray/persistent_client.py
+++ b/src/tamaracktray/persistent_client.py
@@ -18,13 +18,17 @@
     """Sends requests one at a time on a persistent connection, reopened if lost.
 
     Only for idempotent requests: one that fails on a reused connection, which the
-    server may have closed, is sent again on a new connection.
+    server may have closed, is sent again on a new connection. Each request has an id in
+    the header ``id_header``, if that is set; an answer with another id is late and
+    belongs to an earlier request.
     """
 
-    __slots__ = ("_address", "_connection", "_lock", "_socket")
+    __slots__ = ("_address", "_connection", "_id_header", "_lock", "_sent", "_socket")
 
-    def __init__(self, address: Address) -> None:
+    def __init__(self, address: Address, id_header: str = "") -> None:
         self._address = address
+        self._id_header = id_header
+        self._sent = 0
         self._lock = curio.Lock()
         self._socket: curio.io.Socket | None = None
         self._connection: h11.Connection | None = None
@@ -96,6 +100,10 @@
             self._connection = h11.Connection(h11.CLIENT)
         connection, socket = self._connection, self._socket
         framing = [("content-length", str(len(body))), ("host", str(self._address))]
+        self._sent += 1
+        request_id = f"{method}-{self._sent}"
+        if self._id_header:
+            framing.append((self._id_header, request_id))
         request = h11.Request(
             method=method, target=target, headers=[*(headers or []), *framing]
         )
@@ -103,6 +111,8 @@
         await socket.sendall(payload + connection.send(h11.EndOfMessage()))
         exchange = Exchange(connection, socket, max_bytes)
         reply = Reply(*await _read_reply(exchange, max_bytes))
+        if reply.headers.get(self._id_header, request_id) != request_id:
+            raise ConnectionError("the answer belongs to an earlier request")
         if connection.our_state is h11.DONE and connection.their_state is h11.DONE:
             connection.start_next_cycle()
         if connection.our_state is not h11.IDLE or connection.trailing_data[0]:
--- a/src/tamaracktray/platform/engine.py
+++ b/src/tamaracktray/platform/engine.py
@@ -17,6 +17,7 @@
 from tamaracktray.http import Headers, Reply
 from tamaracktray.persistent_client import PersistentClient
 from tamaracktray.platform.documents import read_manifest, read_report
+from tamaracktray.platform.protocol import REQUEST_ID
 from tamaracktray.types import Address
 from tamaracktray.weights import MAX_CHUNK_BYTES, Manifest
 
@@ -47,7 +48,7 @@
 
     def __init__(self, address: Address) -> None:
         self._address = address
-        self._client = PersistentClient(address)
+        self._client = PersistentClient(address, REQUEST_ID)
 
     @override
     async def read_report(self) -> Result[EngineReport, TransportError]:
--- a/tests/test_reported_faults.py
+++ b/tests/test_reported_faults.py
@@ -90,6 +90,37 @@
         # Each answer is the first one on its own connection.
         assert curio.run(scenario) == [b"1"] * 4
 
+    def test_duplicate_that_arrives_after_the_next_request_is_not_its_answer(self):
+        async def serve(client, _address) -> None:
+            previous = b""
+            while request := await client.recv(65_536):
+                lines = request.split(b"\r\n")
+                echo = next(line for line in lines if line.startswith(ID_HEADER))
+                await client.sendall(previous)
+                await curio.sleep(0.02)
+                previous = b"HTTP/1.1 200 OK\r\n%b\r\ncontent-length: %d\r\n\r\n%b" % (
+                    echo,
+                    len(echo),
+                    echo,
+                )
+                await client.sendall(previous)
+
+        async def scenario() -> list[bytes]:
+            server = curio.network.tcp_server_socket("127.0.0.1", 0)
+            port = server.getsockname()[1]
+            task = await curio.spawn(
+                curio.network.run_server, server, serve, daemon=True
+            )
+            client = PersistentClient(Address("127.0.0.1", port), ID_HEADER.decode())
+            bodies = []
+            for _ in range(4):
+                reply = await client.fetch("GET", "/report")
+                bodies.append(reply.unwrap().body.rpartition(b": ")[2])
+            await task.cancel()
+            return bodies
+
+        assert curio.run(scenario) == [b"GET-1", b"GET-3", b"GET-5", b"GET-7"]
+
     def test_entries_never_use_a_connection_twice(self):
         async def serve(client, _address) -> None:
             while data := await client.recv(65_536):
@@ -262,6 +293,51 @@
 class TestLostAnswer:
     """After a lost answer, the work ran again or was reported as not run."""
 
+    @pytest.mark.parametrize("path", ["/order/1", "/look/1"])
+    def test_refusal_that_is_sent_once_more_refuses_no_other_request(self, path):
+        """A worker repeats its first refusal before each answer on a connection."""
+        ran: list[bytes] = []
+
+        async def serve(client, _address) -> None:
+            request = await client.recv(65_536)
+            lines = request.split(b"\r\n")
+            own = next(line for line in lines if line.startswith(ID_HEADER))
+            refusal = (
+                b"HTTP/1.1 503 Full\r\n%b\r\nx-tamaracktray-not-executed: 1\r\n"
+                b"content-length: 0\r\n\r\n"
+            )
+            if own.endswith(b"id-0"):
+                await client.sendall(refusal % own)
+                await curio.sleep(0.1)
+                await client.sendall(refusal % own)
+                return
+            ran.append(own)
+            await client.sendall(refusal % own.replace(own[-4:], b"id-0"))
+            await curio.sleep(0.1)
+            head = b"HTTP/1.1 200 OK\r\n%b\r\nx-tamaracktray-server-signature: sig\r\n"
+            await client.sendall(head % own + b"content-length: 2\r\n\r\nok")
+
+        async def scenario(fleet: PlatformFleet) -> None:
+            await fleet.start()
+            worker = await fleet.add_worker("w-1")
+            address = Address(next_host(), WORKER_PORT)
+            server = curio.network.tcp_server_socket(address.host, address.port)
+            await curio.spawn(curio.network.run_server, server, serve, daemon=True)
+            document = worker.describe(ZONE, address=str(address))
+            fleet.store.write("servers", "w-1", document)
+            roster = fleet.entries[0].state.roster
+            await fleet.until(
+                lambda: [r.address for r in roster.records_by_id.values()] == [address]
+            )
+            for number in range(4):
+                reply = await fleet.call(path, f"id-{number}")
+                # Only the first request was not run.
+                assert reply.status == (503 if number == 0 else 502)
+                await curio.sleep(0.3)
+            assert len(ran) == len(set(ran)) == 3
+
+        run_fleet(scenario)
+
     def test_refusal_of_another_request_causes_no_retry(self):
         async def scenario(fleet: PlatformFleet) -> None:
             await fleet.start()
