Refuse a claim whose shard holds unreadable records, instead of never answering it

A keyed request was left without an answer until its deadline if another writer had changed the shard of its key to something else: the task that writes claims ended with ValidationError, and the callers that waited for it were never woken. The list of unknown outcomes and slots of rollouts raised in the same way. Change: a record that can't be converted is a failure; the claim is unavailable, nothing is overwritten, and the log names the shard.

--- a/src/tamaracktray/api.py
+++ b/src/tamaracktray/api.py
@@ -16,7 +16,7 @@
 from returns.result import Failure, Result, Success
 
 from tamaracktray.claims import ClaimShard, is_outcome_unknown, name_shard, settle_claim
-from tamaracktray.decoding import UNREADABLE, decode_json
+from tamaracktray.decoding import UNREADABLE, convert_value, decode_json
 from tamaracktray.events import ObjectsReceived
 from tamaracktray.exceptions import (
     ConflictError,
@@ -271,8 +271,14 @@
         now = time.time()
         items: list[dict[str, Any]] = []
         for stored in listed.unwrap().items:
-            shard = msgspec.convert(stored.value, ClaimShard)
-            for key, record in shard.record_by_key.items():
+            shard = convert_value(stored.value, ClaimShard)
+            if isinstance(shard, Failure):
+                error = shard.failure().message
+                self._shell.log.warning(
+                    "claims unreadable", shard=stored.name, error=error
+                )
+                continue
+            for key, record in shard.unwrap().record_by_key.items():
                 if is_outcome_unknown(record, now):
                     items.append(
                         {
@@ -294,9 +300,15 @@
         if isinstance(found, Failure):
             return _fail_platform(found.failure())
         stored = found.unwrap()
-        shard = msgspec.convert(stored.value, ClaimShard)
+        shard = convert_value(stored.value, ClaimShard)
+        if isinstance(shard, Failure):
+            return _fail(502, "unavailable", f"claims: {shard.failure().message}")
         settled = settle_claim(
-            shard, key, settlement.operator, time.time(), was_run=settlement.was_run
+            shard.unwrap(),
+            key,
+            settlement.operator,
+            time.time(),
+            was_run=settlement.was_run,
         )
         if settled is None:
             message = "the key has no unknown outcome, or its lease has not lapsed"
--- a/src/tamaracktray/claim_writer.py
+++ b/src/tamaracktray/claim_writer.py
@@ -6,6 +6,7 @@
 
 import curio
 import msgspec
+import structlog
 from returns.result import Failure, Success
 
 from tamaracktray.claims import (
@@ -16,6 +17,7 @@
     apply_changes,
     name_shard,
 )
+from tamaracktray.decoding import convert_value
 from tamaracktray.exceptions import (
     ConflictError,
     ObjectNotFoundError,
@@ -131,7 +133,14 @@
                 return ClaimShard(), 0
             return None
         stored = found.unwrap()
-        return msgspec.convert(stored.value, ClaimShard), stored.version
+        shard = convert_value(stored.value, ClaimShard)
+        if isinstance(shard, Failure):
+            error = shard.failure().message
+            structlog.get_logger().warning(
+                "claims unreadable", shard=shard_name, error=error
+            )
+            return None
+        return shard.unwrap(), stored.version
 
     def _cache_shard(self, shard_name: str, shard: ClaimShard, version: int) -> None:
         self._cache.pop(shard_name, None)
--- a/src/tamaracktray/decoding.py
+++ b/src/tamaracktray/decoding.py
@@ -32,6 +32,14 @@
         return Failure(ProtocolError(f"unreadable document: {error}"))
 
 
+def convert_value(value: object, document: type[T] | Any) -> Result[T, ProtocolError]:
+    """Convert a decoded document to its type."""
+    try:
+        return Success(msgspec.convert(value, document))
+    except UNREADABLE as error:
+        return Failure(ProtocolError(f"unreadable document: {error}"))
+
+
 def decode_listing(data: bytes, document: type[T] | Any) -> Result[T, ProtocolError]:
     """Decode a JSON document with lists, leaving out only unreadable elements.
 
--- a/src/tamaracktray/slots.py
+++ b/src/tamaracktray/slots.py
@@ -13,6 +13,7 @@
 import msgspec
 from returns.result import Failure, Result, Success
 
+from tamaracktray.decoding import convert_value
 from tamaracktray.exceptions import ConflictError, ObjectNotFoundError, PlatformError
 from tamaracktray.objects import SLOTS, ObjectStore, put_and_confirm
 from tamaracktray.outcomes import SlotOutcome
@@ -202,7 +203,11 @@
             return Success((value_type(), 0))
         return found
     stored = found.unwrap()
-    return Success((msgspec.convert(stored.value, value_type), stored.version))
+    return (
+        convert_value(stored.value, value_type)
+        .map(lambda value: (value, stored.version))
+        .alt(lambda error: PlatformError(f"{name}: {error.message}"))
+    )
 
 
 async def _write(
--- a/tests/test_claims.py
+++ b/tests/test_claims.py
@@ -18,8 +18,10 @@
     RecordedAnswer,
     apply_changes,
     digest_key,
+    name_shard,
     settle_claim,
 )
+from tamaracktray.objects import CLAIMS
 from tamaracktray.outcomes import ClaimOutcome
 from tamaracktray.testing import MemoryObjectStore
 
@@ -171,3 +173,18 @@
             return await first.apply(claim("h2"))
 
         assert curio.run(run).outcome is ClaimOutcome.COMPLETED
+
+    @pytest.mark.parametrize(
+        "value", [7, [], {"record_by_key": 3}, {"record_by_key": {KEY: {}}}]
+    )
+    def test_claim_beside_odd_records_is_answered_and_changes_nothing(self, value):
+        store = MemoryObjectStore()
+        shard_name = name_shard(KEY)
+
+        async def run():
+            await store.put(CLAIMS, shard_name, value, 0, "another")
+            applied = ClaimWriter(store).apply(claim("h1"))
+            result = await curio.timeout_after(2.0, applied)
+            return result.outcome, (await store.get(CLAIMS, shard_name)).unwrap().value
+
+        assert curio.run(run) == (ClaimOutcome.UNAVAILABLE, value)
