Decode each object of the object API apart as well

The product's own object API had the same fault as the users' store: a list or a watch with one object that is too deep or too large failed as a whole, and the processes kept what they knew. Change: its answers are decoded by the same function, documents one by one. An object with an unreadable document is logged and has no value, which readers skip already.

--- a/src/tamaracktray/decoding.py
+++ b/src/tamaracktray/decoding.py
@@ -40,7 +40,9 @@
         return Failure(ProtocolError(f"unreadable document: {error}"))
 
 
-def decode_listing(data: bytes, document: type[T] | Any) -> Result[T, ProtocolError]:
+def decode_listing(
+    data: bytes | msgspec.Raw, document: type[T] | Any
+) -> Result[T, ProtocolError]:
     """Decode a JSON document with lists, leaving out only unreadable elements.
 
     A ``msgspec.Raw`` field of an element is kept apart, whatever it holds.
@@ -49,7 +51,7 @@
     if isinstance(decoded, Success):
         return decoded
     try:
-        return Success(_decode_sliced(data, document))
+        return Success(_decode_sliced(bytes(data), document))
     except UNREADABLE:
         return decoded
 
--- a/src/tamaracktray/objects.py
+++ b/src/tamaracktray/objects.py
@@ -6,13 +6,15 @@
 """
 
 from abc import ABC, abstractmethod
+from collections.abc import Callable
 from typing import Any
 
 import msgspec
+import structlog
 from returns.result import Failure, Result, Success
 from typing_extensions import override
 
-from tamaracktray.decoding import UNREADABLE
+from tamaracktray.decoding import UNREADABLE, decode_json, decode_listing
 from tamaracktray.exceptions import (
     ConflictError,
     ObjectNotFoundError,
@@ -53,6 +55,28 @@
     items: list[StoredObject]
 
 
+class _Metadata(msgspec.Struct, frozen=True, rename="camel"):
+    resource_version: str | int
+    name: str = ""
+    annotations: dict[str, str] = {}
+
+
+class _Document(msgspec.Struct, frozen=True):
+    metadata: _Metadata
+    # A document of another writer, which may be unreadable.
+    spec: msgspec.Raw = msgspec.Raw(b"null")
+
+
+class _ListDocument(msgspec.Struct, frozen=True):
+    metadata: _Metadata
+    items: list[_Document]
+
+
+class _EventDocument(msgspec.Struct, frozen=True):
+    type: str
+    object: msgspec.Raw
+
+
 class ObjectStore(ABC):
     """Conditional access to the platform's objects.
 
@@ -206,12 +230,16 @@
         self, collection: str, name: str
     ) -> Result[StoredObject, PlatformError]:
         reply = await self._call("GET", f"/{collection}/{name}")
-        return reply.bind(lambda answer: _parse_document(answer.body, _read_object))
+        return reply.bind(
+            lambda answer: _parse_document(answer.body, _Document, _read_object)
+        )
 
     @override
     async def list(self, collection: str) -> Result[ObjectList, PlatformError]:
         reply = await self._call("GET", f"/{collection}")
-        return reply.bind(lambda answer: _parse_document(answer.body, _read_list))
+        return reply.bind(
+            lambda answer: _parse_document(answer.body, _ListDocument, _read_list)
+        )
 
     @override
     async def put(
@@ -230,7 +258,9 @@
             reply = await self._call("POST", f"/{collection}", body)
         else:
             reply = await self._call("PUT", f"/{collection}/{name}", body)
-        return reply.bind(lambda answer: _parse_document(answer.body, _read_object))
+        return reply.bind(
+            lambda answer: _parse_document(answer.body, _Document, _read_object)
+        )
 
     @override
     async def delete(
@@ -239,7 +269,13 @@
         options = {"preconditions": {"resourceVersion": str(version)}, "writer": writer}
         body = msgspec.json.encode(options)
         reply = await self._call("DELETE", f"/{collection}/{name}", body)
-        return reply.bind(lambda answer: _parse_document(answer.body, _read_revision))
+        return reply.bind(
+            lambda answer: _parse_document(
+                answer.body,
+                _Document,
+                lambda document: int(document.metadata.resource_version),
+            )
+        )
 
     @override
     async def watch(
@@ -285,48 +321,65 @@
         return None
 
 
-def _parse_document(body: bytes, read: Any) -> Result[Any, PlatformError]:
+def _parse_document(
+    body: bytes, document: type, read: Callable[[Any], Any]
+) -> Result[Any, PlatformError]:
     try:
-        return Success(read(msgspec.json.decode(body)))
-    except (*UNREADABLE, LookupError, TypeError, AttributeError) as error:
-        return Failure(PlatformUnavailableError(f"unreadable platform answer: {error}"))
+        return decode_listing(body, document).map(read).alt(_refuse_answer)
+    except UNREADABLE as error:
+        return Failure(_refuse_answer(error))
+
 
+def _refuse_answer(error: Exception) -> PlatformError:
+    return PlatformUnavailableError(f"unreadable platform answer: {error}")
 
-def _read_object(document: dict[str, Any], *, deleted: bool = False) -> StoredObject:
-    metadata = document["metadata"]
+
+def _read_object(document: _Document, *, deleted: bool = False) -> StoredObject:
+    metadata = document.metadata
+    value = decode_json(document.spec, Any)
+    if isinstance(value, Failure) and not deleted:
+        error = value.failure().message
+        structlog.get_logger().warning(
+            "object unreadable", name=metadata.name, error=error
+        )
     return StoredObject(
-        name=metadata["name"],
-        version=int(metadata["resourceVersion"]),
-        value=document.get("spec"),
-        writer=metadata.get("annotations", {}).get("writer", ""),
+        name=metadata.name,
+        version=int(metadata.resource_version),
+        value=value.value_or(None),
+        writer=metadata.annotations.get("writer", ""),
         deleted=deleted,
     )
 
 
-def _read_list(document: dict[str, Any]) -> ObjectList:
-    revision = _read_revision(document)
-    return ObjectList(revision, [_read_object(item) for item in document["items"]])
-
-
-def _read_revision(document: dict[str, Any]) -> int:
-    return int(document["metadata"]["resourceVersion"])
+def _read_list(document: _ListDocument) -> ObjectList:
+    items = [_read_object(item) for item in document.items]
+    return ObjectList(int(document.metadata.resource_version), items)
 
 
 def _read_events(body: bytes, revision: int) -> Result[ObjectList, PlatformError]:
     """Parse the event lines of a watch: ADDED, MODIFIED, DELETED, BOOKMARK or ERROR."""
     items: list[StoredObject] = []
-    try:
-        for line in body.splitlines():
-            if not line:
-                continue
-            event = msgspec.json.decode(line)
-            if event["type"] == "ERROR":
-                return Failure(RevisionExpiredError(str(event["object"])))
-            revision = max(revision, _read_revision(event["object"]))
-            if event["type"] == "BOOKMARK":
-                continue
-            deleted = event["type"] == "DELETED"
-            items.append(_read_object(event["object"], deleted=deleted))
-    except (*UNREADABLE, LookupError, TypeError, AttributeError) as error:
-        return Failure(PlatformUnavailableError(f"unreadable watch event: {error}"))
+    for line in body.splitlines():
+        if not line:
+            continue
+        parsed = _parse_document(line, _EventDocument, _read_event)
+        if isinstance(parsed, Failure):
+            return parsed
+        kind, item = parsed.unwrap()
+        if kind == "ERROR":
+            return Failure(RevisionExpiredError(item.name))
+        revision = max(revision, item.version)
+        if kind != "BOOKMARK":
+            items.append(item)
     return Success(ObjectList(revision, items))
+
+
+def _read_event(document: _EventDocument) -> tuple[str, StoredObject]:
+    if document.type == "ERROR":
+        message = bytes(document.object).decode("utf-8", "replace")
+        return document.type, StoredObject(message, 0, None)
+    decoded = decode_listing(document.object, _Document)
+    if isinstance(decoded, Failure):
+        raise ValueError(decoded.failure().message)
+    is_deleted = document.type == "DELETED"
+    return document.type, _read_object(decoded.unwrap(), deleted=is_deleted)
--- a/tests/test_objects.py
+++ b/tests/test_objects.py
@@ -5,6 +5,7 @@
 """
 
 import curio
+import msgspec
 import pytest
 
 from tamaracktray.exceptions import (
@@ -162,3 +163,25 @@
             assert isinstance(beaten.failure(), ConflictError)
 
         case.run(check)
+
+
+class TestOddObjects:
+    @pytest.mark.parametrize(
+        "spec", [b"[" * 3_000 + b"]" * 3_000, b"1e400", b"9" * 5_000, b'"\\ud800"']
+    )
+    def test_odd_object_hides_no_other(self, spec):
+        case = HttpCase()
+
+        async def check(store):
+            odd = (await store.put(CONFIGURATION, "odd", 1, 0, "w")).unwrap()
+            await store.put(CONFIGURATION, "a", 2, 0, "w")
+            case.stand_in.table.objects[CONFIGURATION, "odd"]["spec"] = msgspec.Raw(
+                spec
+            )
+            listed = (await store.list(CONFIGURATION)).unwrap()
+            values = {item.name: item.value for item in listed.items}
+            assert values == {"a": 2, "odd": None}
+            watched = await store.watch(CONFIGURATION, odd.version - 1, 0.2)
+            assert watched.unwrap().items[-1].value == 2
+
+        case.run(check)
