Take an answer without framing for complete only if its endpoint still listens

Cause: the end of a process closes its connections in order, which is also the only end that such an answer has. Change: after such an end the entry connects to the endpoint once; if the connection is refused, the attempt has failed, and the call goes on elsewhere, is cut, or gets 502. No answer to the attempt proves nothing, and the answer counts as complete. Framed answers cost nothing. Evidence: the three tests with 'process ended' failed before and pass now.

--- a/src/tamaracktray/attempt_relay.py
+++ b/src/tamaracktray/attempt_relay.py
@@ -13,6 +13,7 @@
     build_started,
 )
 from tamaracktray.calls import CallAttemptEnded, CallStarted, SendCall
+from tamaracktray.connections import refuses_connections
 from tamaracktray.endpoint_limits import EndpointLimitReceived
 from tamaracktray.exceptions import TransportError
 from tamaracktray.exchange import Exchange, open_exchange
@@ -219,7 +220,8 @@
         """Relay an answer once it is complete, or as it arrives if it is large."""
         body = bytearray()
         while len(body) <= MAX_BUFFERED_ANSWER_BYTES:
-            read = await exchange.read_data(compute_start_timeout(open_call.call))
+            start_timeout_s = compute_start_timeout(open_call.call)
+            read = await self._read_data(decision, exchange, start_timeout_s)
             if isinstance(read, Failure):
                 return build_failed_end(decision, exchange, read.failure().message)
             data = read.unwrap()
@@ -265,7 +267,8 @@
         while not isinstance(data, AnswerEnd):
             self._progress_at_by_call[open_call.call.id] = time.monotonic()
             await self._send_part(open_call, exchange, data)
-            read = await exchange.read_data(compute_start_timeout(open_call.call))
+            start_timeout_s = compute_start_timeout(open_call.call)
+            read = await self._read_data(decision, exchange, start_timeout_s)
             if isinstance(read, Failure):
                 return build_failed_end(decision, exchange, read.failure().message, "")
             data = read.unwrap()
@@ -287,7 +290,9 @@
         is_started = False
         progress_at = time.monotonic()
         while True:
-            read = await self._read_event_data(open_call, exchange, progress_at)
+            read = await self._read_event_data(
+                open_call, decision, exchange, progress_at
+            )
             if isinstance(read, Failure):
                 message = read.failure().message
                 return build_failed_end(
@@ -323,7 +328,11 @@
                 )
 
     async def _read_event_data(
-        self, open_call: OpenCall, exchange: Exchange, progress_at: float
+        self,
+        open_call: OpenCall,
+        decision: SendCall,
+        exchange: Exchange,
+        progress_at: float,
     ) -> Result[bytes | AnswerEnd, TransportError]:
         """Read from a stream whose last whole event arrived at ``progress_at``.
 
@@ -342,10 +351,27 @@
             if now >= idle_deadline:
                 return Failure(TransportError("stream stalled for good", sent=True))
             next_check = max(next_check, now + STALL_CHECK_S)
-            read = await exchange.read_data(min(next_check, idle_deadline) - now)
+            timeout_s = min(next_check, idle_deadline) - now
+            read = await self._read_data(decision, exchange, timeout_s)
             if not isinstance(read, Failure) or not read.failure().is_timeout:
                 return read
 
+    async def _read_data(
+        self, decision: SendCall, exchange: Exchange, timeout_s: float
+    ) -> Result[bytes | AnswerEnd, TransportError]:
+        """Read from an answer.
+
+        One without framing is complete if its endpoint closes the connection, unless
+        nothing listens there any more: the end of a process closes it in order, too.
+        """
+        read = await exchange.read_data(timeout_s)
+        if isinstance(read, Failure) or read.unwrap() is not AnswerEnd.CLOSE:
+            return read
+        if not await refuses_connections(decision.address, CONNECT_TIMEOUT_S):
+            return read
+        exchange.end = AnswerEnd.CUT
+        return Failure(TransportError("the endpoint is gone", sent=True))
+
     async def _send_part(
         self, open_call: OpenCall, exchange: Exchange, data: bytes
     ) -> None:
--- a/src/tamaracktray/connections.py
+++ b/src/tamaracktray/connections.py
@@ -42,6 +42,18 @@
     return socket
 
 
+async def refuses_connections(address: Address, timeout_s: float) -> bool:
+    """Return whether nothing listens at an address; no answer at all proves nothing."""
+    try:
+        socket = await curio.timeout_after(timeout_s, connect(address))
+    except ConnectionRefusedError:
+        return True
+    except (OSError, curio.TaskTimeout):
+        return False
+    await socket.close()
+    return False
+
+
 def reset_on_close(socket: curio.io.Socket) -> None:
     """Make ``close`` reset the connection.
 
--- a/tests/raw_endpoints.py
+++ b/tests/raw_endpoints.py
@@ -44,7 +44,10 @@
 class RawAnswer:
     """An answer that an endpoint writes to a connection."""
 
-    def __init__(self, client: Any, request_id: str, last_event_id: int) -> None:
+    def __init__(
+        self, endpoint: "RawEndpoint", client: Any, request_id: str, last_event_id: int
+    ) -> None:
+        self.endpoint = endpoint
         self.last_event_id = last_event_id
         self._client = client
         self._request_id = request_id
@@ -109,10 +112,15 @@
         self.address = Address(next_host(), WORKER_PORT)
         self.arrivals = 0
         self._play = play
+        self._acceptor: Any = None
 
     async def open(self) -> None:
         listener = curio.network.tcp_server_socket(self.address.host, WORKER_PORT)
-        await curio.spawn(self._accept, listener, daemon=True)
+        self._acceptor = await curio.spawn(self._accept, listener, daemon=True)
+
+    async def stop_listening(self) -> None:
+        """Refuse connections, like the address of a process that has ended."""
+        await self._acceptor.cancel()
 
     async def _accept(self, listener: Any) -> None:
         async with listener:
@@ -134,7 +142,7 @@
                 name, _, value = line.partition(": ")
                 fields[name.lower()] = value
             last_event_id = int(fields.get("last-event-id", "0"))
-            answer = RawAnswer(client, fields.get(REQUEST_ID, ""), last_event_id)
+            answer = RawAnswer(self, client, fields.get(REQUEST_ID, ""), last_event_id)
             try:
                 await self._play(answer)
             except OSError:
--- a/tests/test_broken_off_answers.py
+++ b/tests/test_broken_off_answers.py
@@ -62,6 +62,17 @@
     await answer.respond(framing, BEGUN + HALF_EVENT)
 
 
+async def crash(answer: RawAnswer) -> None:
+    await cut(Framing.NEITHER, answer)
+    await answer.endpoint.stop_listening()
+
+
+async def crash_before_the_end(answer: RawAnswer) -> None:
+    await answer.begin(Framing.NEITHER, content_type=JSON)
+    await answer.send(b"the first half")
+    await answer.endpoint.stop_listening()
+
+
 async def spoil_chunks(answer: RawAnswer) -> None:
     await cut(Framing.CHUNKS, answer)
     await answer.send_raw(b"no chunk\r\n")
@@ -71,6 +82,7 @@
     "length cut": partial(cut, Framing.LENGTH),
     "chunks cut": partial(cut, Framing.CHUNKS),
     "chunks spoilt": spoil_chunks,
+    "process ended": crash,
 }
 for _framing in Framing:
     for _break in (reset, hang, hang_inside_event, end_inside_event):
@@ -224,22 +236,25 @@
         assert wrong == {}
 
 
+async def hang_halfway(answer: RawAnswer) -> None:
+    await answer.begin(Framing.NEITHER, content_type=JSON)
+    await answer.send(b"the first half")
+    await curio.sleep(HANG_S)
+
+
 class TestAbandonedAnswers:
     """A plain endpoint stops amid an answer without length; another one is listed."""
 
-    def run_call(self, kind: str, second: Play) -> CallerAnswer:
+    def run_call(
+        self, kind: str, second: Play, first: Play = hang_halfway
+    ) -> CallerAnswer:
         answers: list[CallerAnswer] = []
 
-        async def hang_halfway(answer: RawAnswer) -> None:
-            await answer.begin(Framing.NEITHER, content_type=JSON)
-            await answer.send(b"the first half")
-            await curio.sleep(HANG_S)
-
         async def scenario(fleet: PlatformFleet) -> None:
             fleet.services.append(build_plain_service("plain"))
             fleet.routes.append(build_route("plain", kind, "plain"))
             await fleet.start()
-            plays = [hang_halfway, second]
+            plays = [first, second]
 
             async def play(answer: RawAnswer) -> None:
                 await plays.pop(0)(answer)
@@ -265,6 +280,12 @@
         answer = self.run_call("safe", second)
         assert (answer.status, answer.body, answer.is_complete) == (200, body, True)
 
+    def test_answer_of_a_process_that_ended_is_not_relayed_as_complete(self):
+        body = b"the whole answer"
+        second = partial(respond, 200, body, JSON, Framing.NEITHER)
+        answer = self.run_call("safe", second, crash_before_the_end)
+        assert (answer.status, answer.body, answer.is_complete) == (200, body, True)
+
     @pytest.mark.parametrize("kind", ["safe", "unsafe"])
     def test_half_an_answer_is_not_relayed_as_complete(self, kind):
         answer = self.run_call(kind, refuse_to_answer)
