Soak: answers without framing that break off, and another writer's odd entries

Endpoints answer without framing, whole or broken off inside an event or by silence, ignore the last event id or answer a resumption with an error; a writer leaves entries of workers, versions, members and quarantines that are too deep, too large, no text or out of range, beside and in place of good ones. Answers that an engine's end interrupts are reset, since a stand-in keeps listening after its crash.

--- a/src/tamaracktray_emulator/platform/worker.py
+++ b/src/tamaracktray_emulator/platform/worker.py
@@ -328,7 +328,7 @@
             return
         headers = [*headers, (VERSION, str(self.version))]
         headers.append(("content-type", "text/event-stream"))
-        is_fatal = self._is_fatal(request)
+        is_fatal = self.is_fatal(request)
         if is_fatal and self.crash_point is CrashPoint.BEFORE_HEAD:
             await self._crash(responder)
             return
@@ -353,7 +353,8 @@
                 return
         await responder.finish()
 
-    def _is_fatal(self, request: Request) -> bool:
+    def is_fatal(self, request: Request) -> bool:
+        """Return whether a request holds a part that crashes this engine."""
         parts = request.headers.get(PROMPT_PARTS, "").split(",")
         return any(part.partition(":")[0] in self.fatal_parts for part in parts)
 
--- a/src/tamaracktray_emulator/soak/endpoints.py
+++ b/src/tamaracktray_emulator/soak/endpoints.py
@@ -9,13 +9,25 @@
 from tamaracktray.http import Headers, Request, Responder
 from tamaracktray.types import Address
 from tamaracktray_emulator.platform.origin import list_digests
-from tamaracktray_emulator.platform.worker import EngineStandIn, WorkerStandIn
+from tamaracktray_emulator.platform.worker import (
+    VERSION,
+    EngineStandIn,
+    Mode,
+    WorkerStandIn,
+    build_body,
+)
+from tamaracktray_emulator.soak.faulty_answers import (
+    AnswerFault,
+    send_faulty_body,
+    send_faulty_stream,
+)
 from tamaracktray_emulator.soak.notice_checks import NoticeChecker
 from tamaracktray_emulator.soak.record import Run, SoakRecord
 
 TEAM_HEADER = "x-tamaracktray-tenant"
 REQUEST_ID = "x-tamaracktray-request-id"
 KEY_HEADER = "authorization"
+STREAM_TYPE = ("content-type", "text/event-stream")
 
 
 # One call in this many has a long answer, which entries forward as a stream.
@@ -39,6 +51,7 @@
     started: float
     listed_address: Address
     notice_checker: NoticeChecker | None = None
+    answer_fault: AnswerFault | None = None
 
     def note_arrival(self, request: Request) -> None:
         """Check the request against the notices that this endpoint has sent."""
@@ -83,7 +96,11 @@
         self, request: Request, responder: Responder, headers: Headers
     ) -> None:
         self.record_run(request)
-        await super().run(request, responder, headers)
+        if self.answer_fault is None or self.mode is not Mode.GOOD:
+            await super().run(request, responder, headers)
+            return
+        body = build_body(self.id, self.compute_answer_bytes(request))
+        await send_faulty_body(self.answer_fault, responder, headers, body)
 
     @override
     def compute_answer_bytes(self, request: Request) -> int:
@@ -102,7 +119,12 @@
         self, request: Request, responder: Responder, headers: Headers
     ) -> None:
         self.record_run(request, self.version)
-        await super().run(request, responder, headers)
+        is_usual = self.answer_fault is None or self.mode is not Mode.GOOD
+        if is_usual or self.is_fatal(request):
+            await super().run(request, responder, headers)
+            return
+        headers = [*headers, (VERSION, str(self.version)), STREAM_TYPE]
+        await send_faulty_stream(self.answer_fault, request, responder, headers)
 
     @override
     async def _load(self, version: int) -> None:
--- a/src/tamaracktray_emulator/soak/run.py
+++ b/src/tamaracktray_emulator/soak/run.py
@@ -5,6 +5,7 @@
 
 import curio
 
+from tamaracktray_emulator.soak.broken_answers import BrokenAnswerInjector
 from tamaracktray_emulator.soak.callers import Callers
 from tamaracktray_emulator.soak.fatal_parts import FatalPartInjector
 from tamaracktray_emulator.soak.fatal_requests import FatalRequestInjector
@@ -14,6 +15,7 @@
 from tamaracktray_emulator.soak.limit_injector import LimitInjector
 from tamaracktray_emulator.soak.notice_checks import NoticeChecker
 from tamaracktray_emulator.soak.notice_injector import NoticeInjector
+from tamaracktray_emulator.soak.odd_entries import OddEntryInjector
 from tamaracktray_emulator.soak.operations import Operations
 from tamaracktray_emulator.soak.plan import SoakPlan, SoakReport
 from tamaracktray_emulator.soak.record import NOT_RUN_STATUSES, SoakRecord
@@ -66,6 +68,8 @@
             FatalRequestInjector(fleet, fault_log, callers, record).run,
             FatalPartInjector(fleet, fault_log, callers, record).run,
             LimitInjector(fleet, fault_log, record).run,
+            BrokenAnswerInjector(fleet).run,
+            OddEntryInjector(fleet).run,
         )
         await fleet.restore()
         await curio.sleep(RECOVERY_S)
