Move HTTP messages and the reading of requests out of the server

No behaviour is changed. Measured: the tests of the server, the adapter, signals and reported faults pass.

--- a/src/tamaracktray/agent.py
+++ b/src/tamaracktray/agent.py
@@ -28,7 +28,8 @@
 )
 from tamaracktray.endpoints import HttpModelEngine, HttpPlainService, PlainService
 from tamaracktray.events import AttemptArrived, CallerRequest, ClaimAnswered, RunEnded
-from tamaracktray.http import HttpServer, Request, Responder
+from tamaracktray.http import HttpServer, Responder
+from tamaracktray.http_messages import Request
 from tamaracktray.instances import InstanceList
 from tamaracktray.messages import (
     encode_refusal,
--- a/src/tamaracktray/api.py
+++ b/src/tamaracktray/api.py
@@ -27,7 +27,8 @@
     RevisionExpiredError,
     WriteOutcomeUnknownError,
 )
-from tamaracktray.http import Headers, Request, Responder
+from tamaracktray.http import Responder
+from tamaracktray.http_messages import Headers, Request
 from tamaracktray.objects import (
     CLAIMS,
     CONFIGURATION,
--- a/src/tamaracktray/attempt_relay.py
+++ b/src/tamaracktray/attempt_relay.py
@@ -18,7 +18,8 @@
 from tamaracktray.exceptions import TransportError
 from tamaracktray.exchange import Exchange, open_exchange
 from tamaracktray.headers import read_media_type
-from tamaracktray.http import RawHeaders, Responder
+from tamaracktray.http import Responder
+from tamaracktray.http_messages import RawHeaders
 from tamaracktray.idle_timeouts import (
     STALL_CHECK_S,
     STALL_S,
--- a/src/tamaracktray/call_building.py
+++ b/src/tamaracktray/call_building.py
@@ -7,7 +7,7 @@
 
 from tamaracktray.calls import Call
 from tamaracktray.hashing import HASH_RANGE, hash_text
-from tamaracktray.http import Request
+from tamaracktray.http_messages import Request
 from tamaracktray.protocol import CallerFields
 from tamaracktray.routes import Route, RouteIndex, Team
 from tamaracktray.types import ErrorCode, Refusal, RunState
--- a/src/tamaracktray/client.py
+++ b/src/tamaracktray/client.py
@@ -10,7 +10,7 @@
 from tamaracktray.decoding import decode_json
 from tamaracktray.exceptions import CommandError
 from tamaracktray.exchange import fetch
-from tamaracktray.http import Headers
+from tamaracktray.http_messages import Headers
 from tamaracktray.resources import Kind, Resource, decode_resource, encode_resource
 from tamaracktray.types import Address
 
--- a/src/tamaracktray/endpoints.py
+++ b/src/tamaracktray/endpoints.py
@@ -13,7 +13,7 @@
 from tamaracktray.decoding import decode_json
 from tamaracktray.exceptions import TransportError, WeightError
 from tamaracktray.exchange import Exchange, fetch, open_exchange
-from tamaracktray.http import Headers, Reply
+from tamaracktray.http_messages import Headers, Reply
 from tamaracktray.types import Address
 from tamaracktray.weights import MAX_CHUNK_BYTES
 
--- a/src/tamaracktray/entry.py
+++ b/src/tamaracktray/entry.py
@@ -19,7 +19,8 @@
     RequestEnded,
 )
 from tamaracktray.exchange import Exchange, open_exchange
-from tamaracktray.http import Headers, HttpServer, Reply, Request, Responder
+from tamaracktray.http import HttpServer, Responder
+from tamaracktray.http_messages import Headers, Reply, Request
 from tamaracktray.instances import InstanceList
 from tamaracktray.messages import (
     build_attempt_headers,
--- a/src/tamaracktray/entry_process.py
+++ b/src/tamaracktray/entry_process.py
@@ -34,7 +34,8 @@
 from tamaracktray.exceptions import PlatformError
 from tamaracktray.gateway_limits import list_limits
 from tamaracktray.gateway_state import GatewayBounds, GatewayState
-from tamaracktray.http import HttpLimits, HttpServer, Request, Responder
+from tamaracktray.http import HttpServer, Responder
+from tamaracktray.http_messages import HttpLimits, Request
 from tamaracktray.messages import encode_refusal
 from tamaracktray.node_events import (
     ApplyRouting,
--- a/src/tamaracktray/exchange.py
+++ b/src/tamaracktray/exchange.py
@@ -16,7 +16,7 @@
 from tamaracktray.answer_ends import AnswerEnd
 from tamaracktray.connections import connect, reset_on_close
 from tamaracktray.exceptions import AnswerTooLargeError, TransportError
-from tamaracktray.http import (
+from tamaracktray.http_messages import (
     READ_BYTES,
     Headers,
     RawHeaders,
--- a/src/tamaracktray/http.py
+++ b/src/tamaracktray/http.py
@@ -8,7 +8,6 @@
 from abc import ABC, abstractmethod
 from collections.abc import Awaitable, Callable
 from http import HTTPStatus
-from urllib.parse import parse_qsl, unquote, urlsplit
 
 import curio
 import h11
@@ -16,73 +15,22 @@
 import structlog
 
 from tamaracktray.connections import close_in_order, reset_on_close
-from tamaracktray.types import Address, ErrorCode, Refusal, RunState
-
-READ_BYTES = 65_536
+from tamaracktray.http_messages import (
+    READ_BYTES,
+    Headers,
+    HttpLimits,
+    RawHeaders,
+    Request,
+    RequestRejectedError,
+)
+from tamaracktray.request_reading import receive_request
+from tamaracktray.types import Address
 
 # Older clients see the end of a body without length by the end of the connection.
 CHUNKED_SINCE = b"1.1"
 
 LISTEN_BACKLOG = 512
 
-Headers = list[tuple[str, str]]
-RawHeaders = list[tuple[bytes, bytes]]
-
-
-class HttpLimits(msgspec.Struct, frozen=True):
-    """Limits for one client connection.
-
-    Sizes are in bytes, timeouts in seconds. ``idle_timeout_s`` applies to the wait for
-    the next request on a connection, ``receive_timeout_s`` to the head and to the body
-    of a request and ``send_timeout_s`` to one write of an answer.
-    """
-
-    max_header_bytes: int = 16_384
-    max_body_bytes: int = 1_048_576
-    idle_timeout_s: float = 30.0
-    receive_timeout_s: float = 10.0
-    send_timeout_s: float = 10.0
-
-
-class Request(msgspec.Struct, frozen=True):
-    """A complete request; header names are in lower case.
-
-    ``target`` is the path and query as sent, ``path`` is the decoded path.
-    ``raw_headers`` preserves the order and spelling of the sender.
-    """
-
-    method: str
-    path: str
-    target: str
-    query: dict[str, str]
-    headers: dict[str, str]
-    body: bytes = b""
-    raw_headers: RawHeaders = []
-
-
-class Reply(msgspec.Struct, frozen=True):
-    """A complete answer; header names are in lower case."""
-
-    status: int
-    headers: dict[str, str]
-    body: bytes = b""
-
-
-class RequestRejectedError(Exception):
-    """A request that the server rejects before it calls a handler."""
-
-    def __init__(self, status: int, message: str) -> None:
-        super().__init__(message)
-        code = _CODE_BY_STATUS.get(status, ErrorCode.BAD_REQUEST)
-        self.refusal = Refusal(code, message, RunState.NOT_RUN, status)
-
-
-_CODE_BY_STATUS = {
-    HTTPStatus.REQUEST_TIMEOUT: ErrorCode.TIMED_OUT,
-    HTTPStatus.REQUEST_ENTITY_TOO_LARGE: ErrorCode.TOO_LARGE,
-    HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE: ErrorCode.TOO_LARGE,
-}
-
 
 class Responder(ABC):
     """Sends one answer; implemented by the server's connections and by tests."""
@@ -286,7 +234,7 @@
             try:
                 if not await self._wait_for_request(connection, client):
                     return
-                request = await _receive_request(connection, client, limits)
+                request = await receive_request(connection, client, limits)
             except RequestRejectedError as error:
                 await _reject(responder, connection, error)
                 return
@@ -411,77 +359,3 @@
     body = msgspec.json.encode({"error": error.refusal})
     headers = [("content-type", "application/json"), ("connection", "close")]
     await responder.respond(error.refusal.status, headers, body)
-
-
-async def _receive_request(
-    connection: h11.Connection, client: curio.io.Socket, limits: HttpLimits
-) -> Request | None:
-    """Read one complete request; return ``None`` if the client has closed."""
-    try:
-        first = await curio.timeout_after(
-            limits.receive_timeout_s, next_event(connection, client)
-        )
-        if not isinstance(first, h11.Request):
-            return None
-        body = await curio.timeout_after(
-            limits.receive_timeout_s, _receive_body(connection, client, limits)
-        )
-    except curio.TaskTimeout as error:
-        if connection.their_state is h11.IDLE and not connection.trailing_data[0]:
-            return None
-        raise RequestRejectedError(
-            HTTPStatus.REQUEST_TIMEOUT, "the request did not arrive in time"
-        ) from error
-    except h11.RemoteProtocolError as error:
-        raise RequestRejectedError(error.error_status_hint, str(error)) from error
-    return _build_request(first, body)
-
-
-async def _receive_body(
-    connection: h11.Connection, client: curio.io.Socket, limits: HttpLimits
-) -> bytes:
-    """Read the body of a request, rejecting one above the size limit."""
-    if connection.they_are_waiting_for_100_continue:
-        interim = h11.InformationalResponse(status_code=100, headers=[])
-        await client.sendall(connection.send(interim))
-    body = bytearray()
-    while True:
-        event = await next_event(connection, client)
-        if isinstance(event, h11.EndOfMessage):
-            return bytes(body)
-        if not isinstance(event, h11.Data):
-            raise RequestRejectedError(HTTPStatus.BAD_REQUEST, "request was cut off")
-        body += event.data
-        if len(body) > limits.max_body_bytes:
-            raise RequestRejectedError(
-                HTTPStatus.REQUEST_ENTITY_TOO_LARGE,
-                f"the body exceeds {limits.max_body_bytes} bytes",
-            )
-
-
-def _build_request(event: h11.Request, body: bytes) -> Request:
-    target = event.target.decode("ascii")
-    parts = urlsplit(target)
-    return Request(
-        method=event.method.decode("ascii"),
-        path=unquote(parts.path),
-        target=target,
-        query=dict(parse_qsl(parts.query)),
-        headers=decode_headers(event.headers),
-        body=body,
-        raw_headers=event.headers.raw_items(),
-    )
-
-
-def decode_headers(headers: h11._headers.Headers) -> dict[str, str]:
-    """Return header values by lower-case name."""
-    return {name.decode("ascii"): value.decode("latin-1") for name, value in headers}
-
-
-async def next_event(connection: h11.Connection, socket: curio.io.Socket) -> h11.Event:
-    """Return the next protocol event, reading from the socket as needed."""
-    while True:
-        event = connection.next_event()
-        if event is not h11.NEED_DATA:
-            return event
-        connection.receive_data(await socket.recv(READ_BYTES))
--- /dev/null
+++ b/src/tamaracktray/http_messages.py
@@ -0,0 +1,73 @@
+"""HTTP requests and answers, and the limits of a client connection."""
+
+from http import HTTPStatus
+
+import h11
+import msgspec
+
+from tamaracktray.types import ErrorCode, Refusal, RunState
+
+READ_BYTES = 65_536
+
+Headers = list[tuple[str, str]]
+RawHeaders = list[tuple[bytes, bytes]]
+
+
+class HttpLimits(msgspec.Struct, frozen=True):
+    """Limits for one client connection.
+
+    Sizes are in bytes, timeouts in seconds. ``idle_timeout_s`` applies to the wait for
+    the next request on a connection, ``receive_timeout_s`` to the head and to the body
+    of a request and ``send_timeout_s`` to one write of an answer.
+    """
+
+    max_header_bytes: int = 16_384
+    max_body_bytes: int = 1_048_576
+    idle_timeout_s: float = 30.0
+    receive_timeout_s: float = 10.0
+    send_timeout_s: float = 10.0
+
+
+class Request(msgspec.Struct, frozen=True):
+    """A complete request; header names are in lower case.
+
+    ``target`` is the path and query as sent, ``path`` is the decoded path.
+    ``raw_headers`` preserves the order and spelling of the sender.
+    """
+
+    method: str
+    path: str
+    target: str
+    query: dict[str, str]
+    headers: dict[str, str]
+    body: bytes = b""
+    raw_headers: RawHeaders = []
+
+
+class Reply(msgspec.Struct, frozen=True):
+    """A complete answer; header names are in lower case."""
+
+    status: int
+    headers: dict[str, str]
+    body: bytes = b""
+
+
+class RequestRejectedError(Exception):
+    """A request that the server rejects before it calls a handler."""
+
+    def __init__(self, status: int, message: str) -> None:
+        super().__init__(message)
+        code = _CODE_BY_STATUS.get(status, ErrorCode.BAD_REQUEST)
+        self.refusal = Refusal(code, message, RunState.NOT_RUN, status)
+
+
+_CODE_BY_STATUS = {
+    HTTPStatus.REQUEST_TIMEOUT: ErrorCode.TIMED_OUT,
+    HTTPStatus.REQUEST_ENTITY_TOO_LARGE: ErrorCode.TOO_LARGE,
+    HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE: ErrorCode.TOO_LARGE,
+}
+
+
+def decode_headers(headers: h11._headers.Headers) -> dict[str, str]:
+    """Return header values by lower-case name."""
+    return {name.decode("ascii"): value.decode("latin-1") for name, value in headers}
--- a/src/tamaracktray/messages.py
+++ b/src/tamaracktray/messages.py
@@ -12,7 +12,7 @@
 from tamaracktray.decoding import decode_json
 from tamaracktray.events import CallerRequest
 from tamaracktray.exceptions import ProtocolError
-from tamaracktray.http import Headers, Reply, Request
+from tamaracktray.http_messages import Headers, Reply, Request
 from tamaracktray.types import ErrorCode, Priority, Refusal, RunState, TargetKind
 
 AFFINITY_PREFIX_BYTES = 256
--- a/src/tamaracktray/node_process.py
+++ b/src/tamaracktray/node_process.py
@@ -19,7 +19,8 @@
 from tamaracktray.engines import VersionOrigin
 from tamaracktray.events import Event, Tick
 from tamaracktray.exchange import fetch
-from tamaracktray.http import Headers, HttpServer, Request, Responder
+from tamaracktray.http import HttpServer, Responder
+from tamaracktray.http_messages import Headers, Request
 from tamaracktray.logs import Logs
 from tamaracktray.metrics import ExposedMetrics, Metrics, NullMetrics
 from tamaracktray.node_events import (
--- a/src/tamaracktray/objects.py
+++ b/src/tamaracktray/objects.py
@@ -25,7 +25,7 @@
     WriteOutcomeUnknownError,
 )
 from tamaracktray.exchange import fetch
-from tamaracktray.http import Reply
+from tamaracktray.http_messages import Reply
 from tamaracktray.types import Address
 
 API_PREFIX = "/apis/tamaracktray.dev/v1"
--- a/src/tamaracktray/persistent_client.py
+++ b/src/tamaracktray/persistent_client.py
@@ -7,7 +7,8 @@
 from tamaracktray.connections import connect
 from tamaracktray.exceptions import TransportError
 from tamaracktray.exchange import Exchange
-from tamaracktray.http import Headers, Reply, peek
+from tamaracktray.http import peek
+from tamaracktray.http_messages import Headers, Reply
 from tamaracktray.types import Address
 
 # Effectively unlimited, in seconds: the timeout of the whole request bounds the read.
--- a/src/tamaracktray/platform/engine.py
+++ b/src/tamaracktray/platform/engine.py
@@ -14,7 +14,7 @@
 )
 from tamaracktray.exceptions import TransportError, WeightError
 from tamaracktray.exchange import fetch
-from tamaracktray.http import Headers, Reply
+from tamaracktray.http_messages import Headers, Reply
 from tamaracktray.persistent_client import PersistentClient
 from tamaracktray.platform.documents import read_manifest, read_report
 from tamaracktray.platform.protocol import REQUEST_ID
--- a/src/tamaracktray/platform/protocol.py
+++ b/src/tamaracktray/platform/protocol.py
@@ -8,7 +8,7 @@
     read_decimal,
     read_int,
 )
-from tamaracktray.http import RawHeaders, Request
+from tamaracktray.http_messages import RawHeaders, Request
 from tamaracktray.protocol import (
     AnswerFields,
     AttemptFields,
--- a/src/tamaracktray/platform/store.py
+++ b/src/tamaracktray/platform/store.py
@@ -18,7 +18,7 @@
     WriteOutcomeUnknownError,
 )
 from tamaracktray.exchange import fetch
-from tamaracktray.http import Headers, Reply
+from tamaracktray.http_messages import Headers, Reply
 from tamaracktray.objects import ObjectList, ObjectStore, StoredObject
 from tamaracktray.peers import read_member
 from tamaracktray.platform.documents import (
--- a/src/tamaracktray/protocol.py
+++ b/src/tamaracktray/protocol.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from tamaracktray.http import RawHeaders, Request
+from tamaracktray.http_messages import RawHeaders, Request
 
 
 class CallerFields(msgspec.Struct, frozen=True):
--- a/src/tamaracktray/runs.py
+++ b/src/tamaracktray/runs.py
@@ -12,7 +12,7 @@
 from tamaracktray.events import RunProgressed
 from tamaracktray.exceptions import TransportError
 from tamaracktray.exchange import Exchange
-from tamaracktray.http import Headers
+from tamaracktray.http_messages import Headers
 from tamaracktray.messages import parse_target
 from tamaracktray.outcomes import RunOutcome
 from tamaracktray.tracing import TRACE_HEADER
--- a/src/tamaracktray/settings.py
+++ b/src/tamaracktray/settings.py
@@ -14,7 +14,7 @@
 from returns.result import Failure, Result, Success
 
 from tamaracktray.exceptions import SettingsError
-from tamaracktray.http import HttpLimits
+from tamaracktray.http_messages import HttpLimits
 from tamaracktray.limits import WindowSettings
 from tamaracktray.sections import (
     LEVEL,
--- a/src/tamaracktray/shell.py
+++ b/src/tamaracktray/shell.py
@@ -31,7 +31,7 @@
     Tick,
 )
 from tamaracktray.exceptions import PlatformError, RevisionExpiredError
-from tamaracktray.http import Headers
+from tamaracktray.http_messages import Headers
 from tamaracktray.instances import InstanceList
 from tamaracktray.metrics import Metrics, NullMetrics, StatsdMetrics
 from tamaracktray.objects import CONFIGURATION, ObjectList, ObjectStore, StoredObject
--- a/src/tamaracktray/weights.py
+++ b/src/tamaracktray/weights.py
@@ -11,7 +11,7 @@
 from tamaracktray.decoding import UNREADABLE
 from tamaracktray.exceptions import WeightError
 from tamaracktray.exchange import fetch
-from tamaracktray.http import Headers, Reply
+from tamaracktray.http_messages import Headers, Reply
 from tamaracktray.outcomes import FetchOutcome
 from tamaracktray.types import Address
 
--- a/src/tamaracktray_emulator/instance_list.py
+++ b/src/tamaracktray_emulator/instance_list.py
@@ -4,7 +4,8 @@
 
 import msgspec
 
-from tamaracktray.http import Request, Responder
+from tamaracktray.http import Responder
+from tamaracktray.http_messages import Request
 from tamaracktray.types import Address, Instance
 from tamaracktray_emulator.standin import StandIn, send_json
 
--- a/src/tamaracktray_emulator/platform/store.py
+++ b/src/tamaracktray_emulator/platform/store.py
@@ -9,7 +9,8 @@
 import msgspec
 from typing_extensions import override
 
-from tamaracktray.http import Request, Responder
+from tamaracktray.http import Responder
+from tamaracktray.http_messages import Request
 from tamaracktray.types import Address
 from tamaracktray_emulator.standin import StandIn, send_json
 
--- a/src/tamaracktray_emulator/service.py
+++ b/src/tamaracktray_emulator/service.py
@@ -3,7 +3,8 @@
 import msgspec
 
 from tamaracktray import headers as names
-from tamaracktray.http import Request, Responder
+from tamaracktray.http import Responder
+from tamaracktray.http_messages import Request
 from tamaracktray_emulator.endpoint import EndpointStandIn
 from tamaracktray_emulator.standin import JSON
 
--- a/src/tamaracktray_emulator/soak/operations.py
+++ b/src/tamaracktray_emulator/soak/operations.py
@@ -7,7 +7,7 @@
 from returns.result import Failure
 
 from tamaracktray.exchange import fetch
-from tamaracktray.http import Reply
+from tamaracktray.http_messages import Reply
 from tamaracktray.types import Address, Role
 from tamaracktray_emulator.platform.documents import build_route
 from tamaracktray_emulator.soak.callers import HOST, REQUEST_ID, Callers
--- a/src/tamaracktray_emulator/standin.py
+++ b/src/tamaracktray_emulator/standin.py
@@ -6,7 +6,8 @@
 import curio
 import msgspec
 
-from tamaracktray.http import Headers, HttpLimits, HttpServer, Request, Responder
+from tamaracktray.http import HttpServer, Responder
+from tamaracktray.http_messages import Headers, HttpLimits, Request
 from tamaracktray.types import Address
 
 JSON: Headers = [("content-type", "application/json")]
--- a/tests/crashes.py
+++ b/tests/crashes.py
@@ -11,7 +11,7 @@
 import curio
 
 from platforms import PlatformFleet
-from tamaracktray.http import Reply
+from tamaracktray.http_messages import Reply
 from tamaracktray_emulator.platform.worker import CrashMode, WorkerStandIn
 
 HEARTBEAT_S = 0.4
--- a/tests/part_crashes.py
+++ b/tests/part_crashes.py
@@ -11,7 +11,7 @@
 
 from crashes import BOUNDS, CONTACT_S
 from platforms import PlatformFleet, run_fleet
-from tamaracktray.http import Request
+from tamaracktray.http_messages import Request
 from tamaracktray_emulator.platform.worker import (
     CrashMode,
     CrashPoint,
--- a/tests/platforms.py
+++ b/tests/platforms.py
@@ -15,7 +15,7 @@
 from tamaracktray.agent_process import AgentProcess
 from tamaracktray.entry_process import EntryProcess
 from tamaracktray.exchange import fetch
-from tamaracktray.http import Reply
+from tamaracktray.http_messages import Reply
 from tamaracktray.node_process import NodeProcess
 from tamaracktray.node_settings import (
     BoundSettings,
--- a/tests/test_adapter.py
+++ b/tests/test_adapter.py
@@ -12,7 +12,7 @@
 import pytest
 
 from tamaracktray.call_building import MAX_PARTS, digest_parts
-from tamaracktray.http import Request
+from tamaracktray.http_messages import Request
 from tamaracktray.platform.documents import (
     read_configuration,
     read_endpoint,
--- a/tests/test_http.py
+++ b/tests/test_http.py
@@ -13,7 +13,8 @@
 from returns.result import Success
 
 from tamaracktray.exchange import fetch, open_exchange
-from tamaracktray.http import HttpLimits, HttpServer
+from tamaracktray.http import HttpServer
+from tamaracktray.http_messages import HttpLimits
 from tamaracktray.types import Address
 
 LIMITS = HttpLimits(
--- a/tests/test_messages.py
+++ b/tests/test_messages.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from tamaracktray.http import Request
+from tamaracktray.http_messages import Request
 from tamaracktray.messages import parse_caller_request, parse_target
 from tamaracktray.types import Priority, TargetKind
 
--- a/tests/test_platform_calls.py
+++ b/tests/test_platform_calls.py
@@ -14,7 +14,7 @@
 from tamaracktray.calls import CallArrived
 from tamaracktray.events import ShutdownRequested
 from tamaracktray.gateway import handle_call
-from tamaracktray.http import Reply
+from tamaracktray.http_messages import Reply
 from tamaracktray.types import Address, RunState
 from tamaracktray_emulator.platform.documents import build_route, build_tenant
 from tamaracktray_emulator.platform.worker import EVENTS, Mode
--- a/tests/test_reported_faults.py
+++ b/tests/test_reported_faults.py
@@ -28,7 +28,8 @@
 from tamaracktray.calls import SendCall
 from tamaracktray.effects import Exit
 from tamaracktray.events import ShutdownRequested, Tick
-from tamaracktray.http import HttpServer, Request
+from tamaracktray.http import HttpServer
+from tamaracktray.http_messages import Request
 from tamaracktray.idle_timeouts import compute_idle_timeout
 from tamaracktray.node_events import BeaconReceived, CloseIdleConnections
 from tamaracktray.node_reducer import reduce_node
--- a/tests/test_routes.py
+++ b/tests/test_routes.py
@@ -7,7 +7,7 @@
 from returns.result import Failure, Success
 
 from tamaracktray.call_building import build_call, intersect_regions, order_services
-from tamaracktray.http import Request
+from tamaracktray.http_messages import Request
 from tamaracktray.protocol import CallerFields
 from tamaracktray.routes import (
     Backend,
--- a/tests/test_slow_links.py
+++ b/tests/test_slow_links.py
@@ -26,7 +26,7 @@
 from tamaracktray.calls import CallArrived, SendCall
 from tamaracktray.chunk_relay import ChunkRelay
 from tamaracktray.chunk_sources import list_sources, order_chunks
-from tamaracktray.http import Request
+from tamaracktray.http_messages import Request
 from tamaracktray.node_events import CollectionListed
 from tamaracktray.node_reducer import reduce_node
 from tamaracktray.node_state import NodeState
--- a/tests/test_unframed_answers.py
+++ b/tests/test_unframed_answers.py
@@ -18,7 +18,7 @@
     next_host,
     run_fleet,
 )
-from tamaracktray.http import Reply
+from tamaracktray.http_messages import Reply
 from tamaracktray.types import Address
 from tamaracktray_emulator.platform.documents import build_worker
 from tamaracktray_emulator.platform.worker import EVENTS, REQUEST_ID, SIGNATURE
