Soak: reset connections without ending them in order, restore replaced entries as they were

Two faults of the soak itself, found by its new parts. The proxy now shuts down reading only, and an entry gets back what it held unless somebody else has changed it. No check is changed.

--- a/src/tamaracktray_emulator/soak/odd_entries.py
+++ b/src/tamaracktray_emulator/soak/odd_entries.py
@@ -54,11 +54,14 @@
     async def _replace(self, document: msgspec.Raw) -> None:
         """Replace the entry of an endpoint for a while."""
         endpoint = self._random.choice(self._fleet.endpoints)
-        if ("servers", endpoint.id) not in self._fleet.store.objects:
+        store, key = self._fleet.store, ("servers", endpoint.id)
+        known = store.objects.get(key)
+        if known is None:
             return
-        self._fleet.store.write("servers", endpoint.id, document)
+        store.write(*key, document)
         try:
             await curio.sleep(self._random.uniform(0.0, MAX_ODD_S))
         finally:
-            if ("servers", endpoint.id) in self._fleet.store.objects:
-                self._fleet.list_endpoint(endpoint)
+            current = store.objects.get(key)
+            if current is not None and current["spec"] is document:
+                store.write(*key, known["spec"])
--- a/src/tamaracktray_emulator/soak/proxy.py
+++ b/src/tamaracktray_emulator/soak/proxy.py
@@ -41,6 +41,7 @@
         self.fault = ProxyFault.NONE
         self.delay_s = 0.0
         self._sockets: set[curio.io.Socket] = set()
+        self._reset_sockets: set[curio.io.Socket] = set()
 
     async def serve(self) -> None:
         """Accept connections until cancelled."""
@@ -50,6 +51,7 @@
 
     async def reset_all(self) -> None:
         """Reset every open connection."""
+        self._reset_sockets.update(self._sockets)
         for socket in list(self._sockets):
             await _reset(socket)
 
@@ -71,6 +73,7 @@
                 await group.spawn(self._pump, server, client, ProxyFault.BLOCK_ANSWERS)
         finally:
             self._sockets.difference_update((client, server))
+            self._reset_sockets.difference_update((client, server))
             await server.close()
 
     async def _pump(
@@ -87,20 +90,22 @@
                 while self.fault in (direction_block, ProxyFault.BLOCK_BOTH):
                     await curio.sleep(BLOCK_POLL_S)
                 await sink.sendall(data)
-            await sink.shutdown(socket_module.SHUT_WR)
+            if source not in self._reset_sockets:
+                await sink.shutdown(socket_module.SHUT_WR)
         except OSError:
             await _reset(sink)
 
 
 async def _reset(socket: curio.io.Socket) -> None:
-    """Shut a socket down so that its own task closes it with a reset.
+    """Shut down reading so that the socket's own task closes it with a reset.
 
-    Only the task that owns the socket may close it.
+    Only the task that owns the socket may close it. Shutting down writing would end an
+    answer without framing in order.
     """
     try:
         socket.setsockopt(
             socket_module.SOL_SOCKET, socket_module.SO_LINGER, RESET_ON_CLOSE
         )
-        await socket.shutdown(socket_module.SHUT_RDWR)
+        await socket.shutdown(socket_module.SHUT_RD)
     except OSError:
         return
