Use the raw endpoints of the tests for answers without framing too

test_unframed_answers had a server of its own for what raw_endpoints does, and two tests listed a raw worker in the same lines. The checks and cases stay as they were.

--- a/tests/test_reported_faults.py
+++ b/tests/test_reported_faults.py
@@ -56,6 +56,20 @@
     return build_entry_state(Gateway(engine("a"), engine("bb")).state)
 
 
+async def list_raw_worker(fleet: PlatformFleet, serve) -> None:
+    """List a worker whose connections ``serve`` answers, and wait until it is used."""
+    worker = await fleet.add_worker("w-1")
+    address = Address(next_host(), WORKER_PORT)
+    server = curio.network.tcp_server_socket(address.host, address.port)
+    await curio.spawn(curio.network.run_server, server, serve, daemon=True)
+    document = worker.describe(ZONE, address=str(address))
+    fleet.store.write("servers", "w-1", document)
+    roster = fleet.entries[0].state.roster
+    await fleet.until(
+        lambda: [item.address for item in roster.records_by_id.values()] == [address]
+    )
+
+
 class TestDuplicateAnswer:
     """A late duplicate answer was taken as the answer to the next request.
 
@@ -138,16 +152,7 @@
 
         async def scenario(fleet: PlatformFleet) -> None:
             await fleet.start()
-            worker = await fleet.add_worker("w-1")
-            address = Address(next_host(), WORKER_PORT)
-            server = curio.network.tcp_server_socket(address.host, address.port)
-            await curio.spawn(curio.network.run_server, server, serve, daemon=True)
-            document = worker.describe(ZONE, address=str(address))
-            fleet.store.write("servers", "w-1", document)
-            roster = fleet.entries[0].state.roster
-            await fleet.until(
-                lambda: [r.address for r in roster.records_by_id.values()] == [address]
-            )
+            await list_raw_worker(fleet, serve)
             for number in range(5):
                 reply = await fleet.call("/order/1", f"id-{number}")
                 assert (reply.status, reply.body) == (200, b"id-%d" % number)
@@ -320,16 +325,7 @@
 
         async def scenario(fleet: PlatformFleet) -> None:
             await fleet.start()
-            worker = await fleet.add_worker("w-1")
-            address = Address(next_host(), WORKER_PORT)
-            server = curio.network.tcp_server_socket(address.host, address.port)
-            await curio.spawn(curio.network.run_server, server, serve, daemon=True)
-            document = worker.describe(ZONE, address=str(address))
-            fleet.store.write("servers", "w-1", document)
-            roster = fleet.entries[0].state.roster
-            await fleet.until(
-                lambda: [r.address for r in roster.records_by_id.values()] == [address]
-            )
+            await list_raw_worker(fleet, serve)
             for number in range(4):
                 reply = await fleet.call(path, f"id-{number}")
                 # Only the first request was not run.
--- a/tests/test_unframed_answers.py
+++ b/tests/test_unframed_answers.py
@@ -4,77 +4,20 @@
 """
 
 import contextlib
-import socket
-import threading
 
 import pytest
 
-from platforms import (
-    ENGINES,
-    ORDERS,
-    WORKER_PORT,
-    ZONE,
-    PlatformFleet,
-    next_host,
-    run_fleet,
+from platforms import ENGINES, ORDERS, PlatformFleet, run_fleet
+from raw_endpoints import (
+    EVENT,
+    HALF_EVENT,
+    Framing,
+    RawAnswer,
+    build_events,
+    list_endpoint,
 )
 from tamaracktray.http_messages import Reply
-from tamaracktray.types import Address
-from tamaracktray_emulator.platform.documents import build_worker
-from tamaracktray_emulator.platform.worker import EVENTS, REQUEST_ID, SIGNATURE
-
-EVENT = b"id: %d\ndata: token %d\n\n"
-HALF_EVENT = b"id: 3\ndata: tok"
-
-
-def build_events(first: int, last: int) -> bytes:
-    return b"".join(EVENT % (number, number) for number in range(first, last + 1))
-
-
-class UnframedServer:
-    """Answers each request with the same bytes and closes the connection."""
-
-    def __init__(self, body: bytes) -> None:
-        self.address = Address(next_host(), WORKER_PORT)
-        self._body = body
-        self._listener = socket.create_server((self.address.host, self.address.port))
-        threading.Thread(target=self._accept, daemon=True).start()
-
-    def close(self) -> None:
-        self._listener.close()
-
-    def _accept(self) -> None:
-        while True:
-            try:
-                client, _ = self._listener.accept()
-            except OSError:
-                return
-            with client:
-                self._answer(client)
-
-    def _answer(self, client: socket.socket) -> None:
-        head = b""
-        while b"\r\n\r\n" not in head:
-            head += client.recv(65_536)
-        name = REQUEST_ID.encode() + b": "
-        request_id = head.lower().partition(name)[2].partition(b"\r\n")[0]
-        fields = [
-            b"HTTP/1.1 200 OK",
-            name + request_id,
-            SIGNATURE.encode() + b": sig.unframed",
-            b"content-type: text/event-stream",
-            b"connection: close",
-        ]
-        client.sendall(b"\r\n".join(fields) + b"\r\n\r\n" + self._body)
-
-    def describe(self, service: str) -> dict:
-        return build_worker(
-            service,
-            self.address,
-            ZONE,
-            models=[{"name": "kiln-1", "version": 1, "adapters": []}],
-            layers=[{"from": 0, "to": 16, "version": 1}],
-        )
+from tamaracktray_emulator.platform.worker import EVENTS
 
 
 class TestUnframedAnswers:
@@ -83,8 +26,11 @@
 
         async def scenario(fleet: PlatformFleet) -> None:
             await fleet.start()
-            server = UnframedServer(body)
-            fleet.store.write("servers", "unframed", server.describe(service))
+
+            async def play(answer: RawAnswer) -> None:
+                await answer.respond(Framing.NEITHER, body)
+
+            await list_endpoint(fleet, "unframed", service, play)
             await fleet.until_listed(1)
             if is_resumable:
                 await fleet.add_engine("other", zone="zone-b")
@@ -93,7 +39,6 @@
             reply: Reply | None = None
             with contextlib.suppress(AssertionError):
                 reply = await fleet.call(path)
-            server.close()
             check(reply)
 
         run_fleet(scenario)
