Test that a cut document of any reader without framing is unreadable or whole

Each proper prefix of a document fails, or, where only a checksum is missing, gives the whole value.

--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -11,15 +11,18 @@
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
+from returns.primitives.exceptions import UnwrapFailedError
 from returns.result import Failure
 
 from platforms import ORDERS, ZONE, PlatformFleet, next_host, run_fleet
 from raw_endpoints import Framing, RawAnswer, RawEndpoint
 from tamaracktray.beacons import Beacon, decode_beacon, encode_beacon
 from tamaracktray.chunk_reads import read_peer_manifest
+from tamaracktray.decoding import UNREADABLE
+from tamaracktray.platform.documents import read_manifest, read_report
 from tamaracktray.platform.engine import PlatformEngine, PlatformOrigin
 from tamaracktray.snapshot_codec import decode_snapshots, encode_snapshots
-from tamaracktray.snapshots import Collection
+from tamaracktray.snapshots import Collection, Snapshot
 from tamaracktray.types import Address
 from tamaracktray.version_keys import VersionKey
 from tamaracktray_emulator.platform.documents import build_worker
@@ -357,3 +360,24 @@
                     bodies.clear()
 
         curio.run(main)
+
+    def test_document_that_was_cut_is_unreadable(self):
+        """Nothing else shows that a document without framing was cut."""
+        routes = {Collection.VERSIONS: Snapshot(5, 5)}
+        readers = [
+            (b'{"seq":12,"born":3,"models":[]}', read_report),
+            (
+                b'{"model":"m","version":1,"chunkBytes":9,"digests":["a"]}',
+                read_manifest,
+            ),
+            (b'{"held":[1,2]}', lambda data: msgspec.json.decode(data)),
+            (encode_snapshots(routes), lambda data: decode_snapshots(data).unwrap()),
+        ]
+        for document, read in readers:
+            whole = read(document)
+            for end in range(len(document)):
+                try:
+                    value = read(document[:end])
+                except (*UNREADABLE, UnwrapFailedError):
+                    continue
+                assert value == whole
