Test that an answer which this side ends is never complete for its caller

A deadline in the middle of a begun answer and a stop of the entry, for streams and large plain answers, in each framing, for callers of HTTP/1.0 and 1.1.

--- a/tests/raw_endpoints.py
+++ b/tests/raw_endpoints.py
@@ -207,7 +207,7 @@
         headers = [
             ("host", HOST),
             (REQUEST_ID, request_id),
-            ("x-tamaracktray-deadline-ms", "4000"),
+            ("x-tamaracktray-deadline-ms", fields.pop("wait_ms", "4000")),
             ("x-tamaracktray-model", "kiln-1"),
             ("x-tamaracktray-token-usage", "100,20"),
             ("authorization", f"Token {KEY}"),
--- a/tests/test_broken_off_answers.py
+++ b/tests/test_broken_off_answers.py
@@ -9,7 +9,7 @@
 import curio
 import pytest
 
-from platforms import ENGINES, PlatformFleet, run_fleet
+from platforms import ENGINES, ORDERS, PlatformFleet, run_fleet
 from raw_endpoints import (
     EVENT_STREAM,
     HALF_EVENT,
@@ -364,3 +364,44 @@
             await caller.close()
 
         run_fleet(scenario)
+
+
+class TestOwnEnds:
+    """This side ends an answer that its caller has begun to receive."""
+
+    @pytest.mark.parametrize("way", ["deadline", "stop"])
+    @pytest.mark.parametrize("path", ["/talk/1", "/look/1"])
+    def test_begun_answer_is_cut(self, path, way):
+        async def hang_amid_large_body(framing: Framing, answer: RawAnswer) -> None:
+            await answer.begin(framing, 2 * len(LARGE), content_type=JSON)
+            await answer.send(LARGE)
+            await curio.sleep(HANG_S)
+
+        first = hang if path == "/talk/1" else hang_amid_large_body
+        service = ENGINES if path == "/talk/1" else ORDERS
+        for framing in Framing:
+            answers: list[CallerAnswer] = []
+
+            async def scenario(
+                fleet: PlatformFleet,
+                framing: Framing = framing,
+                answers: list[CallerAnswer] = answers,
+            ) -> None:
+                await fleet.start()
+                await list_endpoint(fleet, "a", service, partial(first, framing))
+                await fleet.until_listed(1)
+                tasks = []
+                for number, kind in enumerate(CallerProtocol):
+                    caller = RawCaller(fleet, kind)
+                    wait_ms = "500" if way == "deadline" else "4000"
+                    call = partial(caller.call, path, f"id-{number}", wait_ms=wait_ms)
+                    tasks.append(await curio.spawn(call))
+                await curio.sleep(0.3)
+                if way == "stop":
+                    await fleet.entries[0].halt()
+                for task in tasks:
+                    answers.append(await task.join())
+
+            run_fleet(scenario)
+            assert [answer.is_complete for answer in answers] == [False] * 3
+            assert all(answer.status == 200 and answer.body for answer in answers)
