Soak: a stream that its endpoint broke off is no cut by a shutdown

The entry's log shows that both engines' answers ended inside an event 45 ms after they were sent, by the new fault, and that no endpoint could resume them; the entry was leaving at the time and cut nothing itself. Calls with such answers are recorded and excused from this one check; every other check of them stays.

--- a/src/tamaracktray_emulator/soak/endpoints.py
+++ b/src/tamaracktray_emulator/soak/endpoints.py
@@ -83,6 +83,11 @@
         )
         self.record.note_run(headers.get(REQUEST_ID, ""), run)
 
+    def record_fault(self, request: Request) -> None:
+        """Record that the answer may break off through no fault of an entry."""
+        if self.answer_fault is not AnswerFault.WHOLE:
+            self.record.broken_ids.add(request.headers.get(REQUEST_ID, ""))
+
     def prepare(self, record: SoakRecord, zone: str, started: float) -> None:
         self.record = record
         self.zone = zone
@@ -100,6 +105,7 @@
         if self.answer_fault is None or self.mode is not Mode.GOOD:
             await super().run(request, responder, headers)
             return
+        self.record_fault(request)
         body = build_body(self.id, self.compute_answer_bytes(request))
         await send_faulty_body(self.answer_fault, responder, headers, body)
 
@@ -124,6 +130,7 @@
         if is_usual or self.is_fatal(request):
             await super().run(request, responder, headers)
             return
+        self.record_fault(request)
         headers = [*headers, (VERSION, str(self.version)), STREAM_TYPE]
         await send_faulty_stream(self.answer_fault, request, responder, headers)
 
--- a/src/tamaracktray_emulator/soak/operations.py
+++ b/src/tamaracktray_emulator/soak/operations.py
@@ -223,12 +223,16 @@
         self._fleet.launch(daemon)
 
     def _check_cuts(self, entry: str, start: float, end: float) -> None:
-        """Check that the shutdown cut no call that had reached an endpoint."""
+        """Check that the shutdown cut no call that had reached an endpoint.
+
+        A call whose endpoint broke its answer off proves nothing.
+        """
         for call in self._record.calls_by_id.values():
             if call.entry != entry or not start <= call.ended_at <= end + 0.1:
                 continue
             has_run = bool(self._record.runs_by_id.get(call.id))
-            is_cut = bool(call.cut_by) and has_run
+            is_broken = call.id in self._record.broken_ids
+            is_cut = bool(call.cut_by) and has_run and not is_broken
             self._record.check("shutdown cuts nothing", not is_cut, start, call.id)
 
     async def _reload(self) -> None:
--- a/src/tamaracktray_emulator/soak/record.py
+++ b/src/tamaracktray_emulator/soak/record.py
@@ -57,11 +57,15 @@
 
 
 class SoakRecord:
-    """Calls, runs and check results of a soak."""
+    """Calls, runs and check results of a soak.
+
+    ``broken_ids`` are the calls to which an endpoint gave an answer that may break off.
+    """
 
     def __init__(self) -> None:
         self.calls_by_id: dict[str, SoakCall] = {}
         self.runs_by_id: dict[str, list[Run]] = {}
+        self.broken_ids: set[str] = set()
         self.check_counts: Counter[str] = Counter()
         self.violations: list[Violation] = []
 
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -24,7 +24,11 @@
     712: "the check took a planned restart of the entry for none",
     740: "a shared part was blamed while the fatal one was not yet known",
     2001: "streams without framing counted as complete when their engine ended",
+    2010: "the proxy's reset ended answers without framing in order",
+    2011: "the writer of odd entries listed a draining endpoint as ready",
+    2108: "as 2010, for an unsafe call",
     2103: "a shared part was blamed for two crashes and an engine that hangs",
+    2308: "the check took an endpoint's broken stream for a cut by a shutdown",
 }
 
 
