Show that a freeze during the check of staged pieces lets spoilt ones be loaded

review/3: an agent is frozen for 4 s in the middle of reading its staged pieces back, and 0.06 of the pieces turn bad as it begins. After it wakes it orders the load without reading them again.

--- /dev/null
+++ b/review/3/run.sh
@@ -0,0 +1,2 @@
+#!/bin/sh
+exec sh "$(dirname "$0")/../run-case.sh" "$(dirname "$0")"
