Move the answers of the HTTP server to a module of their own

Change: `responders` holds `Responder` and `ConnectionResponder`, as they were. No behaviour changes.

--- a/src/tamaracktray/agent.py
+++ b/src/tamaracktray/agent.py
@@ -28,7 +28,7 @@
 )
 from tamaracktray.endpoints import HttpModelEngine, HttpPlainService, PlainService
 from tamaracktray.events import AttemptArrived, CallerRequest, ClaimAnswered, RunEnded
-from tamaracktray.http import HttpServer, Responder
+from tamaracktray.http import HttpServer
 from tamaracktray.http_messages import Request
 from tamaracktray.instances import InstanceList
 from tamaracktray.messages import (
@@ -38,6 +38,7 @@
 )
 from tamaracktray.objects import ObjectStore
 from tamaracktray.outcomes import ClaimOutcome, RunOutcome
+from tamaracktray.responders import Responder
 from tamaracktray.runs import EndpointRun, RunReport
 from tamaracktray.settings import Settings
 from tamaracktray.shell import Shell
--- a/src/tamaracktray/api.py
+++ b/src/tamaracktray/api.py
@@ -27,7 +27,6 @@
     RevisionExpiredError,
     WriteOutcomeUnknownError,
 )
-from tamaracktray.http import Responder
 from tamaracktray.http_messages import Headers, Request
 from tamaracktray.objects import (
     CLAIMS,
@@ -45,6 +44,7 @@
     decode_resource,
     encode_resource,
 )
+from tamaracktray.responders import Responder
 from tamaracktray.shell import Shell, decode_objects
 
 PREFIX = "/api/v1"
--- a/src/tamaracktray/attempt_relay.py
+++ b/src/tamaracktray/attempt_relay.py
@@ -18,7 +18,6 @@
 from tamaracktray.exceptions import TransportError
 from tamaracktray.exchange import Exchange, open_exchange
 from tamaracktray.headers import read_media_type
-from tamaracktray.http import Responder
 from tamaracktray.http_messages import RawHeaders
 from tamaracktray.idle_timeouts import (
     STALL_CHECK_S,
@@ -30,6 +29,7 @@
 from tamaracktray.open_calls import BufferedAnswer, OpenCall
 from tamaracktray.outcomes import AttemptPhase
 from tamaracktray.protocol import AnswerFields, AttemptFields, RequestProtocol
+from tamaracktray.responders import Responder
 from tamaracktray.routes import RepeatKind
 
 # Connection timeout to an endpoint, in seconds: a full accept queue drops the SYN, and
--- a/src/tamaracktray/chunk_relay.py
+++ b/src/tamaracktray/chunk_relay.py
@@ -20,8 +20,8 @@
 )
 from tamaracktray.engines import VersionOrigin
 from tamaracktray.exceptions import SourceUnreachableError, WeightError
-from tamaracktray.http import Responder
 from tamaracktray.http_messages import Request
+from tamaracktray.responders import Responder
 from tamaracktray.types import Address
 from tamaracktray.upstreams import Upstreams
 from tamaracktray.version_keys import VersionKey, read_version_key
--- a/src/tamaracktray/entry.py
+++ b/src/tamaracktray/entry.py
@@ -19,7 +19,7 @@
     RequestEnded,
 )
 from tamaracktray.exchange import Exchange, open_exchange
-from tamaracktray.http import HttpServer, Responder
+from tamaracktray.http import HttpServer
 from tamaracktray.http_messages import Headers, Reply, Request
 from tamaracktray.instances import InstanceList
 from tamaracktray.messages import (
@@ -31,6 +31,7 @@
 )
 from tamaracktray.objects import ObjectStore
 from tamaracktray.outcomes import AttemptPhase
+from tamaracktray.responders import Responder
 from tamaracktray.settings import Settings
 from tamaracktray.shell import Shell
 from tamaracktray.tracing import TRACE_HEADER
--- a/src/tamaracktray/entry_process.py
+++ b/src/tamaracktray/entry_process.py
@@ -34,7 +34,7 @@
 from tamaracktray.exceptions import PlatformError
 from tamaracktray.gateway_limits import list_limits
 from tamaracktray.gateway_state import GatewayBounds, GatewayState
-from tamaracktray.http import HttpServer, Responder
+from tamaracktray.http import HttpServer
 from tamaracktray.http_messages import HttpLimits, Request
 from tamaracktray.messages import encode_refusal
 from tamaracktray.node_events import (
@@ -53,6 +53,7 @@
 from tamaracktray.quarantine_records import RecordQuarantine, RemoveQuarantine
 from tamaracktray.record_writer import RecordWriter
 from tamaracktray.refusals import refuse_deadline_passed
+from tamaracktray.responders import Responder
 from tamaracktray.snapshot_codec import encode_snapshots
 from tamaracktray.snapshots import Collection
 from tamaracktray.store_readers import list_local
--- a/src/tamaracktray/http.py
+++ b/src/tamaracktray/http.py
@@ -1,138 +1,36 @@
 """HTTP/1.1 server over curio sockets; h11 implements the protocol.
 
 The server passes complete requests to a handler and rejects malformed, oversized and
-slow ones. The client is in ``exchange``.
+slow ones. Answers are in ``responders``, the client is in ``exchange``.
 """
 
 import socket as socket_module
-from abc import ABC, abstractmethod
 from collections.abc import Awaitable, Callable
-from http import HTTPStatus
 
 import curio
 import h11
 import msgspec
 import structlog
 
-from tamaracktray.connections import close_in_order, reset_on_close
 from tamaracktray.http_messages import (
     READ_BYTES,
-    Headers,
     HttpLimits,
-    RawHeaders,
     Request,
     RequestRejectedError,
 )
 from tamaracktray.request_reading import receive_request
+from tamaracktray.responders import ConnectionResponder, Responder
 from tamaracktray.types import Address
 
-# Older clients see the end of a body without length by the end of the connection.
-CHUNKED_SINCE = b"1.1"
-
 LISTEN_BACKLOG = 512
 
 
-class Responder(ABC):
-    """Sends one answer; implemented by the server's connections and by tests."""
-
-    @abstractmethod
-    async def acknowledge(self) -> None:
-        """Send an interim answer: the request is complete and being handled."""
-
-    @abstractmethod
-    async def send_head(self, status: int, headers: Headers | RawHeaders) -> None:
-        """Send the status line and headers of a chunked answer."""
-
-    @abstractmethod
-    async def send_data(self, data: bytes) -> None:
-        """Send a piece of the body; raise ``OSError`` if the client disconnected."""
-
-    @abstractmethod
-    async def finish(self) -> None:
-        """Mark the body as complete."""
-
-    @abstractmethod
-    async def abort(self) -> None:
-        """Close the connection, so that the client sees an incomplete answer."""
-
-    @abstractmethod
-    async def respond(
-        self, status: int, headers: Headers | RawHeaders, body: bytes = b""
-    ) -> None:
-        """Send a complete answer with its length."""
-
+# Shortest wait for the first bytes of a request, in seconds.
+MIN_IDLE_READ_S = 0.01
 
 Handler = Callable[[Request, Responder], Awaitable[None]]
 
 
-class _ConnectionResponder(Responder):
-    """Answers one request on a server connection."""
-
-    __slots__ = (
-        "_connection",
-        "_resets_on_close",
-        "_socket",
-        "_timeout_s",
-        "is_aborted",
-        "watcher",
-    )
-
-    def __init__(
-        self, connection: h11.Connection, socket: curio.io.Socket, timeout_s: float
-    ) -> None:
-        self._connection = connection
-        self._socket = socket
-        self._timeout_s = timeout_s
-        self._resets_on_close = False
-        self.is_aborted = False
-        self.watcher: curio.Task | None = None
-
-    async def _send(self, *events: h11.Event) -> None:
-        data = b"".join(self._connection.send(event) or b"" for event in events)
-        unsent = data[_send_nonblocking(self._socket, data) :]
-        if not unsent:
-            return
-        try:
-            await curio.timeout_after(self._timeout_s, self._socket.sendall(unsent))
-        except curio.TaskTimeout as error:
-            raise ConnectionError("client does not read the answer") from error
-
-    async def acknowledge(self) -> None:
-        await self._send(
-            h11.InformationalResponse(status_code=HTTPStatus.PROCESSING, headers=[])
-        )
-
-    async def send_head(self, status: int, headers: Headers | RawHeaders) -> None:
-        if self._connection.their_http_version < CHUNKED_SINCE:
-            self._resets_on_close = True
-            reset_on_close(self._socket)
-        framed_headers = [*headers, ("transfer-encoding", "chunked")]
-        await self._send(h11.Response(status_code=status, headers=framed_headers))
-
-    async def send_data(self, data: bytes) -> None:
-        await self._send(h11.Data(data=data))
-
-    async def finish(self) -> None:
-        await self._send(h11.EndOfMessage())
-        if self._resets_on_close:
-            close_in_order(self._socket)
-
-    async def abort(self) -> None:
-        self.is_aborted = True
-        self._connection.send_failed()
-        if self.watcher is not None:
-            # No task may be waiting on the socket when it is closed.
-            await self.watcher.cancel()
-        await self._socket.close()
-
-    async def respond(
-        self, status: int, headers: Headers | RawHeaders, body: bytes = b""
-    ) -> None:
-        framed_headers = [*headers, ("content-length", str(len(body)))]
-        head = h11.Response(status_code=status, headers=framed_headers)
-        await self._send(head, h11.Data(data=body), h11.EndOfMessage())
-
-
 class HttpServer:
     """Accepts connections on one address and passes requests to a handler.
 
@@ -230,7 +128,7 @@
         )
         while True:
             limits = self.limits
-            responder = _ConnectionResponder(connection, client, limits.send_timeout_s)
+            responder = ConnectionResponder(connection, client, limits.send_timeout_s)
             try:
                 if not await self._wait_for_request(connection, client):
                     return
@@ -275,7 +173,7 @@
     async def _handle_until_disconnect(
         self,
         request: Request,
-        responder: _ConnectionResponder,
+        responder: ConnectionResponder,
         connection: h11.Connection,
         client: curio.io.Socket,
     ) -> None:
@@ -291,7 +189,7 @@
         if handler.cancelled:
             responder.is_aborted = True
 
-    async def _handle(self, request: Request, responder: _ConnectionResponder) -> None:
+    async def _handle(self, request: Request, responder: ConnectionResponder) -> None:
         """Run the handler; an exception in it closes only this connection."""
         self._active_requests += 1
         try:
@@ -305,19 +203,6 @@
             self._active_requests -= 1
 
 
-def _send_nonblocking(socket: curio.io.Socket, data: bytes) -> int:
-    """Send as much as the socket accepts without blocking; return the byte count.
-
-    This is nearly always all of ``data``, which saves setting a timeout.
-    """
-    if not data:
-        return 0
-    try:
-        return socket._socket.send(data)
-    except BlockingIOError:
-        return 0
-
-
 def peek(socket: curio.io.Socket) -> bytes | None:
     """Return the next unread byte without consuming it, ``None`` if there is none.
 
@@ -349,7 +234,7 @@
 
 
 async def _reject(
-    responder: _ConnectionResponder,
+    responder: ConnectionResponder,
     connection: h11.Connection,
     error: RequestRejectedError,
 ) -> None:
--- a/src/tamaracktray/node_process.py
+++ b/src/tamaracktray/node_process.py
@@ -19,7 +19,7 @@
 from tamaracktray.engines import VersionOrigin
 from tamaracktray.events import Event, Tick
 from tamaracktray.exchange import fetch
-from tamaracktray.http import HttpServer, Responder
+from tamaracktray.http import HttpServer
 from tamaracktray.http_messages import Headers, Request
 from tamaracktray.logs import Logs
 from tamaracktray.metrics import ExposedMetrics, Metrics, NullMetrics
@@ -39,6 +39,7 @@
 from tamaracktray.node_settings import NodeProcessSettings, load_node_settings
 from tamaracktray.node_state import NodeState
 from tamaracktray.peer_pulls import reads_store
+from tamaracktray.responders import Responder
 from tamaracktray.runtime import Runtime
 from tamaracktray.snapshot_codec import decode_snapshots, encode_snapshots
 from tamaracktray.snapshots import Collection
--- a/src/tamaracktray/open_calls.py
+++ b/src/tamaracktray/open_calls.py
@@ -7,8 +7,8 @@
 from tamaracktray.event_stream import EventBuffer
 from tamaracktray.exchange import Exchange
 from tamaracktray.headers import read_media_type
-from tamaracktray.http import Responder
 from tamaracktray.http_messages import RawHeaders, Request
+from tamaracktray.responders import Responder
 
 
 class BufferedAnswer(msgspec.Struct, frozen=True):
--- /dev/null
+++ b/src/tamaracktray/responders.py
@@ -0,0 +1,134 @@
+"""Answers of the HTTP server to its clients."""
+
+from abc import ABC, abstractmethod
+from http import HTTPStatus
+
+import curio
+import h11
+from typing_extensions import override
+
+from tamaracktray.connections import close_in_order, reset_on_close
+from tamaracktray.http_messages import Headers, RawHeaders
+
+# Older clients see the end of a body without length by the end of the connection.
+CHUNKED_SINCE = b"1.1"
+
+
+class Responder(ABC):
+    """Sends one answer; implemented by the server's connections and by tests."""
+
+    @abstractmethod
+    async def acknowledge(self) -> None:
+        """Send an interim answer: the request is complete and being handled."""
+
+    @abstractmethod
+    async def send_head(self, status: int, headers: Headers | RawHeaders) -> None:
+        """Send the status line and headers of a chunked answer."""
+
+    @abstractmethod
+    async def send_data(self, data: bytes) -> None:
+        """Send a piece of the body; raise ``OSError`` if the client disconnected."""
+
+    @abstractmethod
+    async def finish(self) -> None:
+        """Mark the body as complete."""
+
+    @abstractmethod
+    async def abort(self) -> None:
+        """Close the connection, so that the client sees an incomplete answer."""
+
+    @abstractmethod
+    async def respond(
+        self, status: int, headers: Headers | RawHeaders, body: bytes = b""
+    ) -> None:
+        """Send a complete answer with its length."""
+
+
+class ConnectionResponder(Responder):
+    """Answers one request on a server connection.
+
+    A client that reads nothing for ``timeout_s`` seconds loses the connection.
+    """
+
+    __slots__ = (
+        "_connection",
+        "_resets_on_close",
+        "_socket",
+        "_timeout_s",
+        "is_aborted",
+        "watcher",
+    )
+
+    def __init__(
+        self, connection: h11.Connection, socket: curio.io.Socket, timeout_s: float
+    ) -> None:
+        self._connection = connection
+        self._socket = socket
+        self._timeout_s = timeout_s
+        self._resets_on_close = False
+        self.is_aborted = False
+        self.watcher: curio.Task | None = None
+
+    async def _send(self, *events: h11.Event) -> None:
+        data = b"".join(self._connection.send(event) or b"" for event in events)
+        unsent = data[_send_nonblocking(self._socket, data) :]
+        if not unsent:
+            return
+        try:
+            await curio.timeout_after(self._timeout_s, self._socket.sendall(unsent))
+        except curio.TaskTimeout as error:
+            raise ConnectionError("client does not read the answer") from error
+
+    @override
+    async def acknowledge(self) -> None:
+        await self._send(
+            h11.InformationalResponse(status_code=HTTPStatus.PROCESSING, headers=[])
+        )
+
+    @override
+    async def send_head(self, status: int, headers: Headers | RawHeaders) -> None:
+        if self._connection.their_http_version < CHUNKED_SINCE:
+            self._resets_on_close = True
+            reset_on_close(self._socket)
+        framed_headers = [*headers, ("transfer-encoding", "chunked")]
+        await self._send(h11.Response(status_code=status, headers=framed_headers))
+
+    @override
+    async def send_data(self, data: bytes) -> None:
+        await self._send(h11.Data(data=data))
+
+    @override
+    async def finish(self) -> None:
+        await self._send(h11.EndOfMessage())
+        if self._resets_on_close:
+            close_in_order(self._socket)
+
+    @override
+    async def abort(self) -> None:
+        self.is_aborted = True
+        self._connection.send_failed()
+        if self.watcher is not None:
+            # No task may be waiting on the socket when it is closed.
+            await self.watcher.cancel()
+        await self._socket.close()
+
+    @override
+    async def respond(
+        self, status: int, headers: Headers | RawHeaders, body: bytes = b""
+    ) -> None:
+        framed_headers = [*headers, ("content-length", str(len(body)))]
+        head = h11.Response(status_code=status, headers=framed_headers)
+        await self._send(head, h11.Data(data=body), h11.EndOfMessage())
+
+
+def _send_nonblocking(socket: curio.io.Socket, data: bytes) -> int:
+    """Send as much as the socket accepts without blocking; return the byte count.
+
+    This is nearly always all of ``data``, which saves setting a timeout.
+    """
+    if not data:
+        return 0
+    try:
+        return socket._socket.send(data)
+    except BlockingIOError:
+        return 0
--- a/src/tamaracktray/versions.py
+++ b/src/tamaracktray/versions.py
@@ -32,11 +32,11 @@
 )
 from tamaracktray.exceptions import ObjectNotFoundError
 from tamaracktray.holders import Holders, encode_map, index_chunks
-from tamaracktray.http import Responder
 from tamaracktray.http_messages import Headers, Request
 from tamaracktray.objects import ENDPOINTS, put_and_confirm
 from tamaracktray.outcomes import FetchOutcome
 from tamaracktray.resources import EndpointSpec, Kind
+from tamaracktray.responders import Responder
 from tamaracktray.slots import SlotClient
 from tamaracktray.types import Address
 from tamaracktray.weights import (
--- a/src/tamaracktray_emulator/engine.py
+++ b/src/tamaracktray_emulator/engine.py
@@ -5,8 +5,8 @@
 
 from tamaracktray import headers as names
 from tamaracktray.endpoints import EngineStatus, LoadOrder
-from tamaracktray.http import Responder
 from tamaracktray.http_messages import Headers, Request
+from tamaracktray.responders import Responder
 from tamaracktray.types import Address
 from tamaracktray_emulator.endpoint import EndpointBehavior, EndpointStandIn
 from tamaracktray_emulator.standin import JSON, OCTETS, RateLimit, send_json
--- a/src/tamaracktray_emulator/instance_list.py
+++ b/src/tamaracktray_emulator/instance_list.py
@@ -4,8 +4,8 @@
 
 import msgspec
 
-from tamaracktray.http import Responder
 from tamaracktray.http_messages import Request
+from tamaracktray.responders import Responder
 from tamaracktray.types import Address, Instance
 from tamaracktray_emulator.standin import StandIn, send_json
 
--- a/src/tamaracktray_emulator/object_api.py
+++ b/src/tamaracktray_emulator/object_api.py
@@ -9,9 +9,9 @@
 import curio
 import msgspec
 
-from tamaracktray.http import Responder
 from tamaracktray.http_messages import Request
 from tamaracktray.objects import API_PREFIX
+from tamaracktray.responders import Responder
 from tamaracktray.types import Address
 from tamaracktray_emulator.standin import JSON, StandIn, send_json
 
--- a/src/tamaracktray_emulator/origin.py
+++ b/src/tamaracktray_emulator/origin.py
@@ -4,8 +4,8 @@
 
 import msgspec
 
-from tamaracktray.http import Responder
 from tamaracktray.http_messages import Request
+from tamaracktray.responders import Responder
 from tamaracktray.types import Address
 from tamaracktray.weights import build_manifest, digest_bytes, encode_manifest
 from tamaracktray_emulator.standin import OCTETS, RateLimit, StandIn, send_json
--- a/src/tamaracktray_emulator/platform/raw_answers.py
+++ b/src/tamaracktray_emulator/platform/raw_answers.py
@@ -3,8 +3,8 @@
 from http import HTTPStatus
 
 from tamaracktray.connections import close_in_order, reset_on_close
-from tamaracktray.http import Responder
 from tamaracktray.http_messages import Headers
+from tamaracktray.responders import Responder
 
 
 async def begin_unframed(responder: Responder, headers: Headers) -> None:
--- a/src/tamaracktray_emulator/platform/store.py
+++ b/src/tamaracktray_emulator/platform/store.py
@@ -9,8 +9,8 @@
 import msgspec
 from typing_extensions import override
 
-from tamaracktray.http import Responder
 from tamaracktray.http_messages import Request
+from tamaracktray.responders import Responder
 from tamaracktray.types import Address
 from tamaracktray_emulator.standin import StandIn, send_json
 
--- a/src/tamaracktray_emulator/platform/worker.py
+++ b/src/tamaracktray_emulator/platform/worker.py
@@ -8,8 +8,8 @@
 import msgspec
 from typing_extensions import override
 
-from tamaracktray.http import Responder
 from tamaracktray.http_messages import Headers, Request
+from tamaracktray.responders import Responder
 from tamaracktray.types import Address
 from tamaracktray.weights import digest_bytes
 from tamaracktray_emulator.platform.documents import (
--- a/src/tamaracktray_emulator/service.py
+++ b/src/tamaracktray_emulator/service.py
@@ -3,8 +3,8 @@
 import msgspec
 
 from tamaracktray import headers as names
-from tamaracktray.http import Responder
 from tamaracktray.http_messages import Request
+from tamaracktray.responders import Responder
 from tamaracktray_emulator.endpoint import EndpointStandIn
 from tamaracktray_emulator.standin import JSON
 
--- a/src/tamaracktray_emulator/soak/endpoints.py
+++ b/src/tamaracktray_emulator/soak/endpoints.py
@@ -6,8 +6,8 @@
 from typing_extensions import override
 
 from tamaracktray.hashing import hash_text
-from tamaracktray.http import Responder
 from tamaracktray.http_messages import Headers, Request
+from tamaracktray.responders import Responder
 from tamaracktray.types import Address
 from tamaracktray_emulator.platform.origin import list_digests
 from tamaracktray_emulator.platform.worker import (
--- a/src/tamaracktray_emulator/soak/faulty_answers.py
+++ b/src/tamaracktray_emulator/soak/faulty_answers.py
@@ -4,8 +4,8 @@
 
 import curio
 
-from tamaracktray.http import Responder
 from tamaracktray.http_messages import Headers, Request
+from tamaracktray.responders import Responder
 from tamaracktray_emulator.platform.raw_answers import (
     begin_unframed,
     end_unframed,
--- a/src/tamaracktray_emulator/standin.py
+++ b/src/tamaracktray_emulator/standin.py
@@ -6,8 +6,9 @@
 import curio
 import msgspec
 
-from tamaracktray.http import HttpServer, Responder
+from tamaracktray.http import HttpServer
 from tamaracktray.http_messages import Headers, HttpLimits, Request
+from tamaracktray.responders import Responder
 from tamaracktray.types import Address
 
 JSON: Headers = [("content-type", "application/json")]
