Compare positions of an era and a revision, never revisions alone

Cause: one counter was taken to order all that the store says. By a test also: where the watched revision was given out again there is no 410, and a watch goes on in a history that it doesn't belong to.

Ruled out: that watches stay open on the old connections. The log shows "history expired" at once, and the list that follows.

Change: `positions` orders eras first; `eras` decides what a later era means, as an event with effects: relist all collections, write the member record, announcement times and quarantines again, use no earlier precondition, and hold endpoints, members and zones that the copy lacks until their writers have repeated themselves.

--- a/src/tamaracktray/announcement_records.py
+++ b/src/tamaracktray/announcement_records.py
@@ -110,6 +110,10 @@
         """Mark the record of a version as acknowledged by the store."""
         self._written_by_model[model] = version
 
+    def forget_written(self) -> None:
+        """Forget which records were acknowledged, because the store may lack them."""
+        self._written_by_model.clear()
+
     def mark_attempted(self, now: float, model: str) -> None:
         """Start the retry delay of a write."""
         self._retry_deadline_by_model[model] = now + RECORD_RETRY_S
--- a/src/tamaracktray/beacons.py
+++ b/src/tamaracktray/beacons.py
@@ -13,6 +13,7 @@
 from tamaracktray.endpoint_limits import is_valid_limit
 from tamaracktray.exceptions import ProtocolError
 from tamaracktray.part_watch import SoundAnswer
+from tamaracktray.positions import Position
 from tamaracktray.snapshots import Collection
 from tamaracktray.suspicions import CrashReport
 
@@ -38,9 +39,9 @@
     """State that one process reports to its peers.
 
     ``incarnation`` changes with every start of the process and ``number`` increases
-    with every beacon. ``revision_by_collection`` is the revision up to which the sender
-    knows each collection, ``changed_by_collection`` the revision of the last change;
-    both are empty in the frequent load reports. ``version_floor_by_model`` are the due
+    with every beacon. ``position_by_collection`` is the position up to which the sender
+    knows each collection, ``changed_by_collection`` that of the last change; both are
+    empty in the frequent load reports. ``version_floor_by_model`` are the due
     versions and ``announcement_ages_by_model`` the ages of announced versions in
     seconds. ``has_store`` is set if the sender can reach the platform's store.
     ``crash_reports`` are the requests that may have crashed endpoints, ``part_reports``
@@ -51,8 +52,8 @@
     name: str
     incarnation: int
     number: int
-    revision_by_collection: dict[Collection, int]
-    changed_by_collection: dict[Collection, int]
+    position_by_collection: dict[Collection, Position]
+    changed_by_collection: dict[Collection, Position]
     in_flight_by_endpoint: dict[str, int] = {}
     status: EndpointStatus | None = None
     version_floor_by_model: dict[str, int] = {}
--- a/src/tamaracktray/collection_reader.py
+++ b/src/tamaracktray/collection_reader.py
@@ -30,6 +30,7 @@
     StoreLost,
 )
 from tamaracktray.objects import ObjectList, ObjectStore
+from tamaracktray.positions import Position
 from tamaracktray.snapshots import Collection, SnapshotCache
 
 # Delay in seconds between two watches of a collection, which batches changes that occur
@@ -86,6 +87,7 @@
         "_context",
         "_log",
         "_probing_collection",
+        "_relist_due",
         "_store_available",
         "_watches",
     )
@@ -95,6 +97,7 @@
         self._log = structlog.get_logger()
         self._probing_collection: Collection | None = None
         self._store_available = curio.Event()
+        self._relist_due: set[Collection] = set()
         self._watches: dict[Collection, curio.Task] = {}
 
     def build_loop(self, collection: Collection) -> Callable[[], Awaitable[None]]:
@@ -105,6 +108,12 @@
 
         return run_collection
 
+    async def relist(self) -> None:
+        """Make all collections be listed again, also those with an open watch."""
+        self._relist_due.update(Collection)
+        for watch in list(self._watches.values()):
+            await watch.cancel(blocking=False)
+
     async def read_once(self, collection: Collection) -> None:
         """Read a collection; log failures and retry a few times."""
         context = self._context
@@ -132,15 +141,18 @@
                 is_listed = False
                 await curio.sleep(READER_CHECK_INTERVAL_S)
                 continue
+            if collection in self._relist_due:
+                self._relist_due.discard(collection)
+                is_listed = False
             if not is_listed:
-                previous_change = self._read_changed_revision(collection)
+                previous_change = self._read_changed_position(collection)
                 failure, changes = await self._list(collection), 1
                 is_listed = failure is None
                 if is_changing_fast:
                     # While every list returns a change, a watch would return several.
                     is_changing_fast = (
                         is_listed
-                        and self._read_changed_revision(collection) != previous_change
+                        and self._read_changed_position(collection) != previous_change
                     )
                     is_listed = is_listed and not is_changing_fast
             else:
@@ -213,11 +225,11 @@
                 "store lost", collection=collection.value, error=failure.message
             )
 
-    def _read_changed_revision(self, collection: Collection) -> int:
+    def _read_changed_position(self, collection: Collection) -> Position:
         return (
             self._context.read_snapshot_cache()
             .by_collection[collection]
-            .changed_revision
+            .changed_position
         )
 
     async def _list(self, collection: Collection) -> PlatformError | None:
@@ -229,25 +241,36 @@
         self._count_unreadable(collection, objects)
         await self._context.dispatch(
             CollectionListed(
-                time.monotonic(), collection, objects.items, objects.revision
+                time.monotonic(),
+                collection,
+                objects.items,
+                objects.revision,
+                objects.era,
             )
         )
+        if objects.era >= (self._context.store.era or 0):
+            self._relist_due.discard(collection)
         return None
 
     async def _watch(self, collection: Collection) -> tuple[PlatformError | None, int]:
         """Wait for changes; return the failure, if any, and the number of changes."""
         self._count_call(collection, "watch")
-        revision = (
-            self._context.read_snapshot_cache().by_collection[collection].revision
-        )
-        watched = await self._wait_for_changes(collection, revision)
+        known = self._context.read_snapshot_cache().by_collection[collection].position
+        watched = await self._wait_for_changes(collection, known.revision)
         if isinstance(watched, Failure):
             return watched.failure(), 0
         changes = watched.unwrap()
+        if changes.era != known.era:
+            message = f"{collection.value}: watched from era {known.era}"
+            return RevisionExpiredError(message), 0
         self._count_unreadable(collection, changes)
         await self._context.dispatch(
             CollectionChanged(
-                time.monotonic(), collection, changes.items, changes.revision
+                time.monotonic(),
+                collection,
+                changes.items,
+                changes.revision,
+                changes.era,
             )
         )
         return None, len(changes.items)
--- a/src/tamaracktray/entry_process.py
+++ b/src/tamaracktray/entry_process.py
@@ -31,22 +31,23 @@
 from tamaracktray.effects import Effect
 from tamaracktray.endpoint_limits import LogLimit
 from tamaracktray.events import Event, Tick
-from tamaracktray.exceptions import PlatformError
 from tamaracktray.gateway_limits import list_limits
 from tamaracktray.gateway_state import GatewayBounds, GatewayState
 from tamaracktray.http import HttpServer
 from tamaracktray.http_messages import HttpLimits, Request
+from tamaracktray.member_registration import MemberRegistration
 from tamaracktray.messages import encode_refusal
 from tamaracktray.node_events import (
     ApplyRouting,
     CloseIdleConnections,
     PrefetchVersion,
     RecordAnnouncements,
+    RegisterMember,
 )
 from tamaracktray.node_process import SERVICES_PATH, NodeProcess
 from tamaracktray.node_settings import NodeProcessSettings
 from tamaracktray.notices import LogNotice
-from tamaracktray.objects import StoredObject, overwrite_object
+from tamaracktray.objects import StoredObject
 from tamaracktray.open_calls import OpenCall
 from tamaracktray.outcomes import AttemptPhase
 from tamaracktray.peers import Member
@@ -62,9 +63,6 @@
 from tamaracktray.upstreams import Upstreams
 from tamaracktray.version_keys import VERSIONS_PATH, VersionKey
 
-# Delay before a failed write of the process's member record is retried, in seconds.
-REGISTRATION_RETRY_S = 0.5
-
 # Least time between load beacons to peers in other regions, in seconds. These peers
 # rarely borrow endpoints here, and links between regions have little bandwidth.
 REMOTE_BEACON_INTERVAL_S = 0.2
@@ -106,6 +104,9 @@
             self.state.gateway.is_limited,
             bounds.answer_bytes,
         )
+        self._registration = MemberRegistration(
+            self.store, lambda: self._own_member, self.random
+        )
         self._loads_changed = curio.Event()
         self._open_by_id: dict[str, OpenCall] = {}
         self._caller_server = HttpServer(
@@ -118,6 +119,7 @@
         self.add_performer(CloseIdleConnections, self._close_idle_connections)
         self.add_performer(LogNotice, self._log_notice)
         self.add_performer(LogLimit, self._log_limit)
+        self.add_performer(RegisterMember, self._registration.request)
         self.add_performer(SendLoadBeacon, self._schedule_load_beacon)
         self.add_performer(LogFinding, self._log_finding)
         writer = RecordWriter(self.store, self._call_log, self.spawn, self.dispatch)
@@ -136,7 +138,8 @@
 
     @override
     def list_loops(self) -> list[Callable[[], Awaitable[None]]]:
-        return [*super().list_loops(), self._register, self._run_load_beacons]
+        loops = [*super().list_loops(), self._registration.run]
+        return [*loops, self._run_load_beacons]
 
     @override
     def reduce(self, event: Event) -> list[Effect]:
@@ -169,6 +172,7 @@
             responsive_ids=responsive_ids,
             progress_at_by_call=self._call_relay.take_progress(),
             open_connections=open_connections,
+            store_era=self.store.era,
         )
 
     @override
@@ -347,22 +351,6 @@
         node = self.settings.node
         return Member(node.name, node.zone, self.own_address)
 
-    async def _register(self) -> None:
-        """Write this entry's member record, with retries until it succeeds."""
-        while True:
-            failure = await self._write_member()
-            if failure is None:
-                return
-            self.log.info("not registered yet", error=failure.message)
-            pause_s = REGISTRATION_RETRY_S * self.random.uniform(0.5, 1.5)
-            await curio.sleep(pause_s)
-
-    async def _write_member(self) -> PlatformError | None:
-        value = msgspec.to_builtins(self._own_member)
-        return await overwrite_object(
-            self.store, Collection.MEMBERS, self.state.name, value
-        )
-
     async def _log_finding(self, effect: LogFinding) -> None:
         self._call_log.note_finding(effect)
 
--- a/src/tamaracktray/events.py
+++ b/src/tamaracktray/events.py
@@ -31,13 +31,15 @@
     ``responsive_ids`` holds the endpoints that sent data since the last tick, and
     ``progress_at_by_call`` when data of each streamed answer last arrived since then.
     ``open_connections`` counts the caller connections on which a request is being
-    received or answered.
+    received or answered. ``store_era`` is the latest era of the platform's store,
+    ``None`` while unknown.
     """
 
     random_value: int = 0
     responsive_ids: frozenset[str] = frozenset()
     progress_at_by_call: dict[str, float] = {}
     open_connections: int = 0
+    store_era: int | None = None
 
 
 class ObjectsReceived(Event, frozen=True):
--- a/src/tamaracktray/node_events.py
+++ b/src/tamaracktray/node_events.py
@@ -4,6 +4,7 @@
 from tamaracktray.effects import Effect
 from tamaracktray.events import Event
 from tamaracktray.objects import StoredObject
+from tamaracktray.positions import Position
 from tamaracktray.snapshots import Collection, Snapshot
 from tamaracktray.types import Address
 
@@ -14,6 +15,7 @@
     collection: Collection
     objects: list[StoredObject]
     revision: int
+    era: int = 0
 
 
 class CollectionChanged(Event, frozen=True):
@@ -22,6 +24,7 @@
     collection: Collection
     changes: list[StoredObject]
     revision: int
+    era: int = 0
 
 
 class SnapshotsReceived(Event, frozen=True):
@@ -63,6 +66,20 @@
     """Send a beacon to all peers immediately."""
 
 
+class RelistCollections(Effect, frozen=True):
+    """Read all collections again because the store was restored from an older copy.
+
+    ``known_by_collection`` are the positions known before.
+    """
+
+    era: int
+    known_by_collection: dict[Collection, Position]
+
+
+class RegisterMember(Effect, frozen=True):
+    """Write this entry's member record again."""
+
+
 class CloseIdleConnections(Effect, frozen=True):
     """Close callers' connections that have no request in progress."""
 
--- a/src/tamaracktray/node_process.py
+++ b/src/tamaracktray/node_process.py
@@ -32,6 +32,7 @@
     PeerLost,
     PullSnapshots,
     ReadCollection,
+    RelistCollections,
     SendBeacon,
     SnapshotsReceived,
 )
@@ -39,6 +40,7 @@
 from tamaracktray.node_settings import NodeProcessSettings, load_node_settings
 from tamaracktray.node_state import NodeState
 from tamaracktray.peer_pulls import reads_store
+from tamaracktray.positions import Position
 from tamaracktray.responders import Responder
 from tamaracktray.runtime import Runtime
 from tamaracktray.snapshot_codec import decode_snapshots, encode_snapshots
@@ -121,6 +123,7 @@
         self.add_performer(ApplyRouting, self.apply_routing)
         self.add_performer(PullSnapshots, self._start_pull)
         self.add_performer(ReadCollection, self._read_collection)
+        self.add_performer(RelistCollections, self._relist_collections)
         self.add_performer(SendBeacon, self._answer_beacon)
         self.add_performer(BroadcastBeacon, self._broadcast_beacon)
         self.add_performer(LogAnnouncement, self._log_announcement)
@@ -192,6 +195,7 @@
             name = collection.value
             self.metrics.gauge("known_revision", snapshot.revision, collection=name)
         self.metrics.gauge("store_lost", float(self.state.is_store_lost))
+        self.metrics.gauge("store_era", self.state.store_era.latest or 0)
 
     async def handle_metrics(self, request: Request, responder: Responder) -> None:
         """Respond with all metrics in the Prometheus text format."""
@@ -203,12 +207,12 @@
         snapshot_cache = self.state.snapshot_cache
         return msgspec.structs.replace(
             self.build_short_beacon(),
-            revision_by_collection=snapshot_cache.list_revisions(),
-            changed_by_collection=snapshot_cache.list_changed_revisions(),
+            position_by_collection=snapshot_cache.list_positions(),
+            changed_by_collection=snapshot_cache.list_changed_positions(),
         )
 
     def build_short_beacon(self) -> Beacon:
-        """Return a beacon without the revisions of the collections."""
+        """Return a beacon without the positions of the collections."""
         self._beacon_number += 1
         return Beacon(
             self.state.name,
@@ -294,7 +298,7 @@
 
     def build_tick(self) -> Tick:
         """Return a tick for the current time."""
-        return Tick(time.monotonic())
+        return Tick(time.monotonic(), store_era=self.store.era)
 
     async def _run_ticks(self) -> None:
         while True:
@@ -304,11 +308,11 @@
                 self.logs.flush()
 
     async def _serve_snapshots(self, request: Request, responder: Responder) -> None:
-        known_revisions = decode_msgpack(request.body, dict[Collection, int])
-        if isinstance(known_revisions, Failure):
+        known_positions = decode_msgpack(request.body, dict[Collection, Position])
+        if isinstance(known_positions, Failure):
             await responder.respond(400, [])
             return
-        newer = self.state.snapshot_cache.select_newer(known_revisions.unwrap())
+        newer = self.state.snapshot_cache.select_newer(known_positions.unwrap())
         await responder.respond(200, [], encode_snapshots(newer))
 
     async def _start_pull(self, effect: PullSnapshots) -> None:
@@ -319,8 +323,8 @@
 
     async def pull_snapshots(self, address: Address) -> None:
         """Fetch the snapshots that are newer on a peer than here."""
-        known_revisions = msgspec.msgpack.encode(
-            self.state.snapshot_cache.list_revisions()
+        known_positions = msgspec.msgpack.encode(
+            self.state.snapshot_cache.list_positions()
         )
         try:
             reply = await fetch(
@@ -328,7 +332,7 @@
                 "POST",
                 SNAPSHOTS_PATH,
                 None,
-                known_revisions,
+                known_positions,
                 timeout_s=PEER_TIMEOUT_S,
                 connect_timeout_s=PEER_CONNECT_S,
                 max_bytes=MAX_SNAPSHOT_BYTES,
@@ -363,6 +367,15 @@
             *self.store_retry_delays_s,
         )
 
+    async def _relist_collections(self, effect: RelistCollections) -> None:
+        known = {
+            collection.value: f"{position.era}/{position.revision}"
+            for collection, position in effect.known_by_collection.items()
+        }
+        self.metrics.count("store_eras")
+        self.log.warning("store restored", era=effect.era, known=known)
+        await self._reader.relist()
+
     async def _read_collection(self, effect: ReadCollection) -> None:
         await self.spawn(self._reader.read_once, effect.collection)
 
--- a/src/tamaracktray/node_reducer.py
+++ b/src/tamaracktray/node_reducer.py
@@ -17,6 +17,12 @@
 )
 from tamaracktray.effects import Effect, Exit
 from tamaracktray.endpoint_limits import EndpointLimitReceived
+from tamaracktray.eras import (
+    RETAINED_COLLECTIONS,
+    note_era,
+    select_members,
+    select_zones,
+)
 from tamaracktray.events import Event, ShutdownRequested, Tick
 from tamaracktray.exceptions import InvariantError
 from tamaracktray.gateway import (
@@ -55,6 +61,7 @@
 from tamaracktray.ownership import FleetNode
 from tamaracktray.peer_pulls import RELAYED_COLLECTIONS, should_pull
 from tamaracktray.peers import Member
+from tamaracktray.positions import find_latest_era
 from tamaracktray.quarantine_sync import (
     merge_crash_reports,
     merge_quarantine_records,
@@ -115,9 +122,9 @@
 
 
 def _on_listed(state: NodeState, event: CollectionListed) -> list[Effect]:
+    effects = note_era(state, event.now, event.era)
     known = state.snapshot_cache.by_collection[event.collection]
-    merged = known.replace_all(event.objects, event.revision)
-    effects: list[Effect] = []
+    merged = known.replace_all(event.objects, event.revision, event.era)
     if event.collection is Collection.VERSIONS:
         announced = [item.value for item in event.objects if item.value is not None]
         effects.extend(apply_targets(state, event.now, announced, is_listed=True))
@@ -126,9 +133,9 @@
 
 
 def _on_changed(state: NodeState, event: CollectionChanged) -> list[Effect]:
+    effects = note_era(state, event.now, event.era)
     known = state.snapshot_cache.by_collection[event.collection]
-    merged = known.apply_changes(event.changes, event.revision)
-    effects: list[Effect] = []
+    merged = known.apply_changes(event.changes, event.revision, event.era)
     if event.collection is Collection.VERSIONS:
         # One response may announce several versions of a model, each with its own
         # deadline.
@@ -152,7 +159,10 @@
 
 
 def _on_snapshots(state: NodeState, event: SnapshotsReceived) -> list[Effect]:
-    return _merge_snapshots(state, event.now, event.snapshot_by_collection)
+    snapshots = event.snapshot_by_collection
+    era = find_latest_era(snapshot.position for snapshot in snapshots.values())
+    effects = note_era(state, event.now, era)
+    return effects + _merge_snapshots(state, event.now, snapshots)
 
 
 def _merge_snapshots(
@@ -205,13 +215,13 @@
 
 def _apply_evacuations(state: NodeState, now: float) -> list[Effect]:
     zones = state.snapshot_cache.list_values(Collection.EVACUATIONS)
-    state.evacuated_zones = frozenset(zones)
+    state.evacuated_zones = select_zones(state, now, zones)
     return []
 
 
 def _apply_members(state: NodeState, now: float) -> list[Effect]:
     members: list[Member] = state.snapshot_cache.list_values(Collection.MEMBERS)
-    others = [member for member in members if member.name != state.name]
+    others = select_members(state, now, members)
     state.peers.update_members(now, others)
     _update_peer_count(state, now)
     if state.staging is not None:
@@ -248,10 +258,11 @@
         state.peers.record_no_answer(event.now, event.sender)
     else:
         state.peers.record_contact(event.now, event.sender, has_store=beacon.has_store)
-    effects: list[Effect] = []
+    era = find_latest_era(beacon.position_by_collection.values())
+    effects = note_era(state, event.now, era)
     if should_pull(state, event.now, beacon):
         effects.append(PullSnapshots(event.sender))
-    if state.snapshot_cache.select_newer(beacon.revision_by_collection):
+    if state.snapshot_cache.select_newer(beacon.position_by_collection):
         effects.append(SendBeacon(event.sender))
     if state.gateway is None:
         return effects
@@ -286,7 +297,10 @@
 
 
 def _on_tick(state: NodeState, event: Tick) -> list[Effect]:
-    effects: list[Effect] = []
+    effects = note_era(state, event.now, event.store_era)
+    if state.store_era.end_settling(event.now):
+        for collection in RETAINED_COLLECTIONS:
+            effects.extend(_APPLY_BY_COLLECTION[collection](state, event.now))
     if state.roster.expire(event.now):
         effects.extend(_apply_roster(state, event.now))
     state.peers.note_running(event.now)
--- a/src/tamaracktray/node_state.py
+++ b/src/tamaracktray/node_state.py
@@ -22,6 +22,31 @@
 OUTAGE_RECOVERY_S = 2.0
 
 
+class StoreEra:
+    """The era of the store that a process knows.
+
+    ``latest`` is ``None`` before the first answer that names one. Until
+    ``settle_deadline``, the store may lack changes that it had in an earlier era.
+    """
+
+    __slots__ = ("latest", "settle_deadline")
+
+    def __init__(self) -> None:
+        self.latest: int | None = None
+        self.settle_deadline = 0.0
+
+    def is_settling(self, now: float) -> bool:
+        """Return whether writers may not have repeated lost changes yet."""
+        return now < self.settle_deadline
+
+    def end_settling(self, now: float) -> bool:
+        """Return whether the store has settled since the last call."""
+        if not self.settle_deadline or self.is_settling(now):
+            return False
+        self.settle_deadline = 0.0
+        return True
+
+
 class NodeState:
     """State of one process, either an entry or an agent.
 
@@ -66,6 +91,7 @@
         "roster",
         "engine_service",
         "staging",
+        "store_era",
         "reachable_names",
         "target_by_model",
         "turn_target_by_model",
@@ -93,6 +119,7 @@
         self.zone = zone
         self.region_by_zone = region_by_zone
         self.snapshot_cache = SnapshotCache(followed, initial)
+        self.store_era = StoreEra()
         self.roster = Roster(OUTAGE_RECOVERY_S)
         self.quarantine_records = QuarantineRecords()
         self.crashes = CrashWatch(quarantine_s, heartbeat_s)
--- a/src/tamaracktray/objects.py
+++ b/src/tamaracktray/objects.py
@@ -21,11 +21,11 @@
     PlatformError,
     PlatformUnavailableError,
     RevisionExpiredError,
-    TransportError,
     WriteOutcomeUnknownError,
 )
 from tamaracktray.exchange import fetch
 from tamaracktray.http_messages import Reply
+from tamaracktray.store_calls import classify_transport
 from tamaracktray.types import Address
 
 API_PREFIX = "/apis/tamaracktray.dev/v1"
@@ -49,10 +49,14 @@
 
 
 class ObjectList(msgspec.Struct, frozen=True):
-    """The objects of a collection at one revision of the platform."""
+    """The objects of a collection at one revision of the platform.
+
+    ``era`` counts how often the platform's store has been restored from an older copy.
+    """
 
     revision: int
     items: list[StoredObject]
+    era: int = 0
 
 
 class _Metadata(msgspec.Struct, frozen=True, rename="camel"):
@@ -83,6 +87,11 @@
     Every method returns a ``Result`` whose failure is a ``PlatformError``.
     """
 
+    @property
+    def era(self) -> int | None:
+        """Return the latest era seen in an answer, ``None`` if none named one."""
+        return None
+
     @abstractmethod
     async def get(
         self, collection: str, name: str
@@ -219,7 +228,7 @@
             max_bytes=MAX_LIST_BYTES,
         )
         if isinstance(reply, Failure):
-            return Failure(_classify_transport(method, reply.failure()))
+            return Failure(classify_transport(method, reply.failure()))
         answer = reply.unwrap()
         if answer.status >= 400:
             return Failure(_classify_status(method, answer))
@@ -289,14 +298,6 @@
         return reply.bind(lambda answer: _read_events(answer.body, revision))
 
 
-def _classify_transport(method: str, error: TransportError) -> PlatformError:
-    if error.sent and method != "GET":
-        return WriteOutcomeUnknownError(
-            f"the answer to a write was lost: {error.message}"
-        )
-    return PlatformUnavailableError(f"the platform is unavailable: {error.message}")
-
-
 def _classify_status(method: str, reply: Reply) -> PlatformError:
     text = reply.body.decode("utf-8", "replace")
     if reply.status == 404:
--- a/src/tamaracktray/platform/store.py
+++ b/src/tamaracktray/platform/store.py
@@ -15,7 +15,6 @@
     PlatformError,
     PlatformUnavailableError,
     RevisionExpiredError,
-    WriteOutcomeUnknownError,
 )
 from tamaracktray.exchange import fetch
 from tamaracktray.http_messages import Headers, Reply
@@ -28,22 +27,20 @@
     read_evacuation,
     read_version,
 )
+from tamaracktray.positions import EraTracker
 from tamaracktray.quarantine_records import read_quarantine
 from tamaracktray.snapshots import Collection
+from tamaracktray.store_calls import classify_transport, compute_watch_timeout_s
 from tamaracktray.types import Address
 
 JSON: Headers = [("content-type", "application/json")]
 MAX_ANSWER_BYTES = 16 * 1_048_576
+ERA = "store-era"
 MS_PER_S = 1_000.0
 
 # A page has about 500 objects; a list that exceeds this number of pages is faulty.
 MAX_PAGES = 64
 
-# Extra time for the answer to a watch beyond its wait: upper bound in seconds, and
-# share of the wait.
-WATCH_GRACE_S = 3.0
-WATCH_GRACE_SHARE = 0.4
-
 # Timeouts of lists that are larger than an ordinary answer: a configuration of 250 KB
 # may share a slow link with the lists of other processes.
 TIMEOUT_S_BY_COLLECTION: dict[str, float] = {Collection.ROUTING: 4.0}
@@ -100,16 +97,23 @@
 class PlatformStore(ObjectStore):
     """Reads and writes the platform's objects as internal types.
 
-    The value of an object that cannot be decoded is ``None``.
+    The value of an object that cannot be decoded is ``None``. An answer that names no
+    era, or an unreadable one, counts as one of the latest era.
     """
 
-    __slots__ = ("_address", "_timeout_s", "calls")
+    __slots__ = ("_address", "_eras", "_timeout_s", "calls")
 
     def __init__(self, address: Address, *, timeout_s: float) -> None:
         self._address = address
         self._timeout_s = timeout_s
+        self._eras = EraTracker()
         self.calls = 0
 
+    @property
+    @override
+    def era(self) -> int | None:
+        return self._eras.latest
+
     @override
     async def get(
         self, collection: str, name: str
@@ -123,6 +127,7 @@
     async def list(self, collection: str) -> Result[ObjectList, PlatformError]:
         items: list[StoredObject] = []
         revision = 0
+        era: int | None = None
         query = ""
         for _ in range(MAX_PAGES):
             reply = await self._call(
@@ -134,11 +139,15 @@
             if isinstance(decoded, Failure):
                 return decoded
             page: _Page = decoded.unwrap()
+            page_era = self._eras.resolve(reply.unwrap().headers.get(ERA))
+            if era is not None and page_era != era:
+                return Failure(PlatformUnavailableError(f"{collection}: era changed"))
+            era = page_era
             # Watching from the first page's revision covers changes between two pages.
             revision = revision or page.store_revision
             items.extend(_build_stored_object(collection, item) for item in page.items)
             if not page.has_more or not page.items:
-                return Success(ObjectList(revision, items))
+                return Success(ObjectList(revision, items, era))
             # Despite its name, this parameter is the name of the last object listed.
             query = f"?sinceRevision={page.items[-1].metadata.name}"
         return Failure(PlatformUnavailableError(f"{collection}: too many pages"))
@@ -184,12 +193,13 @@
     ) -> Result[ObjectList, PlatformError]:
         wait_ms = int(timeout_s * MS_PER_S)
         target = f"{_build_path(collection)}?watch={revision}&waitMs={wait_ms}"
-        grace_s = WATCH_GRACE_S
-        if timeout_s:
-            grace_s = min(grace_s, max(timeout_s * WATCH_GRACE_SHARE, self._timeout_s))
-        reply = await self._call("GET", target, timeout_s=timeout_s + grace_s)
+        call_timeout_s = compute_watch_timeout_s(timeout_s, self._timeout_s)
+        reply = await self._call("GET", target, timeout_s=call_timeout_s)
         decoded = reply.bind(lambda answer: _decode(answer, _Events))
-        return decoded.map(lambda answer: _read_events(collection, answer))
+        if isinstance(decoded, Failure):
+            return decoded
+        era = self._eras.resolve(reply.unwrap().headers.get(ERA))
+        return Success(_read_events(collection, decoded.unwrap(), era))
 
     async def _call(
         self,
@@ -209,14 +219,9 @@
             max_bytes=MAX_ANSWER_BYTES,
         )
         if isinstance(reply, Failure):
-            error = reply.failure()
-            if error.sent and method != "GET":
-                return Failure(WriteOutcomeUnknownError(error.message))
-            is_timed_out = error.is_timeout
-            return Failure(
-                PlatformUnavailableError(error.message, is_timed_out=is_timed_out)
-            )
+            return Failure(classify_transport(method, reply.failure()))
         answer = reply.unwrap()
+        self._eras.note(answer.headers.get(ERA))
         if answer.status >= 300:
             return Failure(_build_error(method, target, answer))
         return Success(answer)
@@ -275,9 +280,9 @@
         return None
 
 
-def _read_events(collection: str, answer: _Events) -> ObjectList:
+def _read_events(collection: str, answer: _Events, era: int) -> ObjectList:
     items = [
         _build_stored_object(collection, event.object, is_removed=event.removed)
         for event in answer.events
     ]
-    return ObjectList(answer.store_revision, items)
+    return ObjectList(answer.store_revision, items, era)
--- a/src/tamaracktray/quarantine_records.py
+++ b/src/tamaracktray/quarantine_records.py
@@ -124,6 +124,10 @@
         self._read_version_by_name = current
         return unread
 
+    def forget_read(self) -> None:
+        """Forget which records were read, because versions are given out again."""
+        self._read_version_by_name.clear()
+
     def select_unrecorded(
         self,
         now: float,
--- a/src/tamaracktray/quarantine_sync.py
+++ b/src/tamaracktray/quarantine_sync.py
@@ -6,6 +6,7 @@
 from tamaracktray.call_building import PART_PREFIX
 from tamaracktray.crash_watch import CrashWatch
 from tamaracktray.effects import Effect
+from tamaracktray.eras import is_current
 from tamaracktray.node_state import NodeState
 from tamaracktray.quarantine_records import (
     QuarantineRecord,
@@ -59,9 +60,12 @@
 
 def sync_quarantine_records(state: NodeState, now: float) -> list[Effect]:
     """Write missing quarantine records and remove those that are no longer needed."""
-    objects = state.snapshot_cache.by_collection[Collection.QUARANTINES].objects_by_name
+    snapshot = state.snapshot_cache.by_collection[Collection.QUARANTINES]
+    objects = snapshot.objects_by_name
     is_unsuspicious = state.crashes.is_empty and state.part_crashes.is_empty
-    if state.is_store_lost or (is_unsuspicious and not objects):
+    if state.is_store_lost or not is_current(state, snapshot):
+        return []
+    if is_unsuspicious and not objects:
         return []
     records = state.quarantine_records
     quarantined = {
--- a/src/tamaracktray/roster.py
+++ b/src/tamaracktray/roster.py
@@ -6,6 +6,10 @@
 
 from tamaracktray.types import Address
 
+# Time for which a removed endpoint is remembered, in seconds; longer than the age of a
+# copy from which the store may be restored.
+DEPARTED_MEMORY_S = 60.0
+
 
 class LoadedModel(msgspec.Struct, frozen=True):
     """A model that is loaded at an endpoint.
@@ -62,12 +66,23 @@
     A record that disappears within ``expiry_grace_s`` seconds after an outage is
     therefore retained until that grace period ends. At any other time the endpoint is
     removed at once.
+
+    A store that was restored from an older copy may list endpoints that have left or
+    are leaving as if they were in use. They are held as draining for a time.
     """
 
-    __slots__ = ("_grace_deadline_by_id", "_expiry_grace_s", "records_by_id")
+    __slots__ = (
+        "_departed_by_incarnation",
+        "_expiry_grace_s",
+        "_grace_deadline_by_id",
+        "_hold_deadline",
+        "records_by_id",
+    )
 
     def __init__(self, expiry_grace_s: float) -> None:
         self._expiry_grace_s = expiry_grace_s
+        self._hold_deadline = 0.0
+        self._departed_by_incarnation: dict[tuple[str, int], float] = {}
         self._grace_deadline_by_id: dict[str, float] = {}
         self.records_by_id: dict[str, EndpointRecord] = {}
 
@@ -75,7 +90,7 @@
         self, now: float, records: Iterable[EndpointRecord], outage_end: float
     ) -> None:
         """Apply a new list; ``outage_end`` is when the last store outage ended."""
-        listed = {record.id: record for record in records}
+        listed = {record.id: self._hold(now, record) for record in records}
         grace_deadline = outage_end + self._expiry_grace_s
         for endpoint_id, record in self.records_by_id.items():
             if endpoint_id in listed:
@@ -84,12 +99,47 @@
             retain_until = self._grace_deadline_by_id.get(endpoint_id, grace_deadline)
             if now >= retain_until or record.is_draining:
                 self._grace_deadline_by_id.pop(endpoint_id, None)
+                self._note_departed(now, record)
                 continue
             self._grace_deadline_by_id[endpoint_id] = retain_until
             listed[endpoint_id] = record
         self._drop_reused_addresses(listed)
         self.records_by_id = listed
 
+    def hold_departed(self, deadline: float) -> None:
+        """Until ``deadline``, hold endpoints as draining that have left or are leaving.
+
+        Another incarnation of such an endpoint is not held.
+        """
+        self._hold_deadline = deadline
+
+    def _hold(self, now: float, record: EndpointRecord) -> EndpointRecord:
+        incarnation = (record.id, record.start_time_ms)
+        if now >= self._hold_deadline:
+            # It is back, as after an outage in which its record expired.
+            self._departed_by_incarnation.pop(incarnation, None)
+            return record
+        known = self.records_by_id.get(record.id)
+        is_leaving = (
+            known is not None
+            and known.is_draining
+            and known.start_time_ms == record.start_time_ms
+        )
+        if not is_leaving and incarnation not in self._departed_by_incarnation:
+            return record
+        return msgspec.structs.replace(record, is_draining=True)
+
+    def _note_departed(self, now: float, record: EndpointRecord) -> None:
+        """Remember an endpoint that was removed from the list, for a while."""
+        departed = self._departed_by_incarnation
+        for incarnation, departed_at in list(departed.items()):
+            if now - departed_at < DEPARTED_MEMORY_S:
+                break
+            del departed[incarnation]
+        incarnation = (record.id, record.start_time_ms)
+        departed.pop(incarnation, None)
+        departed[incarnation] = now
+
     def expire(self, now: float) -> list[str]:
         """Drop retained records whose grace period has ended and return their ids."""
         expired = [
@@ -99,7 +149,9 @@
         ]
         for endpoint_id in expired:
             del self._grace_deadline_by_id[endpoint_id]
-            self.records_by_id.pop(endpoint_id, None)
+            record = self.records_by_id.pop(endpoint_id, None)
+            if record is not None:
+                self._note_departed(now, record)
         return expired
 
     def _drop_reused_addresses(self, listed: dict[str, EndpointRecord]) -> None:
--- a/src/tamaracktray/snapshots.py
+++ b/src/tamaracktray/snapshots.py
@@ -1,8 +1,8 @@
 """Snapshots of the platform's store, one for each collection.
 
 Revisions come from a single counter of the store, so a complete snapshot replaces one
-with a lower revision and never one with a higher revision. A process that cannot reach
-the store gets newer snapshots from its peers.
+with an earlier position and never one with a later position. A process that cannot
+reach the store gets newer snapshots from its peers.
 """
 
 from collections.abc import Iterable, Mapping
@@ -12,6 +12,7 @@
 import msgspec
 
 from tamaracktray.objects import StoredObject
+from tamaracktray.positions import UNKNOWN, Position
 
 
 class Collection(str, Enum):
@@ -26,33 +27,50 @@
 
 
 class Snapshot(msgspec.Struct, frozen=True):
-    """The complete content of a collection at ``revision``.
+    """The complete content of a collection at ``revision`` of the store's ``era``.
 
-    ``changed_revision`` is the revision of the last change. Revision 0 means that the
-    content is unknown.
+    ``changed_revision`` is the revision of the last change in that era. Revision 0
+    means that the content is unknown.
     """
 
     revision: int = 0
     changed_revision: int = 0
     objects_by_name: dict[str, StoredObject] = {}
+    era: int = 0
 
-    def replace_all(self, objects: Iterable[StoredObject], revision: int) -> "Snapshot":
-        """Return the snapshot of a complete list at ``revision``."""
-        if revision < self.revision:
+    @property
+    def position(self) -> Position:
+        """Return the position up to which the content is known."""
+        return Position(self.era, self.revision)
+
+    @property
+    def changed_position(self) -> Position:
+        """Return the position of the last change."""
+        return Position(self.era, self.changed_revision)
+
+    def replace_all(
+        self, objects: Iterable[StoredObject], revision: int, era: int = 0
+    ) -> "Snapshot":
+        """Return the snapshot of a complete list at ``revision`` of ``era``."""
+        if Position(era, revision) < self.position:
             return self
         objects_by_name = {item.name: item for item in objects}
         changed_revision = self.changed_revision
         if _list_versions(objects_by_name) != _list_versions(self.objects_by_name):
             changed_revision = revision
-        if not self.revision:
+        # The same version of an object may have another content in another era.
+        if not self.revision or era != self.era:
             changed_revision = revision
-        return Snapshot(revision, changed_revision, objects_by_name)
+        return Snapshot(revision, changed_revision, objects_by_name, era)
 
     def apply_changes(
-        self, changes: Iterable[StoredObject], revision: int
+        self, changes: Iterable[StoredObject], revision: int, era: int = 0
     ) -> "Snapshot":
-        """Return the snapshot with all changes up to ``revision`` applied."""
-        if revision < self.revision:
+        """Return the snapshot with all changes up to ``revision`` of ``era`` applied.
+
+        Changes of another era don't continue this snapshot and are ignored.
+        """
+        if era != self.era or revision < self.revision:
             return self
         objects_by_name = dict(self.objects_by_name)
         is_changed = False
@@ -70,8 +88,8 @@
             objects_by_name[item.name] = item
             is_changed = True
         if not is_changed:
-            return Snapshot(revision, self.changed_revision, self.objects_by_name)
-        return Snapshot(revision, revision, objects_by_name)
+            return Snapshot(revision, self.changed_revision, self.objects_by_name, era)
+        return Snapshot(revision, revision, objects_by_name, era)
 
 
 def _list_versions(objects_by_name: Mapping[str, StoredObject]) -> dict[str, int]:
@@ -101,10 +119,10 @@
     def merge(self, collection: Collection, snapshot: Snapshot) -> bool:
         """Store a newer snapshot; return whether the content changed."""
         known = self.by_collection[collection]
-        if snapshot.revision <= known.revision:
+        if snapshot.position <= known.position:
             return False
         self.by_collection[collection] = snapshot
-        return snapshot.changed_revision > known.revision or not known.revision
+        return snapshot.changed_position > known.position or not known.revision
 
     def list_values(self, collection: Collection) -> list[Any]:
         """Return the readable values of a collection."""
@@ -117,33 +135,34 @@
         needed = (*self.followed, *self.initial)
         return all(self.by_collection[name].revision for name in needed)
 
-    def list_revisions(self) -> dict[Collection, int]:
-        """Return the known revision of each followed collection."""
-        return {name: self.by_collection[name].revision for name in self.followed}
+    def list_positions(self) -> dict[Collection, Position]:
+        """Return the position up to which each followed collection is known."""
+        return {name: self.by_collection[name].position for name in self.followed}
 
-    def list_changed_revisions(self) -> dict[Collection, int]:
-        """Return the revision of the last change to each followed collection."""
+    def list_changed_positions(self) -> dict[Collection, Position]:
+        """Return the position of the last change to each followed collection."""
         return {
-            name: self.by_collection[name].changed_revision for name in self.followed
+            name: self.by_collection[name].changed_position for name in self.followed
         }
 
     def list_missing(
-        self, changed_by_collection: Mapping[Collection, int]
+        self, changed_by_collection: Mapping[Collection, Position]
     ) -> list[Collection]:
         """Return the followed collections that a peer knows in a newer state."""
         return [
             name
             for name in self.followed
-            if changed_by_collection.get(name, 0) > self.by_collection[name].revision
+            if changed_by_collection.get(name, UNKNOWN)
+            > self.by_collection[name].position
         ]
 
     def select_newer(
-        self, revision_by_collection: Mapping[Collection, int]
+        self, position_by_collection: Mapping[Collection, Position]
     ) -> dict[Collection, Snapshot]:
-        """Return the snapshots that have changed since a peer's known revisions."""
+        """Return the snapshots that have changed since a peer's known positions."""
         return {
             collection: self.by_collection[collection]
-            for collection, revision in revision_by_collection.items()
+            for collection, position in position_by_collection.items()
             if collection in self.followed
-            and self.by_collection[collection].changed_revision > revision
+            and self.by_collection[collection].changed_position > position
         }
--- a/src/tamaracktray/version_following.py
+++ b/src/tamaracktray/version_following.py
@@ -15,6 +15,7 @@
 )
 from tamaracktray.effects import Effect
 from tamaracktray.engines import VersionTarget
+from tamaracktray.eras import is_current
 from tamaracktray.node_events import (
     AnnouncementsRecorded,
     LogAnnouncement,
@@ -122,6 +123,8 @@
     if state.is_store_lost:
         return effects
     snapshot = state.snapshot_cache.by_collection[Collection.VERSIONS]
+    if not is_current(state, snapshot):
+        return effects
     for name, item in snapshot.objects_by_name.items():
         target = item.value
         if target is None or not state.announcement_records.is_write_due(now, target):
--- a/src/tamaracktray_emulator/platform/store.py
+++ b/src/tamaracktray_emulator/platform/store.py
@@ -2,6 +2,7 @@
 
 import time
 from collections import Counter
+from collections.abc import Collection
 from enum import Enum
 from typing import Any
 
@@ -12,7 +13,7 @@
 from tamaracktray.http_messages import Request
 from tamaracktray.responders import Responder
 from tamaracktray.types import Address
-from tamaracktray_emulator.standin import StandIn, send_json
+from tamaracktray_emulator.standin import JSON, StandIn
 
 PAGE_LENGTH = 500
 PREFIX = "/objects/"
@@ -59,13 +60,28 @@
     is_removed: bool
 
 
+class StoreCopy(msgspec.Struct, frozen=True):
+    """The content of the store at one time."""
+
+    revision: int
+    first_revision: int
+    objects: dict[tuple[str, str], dict[str, Any]]
+    history: list[StoredChange]
+
+
 class PlatformStoreStandIn(StandIn):
-    """Serves objects by kind and name, with a global revision and watches."""
+    """Serves objects by kind and name, with a global revision and watches.
+
+    ``era`` counts how often the store was restored from a copy and stands in all its
+    answers; ``None`` leaves it out. Connections are reset while ``is_away``.
+    """
 
     def __init__(self, address: Address) -> None:
         super().__init__(address)
         self.revision = 1
         self.first_revision = 1
+        self.era: int | str | None = 1
+        self.is_away = False
         self.objects: dict[tuple[str, str], dict[str, Any]] = {}
         self.history: list[StoredChange] = []
         self.faults = StoreFaults()
@@ -107,6 +123,36 @@
         self.first_revision = self.revision
         self.history.clear()
 
+    def copy(self) -> StoreCopy:
+        """Return a copy of the content."""
+        return StoreCopy(
+            self.revision, self.first_revision, dict(self.objects), list(self.history)
+        )
+
+    async def go_away(self) -> None:
+        """Reset all connections, also new ones, until ``restore`` is called."""
+        self.is_away = True
+        await self.server.close_connections()
+
+    def restore(self, copy: StoreCopy) -> None:
+        """Come back from a copy, which loses all later changes and begins an era."""
+        self.revision = copy.revision
+        self.first_revision = copy.first_revision
+        self.objects = dict(copy.objects)
+        self.history = list(copy.history)
+        self.era += 1
+        self.is_away = False
+
+    def repeat(self, newest: StoreCopy, kinds: Collection[str]) -> None:
+        """Write again what operator and endpoints had written of some kinds."""
+        for (kind, name), stored in newest.objects.items():
+            known = self.objects.get((kind, name))
+            if kind in kinds and (known is None or known["spec"] != stored["spec"]):
+                self.write(kind, name, stored["spec"])
+        for kind, name in list(self.objects):
+            if kind in kinds and (kind, name) not in newest.objects:
+                self.remove(kind, name)
+
     @override
     async def answer(self, request: Request, responder: Responder) -> None:
         self.calls += 1
@@ -126,7 +172,7 @@
             await self._list(request, responder, kind)
 
     async def _fail(self, responder: Responder) -> bool:
-        outage = self.faults.outage
+        outage = Outage.RESET if self.is_away else self.faults.outage
         if outage is Outage.NONE:
             return False
         if outage is Outage.SILENT:
@@ -135,15 +181,19 @@
             await responder.abort()
             return True
         status = 503 if outage is Outage.BUSY else 429
-        await send_json(responder, status, {"error": "not now"})
+        await self._send(responder, status, {"error": "not now"})
         return True
 
+    async def _send(self, responder: Responder, status: int, document: object) -> None:
+        headers = JSON if self.era is None else [*JSON, ("store-era", str(self.era))]
+        await responder.respond(status, headers, msgspec.json.encode(document))
+
     async def _get(self, responder: Responder, kind: str, name: str) -> None:
         stored = self.objects.get((kind, name))
         if stored is None:
-            await send_json(responder, 404, {"error": "no such object"})
+            await self._send(responder, 404, {"error": "no such object"})
             return
-        await send_json(responder, 200, stored)
+        await self._send(responder, 200, stored)
 
     async def _list(self, request: Request, responder: Responder, kind: str) -> None:
         after = request.query.get("sinceRevision", "")
@@ -155,14 +205,14 @@
             "hasMore": len(remaining) > len(page),
             "storeRevision": self.revision,
         }
-        await send_json(responder, 200, document)
+        await self._send(responder, 200, document)
 
     async def _watch(self, request: Request, responder: Responder, kind: str) -> None:
         revision = int(request.query["watch"])
         deadline = time.monotonic() + int(request.query["waitMs"]) / MS_PER_S
         while True:
-            if revision < self.first_revision:
-                await send_json(responder, 410, {"error": "history is gone"})
+            if not self.first_revision <= revision <= self.revision:
+                await self._send(responder, 410, {"error": "history is gone"})
                 return
             events = [
                 {"object": change.object, "removed": change.is_removed}
@@ -172,21 +222,21 @@
             is_over = time.monotonic() >= deadline
             if is_over or (events and not self.faults.hides_changes):
                 break
-            if self.faults.outage is not Outage.NONE:
+            if self.is_away or self.faults.outage is not Outage.NONE:
                 await self._fail(responder)
                 return
             await curio.sleep(WATCH_POLL_S)
         if self.faults.hides_changes:
             events = []
         document = {"events": events, "storeRevision": self.revision}
-        await send_json(responder, 200, document)
+        await self._send(responder, 200, document)
 
     async def _write(
         self, request: Request, responder: Responder, kind: str, name: str
     ) -> None:
         if self.faults.refused_writes:
             self.faults.refused_writes -= 1
-            await send_json(responder, 503, {"error": "not now"})
+            await self._send(responder, 503, {"error": "not now"})
             return
         document = msgspec.json.decode(request.body) if request.body else {}
         metadata = document.get("metadata", {})
@@ -194,17 +244,17 @@
         stored = self.objects.get((kind, name))
         expected_revision = metadata.get("revision", request.query.get("revision"))
         if request.method == "POST" and stored is not None:
-            await send_json(responder, 409, stored)
+            await self._send(responder, 409, stored)
             return
         if request.method != "POST" and stored is None:
-            await send_json(responder, 404, {"error": "no such object"})
+            await self._send(responder, 404, {"error": "no such object"})
             return
         if (
             expected_revision is not None
             and stored
             and int(expected_revision) != stored["metadata"]["revision"]
         ):
-            await send_json(responder, 409, stored)
+            await self._send(responder, 409, stored)
             return
         if request.method == "DELETE":
             self.remove(kind, name)
@@ -217,4 +267,4 @@
             self.faults.lost_answers -= 1
             await responder.abort()
             return
-        await send_json(responder, 200, self.objects.get((kind, name), {}))
+        await self._send(responder, 200, self.objects.get((kind, name), {}))
--- a/tests/test_roster.py
+++ b/tests/test_roster.py
@@ -5,7 +5,7 @@
 
 import pytest
 
-from tamaracktray.roster import EndpointRecord, LoadedModel, Roster
+from tamaracktray.roster import DEPARTED_MEMORY_S, EndpointRecord, LoadedModel, Roster
 from tamaracktray.types import Address
 
 GRACE_S = 2.0
@@ -21,6 +21,34 @@
     return roster
 
 
+class TestRestoredStore:
+    def test_endpoint_that_was_listed_again_is_not_held(self):
+        roster = build_roster(build_record("a"))
+        roster.update(50.0, [], outage_end=0.0)
+        roster.update(51.0, [build_record("a")], outage_end=0.0)
+        roster.hold_departed(60.0)
+        roster.update(52.0, [build_record("a")], outage_end=52.0)
+        assert not roster.records_by_id["a"].is_draining
+
+    def test_removed_endpoint_is_held_until_the_deadline(self):
+        roster = build_roster(build_record("a"))
+        roster.update(50.0, [], outage_end=0.0)
+        roster.hold_departed(60.0)
+        for now, is_held in ((52.0, True), (59.9, True), (60.0, False)):
+            roster.update(now, [build_record("a")], outage_end=0.0)
+            assert roster.records_by_id["a"].is_draining == is_held
+
+    def test_removed_endpoints_are_forgotten_after_a_while(self):
+        roster = build_roster(build_record("a"))
+        roster.update(50.0, [], outage_end=0.0)
+        now = 51.0 + DEPARTED_MEMORY_S
+        roster.update(now, [build_record("b", 81)], outage_end=0.0)
+        roster.update(now, [], outage_end=0.0)
+        roster.hold_departed(now + 10.0)
+        roster.update(now, [build_record("a")], outage_end=0.0)
+        assert not roster.records_by_id["a"].is_draining
+
+
 class TestExpiry:
     def test_unlisted_endpoint_is_removed_at_once(self):
         roster = build_roster(build_record("a"), build_record("b", 81))
--- a/tests/test_snapshots.py
+++ b/tests/test_snapshots.py
@@ -11,6 +11,7 @@
 from tamaracktray.beacons import Beacon, BeaconFilter, decode_beacon, encode_beacon
 from tamaracktray.engines import VersionTarget
 from tamaracktray.objects import StoredObject
+from tamaracktray.positions import UNKNOWN, Position
 from tamaracktray.roster import EndpointRecord
 from tamaracktray.routes import Backend, RepeatKind, Route, RoutingTable
 from tamaracktray.snapshot_codec import decode_snapshots, encode_snapshots
@@ -78,7 +79,7 @@
             Collection.MEMBERS, Snapshot().replace_all([item("m", 2)], 12)
         )
         newer = snapshot_cache.select_newer(
-            {Collection.ROUTING: 8, Collection.MEMBERS: 12}
+            {Collection.ROUTING: Position(0, 8), Collection.MEMBERS: Position(0, 12)}
         )
         assert set(newer) == {Collection.ROUTING}
 
@@ -87,20 +88,20 @@
         snapshot_cache.merge(
             Collection.ROUTING, Snapshot().replace_all([item("a", 9)], 9)
         )
-        assert not snapshot_cache.list_missing({Collection.ROUTING: 9})
+        assert not snapshot_cache.list_missing({Collection.ROUTING: Position(0, 9)})
         assert not SnapshotCache([Collection.MEMBERS]).list_missing(
-            {Collection.ROUTING: 9}
+            {Collection.ROUTING: Position(0, 9)}
         )
-        assert snapshot_cache.list_missing({Collection.ROUTING: 10})
+        assert snapshot_cache.list_missing({Collection.ROUTING: Position(0, 10)})
 
     def test_partial_collection_is_never_sent_to_peers(self):
         """Agents read only the part of the configuration that concerns their engine."""
         snapshot_cache = SnapshotCache([Collection.MEMBERS], [Collection.ROUTING])
         part = Snapshot().replace_all([item("a", 9)], 9)
         snapshot_cache.merge(Collection.ROUTING, part)
-        assert Collection.ROUTING not in snapshot_cache.list_changed_revisions()
-        assert Collection.ROUTING not in snapshot_cache.list_revisions()
-        assert snapshot_cache.select_newer({Collection.ROUTING: 0}) == {}
+        assert Collection.ROUTING not in snapshot_cache.list_changed_positions()
+        assert Collection.ROUTING not in snapshot_cache.list_positions()
+        assert snapshot_cache.select_newer({Collection.ROUTING: UNKNOWN}) == {}
 
     @given(st.permutations(range(1, 7)))
     def test_newest_snapshot_wins_in_any_order(self, order):
@@ -133,7 +134,9 @@
 
 class TestBeacons:
     def build(self, incarnation: int, number: int) -> Beacon:
-        return Beacon("a", incarnation, number, {}, {Collection.ROUTING: 4})
+        return Beacon(
+            "a", incarnation, number, {}, {Collection.ROUTING: Position(0, 4)}
+        )
 
     def test_round_trip(self):
         beacon = self.build(1, 2)
