Date verified chunks by their own reads, and let orders expire

Cause: the time of a fact was taken when it was handled, not when it was found out. An agent that was frozen in its check of staged chunks, after a write, before the order or between connecting and sending took old digests for fresh ones.

Change: a staged chunk bears the time at which its read or write began. An order expires 2.5 s after the oldest of these; that is compared once the connection to the engine stands.

--- a/src/tamaracktray/agent_process.py
+++ b/src/tamaracktray/agent_process.py
@@ -31,6 +31,7 @@
 from tamaracktray.node_settings import NodeProcessSettings
 from tamaracktray.snapshot_codec import decode_snapshots
 from tamaracktray.snapshots import Collection
+from tamaracktray.stage_checks import read_staged_chunks
 from tamaracktray.staging_events import (
     CheckStage,
     ChunkArrived,
@@ -50,7 +51,7 @@
 from tamaracktray.swap_turns import estimate_swap_delay
 from tamaracktray.types import Address
 from tamaracktray.version_keys import VersionKey
-from tamaracktray.weights import Manifest, digest_bytes
+from tamaracktray.weights import Manifest
 
 # Time between reads of the engine's report while it swaps versions, in seconds.
 SWAP_REPORT_INTERVAL_S = 0.05
@@ -258,32 +259,28 @@
 
     async def _stage_chunk(self, effect: StageChunk) -> None:
         data = self._chunk_by_digest[effect.digest]
+        began_at = time.monotonic()
         staged = await self._engine.write_chunk(effect.model, effect.index, data)
         if isinstance(staged, Failure):
             self.log.info("chunk not staged", error=staged.failure().message)
         is_successful = isinstance(staged, Success)
         await self.dispatch(
-            ChunkStaged(time.monotonic(), effect.index, effect.digest, is_successful)
+            ChunkStaged(
+                time.monotonic(), effect.index, effect.digest, is_successful, began_at
+            )
         )
 
     async def _check_stage(self, effect: CheckStage) -> None:
-        """Read staged chunks back and report their digests, empty if not readable."""
+        """Read staged chunks back and report their digests."""
         started = time.monotonic()
-        digest_by_index: dict[int, str] = {}
-        listed = await self._engine.list_staged(effect.model)
-        staged = set(listed.value_or([]))
-        for index in effect.indices:
-            digest_by_index[index] = ""
-            if index not in staged:
-                continue
-            read = await self._engine.read_chunk(effect.model, index)
-            if isinstance(read, Success):
-                digest_by_index[index] = digest_bytes(read.unwrap())
+        chunk_by_index = await read_staged_chunks(
+            self._engine, effect.model, effect.indices
+        )
         now = time.monotonic()
         self.log.info(
             "stage checked", chunks=len(effect.indices), took_s=round(now - started, 3)
         )
-        await self.dispatch(StageChecked(now, digest_by_index))
+        await self.dispatch(StageChecked(now, chunk_by_index))
 
     async def _send_order(self, effect: SendOrder) -> None:
         order = effect.order
--- a/src/tamaracktray/chunk_reads.py
+++ b/src/tamaracktray/chunk_reads.py
@@ -4,8 +4,13 @@
 
 from tamaracktray.decoding import decode_msgpack
 from tamaracktray.engines import VersionOrigin
-from tamaracktray.exceptions import SourceUnreachableError, WeightError
+from tamaracktray.exceptions import (
+    SourceUnreachableError,
+    TransportError,
+    WeightError,
+)
 from tamaracktray.exchange import fetch
+from tamaracktray.http_messages import Reply
 from tamaracktray.types import Address
 from tamaracktray.version_keys import VersionKey
 from tamaracktray.weights import MAX_CHUNK_BYTES, Manifest, verify_chunk
@@ -108,3 +113,15 @@
     """Read a chunk from the origin and verify it."""
     read = await origin.read_chunk(key.model, key.version, index)
     return read.bind(lambda data: verify_chunk(data, digest))
+
+
+def require_ok(
+    reply: Result[Reply, TransportError], call: str
+) -> Result[Reply, WeightError]:
+    """Return an answer with status 200, else an error that names the call."""
+    if isinstance(reply, Failure):
+        return Failure(WeightError(f"{call}: {reply.failure().message}"))
+    answer = reply.unwrap()
+    if answer.status != 200:
+        return Failure(WeightError(f"{call}: answered {answer.status}"))
+    return Success(answer)
--- a/src/tamaracktray/engines.py
+++ b/src/tamaracktray/engines.py
@@ -1,5 +1,7 @@
 """Interfaces of the model engine and the origin, and their messages and records."""
 
+import math
+import time
 from abc import ABC, abstractmethod
 from enum import Enum
 
@@ -74,22 +76,30 @@
 
     The order is only valid if the engine has started exactly ``sequence`` orders. An
     engine that checks fencing tokens refuses a ``fence`` below the highest it has seen.
+    The order is not sent after ``deadline``, in monotonic seconds, because the staged
+    chunks may have turned bad since they were verified.
     """
 
     model: str
     version: int
     sequence: int
     fence: int
+    deadline: float = math.inf
+
+    def is_sendable(self, connect_s: float) -> bool:
+        """Return whether the order may be sent now, after ``connect_s`` seconds."""
+        return time.monotonic() < self.deadline
 
 
 class OrderOutcome(str, Enum):
-    """Answer of an engine to a load order."""
+    """Answer of an engine to a load order; ``EXPIRED`` means that it was not sent."""
 
     BEGUN = "begun"
     IN_EFFECT = "in_effect"
     CONFLICT = "conflict"
     FENCED = "fenced"
     REFUSED = "refused"
+    EXPIRED = "expired"
 
 
 class StagingEngine(ABC):
@@ -104,8 +114,10 @@
         """Return the indices of the staged chunks."""
 
     @abstractmethod
-    async def read_chunk(self, model: str, index: int) -> Result[bytes, WeightError]:
-        """Read a staged chunk back."""
+    async def read_chunk(
+        self, model: str, index: int, reader: int = 0
+    ) -> Result[bytes, WeightError]:
+        """Read a staged chunk back; each ``reader`` has a connection of its own."""
 
     @abstractmethod
     async def write_chunk(
--- a/src/tamaracktray/exchange.py
+++ b/src/tamaracktray/exchange.py
@@ -299,11 +299,12 @@
     connect_timeout_s: float | None = None,
     max_bytes: int = 4 * 1_048_576,
     has_host_header: bool = False,
+    may_send: Callable[[float], bool] = _always_send,
 ) -> Result[Reply, TransportError]:
     """Send one request and return its complete answer within ``timeout_s`` seconds.
 
     ``connect_timeout_s`` is limited to half of that, so that an unsent request can be
-    distinguished from an unanswered one.
+    distinguished from an unanswered one. ``may_send`` is asked once connected.
     """
     exchange = _fetch(
         address,
@@ -315,6 +316,7 @@
         min(connect_timeout_s or timeout_s, timeout_s / 2),
         max_bytes,
         has_host_header,
+        may_send,
     )
     try:
         return await curio.timeout_after(timeout_s, exchange)
@@ -333,6 +335,7 @@
     connect_timeout_s: float,
     max_bytes: int,
     has_host_header: bool,
+    may_send: Callable[[float], bool],
 ) -> Result[Reply, TransportError]:
     opened = await open_exchange(
         address,
@@ -342,6 +345,7 @@
         body,
         connect_timeout_s=connect_timeout_s,
         has_host_header=has_host_header,
+        may_send=may_send,
         max_bytes=max_bytes,
     )
     if isinstance(opened, Failure):
--- a/src/tamaracktray/persistent_client.py
+++ b/src/tamaracktray/persistent_client.py
@@ -128,6 +128,23 @@
         self._connection = None
 
 
+class ClientPool:
+    """Persistent clients of one address, by the number of their user."""
+
+    __slots__ = ("_address", "_clients", "_id_header")
+
+    def __init__(self, address: Address, id_header: str = "") -> None:
+        self._address = address
+        self._id_header = id_header
+        self._clients: list[PersistentClient] = []
+
+    def get_client(self, user: int = 0) -> PersistentClient:
+        """Return the client of a user, counted from 0."""
+        while user >= len(self._clients):
+            self._clients.append(PersistentClient(self._address, self._id_header))
+        return self._clients[user]
+
+
 async def _read_reply(
     exchange: Exchange, max_bytes: int
 ) -> tuple[int, dict[str, str], bytes]:
--- a/src/tamaracktray/platform/engine.py
+++ b/src/tamaracktray/platform/engine.py
@@ -4,6 +4,7 @@
 from returns.result import Failure, Result, Success
 from typing_extensions import override
 
+from tamaracktray.chunk_reads import require_ok
 from tamaracktray.decoding import UNREADABLE, decode_json
 from tamaracktray.engines import (
     EngineReport,
@@ -15,7 +16,7 @@
 from tamaracktray.exceptions import TransportError, WeightError
 from tamaracktray.exchange import fetch
 from tamaracktray.http_messages import Headers, Reply
-from tamaracktray.persistent_client import PersistentClient
+from tamaracktray.persistent_client import ClientPool
 from tamaracktray.platform.documents import read_manifest, read_report
 from tamaracktray.platform.protocol import REQUEST_ID
 from tamaracktray.types import Address
@@ -42,17 +43,21 @@
 
 
 class PlatformEngine(StagingEngine):
-    """Calls the model engine on the same instance over one persistent connection."""
+    """Calls the model engine on the same instance over persistent connections.
 
-    __slots__ = ("_address", "_client")
+    All calls but the reads of further readers share one connection.
+    """
+
+    __slots__ = ("_address", "_clients")
 
     def __init__(self, address: Address) -> None:
         self._address = address
-        self._client = PersistentClient(address, REQUEST_ID)
+        self._clients = ClientPool(address, REQUEST_ID)
 
     @override
     async def read_report(self) -> Result[EngineReport, TransportError]:
-        reply = await self._client.fetch("GET", "/report", timeout_s=LOCAL_TIMEOUT_S)
+        client = self._clients.get_client()
+        reply = await client.fetch("GET", "/report", timeout_s=LOCAL_TIMEOUT_S)
         if isinstance(reply, Failure):
             return reply
         answer = reply.unwrap()
@@ -73,9 +78,12 @@
         )
 
     @override
-    async def read_chunk(self, model: str, index: int) -> Result[bytes, WeightError]:
+    async def read_chunk(
+        self, model: str, index: int, reader: int = 0
+    ) -> Result[bytes, WeightError]:
         # The platform's parameter "quantity" is the index of the chunk.
-        reply = await self._call("GET", f"/stage-get/{model}?quantity={index}")
+        target = f"/stage-get/{model}?quantity={index}"
+        reply = await self._call("GET", target, reader=reader)
         return reply.map(lambda answer: answer.body)
 
     @override
@@ -97,16 +105,24 @@
         }
         body = msgspec.json.encode(document)
         reply = await fetch(
-            self._address, "POST", "/order", JSON, body, timeout_s=LOCAL_TIMEOUT_S
+            self._address,
+            "POST",
+            "/order",
+            JSON,
+            body,
+            timeout_s=LOCAL_TIMEOUT_S,
+            may_send=order.is_sendable,
         )
+        if isinstance(reply, Failure) and reply.failure().is_withdrawn:
+            return Success(OrderOutcome.EXPIRED)
         return reply.map(
             lambda answer: OUTCOME_BY_STATUS.get(answer.status, OrderOutcome.REFUSED)
         )
 
     async def _call(
-        self, method: str, target: str, body: bytes = b""
+        self, method: str, target: str, body: bytes = b"", *, reader: int = 0
     ) -> Result[Reply, WeightError]:
-        reply = await self._client.fetch(
+        reply = await self._clients.get_client(reader).fetch(
             method,
             target,
             OCTET_STREAM if body else None,
@@ -114,7 +130,7 @@
             timeout_s=LOCAL_TIMEOUT_S,
             max_bytes=MAX_CHUNK_BYTES,
         )
-        return _require_ok(reply, f"{method} {target}")
+        return require_ok(reply, f"{method} {target}")
 
 
 class PlatformOrigin(VersionOrigin):
@@ -153,15 +169,4 @@
             timeout_s=CHUNK_TIMEOUT_S,
             max_bytes=MAX_CHUNK_BYTES,
         )
-        return _require_ok(reply, f"GET {target}")
-
-
-def _require_ok(
-    reply: Result[Reply, TransportError], call: str
-) -> Result[Reply, WeightError]:
-    if isinstance(reply, Failure):
-        return Failure(WeightError(f"{call}: {reply.failure().message}"))
-    answer = reply.unwrap()
-    if answer.status != 200:
-        return Failure(WeightError(f"{call}: answered {answer.status}"))
-    return Success(answer)
+        return require_ok(reply, f"GET {target}")
--- a/src/tamaracktray/staging.py
+++ b/src/tamaracktray/staging.py
@@ -42,9 +42,13 @@
 # time that entries need to fetch chunks they don't have.
 MAX_IN_FLIGHT_IDLE = 4
 
-# Time for which a verification of a staged chunk stays valid, in seconds.
+# Time after which a staged chunk is verified again before an order, in seconds.
 STAGE_CHECK_TTL_S = 2.0
 
+# Time from the oldest verification within which an order may be sent, in seconds. An
+# engine may load a chunk that turned bad less than 3 s ago.
+ORDER_TTL_S = 2.5
+
 RETRY_S = 0.1
 MANIFEST_RETRY_S = 0.2
 ORDER_RETRY_S = 0.1
@@ -168,7 +172,7 @@
     """Record whether a chunk was staged in the engine."""
     state.is_staging = False
     if event.is_successful:
-        staged = StagedChunk(event.digest, event.now)
+        staged = StagedChunk(event.digest, event.began_at)
         state.stage_by_index[event.index] = staged
     else:
         state.stage_by_index.pop(event.index, None)
@@ -176,14 +180,14 @@
 
 
 def handle_stage_checked(state: StagingState, event: StageChecked) -> list[Effect]:
-    """Record the digests of the chunks that were read back from the stage."""
+    """Record the chunks that were read back from the stage."""
     state.is_checking = False
     state.is_stage_known = True
-    for index, digest in event.digest_by_index.items():
-        if not digest:
+    for index, chunk in event.chunk_by_index.items():
+        if chunk is None:
             state.stage_by_index.pop(index, None)
             continue
-        state.stage_by_index[index] = StagedChunk(digest, event.now)
+        state.stage_by_index[index] = chunk
     return advance(state, event.now)
 
 
@@ -381,7 +385,14 @@
     state.step = Step.ORDER
     state.is_ordering = True
     state.order_retry_deadline = now
+    checked_at = min(
+        (staged.checked_at for staged in state.stage_by_index.values()), default=now
+    )
     order = StartOrder(
-        state.model, work.version, state.report.sequence, fence=work.version
+        state.model,
+        work.version,
+        state.report.sequence,
+        fence=work.version,
+        deadline=checked_at + ORDER_TTL_S,
     )
     return [SendOrder(order)]
--- a/src/tamaracktray/staging_events.py
+++ b/src/tamaracktray/staging_events.py
@@ -3,6 +3,7 @@
 from tamaracktray.effects import Effect
 from tamaracktray.engines import EngineReport, OrderOutcome, StartOrder
 from tamaracktray.events import Event
+from tamaracktray.staging_state import StagedChunk
 from tamaracktray.weights import Manifest
 
 
@@ -22,17 +23,18 @@
 
 
 class ChunkStaged(Event, frozen=True):
-    """An attempt to stage a chunk in the engine ended."""
+    """An attempt to stage a chunk in the engine, begun at ``began_at``, ended."""
 
     index: int
     digest: str
     is_successful: bool
+    began_at: float
 
 
 class StageChecked(Event, frozen=True):
-    """Staged chunks were read back; an empty digest marks an unreadable chunk."""
+    """Staged chunks were read back; ``None`` marks an unreadable chunk."""
 
-    digest_by_index: dict[int, str]
+    chunk_by_index: dict[int, StagedChunk | None]
 
 
 class EngineAnswered(Event, frozen=True):
--- a/src/tamaracktray/staging_state.py
+++ b/src/tamaracktray/staging_state.py
@@ -33,7 +33,11 @@
 
 
 class StagedChunk(msgspec.Struct, frozen=True):
-    """Digest of a chunk in the engine's stage, and when it was last verified."""
+    """Digest of a chunk in the engine's stage.
+
+    ``checked_at`` is when its last verification began. The chunk may have turned bad at
+    any time after that, also before the verification ended.
+    """
 
     digest: str
     checked_at: float
