Load no chunks whose verification has expired

Callers: none have reported it. If a chunk turns bad after it was verified, an engine of the project's own interface answers with wrong weights.

An agent verified its chunks, waited for a slot as long as others were swapping, drained for up to the lease of 120 s and ordered the load without asking how old the verification was.

Change: a verification counts from its first read and is valid for `weights.verify_ttl_s`, 30 s by default. It is repeated before the claim of a slot, or while drained. The order bears the earlier deadline of the verification and the lease; one that has expired isn't sent, and isn't counted as a failure of the version any more.

--- a/src/tamaracktray/core.py
+++ b/src/tamaracktray/core.py
@@ -26,6 +26,7 @@
     handle_chunk,
     handle_engine_lost,
     handle_engine_report,
+    handle_load_withdrawn,
     handle_loaded,
     handle_manifest,
     handle_slot,
@@ -56,6 +57,7 @@
     EngineReported,
     Event,
     InstancesListed,
+    LoadWithdrawn,
     ManifestFetched,
     ObjectsReceived,
     PeerReported,
@@ -351,4 +353,5 @@
     WeightsVerified: _with_delivery(handle_verification),
     SlotAnswered: _with_delivery(handle_slot),
     VersionLoaded: _with_delivery(handle_loaded),
+    LoadWithdrawn: _with_delivery(handle_load_withdrawn),
 }
--- a/src/tamaracktray/delivery.py
+++ b/src/tamaracktray/delivery.py
@@ -3,7 +3,8 @@
 An agent follows the newest rollout of its model. It stages all chunks while the old
 version serves, verifies them together, claims a slot of its availability zone and
 drains. It then orders the engine to load the version under the slot's fencing token
-and serves again once the engine reports the new version.
+and serves again once the engine reports the new version. Chunks whose verification has
+expired by then are verified again.
 """
 
 import msgspec
@@ -19,7 +20,6 @@
 from tamaracktray.effects import (
     ClaimSlot,
     Effect,
-    FetchManifest,
     LoadVersion,
     ReleaseSlot,
     ReportEndpoint,
@@ -28,19 +28,18 @@
 from tamaracktray.events import (
     ChunkFetched,
     EngineReported,
+    LoadWithdrawn,
     ManifestFetched,
     SlotAnswered,
     VersionLoaded,
     WeightsVerified,
 )
-from tamaracktray.holders import ChunkRanking
+from tamaracktray.manifest_requests import may_ask_origin, request_manifest
 from tamaracktray.outcomes import FetchOutcome, SlotOutcome
 from tamaracktray.resources import Kind, VersionSpec
 from tamaracktray.transfer import Transfer
 
 MANIFEST_RETRY_S = 0.3
-MANIFEST_PEER_ATTEMPTS = 6
-MAX_MANIFEST_PEERS = 2
 SLOT_RETRY_S = 1.0
 SLOT_ANSWER_TIMEOUT_S = 30.0
 
@@ -110,7 +109,7 @@
     if state.phase is not Phase.MANIFEST or event.digest != state.target.manifest:
         return []
     if event.manifest is None:
-        if _may_ask_origin(state):
+        if may_ask_origin(state):
             state.reason = "no source has the manifest"
         state.retry_deadline = event.now + MANIFEST_RETRY_S
         return _report(context)
@@ -139,17 +138,23 @@
 def handle_verification(
     context: DeliveryContext, event: WeightsVerified
 ) -> list[Effect]:
-    """Claim a slot, or fetch the chunks again that failed verification."""
+    """Go on to the load, or fetch the chunks again that failed verification."""
     state = context.state
-    if state.phase is not Phase.VERIFY or event.manifest != state.target.manifest:
+    if not state.is_verifying or event.manifest != state.target.manifest:
         return []
+    state.is_verifying = False
     if event.bad_chunks and state.transfer is not None:
+        effects = _release_held_slot(state)
         state.staged.difference_update(event.bad_chunks)
         state.transfer.mark_missing(event.bad_chunks)
         state.phase = Phase.CHUNKS
-        return advance(context, event.now)
-    state.phase = Phase.SLOT
-    state.retry_deadline = event.now
+        return effects + advance(context, event.now)
+    state.verified_deadline = event.began_at + state.settings.verify_ttl_s
+    if event.now >= state.verified_deadline:
+        state.reason = "the verification took longer than weights.verify_ttl_s"
+    if state.phase is Phase.VERIFY:
+        state.phase = Phase.SLOT
+        state.retry_deadline = event.now
     return advance(context, event.now)
 
 
@@ -189,6 +194,21 @@
     return _report(context)
 
 
+def handle_load_withdrawn(
+    context: DeliveryContext, event: LoadWithdrawn
+) -> list[Effect]:
+    """Release the slot and claim one again; the older version serves meanwhile."""
+    state = context.state
+    if state.phase is not Phase.LOAD or event.manifest != state.target.manifest:
+        return []
+    effects: list[Effect] = [ReleaseSlot(state.target.rollout)]
+    state.serving = _filter_declared(context, state.engine_manifest)
+    state.phase = Phase.SLOT
+    state.retry_deadline = event.now + SLOT_RETRY_S
+    state.reason = event.reason
+    return effects + follow_configuration(context, event.now)
+
+
 def advance(context: DeliveryContext, now: float) -> list[Effect]:
     """Run the next step of the current phase if it is due."""
     state = context.state
@@ -198,7 +218,7 @@
     if state.phase is Phase.CHUNKS and state.transfer is not None:
         effects = _continue_transfer(state, now)
     elif state.phase is Phase.MANIFEST and 0 < state.retry_deadline <= now:
-        effects = [_fetch_manifest(state)]
+        effects = [request_manifest(state)]
     elif state.phase is Phase.SLOT and now >= state.retry_deadline:
         effects = _claim_slot(state, now)
     elif state.phase is Phase.DRAIN:
@@ -224,44 +244,7 @@
     if has_failed and now < state.load_retry_deadline:
         return []
     state.phase = Phase.MANIFEST
-    return [_fetch_manifest(state)]
-
-
-def _fetch_manifest(state: DeliveryState) -> FetchManifest:
-    """Ask the top-ranked peers for the manifest, and the origin if allowed."""
-    digest = state.target.manifest
-    holders = state.holders
-    ranking = holders.rank(digest)
-    first_region_names = _list_first_region(ranking)[:MAX_MANIFEST_PEERS]
-    local_names = ranking.names_by_region[holders.own.region][:MAX_MANIFEST_PEERS]
-    names = dict.fromkeys([*local_names, *first_region_names])
-    names.pop(holders.own.name, None)
-    state.manifest_attempts += 1
-    # No second call is sent until the answer sets the next deadline.
-    state.retry_deadline = 0.0
-    return FetchManifest(
-        digest,
-        [holders.by_name[name].address for name in names],
-        _may_ask_origin(state),
-    )
-
-
-def _may_ask_origin(state: DeliveryState) -> bool:
-    """Return whether this instance may fetch the manifest from the origin.
-
-    Only the instance ranked first may from the start. The others may after
-    ``MANIFEST_PEER_ATTEMPTS`` attempts.
-    """
-    if state.manifest_attempts > MANIFEST_PEER_ATTEMPTS:
-        return True
-    holders = state.holders
-    first_names = _list_first_region(holders.rank(state.target.manifest))
-    return holders.is_listed and first_names[0] == holders.own.name
-
-
-def _list_first_region(ranking: ChunkRanking) -> list[str]:
-    """Return the names of the instances in the region ranked first."""
-    return ranking.names_by_region[ranking.regions[0]]
+    return [request_manifest(state)]
 
 
 def _continue_transfer(state: DeliveryState, now: float) -> list[Effect]:
@@ -271,10 +254,21 @@
     if not transfer.is_complete:
         return list(transfer.plan(now))
     state.phase = Phase.VERIFY
-    return [VerifyWeights(state.target.manifest, transfer.manifest.chunks)]
+    return _verify(state)
+
+
+def _verify(state: DeliveryState) -> list[Effect]:
+    """Verify the staged chunks, unless that is under way."""
+    if state.is_verifying or state.manifest is None:
+        return []
+    state.is_verifying = True
+    return [VerifyWeights(state.target.manifest, state.manifest.chunks)]
 
 
 def _claim_slot(state: DeliveryState, now: float) -> list[Effect]:
+    if now >= state.verified_deadline:
+        state.phase = Phase.VERIFY
+        return _verify(state)
     # The answer replaces this deadline; until then no second claim is sent.
     state.retry_deadline = now + SLOT_ANSWER_TIMEOUT_S
     return [
@@ -299,11 +293,15 @@
         return [ReleaseSlot(state.target.rollout)]
     if not context.is_drained or state.manifest is None:
         return []
+    if now >= state.verified_deadline:
+        return _verify(state)
     state.phase = Phase.LOAD
     if state.serving:
         state.previous_manifest = state.serving
     state.serving = ""
-    return [LoadVersion(state.target.manifest, state.manifest.chunks, state.fence)]
+    chunks = state.manifest.chunks
+    deadline = min(state.lease_deadline, state.verified_deadline)
+    return [LoadVersion(state.target.manifest, chunks, state.fence, deadline)]
 
 
 def _finish_warm_up(context: DeliveryContext, now: float) -> list[Effect]:
@@ -378,6 +376,7 @@
     state.phase = Phase.IDLE
     state.transfer = None
     state.manifest = None
+    state.is_verifying = False
     state.manifest_attempts = 0
     state.retry_deadline = 0.0
 
--- a/src/tamaracktray/delivery_state.py
+++ b/src/tamaracktray/delivery_state.py
@@ -51,7 +51,9 @@
     ``engine_manifest`` is the manifest that the engine last reported as loaded.
     ``serving`` is the manifest for which the agent admits requests.
     ``failed_manifests`` are not tried again until the rollout changes, except for the
-    rollback version, which is retried from ``load_retry_deadline`` on.
+    rollback version, which is retried from ``load_retry_deadline`` on. The last
+    verification of the staged chunks is valid until ``verified_deadline``, and
+    ``is_verifying`` is set while another one is under way.
     """
 
     __slots__ = (
@@ -60,6 +62,7 @@
         "failed_manifests",
         "fence",
         "holders",
+        "is_verifying",
         "last_report",
         "lease_deadline",
         "load_retry_deadline",
@@ -76,6 +79,7 @@
         "staged",
         "target",
         "transfer",
+        "verified_deadline",
     )
 
     def __init__(
@@ -95,6 +99,8 @@
         self.manifest: Manifest | None = None
         self.manifest_attempts = 0
         self.transfer: Transfer | None = None
+        self.is_verifying = False
+        self.verified_deadline = 0.0
         self.fence = 0
         self.lease_deadline = 0.0
         self.retry_deadline = 0.0
--- a/src/tamaracktray/effects.py
+++ b/src/tamaracktray/effects.py
@@ -124,11 +124,16 @@
 
 
 class LoadVersion(Effect, frozen=True):
-    """Order the engine to load a version under a fencing token."""
+    """Order the engine to load a version under a fencing token.
+
+    The order is not sent after ``deadline``, because the staged chunks may have turned
+    bad since they were verified, or the slot may have another holder.
+    """
 
     manifest: str
     chunks: list[str]
     fence: int
+    deadline: float
 
 
 class ReportEndpoint(Effect, frozen=True):
--- a/src/tamaracktray/endpoints.py
+++ b/src/tamaracktray/endpoints.py
@@ -4,6 +4,7 @@
 orders on administration paths, which its plug-in provides next to the completion API.
 """
 
+import time
 from abc import ABC, abstractmethod
 
 import msgspec
@@ -11,7 +12,7 @@
 from typing_extensions import override
 
 from tamaracktray.decoding import decode_json
-from tamaracktray.exceptions import TransportError, WeightError
+from tamaracktray.exceptions import OrderExpiredError, TransportError, WeightError
 from tamaracktray.exchange import Exchange, fetch, open_exchange
 from tamaracktray.http_messages import Headers, Reply
 from tamaracktray.types import Address
@@ -71,9 +72,12 @@
 
     @abstractmethod
     async def load(
-        self, order: LoadOrder, timeout_s: float
+        self, order: LoadOrder, timeout_s: float, deadline: float
     ) -> Result[None, WeightError]:
-        """Order a load and wait until it succeeds or fails."""
+        """Order a load and wait until it succeeds or fails.
+
+        Fails with ``OrderExpiredError`` if it could not be sent before ``deadline``.
+        """
 
 
 class HttpPlainService(PlainService):
@@ -130,7 +134,7 @@
 
     @override
     async def load(
-        self, order: LoadOrder, timeout_s: float
+        self, order: LoadOrder, timeout_s: float, deadline: float
     ) -> Result[None, WeightError]:
         reply = await fetch(
             self._address,
@@ -139,7 +143,10 @@
             [("content-type", "application/json")],
             msgspec.json.encode(order),
             timeout_s=timeout_s,
+            may_send=lambda connect_s: time.monotonic() < deadline,
         )
+        if isinstance(reply, Failure) and reply.failure().is_withdrawn:
+            return Failure(OrderExpiredError("the order to load expired"))
         return _check_reply(reply).map(lambda _: None)
 
 
--- a/src/tamaracktray/events.py
+++ b/src/tamaracktray/events.py
@@ -210,10 +210,14 @@
 
 
 class WeightsVerified(Event, frozen=True):
-    """All staged chunks were read back; ``bad_chunks`` failed verification."""
+    """All staged chunks were read back, from ``began_at`` on.
+
+    ``bad_chunks`` failed verification.
+    """
 
     manifest: str
     bad_chunks: list[str]
+    began_at: float
 
 
 class SlotAnswered(Event, frozen=True):
@@ -236,3 +240,10 @@
     manifest: str
     is_loaded: bool
     reason: str = ""
+
+
+class LoadWithdrawn(Event, frozen=True):
+    """An order to load a version was not sent, because it had expired."""
+
+    manifest: str
+    reason: str
--- a/src/tamaracktray/exceptions.py
+++ b/src/tamaracktray/exceptions.py
@@ -102,5 +102,9 @@
     """Weights are missing, corrupt or rejected by the engine."""
 
 
+class OrderExpiredError(WeightError):
+    """An order to load weights was not sent in time."""
+
+
 class SourceUnreachableError(WeightError):
     """A source of weights did not answer; the caller can use another source."""
--- a/src/tamaracktray/sections.py
+++ b/src/tamaracktray/sections.py
@@ -181,6 +181,15 @@
             10**12,
         ),
     ] = 0
+    verify_ttl_s: Annotated[
+        float,
+        seconds_meta(
+            "Time within which a version is loaded after its chunks were verified; "
+            "longer than the verification takes.",
+            1,
+            3_600,
+        ),
+    ] = 30.0
     lease_s: Annotated[
         float, seconds_meta("Lease time of a rollout slot.", 1, 86_400)
     ] = 120.0
--- a/src/tamaracktray/settings.py
+++ b/src/tamaracktray/settings.py
@@ -75,7 +75,10 @@
     @property
     def transfer(self) -> TransferSettings:
         """Return the timeouts of a transfer."""
-        return TransferSettings(self.weights.chunk_timeout_s, self.weights.takeover_s)
+        weights = self.weights
+        return TransferSettings(
+            weights.chunk_timeout_s, weights.takeover_s, weights.verify_ttl_s
+        )
 
 
 SECTIONS: dict[str, type[msgspec.Struct]] = {
--- a/src/tamaracktray/transfer.py
+++ b/src/tamaracktray/transfer.py
@@ -40,11 +40,13 @@
     """Timeouts of one transfer, in seconds.
 
     ``chunk_timeout_s`` limits one fetch. ``takeover_s`` is the time after which the
-    next instance in rank uses the source of the instance ranked above it.
+    next instance in rank uses the source of the instance ranked above it. A
+    verification of the staged chunks is valid for ``verify_ttl_s``.
     """
 
     chunk_timeout_s: float = 10.0
     takeover_s: float = 5.0
+    verify_ttl_s: float = 30.0
 
 
 class ChunkState:
--- a/src/tamaracktray/versions.py
+++ b/src/tamaracktray/versions.py
@@ -25,12 +25,13 @@
     ChunkFetched,
     EngineLost,
     EngineReported,
+    LoadWithdrawn,
     ManifestFetched,
     SlotAnswered,
     VersionLoaded,
     WeightsVerified,
 )
-from tamaracktray.exceptions import ObjectNotFoundError
+from tamaracktray.exceptions import ObjectNotFoundError, OrderExpiredError
 from tamaracktray.holders import Holders, encode_map, index_chunks
 from tamaracktray.http_messages import Headers, Request
 from tamaracktray.objects import ENDPOINTS, put_and_confirm
@@ -236,6 +237,7 @@
 
     async def _verify(self, effect: VerifyWeights) -> None:
         """Read every staged chunk back, one at a time, and check its digest."""
+        began_at = time.monotonic()
         bad_chunks: list[str] = []
         for digest in dict.fromkeys(effect.chunks):
             read = await self._engine.read_chunk(digest)
@@ -243,7 +245,7 @@
             if isinstance(verified, Failure):
                 bad_chunks.append(digest)
         await self._agent.dispatch(
-            WeightsVerified(time.monotonic(), effect.manifest, bad_chunks)
+            WeightsVerified(time.monotonic(), effect.manifest, bad_chunks, began_at)
         )
 
     async def _claim_slot(self, effect: ClaimSlot) -> None:
@@ -284,19 +286,22 @@
             await curio.sleep(STATUS_RETRY_S)
 
     async def _load(self, effect: LoadVersion) -> None:
-        """Order a load unless the lease of its slot has expired."""
-        delivery = self._agent.state.delivery
-        reason = ""
-        if delivery is None or time.monotonic() >= delivery.lease_deadline:
-            reason = "the slot's lease lapsed before the order"
-        else:
-            order = LoadOrder(effect.manifest, effect.chunks, effect.fence)
-            timeout_s = self._agent.settings.weights.load_timeout_s
-            loaded = await self._engine.load(order, timeout_s)
-            if isinstance(loaded, Failure):
-                reason = loaded.failure().message
+        """Order a load, or report that the order has expired."""
+        order = LoadOrder(effect.manifest, effect.chunks, effect.fence)
+        timeout_s = self._agent.settings.weights.load_timeout_s
+        loaded = await self._engine.load(order, timeout_s, effect.deadline)
+        now = time.monotonic()
+        if isinstance(loaded, Success):
+            await self._agent.dispatch(VersionLoaded(now, effect.manifest, True))
+            return
+        error = loaded.failure()
+        if isinstance(error, OrderExpiredError):
+            await self._agent.dispatch(
+                LoadWithdrawn(now, effect.manifest, error.message)
+            )
+            return
         await self._agent.dispatch(
-            VersionLoaded(time.monotonic(), effect.manifest, not reason, reason)
+            VersionLoaded(now, effect.manifest, False, error.message)
         )
 
     async def _write_report(self, effect: ReportEndpoint) -> None:
--- a/tests/test_delivery.py
+++ b/tests/test_delivery.py
@@ -4,10 +4,13 @@
 and engines that serve nothing after a failed load.
 """
 
+import time
+
 import curio
 import pytest
+from returns.result import Success
 
-from tamaracktray.delivery import FAILED_LOAD_RETRY_S
+from tamaracktray.delivery import FAILED_LOAD_RETRY_S, SLOT_RETRY_S
 from tamaracktray.delivery_state import Phase
 from tamaracktray.effects import (
     ClaimSlot,
@@ -19,11 +22,13 @@
     StartRun,
     VerifyWeights,
 )
+from tamaracktray.endpoints import HttpModelEngine, LoadOrder
 from tamaracktray.events import (
     AttemptArrived,
     ChunkFetched,
     EngineLost,
     EngineReported,
+    LoadWithdrawn,
     ManifestFetched,
     RunEnded,
     SlotAnswered,
@@ -31,6 +36,8 @@
     VersionLoaded,
     WeightsVerified,
 )
+from tamaracktray.exceptions import OrderExpiredError
+from tamaracktray.http import HttpServer
 from tamaracktray.outcomes import FetchOutcome, RunOutcome, SlotOutcome
 from tamaracktray.resources import Kind, RolloutSpec, RolloutState, VersionSpec
 from tamaracktray.slots import SlotClient
@@ -43,7 +50,8 @@
     make_resource,
     make_zone,
 )
-from tamaracktray.types import TargetKind
+from tamaracktray.transfer import TransferSettings
+from tamaracktray.types import Address, TargetKind
 from tamaracktray.weights import Manifest
 
 STORED, ABSENT, CORRUPT = (
@@ -104,12 +112,17 @@
                 effects += self.send(ChunkFetched, fetch.digest, source, STORED)
         return fetched
 
+    def verify(self, bad_chunks=(), manifest: str = NEW, age_s: float = 0.0):
+        """Report a verification that began ``age_s`` seconds ago."""
+        began_at = self.driver.now - age_s
+        return self.send(WeightsVerified, manifest, list(bad_chunks), began_at)
+
     def advance_to_slot(self, manifest: str = NEW):
         assert self.driver.find(FetchManifest)
         self.send(ManifestFetched, manifest, MANIFEST)
         self.fetch_all()
         assert self.driver.find(VerifyWeights)
-        self.send(WeightsVerified, manifest, [])
+        self.verify(manifest=manifest)
 
     def grant_slot(self, fence: int = 7, manifest: str = NEW, lease_s: float = 60.0):
         deadline = self.driver.now + lease_s
@@ -235,7 +248,7 @@
         engine.configure(make_rollout("new", 20))
         engine.send(ManifestFetched, NEW, MANIFEST)
         engine.fetch_all()
-        engine.send(WeightsVerified, NEW, ["c2"])
+        engine.verify(["c2"])
         assert engine.delivery.phase is Phase.CHUNKS
         assert not engine.driver.find(ClaimSlot)
 
@@ -247,11 +260,11 @@
         if stop_after in ("verify", "slot"):
             engine.fetch_all()
         if stop_after == "slot":
-            engine.send(WeightsVerified, NEW, [])
+            engine.verify()
         engine.configure(make_rollout("other", 30), revision=60)
         assert engine.driver.find(FetchManifest)[0].digest == OTHER
         engine.send(ManifestFetched, NEW, MANIFEST)
-        engine.send(WeightsVerified, NEW, [])
+        engine.verify()
         engine.grant_slot()
         assert not engine.driver.find(LoadVersion)
         assert engine.driver.find(ReleaseSlot)
@@ -301,6 +314,102 @@
         assert engine.delivery.serving == ""
 
 
+class TestExpiredVerification:
+    # Chunks that turned bad while the agent waited were loaded unverified.
+    TTL_S = TransferSettings().verify_ttl_s
+
+    def test_chunks_are_verified_again_before_a_late_claim(self):
+        engine = start_rollout_on_old()
+        engine.advance_to_slot()
+        engine.send(SlotAnswered, NEW, SlotOutcome.BUSY)
+        engine.driver.now += self.TTL_S
+        engine.send(Tick)
+        assert engine.driver.find(VerifyWeights)
+        assert not engine.driver.find(ClaimSlot)
+        engine.verify()
+        assert engine.driver.find(ClaimSlot)
+        engine.grant_slot()
+        assert engine.driver.find(LoadVersion)
+
+    @pytest.mark.parametrize("bad_chunks", [[], ["c2"]])
+    def test_chunks_are_verified_again_after_a_long_drain(self, bad_chunks):
+        engine = start_rollout_during_request()
+        engine.advance_to_slot()
+        engine.grant_slot(lease_s=4 * self.TTL_S)
+        engine.driver.now += self.TTL_S
+        engine.send(RunEnded, "r1", RunOutcome.COMPLETED)
+        assert engine.driver.find(VerifyWeights)
+        assert not engine.driver.find(LoadVersion)
+        engine.send(Tick)
+        assert not engine.driver.find(VerifyWeights)
+        engine.verify(bad_chunks)
+        assert bool(engine.driver.find(LoadVersion)) is not bool(bad_chunks)
+        assert bool(engine.driver.find(ReleaseSlot)) is bool(bad_chunks)
+        assert engine.delivery.serving == (OLD if bad_chunks else "")
+
+    def test_verification_counts_from_its_first_read(self):
+        engine = start_rollout_on_old()
+        engine.send(ManifestFetched, NEW, MANIFEST)
+        engine.fetch_all()
+        engine.driver.now += 2 * self.TTL_S
+        engine.verify(age_s=2 * self.TTL_S)
+        assert not engine.driver.find(ClaimSlot)
+        assert engine.driver.find(VerifyWeights)
+        assert "verify_ttl_s" in engine.driver.find(ReportEndpoint)[0].reason
+
+    def test_order_is_not_sent_after_the_verification_or_the_lease_expired(self):
+        for lease_s, valid_s in ((5.0, 5.0), (4 * self.TTL_S, self.TTL_S)):
+            engine = start_rollout_on_old()
+            engine.advance_to_slot()
+            began_at = engine.driver.now
+            engine.grant_slot(lease_s=lease_s)
+            [order] = engine.driver.find(LoadVersion)
+            assert order.deadline == began_at + valid_s
+
+    def test_expired_order_is_no_failure_of_the_version(self):
+        engine = start_rollout_on_old()
+        engine.advance_to_slot()
+        engine.grant_slot(fence=7)
+        engine.driver.now += 2 * self.TTL_S
+        engine.send(LoadWithdrawn, NEW, "expired")
+        assert engine.driver.find(ReleaseSlot) == [ReleaseSlot("roll")]
+        assert engine.delivery.serving == OLD
+        engine.driver.now += SLOT_RETRY_S
+        engine.send(Tick)
+        assert engine.driver.find(VerifyWeights)
+        engine.verify()
+        engine.grant_slot(fence=8)
+        assert engine.driver.find(LoadVersion)
+
+
+class TestOrderDeadline:
+    # An agent that froze before the order sent it long after the verification.
+    def test_order_is_not_sent_after_its_deadline(self):
+        orders = []
+
+        async def scenario():
+            async def answer(request, responder):
+                orders.append(request.path)
+                await responder.respond(200, [])
+
+            server = HttpServer(Address("127.0.0.1", 0), answer)
+            await server.open()
+            task = await curio.spawn(server.serve)
+            engine = HttpModelEngine(server.address)
+            order = LoadOrder(NEW, ["c1"], 7)
+            try:
+                expired = await engine.load(order, 1.0, time.monotonic())
+                sent = await engine.load(order, 1.0, time.monotonic() + 1.0)
+            finally:
+                await task.cancel()
+            return expired, sent
+
+        expired, sent = curio.run(scenario)
+        assert isinstance(expired.failure(), OrderExpiredError)
+        assert isinstance(sent, Success)
+        assert orders == ["/admin/load"]
+
+
 class TestFailures:
     @pytest.mark.parametrize("is_crash", [False, True])
     def test_version_that_fails_to_load_is_replaced_by_the_old_one(self, is_crash):
