Answer each call of which nothing has been sent to its caller

Callers: a connection that closes without an answer.

Cause: decisions that end a call were made by one part and carried out by another, each of which took an answer for granted. An endpoint's own 408, 429 or 503 without the mark can't be passed on, as it would promise that the call was not run, and nothing took its place. A handler that raised closed the connection.

Change: such an attempt ends without an answer to relay, and a call that ends so gets 502 with an unknown outcome; a failed handler gives 500.

--- a/src/tamaracktray/attempt_events.py
+++ b/src/tamaracktray/attempt_events.py
@@ -48,6 +48,19 @@
     )
 
 
+def build_unmarked_end(
+    decision: SendCall, status: int, end: AnswerEnd | None = None
+) -> CallAttemptEnded:
+    """Return the end of an attempt whose answer can't be relayed.
+
+    To the caller, its status would promise what the endpoint did not.
+    """
+    detail = f"{status} without the mark that the call was not run"
+    return build_attempt_end(
+        decision, AttemptPhase.SENT, status, detail=detail, answer_end=end
+    )
+
+
 def build_failed_end(
     decision: SendCall,
     exchange: Exchange,
--- a/src/tamaracktray/attempt_relay.py
+++ b/src/tamaracktray/attempt_relay.py
@@ -11,6 +11,7 @@
     build_failed_end,
     build_notice,
     build_started,
+    build_unmarked_end,
 )
 from tamaracktray.calls import CallAttemptEnded, CallStarted, SendCall
 from tamaracktray.connections import refuses_connections
@@ -43,7 +44,7 @@
 EVENT_STREAM_TYPE = "text/event-stream"
 
 # Statuses with which an entry promises its caller that the request was not run. An
-# endpoint that sends one without this promise has run the request and failed.
+# endpoint that sends one without this promise may have run the request.
 NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 
 
@@ -232,6 +233,8 @@
                 )
                 return await self._relay_buffered(open_call, decision, answer, data)
             body += data
+        if exchange.status in NOT_RUN_STATUSES:
+            return build_unmarked_end(decision, exchange.status)
         if exchange.status >= 500:
             detail = f"a failure of more than {MAX_BUFFERED_ANSWER_BYTES} bytes"
             return build_attempt_end(
@@ -250,8 +253,8 @@
         """Relay a success; keep an error answer in case no retry succeeds."""
         phase = AttemptPhase.ANSWERED
         if answer.status in NOT_RUN_STATUSES:
-            phase = AttemptPhase.FAILED
-        elif answer.status >= 500:
+            return build_unmarked_end(decision, answer.status, end)
+        if answer.status >= 500:
             open_call.failure = answer
             phase = AttemptPhase.FAILED
         else:
--- a/src/tamaracktray/entry_process.py
+++ b/src/tamaracktray/entry_process.py
@@ -53,7 +53,7 @@
 from tamaracktray.peers import Member
 from tamaracktray.quarantine_records import RecordQuarantine, RemoveQuarantine
 from tamaracktray.record_writer import RecordWriter
-from tamaracktray.refusals import refuse_deadline_passed
+from tamaracktray.refusals import refuse_deadline_passed, refuse_unanswered
 from tamaracktray.responders import Responder
 from tamaracktray.snapshot_codec import encode_snapshots
 from tamaracktray.snapshots import Collection
@@ -298,6 +298,12 @@
             self._call_log.note_refused(call, decision, version)
             await self._send_refusal(responder, decision.refusal)
             return
+        if not open_call.is_head_sent:
+            unanswered = RefuseCall(call.id, refuse_unanswered())
+            version = self.state.index.table.version
+            self._call_log.note_refused(call, unanswered, version)
+            await self._send_refusal(responder, unanswered.refusal)
+            return
         reason = decision.reason if isinstance(decision, AbortAnswer) else "no answer"
         self._call_log.note_answer_aborted(call, reason)
         await responder.abort()
--- a/src/tamaracktray/http.py
+++ b/src/tamaracktray/http.py
@@ -190,7 +190,7 @@
             responder.is_aborted = True
 
     async def _handle(self, request: Request, responder: ConnectionResponder) -> None:
-        """Run the handler; an exception in it closes only this connection."""
+        """Run the handler; an exception in it ends only this request."""
         self._active_requests += 1
         try:
             await self._handler(request, responder)
@@ -198,7 +198,7 @@
             await responder.abort()
         except Exception:
             structlog.get_logger().exception("handler failed", path=request.path)
-            await responder.abort()
+            await responder.fail()
         finally:
             self._active_requests -= 1
 
--- a/src/tamaracktray/responders.py
+++ b/src/tamaracktray/responders.py
@@ -5,14 +5,21 @@
 
 import curio
 import h11
+import msgspec
 from typing_extensions import override
 
 from tamaracktray.connections import close_in_order, reset_on_close
 from tamaracktray.http_messages import Headers, RawHeaders
+from tamaracktray.types import ErrorCode, Refusal, RunState
 
 # Older clients see the end of a body without length by the end of the connection.
 CHUNKED_SINCE = b"1.1"
 
+# Answer to a request whose handler failed: it may have been passed on.
+HANDLER_FAILED = Refusal(
+    ErrorCode.OUTCOME_UNKNOWN, "the request failed here", RunState.UNKNOWN, 500
+)
+
 
 class Responder(ABC):
     """Sends one answer; implemented by the server's connections and by tests."""
@@ -112,6 +119,18 @@
             await self.watcher.cancel()
         await self._socket.close()
 
+    async def fail(self) -> None:
+        """Answer that the outcome is unknown, or abort an answer that has begun."""
+        if self._connection.our_state is not h11.SEND_RESPONSE:
+            await self.abort()
+            return
+        headers = [("content-type", "application/json"), ("connection", "close")]
+        body = msgspec.json.encode({"error": HANDLER_FAILED})
+        try:
+            await self.respond(HANDLER_FAILED.status, headers, body)
+        except OSError:
+            await self.abort()
+
     @override
     async def respond(
         self, status: int, headers: Headers | RawHeaders, body: bytes = b""
--- a/tests/test_http.py
+++ b/tests/test_http.py
@@ -15,7 +15,8 @@
 from tamaracktray.exchange import fetch, open_exchange
 from tamaracktray.http import HttpServer
 from tamaracktray.http_messages import HttpLimits
-from tamaracktray.types import Address
+from tamaracktray.messages import decode_refusal
+from tamaracktray.types import Address, RunState
 
 LIMITS = HttpLimits(
     max_header_bytes=2_048,
@@ -116,7 +117,9 @@
             return bad, good
 
         bad, good = serve(handler, client)
-        assert bad.failure().sent
+        answer = bad.unwrap()
+        assert (answer.status, answer.headers["connection"]) == (500, "close")
+        assert decode_refusal(answer).unwrap().run is RunState.UNKNOWN
         assert good.unwrap().status == 200
         assert handler_faults == ["/bad: ValueError('fault')"]
         handler_faults.clear()
