Take a time of being held up for neither silence nor progress

Callers: attempts at sound endpoints are given up, and a fatal prompt part is acquitted, when the process itself did not run for a while.

Cause: a fact found out during a freeze was dated by when it was handled. A process that is held up, as by a large configuration, reads nothing, so all endpoints seem silent; and data that arrived meanwhile is dated when it is read, so an answer whose engine crashed seems to have gone on.

--- a/src/tamaracktray/gateway.py
+++ b/src/tamaracktray/gateway.py
@@ -74,6 +74,8 @@
             _record_start_delay(context, event.now, pending)
         if not pending.is_answer_started:
             pending.answer_began_at = event.now
+            pending.observed_since = event.now
+            pending.silent_since = event.now
         pending.is_started = True
         pending.is_answer_started = True
         pending.version = event.version or pending.version
@@ -262,6 +264,7 @@
     pending.start_time_ms = load.record.start_time_ms
     pending.is_endpoint_leaving = False
     pending.sent_at = now
+    pending.silent_since = now
     pending.held_version = held_version
     pending.is_answer_started = False
     pending.progress_at = 0.0
--- a/src/tamaracktray/gateway_crashes.py
+++ b/src/tamaracktray/gateway_crashes.py
@@ -36,7 +36,7 @@
     """Return whether an answer has gone on for longer than a fatal one can."""
     if not pending.is_answer_started:
         return False
-    return pending.progress_at - pending.answer_began_at >= SOUND_ANSWER_S
+    return pending.progress_at - pending.observed_since >= SOUND_ANSWER_S
 
 
 def record_sound_answer(
--- a/src/tamaracktray/gateway_state.py
+++ b/src/tamaracktray/gateway_state.py
@@ -73,8 +73,10 @@
         "is_started",
         "last_event_id",
         "may_have_run",
+        "observed_since",
         "progress_at",
         "sent_at",
+        "silent_since",
         "prior_wait_s",
         "tried",
         "failed_connections",
@@ -94,7 +96,9 @@
         self.is_started = False
         self.is_answer_started = False
         self.answer_began_at = 0.0
+        self.observed_since = 0.0
         self.progress_at = 0.0
+        self.silent_since = 0.0
         self.is_sound = False
         self.is_abandoned = False
         self.sent_at = 0.0
@@ -227,6 +231,20 @@
             pending = self.pending_by_id.get(call_id)
             if pending is not None:
                 pending.progress_at = progress_at
+                pending.silent_since = max(pending.silent_since, progress_at)
+
+    def excuse_silence(self, now: float, held_up_s: float) -> None:
+        """Excuse endpoints for a time in which this process did not read their data.
+
+        Nor does that time show that an answer went on.
+        """
+        if not held_up_s:
+            return
+        for load in self.loads_by_id.values():
+            load.last_contact_at = min(load.last_contact_at + held_up_s, now)
+        for pending in self.pending_by_id.values():
+            pending.silent_since = min(pending.silent_since + held_up_s, now)
+            pending.observed_since = min(pending.observed_since + held_up_s, now)
 
     def may_have_run(self, call_id: str) -> bool:
         """Return whether an endpoint may have run a call, or may still run it."""
--- a/src/tamaracktray/node_reducer.py
+++ b/src/tamaracktray/node_reducer.py
@@ -303,8 +303,10 @@
             effects.extend(_APPLY_BY_COLLECTION[collection](state, event.now))
     if state.roster.expire(event.now):
         effects.extend(_apply_roster(state, event.now))
+    held_up_s = state.peers.measure_held_up(event.now)
     state.peers.note_running(event.now)
     if state.gateway is not None:
+        state.gateway.excuse_silence(event.now, held_up_s)
         _update_peer_count(state, event.now)
         reachable = tuple(
             member.name for member in state.peers.list_reachable(event.now)
--- a/src/tamaracktray/peers.py
+++ b/src/tamaracktray/peers.py
@@ -85,13 +85,19 @@
 
     def note_running(self, now: float) -> None:
         """Record that this process runs, and excuse peers for a time it was held up."""
-        held_up_s = self._measure_held_up(now)
+        held_up_s = self.measure_held_up(now)
         if held_up_s:
             for address, contact_at in self._last_contact_by_address.items():
                 contact_at = min(contact_at + held_up_s, now)
                 self._last_contact_by_address[address] = contact_at
         self._ran_at = now
 
+    def measure_held_up(self, now: float) -> float:
+        """Return for how long this process has been held up, in seconds."""
+        if self._ran_at is None or now - self._ran_at < HELD_UP_S:
+            return 0.0
+        return now - self._ran_at
+
     def record_contact(
         self, now: float, address: Address, *, has_store: bool = True
     ) -> None:
@@ -140,10 +146,4 @@
         if not self._expects_beacons:
             return 0.0
         silence_s = now - self._last_contact_by_address.get(address, now)
-        return silence_s - self._measure_held_up(now)
-
-    def _measure_held_up(self, now: float) -> float:
-        """Return for how long this process has been held up, in seconds."""
-        if self._ran_at is None or now - self._ran_at < HELD_UP_S:
-            return 0.0
-        return now - self._ran_at
+        return silence_s - self.measure_held_up(now)
--- a/tests/test_part_watch.py
+++ b/tests/test_part_watch.py
@@ -16,7 +16,9 @@
 )
 from tamaracktray.calls import AbandonAttempt, CallStarted, RefuseCall
 from tamaracktray.crash_watch import MAX_REPORTS, MAX_SUSPICIONS
+from tamaracktray.events import Tick
 from tamaracktray.gateway import handle_call_started
+from tamaracktray.node_reducer import reduce_node
 from tamaracktray.objects import StoredObject
 from tamaracktray.outcomes import AttemptPhase
 from tamaracktray.part_watch import (
@@ -397,6 +399,38 @@
         gateway.end(call, endpoint, AttemptPhase.CUT, is_reset=True)
         assert len(gateway.part_crashes.list_avoided(FATAL)) == 2
 
+    @pytest.mark.parametrize("has_late_data", [True, False])
+    def test_time_of_being_held_up_does_not_clear_a_part(self, has_late_data):
+        """Data that arrived meanwhile is read, and dated, only afterwards."""
+        gateway = self.build_gateway()
+        call = build_call("fatal", parts=(FATAL,))
+        (endpoint,) = sent(gateway.arrive(call))
+        gateway.part_crashes.suspect(0.1, FATAL, Incarnation("x", 1), RUN_S)
+        handle_call_started(gateway.context, CallStarted(0.2, call.id, endpoint))
+        state = build_entry_state(gateway.state)
+        state.part_crashes = gateway.part_crashes
+        reduce_node(state, Tick(0.25))
+        progress = {call.id: 4.2} if has_late_data else {}
+        reduce_node(state, Tick(4.25, progress_at_by_call=progress))
+        assert gateway.part_crashes.is_suspected(FATAL)
+        gateway.end(call, endpoint, AttemptPhase.CUT, is_reset=True)
+        assert len(gateway.part_crashes.list_avoided(FATAL)) == 2
+
+    def test_answer_that_goes_on_after_being_held_up_clears_a_part(self):
+        gateway = self.build_gateway()
+        call = build_call("sound", parts=(SHARED,))
+        (endpoint,) = sent(gateway.arrive(call))
+        gateway.part_crashes.suspect(0.1, SHARED, Incarnation("x", 1), RUN_S)
+        handle_call_started(gateway.context, CallStarted(0.2, call.id, endpoint))
+        state = build_entry_state(gateway.state)
+        state.part_crashes = gateway.part_crashes
+        reduce_node(state, Tick(0.25))
+        reduce_node(state, Tick(4.25, progress_at_by_call={call.id: 4.2}))
+        for step in range(1, 5):
+            now = 4.25 + step * 0.1
+            reduce_node(state, Tick(now, progress_at_by_call={call.id: now}))
+        assert not gateway.part_crashes.is_suspected(SHARED)
+
     def test_fatal_attempt_in_flight_is_abandoned_on_quarantine(self):
         gateway = self.build_gateway()
         call = build_call("early", parts=(FATAL,))
