Leave a silent endpoint only for a reserved place

Callers: streams cut and calls answered with 502 although their endpoint goes on a second later. A sound server may fall silent for a second or so.

Cause: an attempt was abandoned after a silence without asking whether the call can go on elsewhere: no retry in the budget, no slot, no attempt left, or a part of the relay that gave an idempotent call up by itself.

Change: a call leaves only if a slot at an endpoint that sends data is reserved for it and its retry is paid for; streams only behind an event with an id. Calls that found no place get the next free slot before queued ones. All other answers wait up to their deadline. A call that is refused where it moves goes back to the endpoint that it left, once.

--- a/src/tamaracktray/attempt_abandonment.py
+++ b/src/tamaracktray/attempt_abandonment.py
@@ -4,64 +4,158 @@
 on which the decision was based may have changed by then.
 """
 
+from collections import Counter
+
 import msgspec
 
 from tamaracktray.calls import AbandonAttempt, SendCall
 from tamaracktray.effects import Effect
+from tamaracktray.endpoint_loads import EndpointLoad
 from tamaracktray.gateway_crashes import is_quarantined, suspect_endpoint
 from tamaracktray.gateway_fleet import choose
 from tamaracktray.gateway_state import GatewayContext, PendingCall
-from tamaracktray.placement import is_available
-from tamaracktray.routes import RepeatKind
+from tamaracktray.placement import count_open_slots, is_available
 
 # Silence of an endpoint after which its calls are retried elsewhere, in seconds: before
 # the first part of an answer, and within a stream, whose reader tolerates pauses.
 SILENCE_TIMEOUT_S = 0.5
 STREAM_SILENCE_TIMEOUT_S = 0.7
 
+# Time without a complete event after which a stream is resumed elsewhere although its
+# endpoint sends other data, in seconds.
+STALL_S = 1.0
+
+# Time without data of an answer that has not begun after which the call is retried
+# elsewhere: the larger of a number of latency objectives and a minimum in seconds.
+START_TIMEOUT_OBJECTIVES = 4.0
+MIN_START_TIMEOUT_S = 1.0
+
+# Calls of the same services that find no place, after which no further ones are tried
+# at a tick: each try looks at all endpoints.
+MAX_FAILED_MOVES = 4
+
 
 def abandon_silent_attempts(context: GatewayContext, now: float) -> list[Effect]:
-    """Abandon attempts at silent endpoints if another endpoint can take the call."""
+    """Abandon attempts that get no data if another endpoint can take the call.
+
+    The others are noted, to move before queued calls once a slot is free.
+    """
     state = context.state
-    silence_by_id: dict[str, float] = {}
-    for endpoint_id, load in state.loads_by_id.items():
-        silence = load.measure_silence(now)
-        if silence > SILENCE_TIMEOUT_S:
-            silence_by_id[endpoint_id] = silence
-    if not silence_by_id:
-        return []
+    state.move_reason_by_id = {}
     effects: list[Effect] = []
+    failed_by_services: Counter[tuple[str, ...]] = Counter()
     for pending in state.pending_by_id.values():
-        silence = silence_by_id.get(pending.endpoint_id, 0.0)
-        timeout_s = (
-            STREAM_SILENCE_TIMEOUT_S if pending.is_started else SILENCE_TIMEOUT_S
-        )
-        if silence <= timeout_s or pending.is_abandoned:
+        if not pending.endpoint_id or pending.is_abandoned or not _is_movable(pending):
             continue
-        if now - pending.sent_at <= timeout_s:
+        reason = _find_silence(context, now, pending)
+        if not reason:
             continue
-        if not _can_move(context, now, pending):
+        services = pending.call.services
+        if failed_by_services[services] < MAX_FAILED_MOVES:
+            moved = _move(context, now, pending, reason)
+            if moved:
+                effects.extend(moved)
+                continue
+            failed_by_services[services] += 1
+        state.move_reason_by_id[pending.call.id] = reason
+    return effects
+
+
+def _find_silence(context: GatewayContext, now: float, pending: PendingCall) -> str:
+    """Return why an attempt counts as silent, or an empty text if it doesn't."""
+    timeout_s = STREAM_SILENCE_TIMEOUT_S if pending.is_started else SILENCE_TIMEOUT_S
+    load = context.state.loads_by_id.get(pending.endpoint_id)
+    endpoint_silence_s = 0.0 if load is None else load.measure_silence(now)
+    if min(endpoint_silence_s, now - pending.sent_at) > timeout_s:
+        return "endpoint is silent"
+    silence_s = now - pending.silent_since
+    if pending.is_answer_started:
+        return "stream stalled" if silence_s >= STALL_S else ""
+    target_s = pending.call.route.target_latency_s
+    start_timeout_s = max(START_TIMEOUT_OBJECTIVES * target_s, MIN_START_TIMEOUT_S)
+    return "answer is overdue" if silence_s > start_timeout_s else ""
+
+
+def move_noted_attempts(context: GatewayContext, now: float) -> list[Effect]:
+    """Abandon noted attempts, as many as there are free slots."""
+    state = context.state
+    effects: list[Effect] = []
+    for call_id, reason in list(state.move_reason_by_id.items()):
+        pending = state.pending_by_id.get(call_id)
+        if pending is None or pending.is_abandoned or not pending.endpoint_id:
+            del state.move_reason_by_id[call_id]
             continue
-        pending.is_abandoned = True
-        effects.append(AbandonAttempt(pending.call.id, "endpoint is silent"))
-        effects.extend(suspect_endpoint(context, now, pending, pending.endpoint_id))
+        moved = _move(context, now, pending, reason)
+        if not moved:
+            break
+        effects.extend(moved)
+        del state.move_reason_by_id[call_id]
     return effects
 
 
-def _can_move(context: GatewayContext, now: float, pending: PendingCall) -> bool:
-    """Return whether a call may be retried and another endpoint can take it now."""
-    route = pending.call.route
-    if pending.is_started and route.kind is not RepeatKind.STREAM:
-        return False
-    if not route.is_idempotent or pending.attempts >= route.max_attempts:
-        return False
-    return choose(context, now, pending, pending.endpoint_id) is not None
+def _move(
+    context: GatewayContext, now: float, pending: PendingCall, reason: str
+) -> list[Effect]:
+    """Abandon an attempt if the call can certainly go on at another endpoint.
+
+    The endpoint may be sound and go on soon, so the answer must not be lost by this.
+    """
+    endpoint_id = pending.endpoint_id
+    if not reserve_move(context, now, pending):
+        return []
+    pending.is_abandoned = True
+    pending.left_id = endpoint_id
+    return [
+        AbandonAttempt(pending.call.id, reason),
+        *suspect_endpoint(context, now, pending, endpoint_id),
+    ]
 
 
-def is_resumable(context: GatewayContext, now: float, call_id: str) -> bool:
-    """Return whether a stalled stream can be resumed at another endpoint now."""
-    pending = context.state.pending_by_id.get(call_id)
-    return pending is not None and _can_move(context, now, pending)
+def reserve_move(context: GatewayContext, now: float, pending: PendingCall) -> bool:
+    """Reserve a slot at another endpoint and a retry; return whether both exist."""
+    if not _is_movable(pending):
+        return False
+    load = choose(context, now, pending, pending.endpoint_id)
+    if load is None or load.measure_silence(now) > SILENCE_TIMEOUT_S:
+        return False
+    if not context.state.find_budget(pending.call.services[0]).spend(now):
+        return False
+    load.reserved += 1
+    pending.reserved_id = load.record.id
+    return True
+
+
+def take_return(
+    context: GatewayContext, now: float, pending: PendingCall
+) -> EndpointLoad | None:
+    """Return the endpoint that a call has left if it may go back there, once.
+
+    Its silence was no proof of a failure, and a second run there takes the call to no
+    further endpoint.
+    """
+    load = context.state.loads_by_id.get(pending.left_id)
+    pending.left_id = ""
+    call = pending.call
+    if load is None or now >= call.deadline or is_quarantined(context, now, pending):
+        return None
+    if not is_available(now, call, load, context.placement_context):
+        return None
+    if not count_open_slots(load, now):
+        return None
+    if not context.state.find_budget(call.services[0]).spend(now):
+        return None
+    return load
+
+
+def _is_movable(pending: PendingCall) -> bool:
+    """Return whether a call may be sent to another endpoint.
+
+    An answer that has begun can only be resumed after an event with an id.
+    """
+    route = pending.call.route
+    if pending.is_started and not pending.has_event_id:
+        return False
+    return route.is_idempotent and pending.attempts < route.max_attempts
 
 
 def abandon_outdated_attempts(context: GatewayContext) -> list[Effect]:
--- a/src/tamaracktray/attempt_events.py
+++ b/src/tamaracktray/attempt_events.py
@@ -10,10 +10,16 @@
 from tamaracktray.protocol import AnswerFields
 
 
-def build_started(decision: SendCall, fields: AnswerFields) -> CallStarted:
+def build_started(
+    decision: SendCall, fields: AnswerFields, *, has_event_id: bool = False
+) -> CallStarted:
     """Return the start of an endpoint's answer."""
     return CallStarted(
-        time.monotonic(), decision.call_id, decision.endpoint_id, fields.version
+        time.monotonic(),
+        decision.call_id,
+        decision.endpoint_id,
+        fields.version,
+        has_event_id,
     )
 
 
--- a/src/tamaracktray/attempt_relay.py
+++ b/src/tamaracktray/attempt_relay.py
@@ -13,7 +13,7 @@
     build_started,
     build_unmarked_end,
 )
-from tamaracktray.calls import CallAttemptEnded, CallStarted, SendCall
+from tamaracktray.calls import Call, CallAttemptEnded, CallStarted, SendCall
 from tamaracktray.connections import refuses_connections
 from tamaracktray.endpoint_limits import EndpointLimitReceived
 from tamaracktray.exceptions import TransportError
@@ -21,10 +21,8 @@
 from tamaracktray.headers import read_media_type
 from tamaracktray.http_messages import RawHeaders
 from tamaracktray.idle_timeouts import (
-    STALL_CHECK_S,
-    STALL_S,
     compute_idle_timeout,
-    compute_start_timeout,
+    compute_rest_timeout,
 )
 from tamaracktray.notices import EndpointNoticeReceived
 from tamaracktray.open_calls import BufferedAnswer, OpenCall
@@ -54,16 +52,14 @@
     ``responsive_ids`` collects the endpoints that sent data. ``on_start`` is called
     with the start of each answer, and ``on_notice`` with what an endpoint reports about
     itself. ``may_send`` checks whether a decision is still valid, given the seconds
-    that connecting took, and ``may_resume`` whether a stalled stream can resume at
-    another endpoint. ``is_limited`` checks whether an endpoint has named a limit, which
-    ends with an answer that names none. An answer of more than ``answer_bytes`` is cut.
-    With ``closes_connections``, answers ask callers to close their connection.
+    that connecting took. ``is_limited`` checks whether an endpoint has named a limit,
+    which ends with an answer that names none. An answer of more than ``answer_bytes``
+    is cut. With ``closes_connections``, answers ask callers to close their connection.
     """
 
     __slots__ = (
         "_answer_bytes",
         "_is_limited",
-        "_may_resume",
         "_may_send",
         "_protocol",
         "_on_notice",
@@ -81,13 +77,11 @@
             [EndpointNoticeReceived | EndpointLimitReceived], Awaitable[None]
         ],
         may_send: Callable[[SendCall, float], bool],
-        may_resume: Callable[[str], bool],
         is_limited: Callable[[str], bool],
         answer_bytes: int,
     ) -> None:
         self._answer_bytes = answer_bytes
         self._protocol = protocol
-        self._may_resume = may_resume
         self._is_limited = is_limited
         self._may_send = may_send
         self._on_start = on_start
@@ -97,11 +91,17 @@
         self.closes_connections = False
 
     def take_progress(self) -> dict[str, float]:
-        """Return when data of each streamed answer last arrived since the last call."""
+        """Return when data of each answer last arrived since the last call."""
         progress_at_by_call = self._progress_at_by_call
         self._progress_at_by_call = {}
         return progress_at_by_call
 
+    def _note_progress(self, call: Call) -> float:
+        """Record that data of a call's answer has arrived, and return when."""
+        progress_at = time.monotonic()
+        self._progress_at_by_call[call.id] = progress_at
+        return progress_at
+
     async def attempt(
         self, open_call: OpenCall, decision: SendCall
     ) -> CallAttemptEnded:
@@ -167,9 +167,10 @@
         started_at: float,
     ) -> CallAttemptEnded:
         call = open_call.call
-        head = await exchange.read_head(compute_start_timeout(call))
+        head = await exchange.read_head(compute_rest_timeout(call))
         if isinstance(head, Failure):
             return build_failed_end(decision, exchange, head.failure().message)
+        self._note_progress(call)
         self.responsive_ids.add(decision.endpoint_id)
         fields = self._protocol.parse_answer_fields(exchange.status, exchange.headers)
         if fields.is_leaving or fields.pause_s is not None:
@@ -222,10 +223,11 @@
         """Relay an answer once it is complete, or as it arrives if it is large."""
         body = bytearray()
         while len(body) <= MAX_BUFFERED_ANSWER_BYTES:
-            start_timeout_s = compute_start_timeout(open_call.call)
-            read = await self._read_data(decision, exchange, start_timeout_s)
+            rest_timeout_s = compute_rest_timeout(open_call.call)
+            read = await self._read_data(decision, exchange, rest_timeout_s)
             if isinstance(read, Failure):
                 return build_failed_end(decision, exchange, read.failure().message)
+            self._note_progress(open_call.call)
             data = read.unwrap()
             if isinstance(data, AnswerEnd):
                 answer = BufferedAnswer(
@@ -269,10 +271,10 @@
         data: bytes | AnswerEnd,
     ) -> CallAttemptEnded:
         while not isinstance(data, AnswerEnd):
-            self._progress_at_by_call[open_call.call.id] = time.monotonic()
+            self._note_progress(open_call.call)
             await self._send_part(open_call, exchange, data)
-            start_timeout_s = compute_start_timeout(open_call.call)
-            read = await self._read_data(decision, exchange, start_timeout_s)
+            rest_timeout_s = compute_rest_timeout(open_call.call)
+            read = await self._read_data(decision, exchange, rest_timeout_s)
             if isinstance(read, Failure):
                 return build_failed_end(decision, exchange, read.failure().message, "")
             data = read.unwrap()
@@ -318,11 +320,13 @@
                     decision, exchange, fault, open_call.last_event_id
                 )
             if events:
-                progress_at = time.monotonic()
-                self._progress_at_by_call[open_call.call.id] = progress_at
+                progress_at = self._note_progress(open_call.call)
             if events and not is_started:
                 is_started = True
-                await self._on_start(build_started(decision, fields))
+                has_event_id = buffer.last_event_id != ""
+                await self._on_start(
+                    build_started(decision, fields, has_event_id=has_event_id)
+                )
             if events or is_end:
                 await self._send_part(open_call, exchange, events)
             if is_end:
@@ -340,25 +344,15 @@
     ) -> Result[bytes | AnswerEnd, TransportError]:
         """Read from a stream whose last whole event arrived at ``progress_at``.
 
-        Bytes that complete no event don't count as progress. A stalled stream fails
-        when it can resume at another endpoint or when the idle timeout has passed.
+        Bytes that complete no event don't count as progress.
         """
-        call = open_call.call
-        idle_deadline = progress_at + compute_idle_timeout(call)
-        next_check = progress_at + STALL_S
-        while True:
-            now = time.monotonic()
-            # Without an event id, no endpoint can resume where the answer stopped.
-            is_resume_check_due = now >= next_check and open_call.last_event_id != ""
-            if is_resume_check_due and self._may_resume(call.id):
-                return Failure(TransportError("stream stalled", sent=True))
-            if now >= idle_deadline:
-                return Failure(TransportError("stream stalled for good", sent=True))
-            next_check = max(next_check, now + STALL_CHECK_S)
-            timeout_s = min(next_check, idle_deadline) - now
+        idle_deadline = progress_at + compute_idle_timeout(open_call.call)
+        timeout_s = idle_deadline - time.monotonic()
+        if timeout_s > 0:
             read = await self._read_data(decision, exchange, timeout_s)
             if not isinstance(read, Failure) or not read.failure().is_timeout:
                 return read
+        return Failure(TransportError("stream stalled for good", sent=True))
 
     async def _read_data(
         self, decision: SendCall, exchange: Exchange, timeout_s: float
--- a/src/tamaracktray/call_context.py
+++ b/src/tamaracktray/call_context.py
@@ -2,7 +2,7 @@
 
 import math
 
-from tamaracktray.attempt_abandonment import is_resumable, is_sendable
+from tamaracktray.attempt_abandonment import is_sendable
 from tamaracktray.calls import SendCall
 from tamaracktray.exceptions import InvariantError
 from tamaracktray.gateway_state import GatewayContext
@@ -60,8 +60,3 @@
     transit_s = TRANSIT_PER_CONNECT_TIME * connect_s
     context = build_gateway_context(state, now, transit_s=transit_s)
     return is_sendable(context, now, decision)
-
-
-def may_resume(state: NodeState, now: float, call_id: str) -> bool:
-    """Return whether a stalled stream can now resume at another endpoint."""
-    return is_resumable(build_gateway_context(state, now), now, call_id)
--- a/src/tamaracktray/calls.py
+++ b/src/tamaracktray/calls.py
@@ -76,11 +76,16 @@
 
 
 class CallStarted(Event, frozen=True):
-    """An endpoint's answer began; ``version`` is the version of its weights."""
+    """An endpoint's answer began.
+
+    ``version`` is the version of its weights. ``has_event_id`` is set if it is a stream
+    whose events have ids.
+    """
 
     call_id: str
     endpoint_id: str
     version: int = 0
+    has_event_id: bool = False
 
 
 class CallEnded(Event, frozen=True):
--- a/src/tamaracktray/endpoint_loads.py
+++ b/src/tamaracktray/endpoint_loads.py
@@ -43,7 +43,8 @@
 class EndpointLoad:
     """Load and health of one endpoint, as known to this process.
 
-    ``in_flight`` counts the calls of this process. ``is_swapping`` is set while the
+    ``in_flight`` counts the calls of this process and ``reserved`` those that are about
+    to be moved here from another endpoint. ``is_swapping`` is set while the
     endpoint loads another version on its agent's order; ``swap_at`` is the planned time
     of the next swap. Until ``status_deadline`` the agent's report of the versions takes
     precedence over the endpoint list, which is older. ``is_record_stale`` is set, until
@@ -77,6 +78,7 @@
         "pause_deadline",
         "record",
         "reported_start_ms",
+        "reserved",
         "status_deadline",
         "swap_at",
     )
@@ -84,6 +86,7 @@
     def __init__(self, record: EndpointRecord) -> None:
         self.record = record
         self.in_flight = 0
+        self.reserved = 0
         self.reported_start_ms = 0
         self.failures = 0
         self.blocked_deadline = 0.0
@@ -178,7 +181,7 @@
         """Return the number of calls of all processes at the endpoint."""
         if now >= self._peer_expiry:
             self._drop_expired_counts(now)
-        return self.in_flight + self._peer_total
+        return self.in_flight + self.reserved + self._peer_total
 
     def _drop_expired_counts(self, now: float) -> None:
         self._peer_counts = {
--- a/src/tamaracktray/entry_process.py
+++ b/src/tamaracktray/entry_process.py
@@ -13,7 +13,7 @@
 from tamaracktray.beacons import Beacon
 from tamaracktray.byte_rates import build_upload_bucket
 from tamaracktray.call_building import build_call, refuse_unconfigured
-from tamaracktray.call_context import may_resume, may_send
+from tamaracktray.call_context import may_send
 from tamaracktray.call_log import CallLog
 from tamaracktray.calls import (
     AbandonAttempt,
@@ -100,7 +100,6 @@
             self._on_start,
             self.dispatch,
             self._may_send,
-            self._may_resume,
             self.state.gateway.is_limited,
             bounds.answer_bytes,
         )
@@ -276,9 +275,6 @@
     def _may_send(self, decision: SendCall, connect_s: float) -> bool:
         return may_send(self.state, time.monotonic(), decision, connect_s)
 
-    def _may_resume(self, call_id: str) -> bool:
-        return may_resume(self.state, time.monotonic(), call_id)
-
     async def _on_start(self, event: CallStarted) -> None:
         open_call = self._open_by_id.get(event.call_id)
         if open_call is not None:
--- a/src/tamaracktray/events.py
+++ b/src/tamaracktray/events.py
@@ -29,7 +29,7 @@
 
     ``random_value`` is a random number, the only source of randomness in the reducer.
     ``responsive_ids`` holds the endpoints that sent data since the last tick, and
-    ``progress_at_by_call`` when data of each streamed answer last arrived since then.
+    ``progress_at_by_call`` when data of each answer last arrived since then.
     ``open_connections`` counts the caller connections on which a request is being
     received or answered. ``store_era`` is the latest era of the platform's store,
     ``None`` while unknown.
--- a/src/tamaracktray/gateway.py
+++ b/src/tamaracktray/gateway.py
@@ -6,6 +6,8 @@
     abandon_outdated_attempts,
     abandon_quarantined_attempts,
     abandon_silent_attempts,
+    move_noted_attempts,
+    take_return,
 )
 from tamaracktray.calls import (
     Call,
@@ -27,20 +29,12 @@
     suspect_on_disconnect,
     suspect_on_silence,
 )
-from tamaracktray.gateway_fleet import (
-    choose,
-    has_available,
-)
+from tamaracktray.gateway_fleet import choose, has_available
 from tamaracktray.gateway_refusals import refuse, refuse_if_quarantined
-from tamaracktray.gateway_state import (
-    GatewayContext,
-    PendingCall,
-)
+from tamaracktray.gateway_state import GatewayContext, PendingCall
 from tamaracktray.outcomes import AttemptPhase
 from tamaracktray.placement import is_eligible, list_with_capacity
-from tamaracktray.refusals import (
-    refuse_leaving,
-)
+from tamaracktray.refusals import refuse_leaving
 from tamaracktray.routes import RepeatKind
 
 # Failed connections allowed per call; they do not count as attempts.
@@ -78,6 +72,7 @@
             pending.silent_since = event.now
         pending.is_started = True
         pending.is_answer_started = True
+        pending.has_event_id = pending.has_event_id or event.has_event_id
         pending.version = event.version or pending.version
     load = context.state.loads_by_id.get(event.endpoint_id)
     if load is not None:
@@ -107,8 +102,10 @@
     if pending is None:
         return send_queued_calls(context, event.now)
     pending.endpoint_id = ""
+    is_paid = state.release(pending)
     pending.last_event_id = event.last_event_id or pending.last_event_id
-    effects = _continue_call(context, event, pending)
+    effects = _continue_call(context, event, pending, is_paid=is_paid)
+    effects.extend(move_noted_attempts(context, event.now))
     return effects + send_queued_calls(context, event.now)
 
 
@@ -119,6 +116,7 @@
     pending = state.pending_by_id.pop(event.call_id, None)
     if pending is None or not pending.endpoint_id:
         return []
+    state.release(pending)
     effects = suspect_on_silence(context, event.now, pending)
     load = state.loads_by_id.get(pending.endpoint_id)
     if load is not None:
@@ -147,7 +145,7 @@
     for call in state.waiting.remove_expired(now):
         pending = state.pending_by_id.get(call.id)
         if pending is not None:
-            effects.extend(refuse(context, now, pending))
+            effects.extend(_give_up(context, now, pending))
     return effects
 
 
@@ -177,7 +175,7 @@
         pending = context.state.pending_by_id.get(call.id)
         if pending is None or not is_refused(pending):
             continue
-        effects.extend(refuse(context, now, pending))
+        effects.extend(_give_up(context, now, pending))
     return effects
 
 
@@ -216,7 +214,7 @@
     if load is not None:
         return _send(context, now, pending, load)
     if not has_available(context, now, pending):
-        return refuse(context, now, pending)
+        return _give_up(context, now, pending)
     call = pending.call
     bands = context.state.find_bands(call.route.name)
     is_waiting = context.state.waiting.push(
@@ -229,10 +227,19 @@
         is_resumed=pending.is_started,
     )
     if not is_waiting:
-        return refuse(context, now, pending)
+        return _give_up(context, now, pending)
     return []
 
 
+def _give_up(context: GatewayContext, now: float, pending: PendingCall) -> list[Effect]:
+    """Send a call back to the endpoint that it left, or refuse it."""
+    load = take_return(context, now, pending)
+    if load is None:
+        return refuse(context, now, pending)
+    context.state.waiting.remove(pending.call.id)
+    return _send(context, now, pending, load)
+
+
 def _estimate_cost(context: GatewayContext, call: Call) -> float:
     """Return the engine time that a call takes, in seconds; 0 if it is unknown."""
     service = context.placement_context.services_by_name.get(call.services[0])
@@ -304,8 +311,13 @@
 
 
 def _continue_call(
-    context: GatewayContext, event: CallAttemptEnded, pending: PendingCall
+    context: GatewayContext,
+    event: CallAttemptEnded,
+    pending: PendingCall,
+    *,
+    is_paid: bool,
 ) -> list[Effect]:
+    """Return how a call goes on; ``is_paid`` is set if its retry has been paid for."""
     now = event.now
     if event.phase is AttemptPhase.ANSWERED:
         del context.state.pending_by_id[event.call_id]
@@ -324,23 +336,27 @@
         pending.failed_connections += 1
         pending.tried.add(event.endpoint_id)
         if pending.failed_connections > MAX_FAILED_CONNECTIONS:
-            return refuse(context, now, pending)
+            return _give_up(context, now, pending)
         return _place_call(context, now, pending)
     pending.tried.add(event.endpoint_id)
     effects = []
     if not event.phase.is_not_run:
+        if event.endpoint_id != pending.left_id:
+            pending.left_id = ""
         pending.may_have_run = True
         pending.has_failed_answer = event.phase is AttemptPhase.FAILED
         if event.is_reset:
             effects = suspect_on_disconnect(context, now, pending, event.endpoint_id)
     # Resuming a broken stream needs the id of the last event.
     is_unresumable = event.phase is AttemptPhase.CUT and not event.last_event_id
-    if is_unresumable or not _may_retry(context, now, pending):
-        return effects + refuse(context, now, pending)
+    if is_unresumable or not _may_retry(context, now, pending, is_paid=is_paid):
+        return effects + _give_up(context, now, pending)
     return effects + _place_call(context, now, pending)
 
 
-def _may_retry(context: GatewayContext, now: float, pending: PendingCall) -> bool:
+def _may_retry(
+    context: GatewayContext, now: float, pending: PendingCall, *, is_paid: bool
+) -> bool:
     call = pending.call
     if pending.attempts >= call.route.max_attempts or now >= call.deadline:
         return False
@@ -348,4 +364,4 @@
         return False
     if not has_available(context, now, pending):
         return False
-    return context.state.find_budget(call.services[0]).spend(now)
+    return is_paid or context.state.find_budget(call.services[0]).spend(now)
--- a/src/tamaracktray/gateway_state.py
+++ b/src/tamaracktray/gateway_state.py
@@ -50,10 +50,18 @@
     endpoint has announced that it leaves, ``held_version`` the version of the weights
     that the endpoint was expected to hold, and ``is_answer_started`` whether its answer
     has begun, at ``answer_began_at``. ``progress_at`` is when data of the answer last
-    arrived, known as of the last tick. ``is_sound`` is set once that answer has gone on
-    long enough to refute suspicions. ``is_started`` is also set if the answer of an
-    earlier attempt has begun.
-
+    arrived, known as of the last tick. ``silent_since`` is the same, or when the
+    attempt was sent, and ``observed_since`` the begin of the answer, but both are later
+    by the times in which this process was held up. ``is_sound`` is set once that answer
+    has gone on long enough to refute suspicions. ``is_started`` is also set if the
+    answer of an earlier attempt has begun.
+
+    While an attempt is being abandoned, ``reserved_id`` is the endpoint that holds a
+    slot for the next one. ``has_event_id`` is set once a stream can be resumed.
+    ``left_id`` is the endpoint that the call left for its silence, as long as no other
+    one has run it since.
+
+    ``is_trial`` is set while the call tests quarantined parts of its prompt.
     ``prior_wait_s`` is the time that the caller waited in earlier tries, in seconds.
     ``version`` is the version of the weights that began a stream.
     """
@@ -65,9 +73,11 @@
         "call",
         "endpoint_id",
         "is_answer_started",
+        "has_event_id",
         "has_failed_answer",
         "held_version",
         "is_abandoned",
+        "left_id",
         "is_endpoint_leaving",
         "is_sound",
         "is_started",
@@ -78,6 +88,7 @@
         "sent_at",
         "silent_since",
         "prior_wait_s",
+        "reserved_id",
         "tried",
         "failed_connections",
         "version",
@@ -92,6 +103,9 @@
         self.is_endpoint_leaving = False
         self.may_have_run = False
         self.has_failed_answer = False
+        self.has_event_id = False
+        self.reserved_id = ""
+        self.left_id = ""
         self.held_version = 0
         self.is_started = False
         self.is_answer_started = False
@@ -114,6 +128,8 @@
     ``owned_ids`` are the engines that it owns, assigned among the reachable
     ``entries``; ``ownership_inputs`` holds the inputs of that assignment.
     ``reported_by_peer`` holds the endpoints at which each peer last reported calls.
+    ``move_reason_by_id`` are the calls with silent attempts that found no slot
+    elsewhere.
     """
 
     __slots__ = (
@@ -126,6 +142,7 @@
         "ids_by_address",
         "loads_by_id",
         "longest_wait_by_route",
+        "move_reason_by_id",
         "name",
         "notices",
         "peer_count",
@@ -148,6 +165,7 @@
         self.reported_by_peer: dict[str, frozenset[str]] = {}
         self.loads_by_id: dict[str, EndpointLoad] = {}
         self.pending_by_id: dict[str, PendingCall] = {}
+        self.move_reason_by_id: dict[str, str] = {}
         self.waiting = WaitQueue()
         self.budget_by_service: dict[str, RetryBudget] = {}
         self.bands_by_route: dict[str, SizeBands] = {}
@@ -246,6 +264,16 @@
             pending.silent_since = min(pending.silent_since + held_up_s, now)
             pending.observed_since = min(pending.observed_since + held_up_s, now)
 
+    def release(self, pending: PendingCall) -> bool:
+        """Release the slot that is reserved for a call; return whether there is one."""
+        if not pending.reserved_id:
+            return False
+        load = self.loads_by_id.get(pending.reserved_id)
+        if load is not None:
+            load.reserved = max(load.reserved - 1, 0)
+        pending.reserved_id = ""
+        return True
+
     def may_have_run(self, call_id: str) -> bool:
         """Return whether an endpoint may have run a call, or may still run it."""
         pending = self.pending_by_id.get(call_id)
--- a/src/tamaracktray/idle_timeouts.py
+++ b/src/tamaracktray/idle_timeouts.py
@@ -4,11 +4,6 @@
 
 from tamaracktray.calls import Call
 
-# Time without a complete event after which a stream is resumed elsewhere if another
-# endpoint has capacity, and the interval of that check, in seconds.
-STALL_S = 1.0
-STALL_CHECK_S = 0.1
-
 # Idle timeout of a stream, after which its callers give up as well: the largest of a
 # minimum in seconds, a multiple of the latency objective and a multiple of the longest
 # gap that its route allows. The margin covers the network delay to the caller.
@@ -17,9 +12,6 @@
 IDLE_TIMEOUT_GAPS = 8.0
 IDLE_TIMEOUT_MARGIN_S = 0.25
 
-# Latency objectives without an answer after which an idempotent call is abandoned.
-START_TIMEOUT_OBJECTIVES = 4.0
-
 # Time after the route's timeout within which a completed answer is still relayed.
 TIMEOUT_GRACE_S = 0.05
 
@@ -35,15 +27,9 @@
     return idle_timeout_s + IDLE_TIMEOUT_MARGIN_S
 
 
-def compute_start_timeout(call: Call) -> float:
-    """Return the timeout for the start of an endpoint's answer, in seconds.
+def compute_rest_timeout(call: Call) -> float:
+    """Return the timeout for the rest of an answer, in seconds.
 
-    Only an idempotent call, which may be retried, is abandoned before its deadline.
+    Only the deadline ends an answer for its silence, unless the call can be retried.
     """
-    remaining_s = max(call.deadline - time.monotonic(), 0.0) + TIMEOUT_GRACE_S
-    if not call.route.is_idempotent:
-        return remaining_s
-    return min(
-        remaining_s,
-        max(START_TIMEOUT_OBJECTIVES * call.route.target_latency_s, STALL_S),
-    )
+    return max(call.deadline - time.monotonic(), 0.0) + TIMEOUT_GRACE_S
--- a/src/tamaracktray/placement.py
+++ b/src/tamaracktray/placement.py
@@ -102,7 +102,14 @@
 
 def count_free_slots(load: EndpointLoad, now: float) -> int:
     """Return the free slots of an endpoint, 0 while it must get no calls."""
-    if load.blocked_deadline > now or load.is_swapping or load.is_paused(now):
+    if load.blocked_deadline > now:
+        return 0
+    return count_open_slots(load, now)
+
+
+def count_open_slots(load: EndpointLoad, now: float) -> int:
+    """Return the free slots of an endpoint, whether it has failed lately or not."""
+    if load.is_swapping or load.is_paused(now):
         return 0
     if not load.has_cold_permit(now) or not load.has_limit_permit(now):
         return 0
--- a/src/tamaracktray_emulator/admission.py
+++ b/src/tamaracktray_emulator/admission.py
@@ -13,6 +13,7 @@
 from typing_extensions import override
 
 from tamaracktray.calls import (
+    AbandonAttempt,
     Call,
     CallArrived,
     CallAttemptEnded,
@@ -386,6 +387,11 @@
                 self._send_call(entry, effect)
             elif isinstance(effect, RefuseCall):
                 self._handle_refusal(effect)
+            elif isinstance(effect, AbandonAttempt):
+                self._schedule_after(
+                    NETWORK_DELAY_S,
+                    lambda call_id=effect.call_id: self._abandon(entry, call_id),
+                )
             elif isinstance(effect, SendLoadBeacon):
                 self._schedule_after(
                     BEACON_DELAY_S, lambda: self._send_load_report(entry)
@@ -405,6 +411,17 @@
 
         self._schedule_after(NETWORK_DELAY_S, deliver)
 
+    def _abandon(self, entry: int, call_id: str) -> None:
+        """Withdraw a call from its engine, unless it has ended there."""
+        endpoint_id = self._endpoint_by_call.pop(call_id, "")
+        caller = self._caller_by_call.get(call_id)
+        if not endpoint_id or caller is None or caller.is_completed:
+            return
+        self._engines[endpoint_id].drop(call_id)
+        context = self._build_context(self._entries[entry])
+        ended = CallAttemptEnded(self._now, call_id, endpoint_id, AttemptPhase.SENT)
+        self._execute_effects(entry, handle_attempt_ended(context, ended))
+
     def _offer_job(self, endpoint_id: str, job: EngineJob) -> bool:
         return self._engines[endpoint_id].accept(job)
 
@@ -429,9 +446,11 @@
         def finish() -> None:
             self._busy_ids.discard(endpoint_id)
             for call_id in result.progressed:
-                self._handle_progress(endpoint_id, call_id)
+                if self._endpoint_by_call.get(call_id) == endpoint_id:
+                    self._handle_progress(endpoint_id, call_id)
             for call_id in result.finished:
-                self._complete_call(endpoint_id, call_id)
+                if self._endpoint_by_call.get(call_id) == endpoint_id:
+                    self._complete_call(endpoint_id, call_id)
             self._start_pass(endpoint_id)
             self._on_pass_ended(endpoint_id)
 
--- a/tests/test_reported_faults.py
+++ b/tests/test_reported_faults.py
@@ -22,8 +22,9 @@
     build_route,
     engine,
 )
+from gateways import worker as build_worker
 from platforms import KEY, WORKER_PORT, PlatformFleet, next_host, run_fleet
-from tamaracktray.attempt_abandonment import is_resumable
+from tamaracktray.attempt_abandonment import reserve_move
 from tamaracktray.beacons import Beacon, EndpointStatus, decode_beacon, encode_beacon
 from tamaracktray.calls import SendCall
 from tamaracktray.effects import Exit
@@ -290,10 +291,11 @@
         route = build_route(RepeatKind.STREAM, "engines", is_resumable=False)
         call = build_call("1", route)
         assert [e for e in gateway.arrive(call) if isinstance(e, SendCall)]
-        assert not is_resumable(gateway.context, gateway.now, call.id)
+        pending_by_id = gateway.state.pending_by_id
+        assert not reserve_move(gateway.context, gateway.now, pending_by_id[call.id])
         other = build_call("2", STREAM)
         gateway.arrive(other)
-        assert is_resumable(gateway.context, gateway.now, other.id)
+        assert reserve_move(gateway.context, gateway.now, pending_by_id[other.id])
 
 
 class TestLostAnswer:
@@ -556,5 +558,8 @@
 
 
 def test_unsafe_route_is_not_resumable():
-    gateway = Gateway(engine("a"))
-    assert not is_resumable(gateway.context, 0.0, build_call("1", UNSAFE).id)
+    gateway = Gateway(build_worker("a"), build_worker("bb"))
+    call = build_call("1", UNSAFE)
+    assert gateway.arrive(call)
+    pending = gateway.state.pending_by_id[call.id]
+    assert not reserve_move(gateway.context, gateway.now, pending)
