Answer callers without an answer before a process exits

Here none was taken late, but 3 to 11 calls that were taken early in the grace were closed without an answer at the end of a planned stop.

Cause: a process that exits closes the calls that are still open.

Nothing is sent to an endpoint any more. `shutdown` holds the decisions of a stop.

--- a/src/tamaracktray/call_context.py
+++ b/src/tamaracktray/call_context.py
@@ -32,6 +32,7 @@
         state.is_leaving and now >= state.close_deadline,
         state.unix_offset_s,
         math.inf if state.is_store_lost else state.outage_end,
+        state.is_leaving and now >= state.answer_deadline,
     )
 
 
--- a/src/tamaracktray/gateway.py
+++ b/src/tamaracktray/gateway.py
@@ -10,6 +10,7 @@
     take_return,
 )
 from tamaracktray.calls import (
+    AbandonAttempt,
     Call,
     CallArrived,
     CallAttemptEnded,
@@ -207,9 +208,27 @@
     return effects
 
 
+def end_unanswered_calls(context: GatewayContext, now: float) -> list[Effect]:
+    """End the calls whose callers have got nothing, once the process is ending."""
+    if not context.is_ending:
+        return []
+    effects: list[Effect] = []
+    for pending in list(context.state.pending_by_id.values()):
+        if pending.is_started or pending.is_abandoned:
+            continue
+        if not pending.endpoint_id:
+            effects.extend(refuse(context, now, pending))
+            continue
+        pending.is_abandoned = True
+        effects.append(AbandonAttempt(pending.call.id, "the process is ending"))
+    return effects
+
+
 def _place_call(
     context: GatewayContext, now: float, pending: PendingCall
 ) -> list[Effect]:
+    if context.is_ending:
+        return refuse(context, now, pending)
     load = choose(context, now, pending)
     if load is not None:
         return _send(context, now, pending, load)
@@ -358,6 +377,8 @@
     context: GatewayContext, now: float, pending: PendingCall, *, is_paid: bool
 ) -> bool:
     call = pending.call
+    if context.is_ending:
+        return False
     if pending.attempts >= call.route.max_attempts or now >= call.deadline:
         return False
     if pending.may_have_run and not call.route.is_idempotent:
--- a/src/tamaracktray/gateway_state.py
+++ b/src/tamaracktray/gateway_state.py
@@ -323,7 +323,8 @@
 class GatewayContext(msgspec.Struct):
     """Parts of the process state that the gateway reads.
 
-    A process that ``is_closing`` accepts no new calls. ``unix_offset_s`` is the wall
+    A process that ``is_closing`` accepts no new calls, and one that ``is_ending`` makes
+    no more attempts. ``unix_offset_s`` is the wall
     clock time minus the monotonic time. The endpoint list has been up to date since
     ``list_valid_from``, which is infinite while the store is unavailable.
     """
@@ -335,3 +336,4 @@
     is_closing: bool
     unix_offset_s: float = 0.0
     list_valid_from: float = 0.0
+    is_ending: bool = False
--- a/src/tamaracktray/node_reducer.py
+++ b/src/tamaracktray/node_reducer.py
@@ -15,7 +15,7 @@
     CallEnded,
     CallStarted,
 )
-from tamaracktray.effects import Effect, Exit
+from tamaracktray.effects import Effect
 from tamaracktray.endpoint_limits import EndpointLimitReceived
 from tamaracktray.eras import (
     RETAINED_COLLECTIONS,
@@ -46,7 +46,6 @@
     ApplyRouting,
     BeaconReceived,
     BroadcastBeacon,
-    CloseIdleConnections,
     CollectionChanged,
     CollectionListed,
     LogAnnouncement,
@@ -69,6 +68,7 @@
 )
 from tamaracktray.roster import EndpointRecord
 from tamaracktray.routes import RouteIndex, RoutingTable
+from tamaracktray.shutdown import advance_shutdown, begin_shutdown
 from tamaracktray.snapshots import Collection, Snapshot
 from tamaracktray.staging import (
     advance,
@@ -101,13 +101,6 @@
     update_own_target,
 )
 
-# Time after SIGTERM during which new calls may still arrive, in seconds: the load
-# balancer probes once a second and removes a process after two failed probes.
-LOAD_BALANCER_REMOVAL_S = 2.2
-
-# How long before SIGKILL a process that shuts down exits, in seconds.
-EXIT_MARGIN_S = 0.3
-
 # Time between assignments of endpoints to their owners, in seconds: agents report
 # version changes in between.
 ASSIGNMENT_INTERVAL_S = 0.1
@@ -329,30 +322,10 @@
     if state.staging is not None:
         effects.extend(advance(state.staging, event.now))
     if state.is_leaving:
-        effects.extend(_advance_shutdown(state, event))
+        effects.extend(advance_shutdown(state, event))
     return effects
 
 
-def _advance_shutdown(state: NodeState, event: Tick) -> list[Effect]:
-    """Close idle connections once callers stop arriving; exit when no call is left."""
-    if state.gateway is None or event.now >= state.exit_deadline:
-        return [Exit()]
-    if event.now < state.close_deadline:
-        return []
-    if state.gateway.pending_by_id or event.open_connections:
-        return [CloseIdleConnections()]
-    return [CloseIdleConnections(), Exit()]
-
-
-def _on_shutdown(state: NodeState, event: ShutdownRequested) -> list[Effect]:
-    if state.is_leaving:
-        return []
-    state.is_leaving = True
-    state.close_deadline = event.now + min(LOAD_BALANCER_REMOVAL_S, state.grace_s / 2)
-    state.exit_deadline = event.now + state.grace_s - EXIT_MARGIN_S
-    return []
-
-
 def _with_gateway(
     handle: Callable[[GatewayContext, Any], list[Effect]],
 ) -> Callable[[NodeState, Any], list[Effect]]:
@@ -379,7 +352,7 @@
     BeaconReceived: _on_beacon,
     PeerLost: _on_peer_lost,
     AnnouncementsRecorded: handle_recorded,
-    ShutdownRequested: _on_shutdown,
+    ShutdownRequested: begin_shutdown,
     CallArrived: _with_gateway(handle_call),
     CallStarted: _with_gateway(handle_call_started),
     CallAttemptEnded: _with_gateway(handle_attempt_ended),
--- a/src/tamaracktray/node_state.py
+++ b/src/tamaracktray/node_state.py
@@ -53,8 +53,9 @@
     ``outage_end`` is when the store last answered after a failure; ``is_store_lost`` is
     set while a later failure lasts. ``newer_peer`` names a peer that has had changes
     since ``behind_since`` which the process's own watch has not delivered. A process
-    that shuts down takes no new calls after ``close_deadline`` and exits by
-    ``exit_deadline``, before ``grace_s`` has passed. ``has_versions`` is set once the
+    that shuts down takes no new calls after ``close_deadline``, ends those without an
+    answer after ``answer_deadline`` and exits by ``exit_deadline``, before ``grace_s``
+    has passed. ``has_versions`` is set once the
     announced versions have been read from the store. ``engine_service`` is the service
     of an agent's engine. ``unix_offset_s`` is the wall clock minus the monotonic clock.
     ``turn_target_by_model`` are the versions for which the swap turn was last
@@ -64,6 +65,7 @@
     __slots__ = (
         "beacons",
         "behind_since",
+        "answer_deadline",
         "close_deadline",
         "crashes",
         "evacuated_zones",
@@ -142,6 +144,7 @@
         self.is_leaving = False
         self.grace_s = grace_s
         self.close_deadline = 0.0
+        self.answer_deadline = 0.0
         self.exit_deadline = 0.0
         self.gateway: GatewayState | None = None
         self.staging: StagingState | None = None
