Read the limits on requests when a request arrives

Callers: after the operator raised `maxHeaderBytes`, `maxBodyBytes` or the idle limit, callers on connections that were open before got 431 or 413, or lost their connection, by limits that were no longer in force.

Cause: a configured value was copied where a connection or a wait began and used later.

Change: the limits are read when the first bytes of a request have arrived, and the idle limit at each end of the wait; a parser with another limit takes over the unread bytes.

--- a/src/tamaracktray/http.py
+++ b/src/tamaracktray/http.py
@@ -5,6 +5,7 @@
 """
 
 import socket as socket_module
+import time
 from collections.abc import Awaitable, Callable
 
 import curio
@@ -123,15 +124,17 @@
             self._tasks.discard(await curio.current_task())
 
     async def _serve_connection(self, client: curio.io.Socket) -> None:
-        connection = h11.Connection(
-            h11.SERVER, max_incomplete_event_size=self.limits.max_header_bytes
-        )
+        connection = h11.Connection(h11.SERVER)
+        header_limit = 0
         while True:
+            if not await self._wait_for_request(connection, client):
+                return
             limits = self.limits
+            if limits.max_header_bytes != header_limit:
+                header_limit = limits.max_header_bytes
+                connection = _renew_connection(connection, header_limit)
             responder = ConnectionResponder(connection, client, limits.send_timeout_s)
             try:
-                if not await self._wait_for_request(connection, client):
-                    return
                 request = await receive_request(connection, client, limits)
             except RequestRejectedError as error:
                 await _reject(responder, connection, error)
@@ -154,15 +157,24 @@
     async def _wait_for_request(
         self, connection: h11.Connection, client: curio.io.Socket
     ) -> bool:
-        """Wait for the first bytes of a request; return whether any arrived."""
+        """Wait for the first bytes of a request; return whether any arrived.
+
+        A raised limit applies to idle connections at once.
+        """
         if connection.trailing_data[0]:
             return True
         task = await curio.current_task()
         self._idle_sockets_by_task[task] = client
+        idle_since = time.monotonic()
+        data: bytes | None = None
         try:
-            data = await curio.ignore_after(
-                self.limits.idle_timeout_s, client.recv(READ_BYTES)
-            )
+            while data is None:
+                remaining_s = self.limits.idle_timeout_s - time.monotonic() + idle_since
+                if remaining_s <= 0 and not peek(client):
+                    return False
+                data = await curio.ignore_after(
+                    max(remaining_s, MIN_IDLE_READ_S), client.recv(READ_BYTES)
+                )
         finally:
             self._idle_sockets_by_task.pop(task, None)
         if not data:
@@ -203,6 +215,15 @@
             self._active_requests -= 1
 
 
+def _renew_connection(
+    connection: h11.Connection, max_header_bytes: int
+) -> h11.Connection:
+    """Return a connection with another limit, and the same data to read."""
+    renewed = h11.Connection(h11.SERVER, max_incomplete_event_size=max_header_bytes)
+    renewed.receive_data(connection.trailing_data[0])
+    return renewed
+
+
 def peek(socket: curio.io.Socket) -> bytes | None:
     """Return the next unread byte without consuming it, ``None`` if there is none.
 
--- a/tests/test_http.py
+++ b/tests/test_http.py
@@ -9,6 +9,7 @@
 import sys
 
 import curio
+import msgspec
 import pytest
 from returns.result import Success
 
@@ -105,6 +106,51 @@
 
         assert serve(echo, client).count(b"200 ") == 2
 
+    def test_raised_idle_limit_applies_to_idle_connections(self):
+        """A caller reuses a connection within the limit that is in force now."""
+
+        async def client(address: Address, server: HttpServer) -> bytes:
+            connection = await curio.open_connection(address.host, address.port)
+            async with connection:
+                await curio.sleep(LIMITS.idle_timeout_s / 2)
+                server.limits = msgspec.structs.replace(LIMITS, idle_timeout_s=1.0)
+                await curio.sleep(LIMITS.idle_timeout_s)
+                request = b"GET /x HTTP/1.1\r\nhost: h\r\nconnection: close\r\n\r\n"
+                await connection.sendall(request)
+                return await connection.recv(4_096)
+
+        answer = serve(echo, lambda server: client(server.address, server))
+        assert answer.startswith(b"HTTP/1.1 200")
+
+    @pytest.mark.parametrize("is_header_large", [True, False])
+    def test_raised_size_limits_apply_to_open_connections(self, is_header_large):
+        """A caller sends the sizes that the limits in force allow."""
+        raised = msgspec.structs.replace(
+            LIMITS, max_header_bytes=32_768, max_body_bytes=65_536
+        )
+        filler = b"x" * 20_000 if is_header_large else b""
+        body = b"" if is_header_large else b"y" * 20_000
+        small = b"GET /small HTTP/1.1\r\nhost: h\r\n\r\n"
+        large = b"POST /large HTTP/1.1\r\nhost: h\r\nx: %b\r\n" % filler
+        large += b"content-length: %d\r\nconnection: close\r\n\r\n" % len(body) + body
+
+        async def client(server: HttpServer) -> bytes:
+            address = server.address
+            connection = await curio.open_connection(address.host, address.port)
+            async with connection:
+                await connection.sendall(small)
+                received = await connection.recv(4_096)
+                server.limits = raised
+                await connection.sendall(large[:15_000])
+                await curio.sleep(0.05)
+                await connection.sendall(large[15_000:])
+                while piece := await connection.recv(65_536):
+                    received += piece
+                return received
+
+        answers = serve(echo, client)
+        assert answers.count(b"HTTP/1.1 200") == 2
+
     def test_handler_exception_closes_only_its_connection(self, handler_faults):
         async def handler(request, responder):
             if request.path == "/bad":
