Tell a peer each state once

Cause: a process answered the beacon of a peer that knows less with its own. Two processes of which each knows something newer answered each other without end, since what would have ended it, their watches and pulls, no longer ran.

Change: a process tells a peer each of its states once, for each start of the peer; a regular beacon replaces a lost one. So one change causes one answer in each direction at most.

--- a/src/tamaracktray/beacons.py
+++ b/src/tamaracktray/beacons.py
@@ -2,6 +2,11 @@
 
 A beacon contains the complete state, so the next one replaces one that was lost.
 Entries report their calls at each endpoint; agents report the status of their engine.
+
+A process answers the beacon of a peer that knows less with its own, at most once for
+each of its own states and each start of the peer. So two processes of which each knows
+something newer exchange at most one answer in each direction for one change. A lost
+answer is replaced by the next regular beacon.
 """
 
 import math
@@ -130,3 +135,25 @@
             return False
         self._newest_by_name[beacon.name] = (beacon.incarnation, beacon.number)
         return True
+
+
+class BeaconAnswers:
+    """Decides which beacons of peers are answered."""
+
+    __slots__ = ("_told_by_name",)
+
+    def __init__(self) -> None:
+        self._told_by_name: dict[str, tuple[int, dict[Collection, Position]]] = {}
+
+    def take(
+        self, beacon: Beacon, changed_by_collection: dict[Collection, Position]
+    ) -> bool:
+        """Return whether to tell a beacon's sender the positions of the last changes.
+
+        It is told each state once.
+        """
+        told = (beacon.incarnation, changed_by_collection)
+        if self._told_by_name.get(beacon.name) == told:
+            return False
+        self._told_by_name[beacon.name] = told
+        return True
--- a/src/tamaracktray/node_reducer.py
+++ b/src/tamaracktray/node_reducer.py
@@ -255,7 +255,9 @@
     effects = note_era(state, event.now, era)
     if should_pull(state, event.now, beacon):
         effects.append(PullSnapshots(event.sender))
-    if state.snapshot_cache.select_newer(beacon.position_by_collection):
+    cache = state.snapshot_cache
+    knows_more = bool(cache.select_newer(beacon.position_by_collection))
+    if knows_more and state.beacon_answers.take(beacon, cache.list_changed_positions()):
         effects.append(SendBeacon(event.sender))
     if state.gateway is None:
         return effects
--- a/src/tamaracktray/node_state.py
+++ b/src/tamaracktray/node_state.py
@@ -4,7 +4,7 @@
 
 from tamaracktray.announcement_records import AnnouncementRecords
 from tamaracktray.announcements import Announcements
-from tamaracktray.beacons import BeaconFilter
+from tamaracktray.beacons import BeaconAnswers, BeaconFilter
 from tamaracktray.crash_watch import CrashWatch
 from tamaracktray.engines import VersionTarget
 from tamaracktray.gateway_state import GatewayState
@@ -63,6 +63,7 @@
     """
 
     __slots__ = (
+        "beacon_answers",
         "beacons",
         "behind_since",
         "answer_deadline",
@@ -127,6 +128,7 @@
         self.crashes = CrashWatch(quarantine_s, heartbeat_s)
         self.part_crashes = PartWatch(quarantine_s, heartbeat_s)
         self.beacons = BeaconFilter()
+        self.beacon_answers = BeaconAnswers()
         self.index: RouteIndex | None = None
         self.evacuated_zones: frozenset[str] = frozenset()
         self.target_by_model: dict[str, VersionTarget] = {}
