Yield to other tasks in loops that read a socket

Callers: those of a process whose socket is flooded get no answer.

Cause: curio switches tasks only where one has to wait, so a loop whose socket is always readable keeps timers, watches and callers from running.

Change: these loops yield after a number of messages (`task_yields`).

--- a/src/tamaracktray/http.py
+++ b/src/tamaracktray/http.py
@@ -21,10 +21,13 @@
 )
 from tamaracktray.request_reading import receive_request
 from tamaracktray.responders import ConnectionResponder, Responder
+from tamaracktray.task_yields import TaskYield
 from tamaracktray.types import Address
 
 LISTEN_BACKLOG = 512
 
+# Connections, and requests of one connection, after which a task yields to others.
+YIELD_AFTER = 8
 
 # Shortest wait for the first bytes of a request, in seconds.
 MIN_IDLE_READ_S = 0.01
@@ -90,7 +93,9 @@
         if self._listener is None:
             await self.open()
         async with self._listener as listener:
+            task_yield = TaskYield(YIELD_AFTER)
             while True:
+                await task_yield.step()
                 client, _ = await listener.accept()
                 client.setsockopt(
                     socket_module.IPPROTO_TCP, socket_module.TCP_NODELAY, 1
@@ -126,7 +131,9 @@
     async def _serve_connection(self, client: curio.io.Socket) -> None:
         connection = h11.Connection(h11.SERVER)
         header_limit = 0
+        task_yield = TaskYield(YIELD_AFTER)
         while True:
+            await task_yield.step()
             if not await self._wait_for_request(connection, client):
                 return
             limits = self.limits
--- a/src/tamaracktray/node_process.py
+++ b/src/tamaracktray/node_process.py
@@ -45,6 +45,7 @@
 from tamaracktray.runtime import Runtime
 from tamaracktray.snapshot_codec import decode_snapshots, encode_snapshots
 from tamaracktray.snapshots import Collection
+from tamaracktray.task_yields import LoopLag, TaskYield
 from tamaracktray.types import Address
 
 TICK_S = 0.025
@@ -72,6 +73,9 @@
 METRICS_TYPE: Headers = [("content-type", "text/plain; version=0.0.4")]
 MAX_DATAGRAM_BYTES = 65_507
 
+# Datagrams read after which the task yields to others.
+YIELD_AFTER_DATAGRAMS = 8
+
 
 class NodeProcess(Runtime):
     """Runs one process that follows the platform's store.
@@ -116,6 +120,7 @@
         self._reader = CollectionReader(self.build_store_read_context())
         self._incarnation = self.random.getrandbits(32)
         self._beacon_number = 0
+        self._lag = LoopLag()
         self._pulls: set[Address] = set()
         self._datagrams = curio.socket.socket(
             socket_module.AF_INET, socket_module.SOCK_DGRAM
@@ -195,6 +200,7 @@
             name = collection.value
             self.metrics.gauge("known_revision", snapshot.revision, collection=name)
         self.metrics.gauge("store_lost", float(self.state.is_store_lost))
+        self.metrics.gauge("loop_lag", self._lag.take_longest())
         self.metrics.gauge("store_era", self.state.store_era.latest or 0)
 
     async def handle_metrics(self, request: Request, responder: Responder) -> None:
@@ -280,7 +286,9 @@
             await self.broadcast_beacon()
 
     async def _run_datagrams(self) -> None:
+        task_yield = TaskYield(YIELD_AFTER_DATAGRAMS)
         while True:
+            await task_yield.step()
             try:
                 data, sender = await self._datagrams.recvfrom(MAX_DATAGRAM_BYTES)
             except OSError as error:
@@ -302,7 +310,7 @@
 
     async def _run_ticks(self) -> None:
         while True:
-            await curio.sleep(TICK_S)
+            await self._lag.sleep(TICK_S)
             await self.dispatch(self.build_tick())
             if self.logs is not None:
                 self.logs.flush()
--- a/src/tamaracktray/request_reading.py
+++ b/src/tamaracktray/request_reading.py
@@ -13,6 +13,11 @@
     RequestRejectedError,
     decode_headers,
 )
+from tamaracktray.task_yields import TaskYield
+
+# Parts of a body after which the task yields to others: a client may send them faster
+# than they are parsed.
+YIELD_AFTER_EVENTS = 64
 
 
 async def receive_request(
@@ -47,7 +52,9 @@
         interim = h11.InformationalResponse(status_code=100, headers=[])
         await client.sendall(connection.send(interim))
     body = bytearray()
+    task_yield = TaskYield(YIELD_AFTER_EVENTS)
     while True:
+        await task_yield.step()
         event = await next_event(connection, client)
         if isinstance(event, h11.EndOfMessage):
             return bytes(body)
