Close connections that a closed server still accepts

Callers: none; a process ends with a traceback and exit code 1, and its last log lines are lost.

Change: a server that is closed closes what it still accepts.

--- a/src/tamaracktray/http.py
+++ b/src/tamaracktray/http.py
@@ -47,6 +47,7 @@
         "_cancel_on_disconnect",
         "_handler",
         "_idle_sockets_by_task",
+        "_is_closed",
         "_listener",
         "_tasks",
         "address",
@@ -66,6 +67,7 @@
         self._handler = handler
         self._cancel_on_disconnect = cancel_on_disconnect
         self._listener: curio.io.Socket | None = None
+        self._is_closed = False
         self._active_requests = 0
         self._tasks: set[curio.Task] = set()
         self._idle_sockets_by_task: dict[curio.Task, curio.io.Socket] = {}
@@ -86,6 +88,7 @@
         self._listener = curio.network.tcp_server_socket(
             self.address.host, self.address.port, backlog=LISTEN_BACKLOG
         )
+        self._is_closed = False
         self.address = Address(self.address.host, self._listener.getsockname()[1])
 
     async def serve(self) -> None:
@@ -97,12 +100,21 @@
             while True:
                 await task_yield.step()
                 client, _ = await listener.accept()
+                if self._is_closed:
+                    # This task still runs until its next wait.
+                    await client.close()
+                    continue
                 client.setsockopt(
                     socket_module.IPPROTO_TCP, socket_module.TCP_NODELAY, 1
                 )
                 task = await curio.spawn(self._run_connection, client, daemon=True)
                 self._tasks.add(task)
 
+    async def close(self) -> None:
+        """Accept no more connections and close the open ones at once."""
+        self._is_closed = True
+        await self.close_connections()
+
     async def close_connections(self) -> None:
         """Close all connections at once except that of the calling task."""
         current = await curio.current_task()
--- a/src/tamaracktray/runtime.py
+++ b/src/tamaracktray/runtime.py
@@ -110,7 +110,7 @@
         for task in self._loop_tasks:
             await task.cancel(blocking=False)
         for server in self._servers:
-            await server.close_connections()
+            await server.close()
 
     async def stop(self) -> None:
         """Make ``serve`` return without waiting for open requests."""
--- a/tests/platforms.py
+++ b/tests/platforms.py
@@ -157,7 +157,7 @@
             await shell.halt()
         for task, stand_in in self._stand_ins:
             await task.cancel(blocking=False)
-            await stand_in.server.close_connections()
+            await stand_in.server.close()
 
     async def open(self, stand_in: Any) -> None:
         """Start to serve a stand-in."""
--- a/tests/test_http.py
+++ b/tests/test_http.py
@@ -7,6 +7,7 @@
 import socket
 import subprocess
 import sys
+import time
 
 import curio
 import msgspec
@@ -14,7 +15,7 @@
 from returns.result import Success
 
 from tamaracktray.exchange import fetch, open_exchange
-from tamaracktray.http import HttpServer
+from tamaracktray.http import YIELD_AFTER, HttpServer
 from tamaracktray.http_messages import HttpLimits
 from tamaracktray.messages import decode_refusal
 from tamaracktray.types import Address, RunState
@@ -171,9 +172,67 @@
         handler_faults.clear()
 
 
+# How long a test keeps the kernel from running tasks, in seconds.
+BLOCKED_S = 0.1
+
+
+class TestClose:
+    def test_connection_that_arrives_during_close_starts_no_task(self):
+        """curio's kernel fails if a task starts while it shuts down."""
+        clients: list[socket.socket] = []
+
+        def connect_many(server: HttpServer) -> None:
+            address = (server.address.host, server.address.port)
+            clients.extend(
+                socket.create_connection(address) for _ in range(YIELD_AFTER + 3)
+            )
+
+        async def main():
+            server = HttpServer(Address("127.0.0.1", 0), echo)
+            await server.open()
+            task = await curio.spawn(server.serve, daemon=True)
+            blocker = await curio.spawn(_block_kernel, lambda: connect_many(server))
+            # The server accepts some connections and yields in the cycle in which
+            # this task wakes up.
+            await curio.sleep(BLOCKED_S / 2)
+            await task.cancel(blocking=False)
+            await server.close()
+            await blocker.join()
+
+        curio.run(main)
+        assert all(_is_closed(client) for client in clients)
+
+    def test_closed_server_serves_again_once_it_is_opened(self):
+        async def main():
+            server = HttpServer(Address("127.0.0.1", 0), echo)
+            for _ in range(2):
+                await server.open()
+                task = await curio.spawn(server.serve, daemon=True)
+                reply = await fetch(server.address, "GET", "/again")
+                assert reply.unwrap().status == 200
+                await task.cancel()
+                await server.close()
+
+        curio.run(main)
+
+
+async def _block_kernel(function) -> None:
+    function()
+    time.sleep(BLOCKED_S)
+
+
+def _is_closed(client: socket.socket) -> bool:
+    with client:
+        client.settimeout(1.0)
+        try:
+            return client.recv(1) == b""
+        except ConnectionResetError:
+            return True
+
+
 ENDLESS_SERVER = """
 import curio
-from tamaracktray.http import HttpServer
+from tamaracktray.http import YIELD_AFTER, HttpServer
 from tamaracktray.types import Address
 
 async def begin(request, responder):
