Scan a JSON text once for all of its slices

Callers: entries follow the list of endpoints more than 2 s late beside entries of another writer that nest 100,000 deep, so calls go to endpoints that have left.

Cause: each level of a document that no decoder takes scanned all levels below it again. A list with one such entry held a process for 0.54 s.

Ruled out: that beacons starve the readers; mended, the tests failed on.

Change: the ends of values near the top are found in one pass, with one match for each run of brackets.

--- a/src/tamaracktray/decoding.py
+++ b/src/tamaracktray/decoding.py
@@ -7,7 +7,7 @@
 from returns.result import Failure, Result, Success
 
 from tamaracktray.exceptions import ProtocolError
-from tamaracktray.json_slices import slice_array, slice_object
+from tamaracktray.json_slices import JsonSlice
 
 # What decoders raise for malformed, too deep or too large values. The errors of msgspec
 # are a ``ValueError``.
@@ -51,34 +51,34 @@
     if isinstance(decoded, Success):
         return decoded
     try:
-        return Success(_decode_sliced(bytes(data), document))
+        return Success(_decode_slice(JsonSlice(bytes(data)), document))
     except UNREADABLE:
         return decoded
 
 
-def _decode_sliced(data: bytes, document: Any) -> Any:
+def _decode_slice(value: JsonSlice, document: Any) -> Any:
     """Decode a document member by member; raise ``ValueError`` if one is missing."""
     if document is msgspec.Raw:
-        return msgspec.Raw(data)
+        return msgspec.Raw(value.text)
     if get_origin(document) is list:
-        return _decode_elements(data, get_args(document)[0])
+        return _decode_elements(value, get_args(document)[0])
     if not isinstance(document, type) or not issubclass(document, msgspec.Struct):
-        return msgspec.json.decode(data, type=document)
-    members = slice_object(data)
+        return msgspec.json.decode(value.text, type=document)
+    members = value.list_members()
     values: dict[str, Any] = {}
     for field in msgspec.structs.fields(document):
         if field.encode_name in members:
-            values[field.name] = _decode_sliced(members[field.encode_name], field.type)
+            values[field.name] = _decode_slice(members[field.encode_name], field.type)
         elif field.required:
             raise ValueError(f"{field.encode_name} is missing")
     return document(**values)
 
 
-def _decode_elements(data: bytes, document: Any) -> list[Any]:
+def _decode_elements(value: JsonSlice, document: Any) -> list[Any]:
     elements: list[Any] = []
-    for text in slice_array(data):
+    for element in value.list_elements():
         try:
-            elements.append(_decode_sliced(text, document))
+            elements.append(_decode_slice(element, document))
         except UNREADABLE as error:
             structlog.get_logger().warning("element unreadable", error=str(error))
     return elements
--- a/src/tamaracktray/json_slices.py
+++ b/src/tamaracktray/json_slices.py
@@ -7,49 +7,113 @@
 import re
 from collections.abc import Iterator
 
-# Whole strings, runs of brackets, and separators. Other bytes don't affect the slices.
-TOKEN = re.compile(rb'"(?:[^"\\]|\\.)*"|[\[{]+|[\]}]+|[,:]', re.DOTALL)
+# Whole strings, brackets and separators. Other bytes don't affect the slices.
+TOKEN = re.compile(rb'"[^"\\]*+(?:\\.[^"\\]*+)*+"|[\[\]{},:]', re.DOTALL)
+
+# A run of brackets, with all that stands before it.
+BRACKETS = re.compile(
+    rb'[^\[\]{}"]*+(?:"[^"\\]*+(?:\\.[^"\\]*+)*+"[^\[\]{}"]*+)*+([\[{]+|[\]}]+)',
+    re.DOTALL,
+)
 OPENING = b"[{"
 CLOSING = b"]}"
 
+# Depth down to which the ends of values are found in one pass: a value within an
+# object of a list of a document.
+INDEXED_DEPTH = 4
 
-def slice_array(data: bytes) -> list[bytes]:
-    """Return the texts of an array's elements; none if it isn't an array."""
-    if data.strip()[:1] != b"[":
-        return []
-    return [data[start:end] for start, _, end in _find_parts(data)]
 
+class JsonSlice:
+    """A value within a JSON text, which is scanned once for all slices of it."""
 
-def slice_object(data: bytes) -> dict[str, bytes]:
-    """Return the texts of an object's members by name; none if it isn't an object."""
-    if data.strip()[:1] != b"{":
-        return {}
-    members: dict[str, bytes] = {}
-    for start, colon, end in _find_parts(data):
-        name = data[start:colon].strip().strip(b'"')
-        members[name.decode("utf-8", "replace")] = data[colon + 1 : end]
-    return members
+    __slots__ = ("_data", "_end", "_end_by_start", "_start")
 
+    def __init__(self, data: bytes) -> None:
+        self._data = data
+        self._start = 0
+        self._end = len(data)
+        self._end_by_start = _index_ends(data)
 
-def _find_parts(data: bytes) -> Iterator[tuple[int, int, int]]:
-    """Yield the start, first colon and end of each part between top-level commas."""
-    depth = 0
-    start = colon = 0
-    for token in TOKEN.finditer(data):
-        text = token.group()
-        if text[0] in OPENING:
-            if depth == 0:
-                start = colon = token.start() + 1
-            depth += len(text)
-        elif text[0] in CLOSING:
-            depth -= len(text)
-            if depth <= 0:
-                end = token.end() - 1 + depth
-                if data[start:end].strip():
-                    yield start, colon, end
+    @property
+    def text(self) -> bytes:
+        """Return the text of the value."""
+        return self._data[self._start : self._end]
+
+    def list_elements(self) -> list["JsonSlice"]:
+        """Return the elements of an array; none if it isn't one."""
+        if self.text.strip()[:1] != b"[":
+            return []
+        return [self._slice(start, end) for start, _, end in self._find_parts()]
+
+    def list_members(self) -> dict[str, "JsonSlice"]:
+        """Return the members of an object by name; none if it isn't one."""
+        if self.text.strip()[:1] != b"{":
+            return {}
+        members: dict[str, JsonSlice] = {}
+        for start, colon, end in self._find_parts():
+            name = self._data[start:colon].strip().strip(b'"')
+            members[name.decode("utf-8", "replace")] = self._slice(colon + 1, end)
+        return members
+
+    def _slice(self, start: int, end: int) -> "JsonSlice":
+        part = JsonSlice.__new__(JsonSlice)
+        part._data, part._end_by_start = self._data, self._end_by_start
+        part._start, part._end = start, end
+        return part
+
+    def _find_parts(self) -> Iterator[tuple[int, int, int]]:
+        """Yield the start, first colon and end of each part between commas."""
+        data = self._data
+        text = self.text
+        position = self._start + len(text) - len(text.lstrip()) + 1
+        start = colon = position
+        while token := TOKEN.search(data, position, self._end):
+            mark, position = token.group(), token.end()
+            if mark[0] in OPENING:
+                position = self._find_end(token.start())
+            elif mark[0] in CLOSING:
+                if data[start : token.start()].strip():
+                    yield start, colon, token.start()
                 return
-        elif depth == 1 and text == b",":
-            yield start, colon, token.start()
-            start = colon = token.end()
-        elif depth == 1 and text == b":" and colon == start:
-            colon = token.start()
+            elif mark == b",":
+                yield start, colon, token.start()
+                start = colon = position
+            elif mark == b":" and colon == start:
+                colon = token.start()
+
+    def _find_end(self, start: int) -> int:
+        """Return the end of the array or object at a position."""
+        end = self._end_by_start.get(start)
+        if end is not None:
+            return end
+        depth = 0
+        for brackets in BRACKETS.finditer(self._data, start, self._end):
+            first, last = brackets.span(1)
+            depth += last - first if self._data[first] in OPENING else first - last
+            if depth <= 0:
+                # The run may also close what holds the value.
+                return last + depth
+        return self._end
+
+
+def _index_ends(data: bytes) -> dict[int, int]:
+    """Return the ends of the arrays and objects near the top by their starts."""
+    end_by_start: dict[int, int] = {}
+    starts: list[int] = []
+    depth = 0
+    for brackets in BRACKETS.finditer(data):
+        first, last = brackets.span(1)
+        if data[first] in OPENING:
+            if depth < INDEXED_DEPTH:
+                starts.extend(range(first, last)[: INDEXED_DEPTH - depth])
+            depth += last - first
+            continue
+        depth_before = depth
+        depth -= last - first
+        if depth >= INDEXED_DEPTH:
+            continue
+        for level in range(min(depth_before, INDEXED_DEPTH), max(depth, 0), -1):
+            end_by_start[starts.pop()] = first + depth_before - level + 1
+        if depth <= 0:
+            break
+    return end_by_start
