Assume that a started engine is cold unless it reports otherwise

Callers: an engine that starts cold and says nothing gets more requests than it bears and crashes; callers there get an error or a retry.

Cause: eight answers in a row of about the same latency made an endpoint warm, though nothing tells an even cold latency from a warm one.

Change: answers of a started engine don't count towards warm for `cold_s`, 3 s by default, unless it reports that it is warm.

--- a/src/tamaracktray/core.py
+++ b/src/tamaracktray/core.py
@@ -306,8 +306,7 @@
     admission = _admission_context(state).state
     if is_restart or context.state.serving != was_serving:
         admission.window.reset(event.now)
-    elif event.cold:
-        admission.window.mark_cold(event.now)
+    admission.window.note_report(event.now, is_cold=event.cold)
     return effects
 
 
--- a/src/tamaracktray/limits.py
+++ b/src/tamaracktray/limits.py
@@ -8,6 +8,10 @@
 endpoint was warm when the request arrived, so only this bound protects a warm endpoint
 that turns cold without warning: even before the change is detected, it receives no more
 new requests than the cold limit.
+
+Answers of an endpoint that was never warm can't tell a cold one from a slow one. A
+started endpoint is therefore assumed to be cold for ``cold_s`` unless it reports
+otherwise.
 """
 
 from collections import deque
@@ -30,7 +34,8 @@
     first byte of a healthy answer. A time to the first byte above ``jump_factor`` times
     the baseline is a latency jump. ``warm_proofs`` is the number of healthy answers in
     a row after which a cold endpoint counts as warm. ``baseline_ttl_s`` is how long
-    the baseline of the last warm period still applies to a cold endpoint.
+    the baseline of the last warm period still applies to a cold endpoint. ``cold_s`` is
+    the longest time for which a started endpoint may be cold.
     """
 
     cold_limit: int = 2
@@ -38,6 +43,7 @@
     target_s: float = 1.3
     jump_factor: float = 4.0
     warm_proofs: int = 8
+    cold_s: float = 3.0
     baseline_ttl_s: float = 60.0
 
 
@@ -47,6 +53,7 @@
     __slots__ = (
         "_baseline_deadline",
         "_baseline_s",
+        "_cold_deadline",
         "_healthy_answers",
         "_settings",
         "_shrink_deadline",
@@ -59,6 +66,7 @@
         self._size = float(settings.cold_limit)
         self._baseline_s = 0.0
         self._baseline_deadline = 0.0
+        self._cold_deadline = 0.0
         self._shrink_deadline = 0.0
         self._healthy_answers = 0
         self.is_warm = False
@@ -115,11 +123,24 @@
         self._size = float(self._settings.cold_limit)
 
     def reset(self, now: float) -> None:
-        """Mark the endpoint cold and discard the latency baseline."""
-        self.mark_cold(now)
+        """Assume that the endpoint is cold and discard the latency baseline."""
+        self._assume_cold(now)
         self._baseline_s = 0.0
 
+    def note_report(self, now: float, *, is_cold: bool | None) -> None:
+        """Apply the endpoint's own report, ``None`` if it does not say."""
+        if is_cold:
+            self._assume_cold(now)
+        elif is_cold is not None:
+            self._cold_deadline = 0.0
+
+    def _assume_cold(self, now: float) -> None:
+        self.mark_cold(now)
+        self._cold_deadline = now + self._settings.cold_s
+
     def _count_healthy_answer(self, now: float, latency_s: float) -> None:
+        if now < self._cold_deadline:
+            return
         if now < self._baseline_deadline and not self.is_proof(latency_s):
             self._healthy_answers = 0
             return
--- a/src/tamaracktray/sections.py
+++ b/src/tamaracktray/sections.py
@@ -151,6 +151,14 @@
             "Consecutive healthy answers that make it warm.", "answers", 1, 1000
         ),
     ] = 8
+    cold_s: Annotated[
+        float,
+        seconds_meta(
+            "Longest time for which a started engine that reports nothing is cold.",
+            0,
+            600,
+        ),
+    ] = 3.0
     queue_limit: Annotated[
         int, count_meta("Largest length of the queue.", "requests", 0, 10_000)
     ] = 32
--- a/src/tamaracktray/settings.py
+++ b/src/tamaracktray/settings.py
@@ -70,6 +70,7 @@
             endpoint.target_s,
             endpoint.jump_factor,
             endpoint.warm_proofs,
+            endpoint.cold_s,
         )
 
     @property
--- a/tests/test_cold.py
+++ b/tests/test_cold.py
@@ -66,6 +66,16 @@
         assert count_endpoint_failures(running) == 0
         assert not callers.list_broken()
 
+    def test_start_that_looks_like_a_slow_warm_endpoint(self, running):
+        for plan in AGENTS:
+            set_behavior(running, plan.name, cold_s=2.8, reports_cold=False)
+        callers = Callers(running, NAMES, 24)
+        roll_out(running, "entry-1", "kiln-1", 2)
+        time.sleep(4.0)
+        callers.stop()
+        assert callers.count_whole() > 0
+        assert count_endpoint_failures(running) == 0
+
     def test_all_entries_send_at_once(self, running):
         roll_out(running, "entry-1", "kiln-1", 2)
         wait_until(lambda: call(running.address_by_name["entry-1"], "GET", "/health"))
--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -75,6 +75,37 @@
         assert window.has_capacity(7, SETTINGS.cold_limit - 1)
         assert not window.has_capacity(2, SETTINGS.cold_limit)
 
+    def test_even_answers_after_a_start_do_not_make_an_endpoint_warm(self):
+        window = Window(SETTINGS)
+        window.reset(0.0)
+        for _ in range(40):
+            window.note_first_byte(SETTINGS.cold_s - 0.1, 0.2, 2)
+        assert not window.is_warm
+        assert window.size == SETTINGS.cold_limit
+        for _ in range(SETTINGS.warm_proofs):
+            window.note_first_byte(SETTINGS.cold_s, 0.02, 2)
+        assert window.is_warm
+
+    def test_report_of_a_warm_endpoint_ends_the_assumption_after_a_start(self):
+        window = Window(SETTINGS)
+        window.reset(0.0)
+        window.note_report(0.0, is_cold=None)
+        for _ in range(SETTINGS.warm_proofs):
+            window.note_first_byte(0.1, 0.2, 2)
+        assert not window.is_warm
+        window.note_report(0.2, is_cold=False)
+        for _ in range(SETTINGS.warm_proofs):
+            window.note_first_byte(0.3, 0.02, 2)
+        assert window.is_warm
+
+    def test_reported_cold_endpoint_stays_cold_between_two_reports(self):
+        window = Window(SETTINGS)
+        make_warm(window)
+        window.note_report(1.0, is_cold=True)
+        for _ in range(40):
+            window.note_first_byte(1.5, 0.1, 2)
+        assert not window.is_warm
+
     @given(
         st.lists(
             st.tuples(
