Tell peers at once of a crash that a process has observed

Callers: more engines end by a fatal prompt part than need to, and sound requests find none.

Cause: peers heard of a crash with the next regular beacon, 0.35 s later in the play that was traced, and five of eight engines had ended by then.

Change: a process that observes a crash, or the end of a quarantine, sends a beacon at its next tick, 25 ms. Reports of peers cause none.

Evidence: test_all_entries_know_of_a_crash_at_once.

--- a/src/tamaracktray/crash_watch.py
+++ b/src/tamaracktray/crash_watch.py
@@ -55,6 +55,7 @@
     __slots__ = (
         "_by_fingerprint",
         "_answered_deadline_by_fingerprint",
+        "_has_news",
         "quarantine_s",
         "verdict_s",
     )
@@ -64,6 +65,7 @@
         self.verdict_s = HEARTBEATS_TO_EXPIRY * heartbeat_s + LIST_LAG_S
         self._by_fingerprint: dict[str, dict[Incarnation, Suspicion]] = {}
         self._answered_deadline_by_fingerprint: dict[str, float] = {}
+        self._has_news = False
 
     def __len__(self) -> int:
         return sum(len(suspicions) for suspicions in self._by_fingerprint.values())
@@ -91,6 +93,7 @@
             known.is_local = True
             return []
         suspicion = self._add(fingerprint, endpoint, now, run_s, is_local=True)
+        self._has_news = True
         return [suspicion.describe(now, Finding.SUSPECTED)]
 
     def merge(self, now: float, reports: Iterable[CrashReport]) -> list[LogFinding]:
@@ -255,6 +258,14 @@
         """Return whether there is any suspicion about a request."""
         return fingerprint in self._by_fingerprint
 
+    def take_news(self) -> bool:
+        """Return whether this process has something to tell since the last call.
+
+        That is a crash, or the end of a quarantine, that it has observed itself.
+        """
+        has_news, self._has_news = self._has_news, False
+        return has_news
+
     def list_reports(self, now: float) -> list[CrashReport]:
         """Return the reports for peers.
 
--- a/src/tamaracktray/node_reducer.py
+++ b/src/tamaracktray/node_reducer.py
@@ -64,6 +64,7 @@
 from tamaracktray.quarantine_sync import (
     merge_crash_reports,
     merge_quarantine_records,
+    report_crashes,
     sync_quarantine_records,
 )
 from tamaracktray.roster import EndpointRecord
@@ -321,6 +322,7 @@
             update_limit_shares(context, event.now)
         state.gateway.note_progress(event.progress_at_by_call)
         effects.extend(handle_gateway_tick(context, event.now, event.responsive_ids))
+        effects.extend(report_crashes(state))
     if state.staging is not None:
         effects.extend(advance(state.staging, event.now))
     if state.is_leaving:
--- a/src/tamaracktray/part_watch.py
+++ b/src/tamaracktray/part_watch.py
@@ -93,8 +93,13 @@
         self._quarantine_by_part: dict[str, PartQuarantine] = {}
         self._reassessment_deadline = 0.0
 
-    def record_sound(self, now: float, part: str, began_at: float) -> list[LogFinding]:
-        """Drop the suspicions of a part up to the begin of a sound answer."""
+    def record_sound(
+        self, now: float, part: str, began_at: float, *, is_local: bool = True
+    ) -> list[LogFinding]:
+        """Drop the suspicions of a part up to the begin of a sound answer.
+
+        ``is_local`` is set if this process observed the answer.
+        """
         known_at = self._sound_at_by_part.pop(part, -math.inf)
         self._sound_at_by_part[part] = max(known_at, began_at)
         if len(self._sound_at_by_part) > MAX_SOUND_PARTS:
@@ -116,6 +121,8 @@
             del self._by_fingerprint[part]
         self._disputed_parts.add(part)
         self._reassessment_deadline = 0.0
+        if is_local and part in self._quarantine_by_part:
+            self._has_news = True
         return notes
 
     def merge_sound(
@@ -124,7 +131,8 @@
         """Merge reports of sound answers from peers."""
         notes: list[LogFinding] = []
         for answer in answers:
-            notes.extend(self.record_sound(now, answer.part, now - answer.age_s))
+            began_at = now - answer.age_s
+            notes.extend(self.record_sound(now, answer.part, began_at, is_local=False))
         return notes
 
     def list_sound(self, now: float) -> list[SoundAnswer]:
--- a/src/tamaracktray/quarantine_sync.py
+++ b/src/tamaracktray/quarantine_sync.py
@@ -7,6 +7,7 @@
 from tamaracktray.crash_watch import CrashWatch
 from tamaracktray.effects import Effect
 from tamaracktray.eras import is_current
+from tamaracktray.node_events import BroadcastBeacon
 from tamaracktray.node_state import NodeState
 from tamaracktray.quarantine_records import (
     QuarantineRecord,
@@ -58,6 +59,16 @@
     return crashes.merge(now, accepted)
 
 
+def report_crashes(state: NodeState) -> list[Effect]:
+    """Tell peers at once of crashes that this process has observed.
+
+    Reports of peers aren't passed on, so one crash causes one beacon at each observer.
+    """
+    has_news = state.crashes.take_news()
+    has_news = state.part_crashes.take_news() or has_news
+    return [BroadcastBeacon()] if has_news else []
+
+
 def sync_quarantine_records(state: NodeState, now: float) -> list[Effect]:
     """Write missing quarantine records and remove those that are no longer needed."""
     snapshot = state.snapshot_cache.by_collection[Collection.QUARANTINES]
--- a/tests/test_crashing_parts.py
+++ b/tests/test_crashing_parts.py
@@ -4,6 +4,7 @@
 and against a quarantine of parts that sound requests share.
 """
 
+import functools
 import time
 
 import curio
@@ -11,6 +12,7 @@
 
 from crashes import CONTACT_S
 from part_crashes import ALLOWED_REQUESTS, PartCrashHarness, run_scenario
+from tamaracktray.call_building import digest_parts
 from tamaracktray.node_process import NodeProcess
 from tamaracktray_emulator.platform.store import Outage
 from tamaracktray_emulator.platform.worker import CrashMode, CrashPoint
@@ -24,6 +26,40 @@
 MIN_SOUND_SHARE = 0.5
 
 
+# Longest time after which all entries know of a crash, in seconds.
+MAX_NEWS_S = 0.25
+
+
+class TestNews:
+    async def measure_spread(
+        self, harness: PartCrashHarness, entry: int, part: str
+    ) -> float:
+        """Crash an engine; return how long the news takes to all entries."""
+        fleet = harness.fleet
+        (digest,) = digest_parts((part,))
+        watches = [item.state.part_crashes for item in fleet.entries]
+        send = functools.partial(harness.send, part, entry=entry)
+        await curio.spawn(send, daemon=True)
+        await fleet.until(lambda: watches[entry].is_suspected(digest))
+        suspected_at = time.monotonic()
+        await fleet.until(lambda: all(item.is_suspected(digest) for item in watches))
+        return time.monotonic() - suspected_at
+
+    def test_all_entries_know_of_a_crash_at_once(self):
+        parts = ("dead01", "dead02", "dead03", "dead04")
+
+        async def scenario(harness: PartCrashHarness) -> None:
+            states = [item.state for item in harness.fleet.entries]
+            await harness.fleet.until(
+                lambda: all(len(item.peers.members_by_name) == 5 for item in states)
+            )
+            for number, part in enumerate(parts):
+                spread_s = await self.measure_spread(harness, number, part)
+                assert spread_s < MAX_NEWS_S
+
+        run_scenario(scenario, entries=6, engines=12, fatal_parts=parts)
+
+
 class TestFatalPartIsContained:
     @pytest.mark.parametrize("crash_point", list(CrashPoint))
     @pytest.mark.parametrize(("entries", "engines"), [(1, 12), (4, 16), (10, 30)])
--- a/tests/test_part_watch.py
+++ b/tests/test_part_watch.py
@@ -18,6 +18,7 @@
 from tamaracktray.crash_watch import MAX_REPORTS, MAX_SUSPICIONS
 from tamaracktray.events import Tick
 from tamaracktray.gateway import handle_call_started
+from tamaracktray.node_events import BroadcastBeacon
 from tamaracktray.node_reducer import reduce_node
 from tamaracktray.objects import StoredObject
 from tamaracktray.outcomes import AttemptPhase
@@ -234,6 +235,23 @@
         blamed.merge_sound(now, sound.list_sound(now))
         assert not is_quarantined(blamed, now, SHARED)
 
+    def test_peers_are_told_at_once_and_once(self):
+        """Four engines crashed before the first peer was told of one."""
+        state = build_entry_state()
+        crash(state.part_crashes, 1.0, 0, FATAL)
+        _, effects = reduce_node(state, Tick(1.01))
+        assert [type(item) for item in effects].count(BroadcastBeacon) == 1
+        _, effects = reduce_node(state, Tick(1.03))
+        assert BroadcastBeacon not in [type(item) for item in effects]
+
+    def test_reports_of_peers_are_not_passed_on_at_once(self):
+        state, peer = build_entry_state(), build_watch()
+        crash(peer, 1.0, 0, FATAL)
+        state.part_crashes.merge(1.01, peer.list_reports(1.01))
+        assert state.part_crashes.is_suspected(FATAL)
+        _, effects = reduce_node(state, Tick(1.02))
+        assert BroadcastBeacon not in [type(item) for item in effects]
+
     def test_reports_are_bounded_and_list_quarantines_first(self):
         watch = build_watch()
         now = crash_repeatedly(watch, 2 * MAX_QUARANTINE_REPORTS, FATAL)
