Blame shared prompt parts less and new ones sooner

Cause: only entries that had answered a part themselves knew that it is sound, and three crashes met it by chance. Three crashes in a row of a new part take the time of three answers to begin, in which most engines end.

A part that no entry has answered, beside parts that have been, is held for 15 s by two crashes and for the whole time by three.

--- a/src/tamaracktray/attempt_abandonment.py
+++ b/src/tamaracktray/attempt_abandonment.py
@@ -185,6 +185,8 @@
             continue
         pending.is_abandoned = True
         effects.append(AbandonAttempt(pending.call.id, "prompt part is quarantined"))
+        # The endpoint may have begun to answer before the attempt is taken back.
+        effects.extend(suspect_endpoint(context, now, pending, pending.endpoint_id))
     return effects
 
 
--- a/src/tamaracktray/crash_watch.py
+++ b/src/tamaracktray/crash_watch.py
@@ -116,6 +116,8 @@
                     is_local=False,
                 )
                 notes.append(suspicion.describe(now, Finding.REPORTED))
+            if report.is_beside_sound:
+                suspicion.is_beside_sound = True
             if report.is_confirmed and not suspicion.is_confirmed:
                 suspicion.is_confirmed = True
                 notes.append(suspicion.describe(now, Finding.CONFIRMED, "told"))
@@ -293,6 +295,7 @@
                 max(now - item.seen_at, 0.0),
                 item.is_confirmed,
                 item.seen_at - item.sent_at,
+                item.is_beside_sound,
             )
             for item in selected[:MAX_REPORTS]
         ]
--- a/src/tamaracktray/gateway_crashes.py
+++ b/src/tamaracktray/gateway_crashes.py
@@ -27,8 +27,8 @@
     effects = list(context.crashes.suspect(now, fingerprint, endpoint, run_s))
     if pending.is_sound or _is_going_on(pending):
         return effects
-    for part in pending.call.parts:
-        effects.extend(context.part_crashes.suspect(now, part, endpoint, run_s))
+    parts = pending.call.parts
+    effects.extend(context.part_crashes.suspect_prompt(now, parts, endpoint, run_s))
     return effects
 
 
--- a/src/tamaracktray/suspicions.py
+++ b/src/tamaracktray/suspicions.py
@@ -25,7 +25,8 @@
     """A suspicion as reported to peers.
 
     ``age_s`` is its age and ``run_s`` how long the call had been at the endpoint, both
-    in seconds.
+    in seconds. ``is_beside_sound`` is set for a part of a prompt with another part that
+    had been answered before.
     """
 
     fingerprint: str
@@ -33,6 +34,7 @@
     age_s: float
     is_confirmed: bool = False
     run_s: float = 0.0
+    is_beside_sound: bool = False
 
 
 class Finding(str, Enum):
@@ -67,9 +69,10 @@
     """A call, sent at ``sent_at``, that broke off or stalled at ``seen_at``.
 
     ``is_local`` is set if this process observed it and ``is_answering`` if the endpoint
-    sent data later. ``was_listed`` and ``is_leaving`` are taken from the endpoint list.
-    An up-to-date list shows a crash by ``verdict_deadline``. ``is_overdue`` is set if
-    the endpoint was still listed then; a delayed list may still confirm the crash.
+    sent data later. ``is_beside_sound`` is as in ``CrashReport``. ``was_listed`` and
+    ``is_leaving`` are taken from the endpoint list. An up-to-date list shows a crash by
+    ``verdict_deadline``. ``is_overdue`` is set if the endpoint was still listed then; a
+    delayed list may still confirm the crash.
     """
 
     __slots__ = (
@@ -77,6 +80,7 @@
         "fingerprint",
         "quarantine_deadline",
         "is_answering",
+        "is_beside_sound",
         "is_confirmed",
         "is_leaving",
         "is_overdue",
@@ -106,6 +110,7 @@
         self.quarantine_deadline = quarantine_deadline
         self.is_local = is_local
         self.is_answering = False
+        self.is_beside_sound = False
         self.is_confirmed = False
         self.is_leaving = False
         self.is_overdue = False
