End a quarantine of parts that most prompts hold by trials

Callers: a whole route is refused for 300 s when its engines crash for another reason with no answer in between.

Cause: a quarantine of a part of all prompts refuses the requests that could acquit it.

Change: of parts that had been answered, or for which most calls are refused, the first entry by rank lets one call pass, 1 s after the last crash and four times as long after each further one; the others take over. A trial that goes on ends the quarantine at all entries.

--- a/src/tamaracktray/attempt_abandonment.py
+++ b/src/tamaracktray/attempt_abandonment.py
@@ -181,7 +181,7 @@
         if not pending.endpoint_id or pending.is_answer_started or pending.is_abandoned:
             continue
         end = context.part_crashes.find_prompt_quarantine_end(now, pending.call.parts)
-        if end is None:
+        if end is None or pending.is_trial:
             continue
         pending.is_abandoned = True
         effects.append(AbandonAttempt(pending.call.id, "prompt part is quarantined"))
--- a/src/tamaracktray/call_log.py
+++ b/src/tamaracktray/call_log.py
@@ -59,6 +59,8 @@
         """Log the endpoint to which a call is sent, and its known load and version."""
         now = time.monotonic()
         self._metrics.count("attempts", number=str(decision.attempt))
+        if decision.is_trial:
+            self._metrics.count("trials")
         self._metrics.time("call_wait", now - call.arrived)
         snapshots = self._snapshot_cache.by_collection
         self._write(
@@ -73,6 +75,7 @@
             version=decision.version,
             held_version=decision.held_version,
             version_floor=decision.version_floor,
+            is_trial=decision.is_trial,
             after_event=decision.last_event_id,
             waited_s=round(now - call.arrived, TIME_DECIMALS),
             left_s=round(call.deadline - now, TIME_DECIMALS),
--- a/src/tamaracktray/calls.py
+++ b/src/tamaracktray/calls.py
@@ -120,7 +120,8 @@
     ``version`` is the version that must answer, 0 for any. ``last_event_id`` is set
     when a stream is resumed at another endpoint. ``running`` counts the calls at the
     endpoint before this one, ``held_version`` is the version that it was expected to
-    hold and ``version_floor`` the oldest one allowed.
+    hold and ``version_floor`` the oldest one allowed. ``is_trial`` is set if the call
+    tests quarantined parts of its prompt.
     """
 
     call_id: str
@@ -133,6 +134,7 @@
     running: int = 0
     held_version: int = 0
     version_floor: int = 0
+    is_trial: bool = False
 
 
 class SendLoadBeacon(Effect, frozen=True):
--- a/src/tamaracktray/gateway.py
+++ b/src/tamaracktray/gateway.py
@@ -29,6 +29,7 @@
     record_sound_answer,
     suspect_on_disconnect,
     suspect_on_silence,
+    take_trial,
 )
 from tamaracktray.gateway_fleet import choose, has_available
 from tamaracktray.gateway_refusals import refuse, refuse_if_quarantined
@@ -52,10 +53,12 @@
         state.find_budget(service).earn(event.now)
     if call.size:
         state.find_bands(call.route.name).note_size(call.size)
-    refusal = refuse_if_quarantined(context, event.now, call)
+    is_trial = take_trial(context, event.now, call)
+    refusal = refuse_if_quarantined(context, event.now, call, is_trial=is_trial)
     if refusal is not None:
         return [RefuseCall(call.id, refusal)]
     pending = PendingCall(call)
+    pending.is_trial = is_trial
     pending.prior_wait_s = state.estimate_prior_wait(call)
     state.pending_by_id[call.id] = pending
     return _place_call(context, event.now, pending)
@@ -310,6 +313,7 @@
         running=running,
         held_version=held_version,
         version_floor=floor,
+        is_trial=pending.is_trial,
     )
     return [send] if load.is_owned else [send, SendLoadBeacon()]
 
--- a/src/tamaracktray/gateway_crashes.py
+++ b/src/tamaracktray/gateway_crashes.py
@@ -4,6 +4,7 @@
 from tamaracktray.effects import Effect
 from tamaracktray.endpoint_loads import EndpointLoad
 from tamaracktray.gateway_state import GatewayContext, PendingCall
+from tamaracktray.hashing import count_ranked_before
 from tamaracktray.part_watch import SOUND_ANSWER_S
 from tamaracktray.suspicions import Incarnation, ListedEndpoint
 
@@ -19,6 +20,7 @@
     Endpoints that had announced that they are leaving are not suspected. The parts are
     not suspected either if the answer had gone on for a while.
     """
+    pending.is_trial = False
     if pending.is_endpoint_leaving:
         return []
     endpoint = Incarnation(endpoint_id, pending.start_time_ms)
@@ -150,15 +152,33 @@
 
 def is_quarantined(context: GatewayContext, now: float, pending: PendingCall) -> bool:
     """Return whether a call's request or a part of its prompt is quarantined."""
-    return find_quarantine_end(context, now, pending.call) is not None
+    is_trial = pending.is_trial
+    return (
+        find_quarantine_end(context, now, pending.call, is_trial=is_trial) is not None
+    )
 
 
 def find_quarantine_end(
-    context: GatewayContext, now: float, call: Call
+    context: GatewayContext, now: float, call: Call, *, is_trial: bool = False
 ) -> float | None:
-    """Return when a call is no longer quarantined, ``None`` if it isn't at all."""
+    """Return when a call is no longer quarantined, ``None`` if it isn't at all.
+
+    A trial passes in spite of the parts of its prompt.
+    """
+    parts = () if is_trial else call.parts
     ends = (
         context.crashes.find_quarantine_end(now, call.fingerprint),
-        context.part_crashes.find_prompt_quarantine_end(now, call.parts),
+        context.part_crashes.find_prompt_quarantine_end(now, parts),
     )
     return max((end for end in ends if end is not None), default=None)
+
+
+def take_trial(context: GatewayContext, now: float, call: Call) -> bool:
+    """Return whether a new call passes as a trial of quarantined prompt parts."""
+    state = context.state
+    peers = [entry.name for entry in state.entries if entry.name != state.name]
+
+    def find_rank(part: str) -> int:
+        return count_ranked_before(state.name, peers, part)
+
+    return context.part_crashes.take_trial(now, call.parts, find_rank)
--- a/src/tamaracktray/gateway_refusals.py
+++ b/src/tamaracktray/gateway_refusals.py
@@ -70,10 +70,10 @@
 
 
 def refuse_if_quarantined(
-    context: GatewayContext, now: float, call: Call
+    context: GatewayContext, now: float, call: Call, *, is_trial: bool = False
 ) -> Refusal | None:
     """Return the refusal of a call whose request is quarantined, or ``None``."""
-    quarantine_end = find_quarantine_end(context, now, call)
+    quarantine_end = find_quarantine_end(context, now, call, is_trial=is_trial)
     if quarantine_end is None:
         return None
     verdict_s = context.crashes.verdict_s
--- a/src/tamaracktray/gateway_state.py
+++ b/src/tamaracktray/gateway_state.py
@@ -81,6 +81,7 @@
         "is_endpoint_leaving",
         "is_sound",
         "is_started",
+        "is_trial",
         "last_event_id",
         "may_have_run",
         "observed_since",
@@ -114,6 +115,7 @@
         self.progress_at = 0.0
         self.silent_since = 0.0
         self.is_sound = False
+        self.is_trial = False
         self.is_abandoned = False
         self.sent_at = 0.0
         self.prior_wait_s = 0.0
--- a/src/tamaracktray/part_watch.py
+++ b/src/tamaracktray/part_watch.py
@@ -9,7 +9,7 @@
 
 import itertools
 import math
-from collections.abc import Iterable, Mapping
+from collections.abc import Callable, Iterable, Mapping
 
 import msgspec
 from typing_extensions import override
@@ -17,10 +17,12 @@
 from tamaracktray.crash_watch import MAX_REPORTS, REPORT_TTL_S, CrashWatch
 from tamaracktray.part_blame import (
     PartQuarantine,
+    count_needed,
     find_quarantines,
     list_active,
     list_successive,
 )
+from tamaracktray.part_trials import PartTrials
 from tamaracktray.suspicions import (
     CrashReport,
     Finding,
@@ -62,6 +64,7 @@
         "_quarantine_by_part",
         "_reassessment_deadline",
         "_sound_at_by_part",
+        "_trials",
     )
 
     def __init__(self, quarantine_s: float, heartbeat_s: float) -> None:
@@ -70,6 +73,7 @@
         self._disputed_parts: set[str] = set()
         self._quarantine_by_part: dict[str, PartQuarantine] = {}
         self._reassessment_deadline = 0.0
+        self._trials = PartTrials()
 
     def record_sound(
         self, now: float, part: str, began_at: float, *, is_local: bool = True
@@ -190,14 +194,44 @@
         """Return when a prompt's quarantine ends, or ``None`` if there is none."""
         if self.is_empty:
             return None
+        quarantined = self._list_prompt_quarantines(now, parts)
+        return max((item.end for item in quarantined.values()), default=None)
+
+    def _list_prompt_quarantines(
+        self, now: float, parts: Iterable[str]
+    ) -> dict[str, PartQuarantine]:
         self._reassess(now)
         held = frozenset(parts)
-        ends = [
-            quarantine.end
+        return {
+            part: quarantine
             for part, quarantine in self._quarantine_by_part.items()
             if part in held and quarantine.suspects <= held and quarantine.end > now
-        ]
-        return max(ends, default=None)
+        }
+
+    def take_trial(
+        self, now: float, parts: Iterable[str], find_rank: Callable[[str], int]
+    ) -> bool:
+        """Return whether a call passes as a trial of its quarantined parts.
+
+        ``find_rank`` returns the rank of this process for a part, from 0.
+        """
+        if self.is_empty:
+            self._trials.reset()
+            return False
+        quarantined = self._list_prompt_quarantines(now, parts)
+        self._trials.note_call(quarantined)
+        for part in quarantined:
+            is_known_sound = part in self._sound_at_by_part
+            if not is_known_sound and not self._trials.is_broad(part):
+                return False
+            crashes = list_active(now, self._by_fingerprint.get(part, {}))
+            last_at = max((item.seen_at for item in crashes), default=now)
+            needed = count_needed(part, self._sound_at_by_part)
+            extra = max(len(list_successive(crashes)) - needed, 0)
+            if not self._trials.is_due(now, part, last_at, extra, find_rank(part)):
+                return False
+        self._trials.begin(now, quarantined)
+        return bool(quarantined)
 
     @override
     def list_quarantined(self, now: float) -> dict[str, list[Suspicion]]:
