Soak: restored stores, added workers, and a probe of every entry

Change: `--restores` brings the store back from older copies; `--scale-out` adds workers while single entries are killed; `--entries` sets their number. Every running entry must answer its probe. Workers that are added later get fatal requests as well.

--- a/src/tamaracktray_emulator/main.py
+++ b/src/tamaracktray_emulator/main.py
@@ -39,6 +39,16 @@
     duration_s: Annotated[
         float, typer.Option(help="Time with faults, in seconds.")
     ] = 20.0,
+    restores: Annotated[
+        bool, typer.Option("--restores", help="Restore the store from older copies.")
+    ] = False,
+    scale_out: Annotated[
+        bool,
+        typer.Option(
+            "--scale-out", help="Add workers while single entries are killed."
+        ),
+    ] = False,
+    entries: Annotated[int, typer.Option(help="Number of entries.")] = 3,
     logs: Annotated[Path, typer.Option(help="Directory for logs.")] = Path(
         "target/soak"
     ),
@@ -50,7 +60,13 @@
     typer.echo(REPORT_HEAD)
     broken = 0
     for number in range(seed, seed + count):
-        plan = SoakPlan(number, duration_s=duration_s)
+        plan = SoakPlan(
+            number,
+            duration_s=duration_s,
+            entries=entries,
+            restores_store=restores,
+            scales_out=scale_out,
+        )
         report = run_soak(plan, logs / str(number))
         typer.echo(report.format_row())
         broken += len(report.violations)
--- a/src/tamaracktray_emulator/soak/fatal_parts.py
+++ b/src/tamaracktray_emulator/soak/fatal_parts.py
@@ -94,10 +94,7 @@
         if not engine.crashed_at:
             return
         engine.is_leaving = False
-        engine.restart()
-        if engine.notice_checker is not None:
-            engine.notice_checker.note_restart(engine.id, self._fleet.now)
-        self._fleet.list_endpoint(engine)
+        self._fleet.restart_engine(engine)
 
     def _check_containment(self) -> None:
         """Check that few requests with the part run once it crashed enough engines."""
--- a/src/tamaracktray_emulator/soak/fatal_requests.py
+++ b/src/tamaracktray_emulator/soak/fatal_requests.py
@@ -51,21 +51,16 @@
         self._record = record
         self._random = build_random(fleet.plan, "fatal")
         self._crashes: list[tuple[float, SoakCall | None]] = []
-        self._workers = [
-            endpoint for endpoint in fleet.endpoints if isinstance(endpoint, SoakWorker)
-        ]
+        self._workers: list[SoakWorker] = []
 
     async def run(self) -> None:
         """Send fatal requests until cancelled, then restore the endpoints."""
-        for worker in self._workers:
-            worker.fatal_body = FATAL_BODY
-            worker.crash_mode = self._random.choice(list(CrashMode))
         try:
             async with curio.TaskGroup() as group:
-                for worker in self._workers:
-                    await group.spawn(self._restart_after_crashes, worker)
                 while True:
+                    await self._watch_workers(group)
                     await curio.sleep(self._random.expovariate(1 / MEAN_INTERVAL_S))
+                    await self._watch_workers(group)
                     entry = self._random.choice(sorted(self._fleet.entry_proxies))
                     address = self._fleet.entry_proxies[entry].address
                     await group.spawn(self._send, entry, address)
@@ -74,6 +69,16 @@
                 worker.fatal_body = None
                 self._restart(worker)
 
+    async def _watch_workers(self, group: curio.TaskGroup) -> None:
+        """Let the request crash the workers that were started since the last call."""
+        for worker in self._fleet.endpoints:
+            if not isinstance(worker, SoakWorker) or worker in self._workers:
+                continue
+            self._workers.append(worker)
+            worker.fatal_body = FATAL_BODY
+            worker.crash_mode = self._random.choice(list(CrashMode))
+            await group.spawn(self._restart_after_crashes, worker)
+
     async def _send(self, entry: str, address: Address) -> None:
         call = self._callers.build_call(entry, CallKind.SAFE, FATAL_TARGET, FATAL_BODY)
         await self._callers.send_on_new_connection(call, address)
--- a/src/tamaracktray_emulator/soak/fault_injector.py
+++ b/src/tamaracktray_emulator/soak/fault_injector.py
@@ -2,6 +2,7 @@
 
 import signal
 from collections.abc import Awaitable, Callable
+from random import Random
 
 import curio
 
@@ -114,6 +115,10 @@
         if daemon is not None:
             await self._kill_one(daemon)
 
+    async def kill_entry(self, random: Random) -> None:
+        """Kill and restart one entry, chosen by ``random``."""
+        await self._kill_one(random.choice(self._fleet.list_role(Role.ENTRY)))
+
     async def _kill_many(self) -> None:
         async with curio.TaskGroup() as group:
             for daemon in list(self._fleet.daemons):
@@ -233,8 +238,7 @@
         engine = self._random.choice(engines)
 
         def begin() -> None:
-            engine.restart()
-            self._fleet.list_endpoint(engine)
+            self._fleet.restart_engine(engine)
 
         await self._inject("restart", engine.id, begin, lambda: None)
 
--- a/src/tamaracktray_emulator/soak/fault_log.py
+++ b/src/tamaracktray_emulator/soak/fault_log.py
@@ -36,9 +36,13 @@
         return period
 
     def has_fault(self, subject: str, start: float, end: float) -> bool:
-        """Return whether a fault of ``subject`` overlaps the given period."""
+        """Return whether a fault of ``subject`` overlaps the given period.
+
+        The name of a fault holds its subject as whole words.
+        """
         return any(
-            subject in item.name and item.overlaps(start, end) for item in self._periods
+            f" {subject} " in f" {item.name} " and item.overlaps(start, end)
+            for item in self._periods
         )
 
     def is_fault_free(self, start: float, end: float) -> bool:
--- a/src/tamaracktray_emulator/soak/fleet.py
+++ b/src/tamaracktray_emulator/soak/fleet.py
@@ -107,11 +107,9 @@
             await self._spawn(stand_in)
         self.configure()
         for number in range(self.plan.workers):
-            await self._add_endpoint(SoakWorker, f"w-{number}", ORDERS, number)
+            await self.add_endpoint(SoakWorker, f"w-{number}", ORDERS, number)
         for number in range(self.plan.engines):
-            engine = await self._add_endpoint(
-                SoakEngine, f"e-{number}", ENGINES, number
-            )
+            engine = await self.add_endpoint(SoakEngine, f"e-{number}", ENGINES, number)
             engine.version = 1
             self.list_endpoint(engine)
             self._add_daemon(
@@ -125,7 +123,7 @@
         for daemon in self.daemons:
             await curio.spawn(daemon.store.serve, daemon=True)
             self.launch(daemon)
-        for proxy in [*self.entry_proxies.values(), *self.proxy_by_endpoint.values()]:
+        for proxy in self.entry_proxies.values():
             await curio.spawn(proxy.serve, daemon=True)
 
     async def _spawn(self, stand_in: Any) -> None:
@@ -135,9 +133,10 @@
     def _add_proxy(self, target: Address) -> FaultProxy:
         return FaultProxy(Address(self._next_host(), SERVER_PORT), target)
 
-    async def _add_endpoint(
+    async def add_endpoint(
         self, kind: type, name: str, service: str, number: int
     ) -> Any:
+        """Start and list an endpoint behind a proxy."""
         zone = ZONES[number % len(ZONES)]
         endpoint = kind(Address(self._next_host(), SERVER_PORT), name, service)
         endpoint.prepare(self.record, zone, self.started)
@@ -149,6 +148,7 @@
         self.proxy_by_endpoint[name] = proxy
         self.endpoints.append(endpoint)
         await self._spawn(endpoint)
+        await curio.spawn(proxy.serve, daemon=True)
         self.list_endpoint(endpoint)
         return endpoint
 
@@ -157,6 +157,18 @@
         entry = endpoint.describe(endpoint.zone, **fields)
         self.store.write("servers", endpoint.id, entry)
 
+    def restart_engine(self, engine: SoakEngine) -> None:
+        """Restart an engine under its id and list it again without its model."""
+        engine.restart()
+        if engine.notice_checker is not None:
+            engine.notice_checker.note_restart(engine.id, self.now)
+        self.list_endpoint(engine)
+
+    def is_listed_ready(self, name: str) -> bool:
+        """Return whether the store lists an endpoint that isn't leaving."""
+        stored = self.store.objects.get(("servers", name))
+        return stored is not None and stored["spec"].get("state") == "ready"
+
     def unlist_endpoint(self, name: str) -> None:
         """Remove an endpoint's record from the store, if present."""
         if ("servers", name) in self.store.objects:
--- a/src/tamaracktray_emulator/soak/plan.py
+++ b/src/tamaracktray_emulator/soak/plan.py
@@ -7,7 +7,9 @@
     """Parameters of a soak; equal plans inject the same faults at the same times.
 
     ``duration_s`` is the time during which faults are injected. ``rate`` is the total
-    number of calls per second of all callers.
+    number of calls per second of all callers. With ``restores_store``, the store also
+    comes back from older copies. With ``scales_out``, workers are added while single
+    entries are killed.
     """
 
     seed: int
@@ -17,6 +19,8 @@
     workers: int = 3
     callers: int = 12
     rate: float = 60.0
+    restores_store: bool = False
+    scales_out: bool = False
 
 
 class Violation(msgspec.Struct, frozen=True):
--- a/src/tamaracktray_emulator/soak/run.py
+++ b/src/tamaracktray_emulator/soak/run.py
@@ -18,7 +18,10 @@
 from tamaracktray_emulator.soak.odd_entries import OddEntryInjector
 from tamaracktray_emulator.soak.operations import Operations
 from tamaracktray_emulator.soak.plan import SoakPlan, SoakReport
+from tamaracktray_emulator.soak.probes import ProbeChecker
 from tamaracktray_emulator.soak.record import NOT_RUN_STATUSES, SoakRecord
+from tamaracktray_emulator.soak.scale_out import ScaleOutInjector
+from tamaracktray_emulator.soak.store_restores import StoreRestoreInjector
 
 # Time that the processes have to start, in seconds.
 START_DELAY_S = 2.5
@@ -60,9 +63,18 @@
         tasks = [await curio.spawn(callers.run_caller) for _ in range(plan.callers)]
         tasks.append(await curio.spawn(_watch_crashes, fleet, record))
         operations = Operations(fleet, fault_log, callers, record)
+        probe_checker = ProbeChecker(fleet, fault_log, record)
+        tasks.append(await curio.spawn(probe_checker.run))
+        fault_injector = FaultInjector(fleet, fault_log)
+        options = []
+        if plan.restores_store:
+            options.append(StoreRestoreInjector(fleet, fault_log).run)
+        if plan.scales_out:
+            scale_out = ScaleOutInjector(fleet, fault_injector, notice_checker)
+            options.append(scale_out.run)
         await _run_for(
             plan.duration_s,
-            FaultInjector(fleet, fault_log).run,
+            fault_injector.run,
             operations.run,
             NoticeInjector(fleet, notice_checker).run,
             FatalRequestInjector(fleet, fault_log, callers, record).run,
@@ -70,6 +82,7 @@
             LimitInjector(fleet, fault_log, record).run,
             BrokenAnswerInjector(fleet).run,
             OddEntryInjector(fleet).run,
+            *options,
         )
         await fleet.restore()
         await curio.sleep(RECOVERY_S)
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -3,9 +3,14 @@
 ``make soak`` runs more seeds; see ``tamaracktray_emulator.soak``.
 """
 
+import curio
 import pytest
 
+from tamaracktray_emulator.soak import scale_out
+from tamaracktray_emulator.soak.endpoints import SoakEngine, SoakWorker
+from tamaracktray_emulator.soak.fault_injector import FaultInjector
 from tamaracktray_emulator.soak.fault_log import FaultLog
+from tamaracktray_emulator.soak.fleet import ENGINES, ORDERS, ZONES, SoakFleet
 from tamaracktray_emulator.soak.notice_checks import DRAIN_S, NoticeChecker
 from tamaracktray_emulator.soak.plan import SoakPlan
 from tamaracktray_emulator.soak.record import CallKind, SoakCall, SoakRecord
@@ -27,7 +32,7 @@
     2010: "the proxy's reset ended answers without framing in order",
     2011: "the writer of odd entries listed a draining endpoint as ready",
     2108: "as 2010, for an unsafe call",
-    2103: "a shared part was blamed for two crashes and an engine that hangs",
+    2103: "a shared part was blamed by an entry that knew no answer of it",
     2308: "the check took an endpoint's broken stream for a cut by a shutdown",
 }
 
@@ -75,15 +80,77 @@
         check.note_arrival("4", "e-1", 8.2 + DRAIN_S)
         assert [item.detail for item in record.violations] == ["4"]
 
+    def test_notice_from_before_a_restart_of_the_engine_binds_no_more(self, tmp_path):
+        """Seed 3017: the engine restarted under its id after its notice."""
+        record, check = self.build()
+        fleet = SoakFleet(SoakPlan(1), tmp_path, record)
+        engine = SoakEngine(fleet.store.server.address, "e-1", ENGINES)
+        engine.prepare(record, ZONES[0], fleet.started)
+        engine.listed_address = engine.server.address
+        engine.notice_checker = check
+        fleet.endpoints.append(engine)
+        check.note_forwarded_notice(self.call(record, "1", 0.01), "e-1")
+        curio.run(FaultInjector(fleet, FaultLog())._restart_engine)
+        self.call(record, "2", 0.11 + DRAIN_S)
+        check.note_arrival("2", "e-1", 0.2 + DRAIN_S)
+        assert record.violations == []
+
+
+class TestFaultLog:
+    def test_fault_excuses_only_its_own_subject(self):
+        """Pauses of entry-10 had excused entry-1."""
+        log = FaultLog()
+        log.begin("pause entry-10", 1.0)
+        log.begin("reset path store path of entry-2", 1.0)
+        assert log.has_fault("pause entry-10", 1.5, 2.0)
+        assert log.has_fault("entry-2", 1.5, 2.0)
+        assert log.has_fault("store", 1.5, 2.0)
+        assert not log.has_fault("pause entry-1", 1.5, 2.0)
+        assert not log.has_fault("entry-1", 1.5, 2.0)
+        assert not log.has_fault("entry-20", 1.5, 2.0)
+
+
+class TestScaleOut:
+    def test_worker_that_drains_is_not_listed_as_ready_again(
+        self, tmp_path, monkeypatch
+    ):
+        """Seed 4039: it was renamed during an answer."""
+        monkeypatch.setattr(scale_out, "HEARTBEAT_S", 0.01)
+        fleet = SoakFleet(SoakPlan(1), tmp_path, SoakRecord())
+        worker = SoakWorker(fleet.store.server.address, "a-0", ORDERS)
+        worker.prepare(fleet.record, ZONES[0], fleet.started)
+        worker.listed_address = worker.server.address
+        injector = FaultInjector(fleet, FaultLog())
+        checker = NoticeChecker(fleet.record, FaultLog())
+        scaling = scale_out.ScaleOutInjector(fleet, injector, checker)
+
+        async def drain_meanwhile() -> None:
+            fleet.list_endpoint(worker)
+            warming = await curio.spawn(scaling._warm_up, worker)
+            await curio.sleep(0.05)
+            fleet.list_endpoint(worker, state="draining")
+            await warming.join()
+
+        curio.run(drain_meanwhile)
+        assert fleet.store.objects["servers", "a-0"]["spec"]["state"] == "draining"
+
 
 class TestSoak:
-    @pytest.mark.parametrize("seed", [1])
-    def test_promises_hold_under_faults(self, seed, tmp_path):
-        report = run_soak(SoakPlan(seed, duration_s=12.0), tmp_path)
+    @pytest.mark.parametrize(("seed", "restores_store"), [(1, False), (3, True)])
+    def test_promises_hold_under_faults(self, seed, restores_store, tmp_path):
+        plan = SoakPlan(seed, duration_s=12.0, restores_store=restores_store)
+        report = run_soak(plan, tmp_path)
         assert report.violations == []
         assert all(report.checked_by_promise.get(name) for name in REQUIRED_PROMISES)
         assert report.served > 0.5 * report.calls
 
+    def test_entries_answer_their_probe_while_workers_are_added(self, tmp_path):
+        """Beacons that answer each other had held entries up."""
+        plan = SoakPlan(1, duration_s=12.0, entries=16, scales_out=True)
+        report = run_soak(plan, tmp_path)
+        assert report.violations == []
+        assert report.checked_by_promise["answers its probe"] > 100
+
 
 class TestFailedSeeds:
     @pytest.mark.parametrize("seed", FAILED_SEEDS)
