Soak: go on when a worker's record has been replaced

Cause: the writer of odd entries may replace the record of a worker that the scale-out has added, and the check whether it is still listed expected a document. The injector ended with an AttributeError, and no more workers or kills followed in that run.

Change: an unreadable record counts as not listed, so that the worker's own warm-up ends and the others go on.

--- a/src/tamaracktray_emulator/soak/fleet.py
+++ b/src/tamaracktray_emulator/soak/fleet.py
@@ -166,8 +166,10 @@
 
     def is_listed_ready(self, name: str) -> bool:
         """Return whether the store lists an endpoint that isn't leaving."""
-        stored = self.store.objects.get(("servers", name))
-        return stored is not None and stored["spec"].get("state") == "ready"
+        stored = self.store.objects.get(("servers", name), {})
+        spec = stored.get("spec")
+        # Another writer may have replaced the record by an unreadable one.
+        return isinstance(spec, dict) and spec.get("state") == "ready"
 
     def unlist_endpoint(self, name: str) -> None:
         """Remove an endpoint's record from the store, if present."""
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -4,6 +4,7 @@
 """
 
 import curio
+import msgspec
 import pytest
 
 from tamaracktray_emulator.soak import scale_out
@@ -134,6 +135,13 @@
         curio.run(drain_meanwhile)
         assert fleet.store.objects["servers", "a-0"]["spec"]["state"] == "draining"
 
+    def test_unreadable_record_does_not_end_the_injector(self, tmp_path):
+        """Seeds 5101 to 5108: another writer had replaced the worker's record."""
+        fleet = SoakFleet(SoakPlan(1), tmp_path, SoakRecord())
+        fleet.store.write("servers", "a-0", msgspec.Raw(b"null"))
+        assert not fleet.is_listed_ready("a-0")
+        assert not fleet.is_listed_ready("a-1")
+
 
 class TestSoak:
     @pytest.mark.parametrize(("seed", "restores_store"), [(1, False), (3, True)])
