Test that an entry's memory stays bounded beside endless answers

Operators of other systems report a worker that sent bytes without end, in a head or a body, and a process that kept them all and ran out of memory with the requests of its other clients. Here each answer was bounded already, but the tests look at one to six calls at a time and at the bytes sent, not at memory.

The new test plays 48 calls at a time, half of them of callers that don't read, with answers of up to the default limit, and bounds the growth of the process at half of the smallest instance's memory.

--- a/tests/test_endless_answers.py
+++ b/tests/test_endless_answers.py
@@ -5,15 +5,17 @@
 
 import contextlib
 import itertools
+import resource
 import socket
 import threading
 import time
+from pathlib import Path
 
 import curio
 import pytest
 from returns.result import Failure
 
-from platforms import ENGINES, ZONE, PlatformFleet, next_host, run_fleet
+from platforms import ENGINES, HOST, KEY, ZONE, PlatformFleet, next_host, run_fleet
 from tamaracktray.event_stream import MAX_EVENT_BYTES, EventBuffer
 from tamaracktray.exchange import fetch
 from tamaracktray.persistent_client import PersistentClient
@@ -125,6 +127,11 @@
         )
 
 
+def read_resident_bytes() -> int:
+    pages = Path("/proc/self/statm").read_text().split()[1]
+    return int(pages) * resource.getpagesize()
+
+
 async def until_closed(server: EndlessServer) -> None:
     deadline = time.monotonic() + 1.0
     while server.open_connections:
@@ -185,6 +192,69 @@
         self.run_calls(kind, 200, "/talk/1", bad_calls=6)
 
 
+class TestMemory:
+    """Many endless answers at a time, to callers that read them and that don't."""
+
+    CALLS = 48
+
+    # Half of the memory of the smallest instance in the users' site files.
+    MAX_GROWTH_BYTES = 100 * MEBIBYTE
+
+    async def call_raw(self, fleet: PlatformFleet, path: str, number: int) -> None:
+        """Send a request; the callers with odd numbers don't read the answer."""
+        address = Address.parse(fleet.entries[0].settings.listen.callers)
+        connection = await curio.open_connection(address.host, address.port)
+        async with connection:
+            await connection.sendall(
+                (
+                    f"POST {path} HTTP/1.1\r\nhost: {HOST}\r\ncontent-length: 0\r\n"
+                    f"authorization: Token {KEY}\r\n{REQUEST_ID}: raw-{number}\r\n"
+                    "x-tamaracktray-deadline-ms: 1500\r\n\r\n"
+                ).encode()
+            )
+            if number % 2:
+                await curio.sleep(CALLER_WAIT_S + 0.5)
+                return
+            with contextlib.suppress(OSError, curio.TaskTimeout):
+                async with curio.timeout_after(CALLER_WAIT_S + 0.5):
+                    while await connection.recv(65_536):
+                        await curio.sleep(0)
+
+    @pytest.mark.parametrize(
+        ("kind", "path"),
+        [
+            *((kind, "/talk/1") for kind in ENDLESS_ANSWERS),
+            ("head", "/look/1"),
+            ("unframed body", "/look/1"),
+            ("chunked body", "/look/1"),
+        ],
+    )
+    def test_memory_stays_bounded_beside_endless_answers(self, kind, path):
+        async def scenario(fleet: PlatformFleet) -> None:
+            fleet.routes[1] = build_route("look", "safe", ENGINES)
+            await fleet.start()
+            server = EndlessServer(kind)
+            record = {**server.describe(), "maxBatchSize": self.CALLS}
+            fleet.store.write("servers", server.id, record)
+            await fleet.until_listed(1)
+            before = peak = read_resident_bytes()
+            calls = [
+                await curio.spawn(self.call_raw, fleet, path, number)
+                for number in range(self.CALLS)
+            ]
+            deadline = time.monotonic() + CALLER_WAIT_S
+            while time.monotonic() < deadline:
+                peak = max(peak, read_resident_bytes())
+                await curio.sleep(0.01)
+            for call in calls:
+                await call.join()
+            assert server.sent
+            assert peak - before < self.MAX_GROWTH_BYTES
+            await until_closed(server)
+
+        run_fleet(scenario)
+
+
 class TestReaders:
     """The clients that read reports, chunks, manifests, snapshots and the store."""
 
