Read the mode of a stand-in once

The engine stand-in leaves a failing answer to the plain worker's method, which waited for its work time and read the mode again; sound by then, it sent 200 with a plain body in place of events. A hanging engine did the same.

The mode is now read once, as the run begins; the engine reads it in the same step. The test failed with [200] in place of [500], and in place of no answer for the hanging mode. The check of the soak is unchanged.

--- a/src/tamaracktray_emulator/platform/worker.py
+++ b/src/tamaracktray_emulator/platform/worker.py
@@ -183,21 +183,23 @@
     async def run(
         self, request: Request, responder: Responder, headers: Headers
     ) -> None:
-        """Run a request and answer it."""
+        """Run a request and answer it in the mode at its beginning."""
+        # Modes change meanwhile, and an engine leaves only some of them to this method.
+        mode = self.mode
         await curio.sleep(WORK_S)
-        if self.mode is Mode.HANGING or self.is_unresponsive:
+        if mode is Mode.HANGING or self.is_unresponsive:
             await curio.sleep(3_600.0)
         body = build_body(self.id, self.compute_answer_bytes(request))
-        if self.mode is Mode.CUTTING:
+        if mode is Mode.CUTTING:
             if len(body) > PIECE_BYTES:
                 await responder.send_head(200, headers)
                 await responder.send_data(body[: len(body) // 2])
             await responder.abort()
             return
-        if self.mode is Mode.WRONG_ID_REFUSAL:
+        if mode is Mode.WRONG_ID_REFUSAL:
             await responder.respond(503, [(REQUEST_ID, "another"), (NOT_RUN, "1")])
             return
-        status = 500 if self.mode is Mode.FAILING else 200
+        status = 500 if mode is Mode.FAILING else 200
         if len(body) <= PIECE_BYTES or status != 200:
             await responder.respond(status, headers, body)
             return
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -7,6 +7,9 @@
 import msgspec
 import pytest
 
+from tamaracktray.http_messages import Request
+from tamaracktray.types import Address
+from tamaracktray_emulator.platform.worker import WORK_S, EngineStandIn, Mode
 from tamaracktray_emulator.soak import scale_out
 from tamaracktray_emulator.soak.endpoints import SoakEngine, SoakWorker
 from tamaracktray_emulator.soak.fault_injector import FaultInjector
@@ -111,6 +114,30 @@
         assert not log.has_fault("entry-20", 1.5, 2.0)
 
 
+class TestStandIns:
+    @pytest.mark.parametrize("mode", [Mode.FAILING, Mode.HANGING])
+    def test_engine_that_fails_never_sends_a_plain_answer_as_success(self, mode):
+        """Seed 2011: it turned sound during the work time of its failure."""
+        answers: list[int] = []
+
+        class RecordingResponder:
+            async def respond(self, status: int, *_: object) -> None:
+                answers.append(status)
+
+        async def turn_sound_meanwhile() -> None:
+            engine = EngineStandIn(Address("127.0.0.1", 0), "e-1", ENGINES)
+            engine.mode = mode
+            request = Request("POST", "/talk/1", "/talk/1", {}, {})
+            run = await curio.spawn(engine.run, request, RecordingResponder(), [])
+            await curio.sleep(WORK_S / 2)
+            engine.mode = Mode.GOOD
+            await curio.sleep(2 * WORK_S)
+            await run.cancel()
+
+        curio.run(turn_sound_meanwhile)
+        assert answers == ([500] if mode is Mode.FAILING else [])
+
+
 class TestScaleOut:
     def test_worker_that_drains_is_not_listed_as_ready_again(
         self, tmp_path, monkeypatch
