Count suspensions of the machine in the age of staged chunks

What callers saw: after a machine had been suspended between the check of its staged chunks and the order to load them, answers made with chunks that had turned bad more than 3 s before the load.

Cause: the age of a check and the deadline of an order were measured on the monotonic clock, which stops during a suspension, while the chunks are at an engine that needn't stop. The class: a fact about another process that is aged by a clock which doesn't run all the time.

Change: `clocks.read_elapsed` reads CLOCK_BOOTTIME. Reads and writes of staged chunks are dated by it, and the order's deadline is compared with it once the connection stands. The reducer is told by how much the monotonic clock is behind, so it checks chunks again instead of sending orders that have expired.

Test: `TestFrozenAgent` also suspends the machine, which advances only that clock. The check's limit is restored as the freeze ends and no longer when the scenario notices, because a check in between hid the fault.

--- a/src/tamaracktray/agent_process.py
+++ b/src/tamaracktray/agent_process.py
@@ -18,7 +18,10 @@
     read_peer_manifest,
 )
 from tamaracktray.chunk_sources import EntryChoice, choose_source, list_sources
+from tamaracktray.clocks import measure_suspension, read_elapsed
 from tamaracktray.deployment import Deployment
+from tamaracktray.effects import Effect
+from tamaracktray.events import Event
 from tamaracktray.exceptions import SourceUnreachableError, WeightError
 from tamaracktray.exchange import fetch
 from tamaracktray.node_events import SnapshotsReceived
@@ -107,6 +110,11 @@
 
         return start
 
+    @override
+    def reduce(self, event: Event) -> list[Effect]:
+        self.state.staging.suspended_s = measure_suspension()
+        return super().reduce(event)
+
     @override
     def list_loops(self) -> list[Callable[[], Awaitable[None]]]:
         loops = [*super().list_loops(), self._obtain_routing]
@@ -259,7 +267,7 @@
 
     async def _stage_chunk(self, effect: StageChunk) -> None:
         data = self._chunk_by_digest[effect.digest]
-        began_at = time.monotonic()
+        began_at = read_elapsed()
         staged = await self._engine.write_chunk(effect.model, effect.index, data)
         if isinstance(staged, Failure):
             self.log.info("chunk not staged", error=staged.failure().message)
--- a/src/tamaracktray/engines.py
+++ b/src/tamaracktray/engines.py
@@ -1,13 +1,13 @@
 """Interfaces of the model engine and the origin, and their messages and records."""
 
 import math
-import time
 from abc import ABC, abstractmethod
 from enum import Enum
 
 import msgspec
 from returns.result import Result
 
+from tamaracktray.clocks import read_elapsed
 from tamaracktray.decoding import UNREADABLE
 from tamaracktray.exceptions import TransportError, WeightError
 from tamaracktray.roster import LoadedModel
@@ -76,8 +76,8 @@
 
     The order is only valid if the engine has started exactly ``sequence`` orders. An
     engine that checks fencing tokens refuses a ``fence`` below the highest it has seen.
-    The order is not sent after ``deadline``, in monotonic seconds, because the staged
-    chunks may have turned bad since they were verified.
+    The order is not sent after ``deadline``, in seconds of ``clocks.read_elapsed``,
+    because the staged chunks may have turned bad since they were verified.
     """
 
     model: str
@@ -88,7 +88,7 @@
 
     def is_sendable(self, connect_s: float) -> bool:
         """Return whether the order may be sent now, after ``connect_s`` seconds."""
-        return time.monotonic() < self.deadline
+        return read_elapsed() < self.deadline
 
 
 class OrderOutcome(str, Enum):
--- a/src/tamaracktray/stage_checks.py
+++ b/src/tamaracktray/stage_checks.py
@@ -4,13 +4,13 @@
 by side.
 """
 
-import time
 from collections import deque
 from collections.abc import Iterable
 
 import curio
 from returns.result import Success
 
+from tamaracktray.clocks import read_elapsed
 from tamaracktray.engines import StagingEngine
 from tamaracktray.staging_state import StagedChunk
 from tamaracktray.weights import digest_bytes
@@ -34,7 +34,7 @@
     async def read_chunks(reader: int) -> None:
         while remaining:
             index = remaining.popleft()
-            began_at = time.monotonic()
+            began_at = read_elapsed()
             read = await engine.read_chunk(model, index, reader)
             if isinstance(read, Success):
                 digest = digest_bytes(read.unwrap())
--- a/src/tamaracktray/staging.py
+++ b/src/tamaracktray/staging.py
@@ -356,7 +356,7 @@
     stale = [
         index
         for index, staged in sorted(state.stage_by_index.items())
-        if staged.checked_at + STAGE_CHECK_TTL_S <= now
+        if staged.checked_at + STAGE_CHECK_TTL_S <= state.elapse(now)
     ]
     if stale:
         state.is_checking = True
@@ -386,7 +386,8 @@
     state.is_ordering = True
     state.order_retry_deadline = now
     checked_at = min(
-        (staged.checked_at for staged in state.stage_by_index.values()), default=now
+        (staged.checked_at for staged in state.stage_by_index.values()),
+        default=state.elapse(now),
     )
     order = StartOrder(
         state.model,
--- a/src/tamaracktray/staging_events.py
+++ b/src/tamaracktray/staging_events.py
@@ -23,7 +23,10 @@
 
 
 class ChunkStaged(Event, frozen=True):
-    """An attempt to stage a chunk in the engine, begun at ``began_at``, ended."""
+    """An attempt to stage a chunk in the engine ended.
+
+    ``began_at`` is in seconds of ``clocks.read_elapsed``.
+    """
 
     index: int
     digest: str
--- a/src/tamaracktray/staging_state.py
+++ b/src/tamaracktray/staging_state.py
@@ -35,8 +35,9 @@
 class StagedChunk(msgspec.Struct, frozen=True):
     """Digest of a chunk in the engine's stage.
 
-    ``checked_at`` is when its last verification began. The chunk may have turned bad at
-    any time after that, also before the verification ended.
+    ``checked_at`` is when its last verification began, in seconds of
+    ``clocks.read_elapsed``. The chunk may have turned bad at any time after that, also
+    before the verification ended.
     """
 
     digest: str
@@ -92,7 +93,8 @@
     read back, which takes time and is only worth it if the engine has lost its model.
     ``name`` is the agent's name and ``local_entries`` the number of entries in its
     region. ``buffered_digests`` are the digests of the chunks in memory. ``following``
-    is the version to work on after ``current``.
+    is the version to work on after ``current``. ``suspended_s`` is by how much the
+    monotonic clock is behind ``clocks.read_elapsed``.
     """
 
     __slots__ = (
@@ -115,6 +117,7 @@
         "report",
         "stage_by_index",
         "step",
+        "suspended_s",
         "turn",
         "version_bound_s",
     )
@@ -141,6 +144,11 @@
         self.manifest_retry_deadline = 0.0
         self.fetch_retry_deadline = 0.0
         self.order_retry_deadline = 0.0
+        self.suspended_s = 0.0
+
+    def elapse(self, now: float) -> float:
+        """Return the time of ``clocks.read_elapsed`` at a monotonic time."""
+        return now + self.suspended_s
 
     @property
     def is_swapping(self) -> bool:
--- a/tests/test_frozen_agents.py
+++ b/tests/test_frozen_agents.py
@@ -1,5 +1,6 @@
 """An agent that is frozen between its check of staged chunks and the order to load.
 
+Its process is stopped or its machine is suspended, which also stops the steady clock.
 Guards against loading chunks that turned bad since the agent had verified them.
 """
 
@@ -37,13 +38,16 @@
 FROZEN_S = 3.2
 SPOILT = 3
 
+CHECK_TTL = "tamaracktray.staging.STAGE_CHECK_TTL_S"
+
 
 class Freeze:
     """Spoils a staged chunk and freezes the process, once."""
 
-    def __init__(self, engine: EngineStandIn, spoilt: int = SPOILT) -> None:
+    def __init__(self, engine: EngineStandIn, patch: Any) -> None:
         self.engine = engine
-        self.spoilt = spoilt
+        self.patch = patch
+        self.spoilt = SPOILT
         self.is_over = False
 
     def __call__(self) -> None:
@@ -51,9 +55,28 @@
             return
         self.is_over = True
         self.engine.staged[self.spoilt] = b"rotten"
+        self.patch.setattr(CHECK_TTL, STAGE_CHECK_TTL_S)
+        self.stop()
+
+    def stop(self) -> None:
+        """Stop the process for a time."""
         time.sleep(FROZEN_S)
 
 
+class Suspension(Freeze):
+    """Spoils a staged chunk and suspends the machine, once."""
+
+    def stop(self) -> None:
+        """Advance only the clock that counts suspensions."""
+        read_clock = time.clock_gettime
+
+        def read_later(clock: int) -> float:
+            late_s = FROZEN_S if clock == time.CLOCK_BOOTTIME else 0.0
+            return read_clock(clock) + late_s
+
+        self.patch.setattr(time, "clock_gettime", read_later)
+
+
 def freeze_in_check(agent: AgentProcess, freeze: Freeze, patch: Any) -> None:
     read_chunk = agent._engine.read_chunk
 
@@ -64,7 +87,7 @@
         return chunk
 
     # The order is only sent after a check, although all chunks were staged just now.
-    patch.setattr("tamaracktray.staging.STAGE_CHECK_TTL_S", 0.0)
+    patch.setattr(CHECK_TTL, 0.0)
     patch.setattr(type(agent._engine), "read_chunk", lambda _, *args: read(*args))
 
 
@@ -104,6 +127,7 @@
 
 
 class TestFrozenAgent:
+    @pytest.mark.parametrize("kind", [Freeze, Suspension])
     @pytest.mark.parametrize(
         "freeze_at",
         [
@@ -114,19 +138,18 @@
         ],
     )
     def test_chunk_that_turned_bad_in_a_freeze_is_not_loaded(
-        self, freeze_at: Callable[..., None], monkeypatch
+        self, freeze_at: Callable[..., None], kind: type[Freeze], monkeypatch
     ):
         async def scenario(fleet: PlatformFleet) -> None:
             await fleet.start()
             engine = await fleet.add_engine("e-1")
             agent = await fleet.add_agent(engine)
             await fleet.until(lambda: agent.state.staging.report)
-            freeze = Freeze(engine)
+            freeze = kind(engine, monkeypatch)
             freeze_at(agent, freeze, monkeypatch)
             document = {"model": ENGINE_MODEL, "version": 2}
             fleet.store.write("versions", ENGINE_MODEL, document)
             await fleet.until(lambda: freeze.is_over, 8.0)
-            monkeypatch.setattr("tamaracktray.staging.STAGE_CHECK_TTL_S", 2.0)
             await fleet.until(lambda: engine.version == 2, 8.0)
             assert engine.loaded_digests == list_digests(2)
             assert len(engine.orders) == 1
@@ -165,6 +188,17 @@
         assert isinstance(effect, SendOrder)
         assert effect.order.deadline == 50.0 - age_s + ORDER_TTL_S
 
+    def test_check_expires_while_the_machine_is_suspended(self):
+        state = build_state(50.0)
+        state.suspended_s = ORDER_TTL_S
+        assert advance(state, 50.0) == [CheckStage(ENGINE_MODEL, [0, 1])]
+
+    def test_order_expires_by_the_clock_that_counts_suspensions(self):
+        state = build_state(50.0)
+        state.suspended_s = 1.0
+        (effect,) = advance(state, 50.0)
+        assert effect.order.deadline == 50.0 + ORDER_TTL_S
+
     def test_chunks_are_checked_again_after_an_order_that_expired(self):
         state = build_state(50.0)
         advance(state, 50.0)
--- a/tests/test_stage_checks.py
+++ b/tests/test_stage_checks.py
@@ -12,6 +12,7 @@
 from returns.result import Failure, Success
 
 from platforms import PlatformFleet, run_fleet
+from tamaracktray.clocks import read_elapsed
 from tamaracktray.exceptions import WeightError
 from tamaracktray.stage_checks import MAX_READERS, read_staged_chunks
 from tamaracktray.staging import STAGE_CHECK_TTL_S
@@ -54,7 +55,7 @@
 
     def test_each_chunk_is_dated_by_its_own_read(self):
         stage = SlowStage(0.05)
-        began_at = time.monotonic()
+        began_at = read_elapsed()
         chunks = self.read(stage, list(range(CHUNKS)))
         assert [chunk.digest for chunk in chunks.values()] == [
             digest_bytes(b"%d" % index) for index in range(CHUNKS)
