Refuse manifests of another version or of another number of chunks

What callers saw: an engine loaded the chunks of one version as another one, or without its last chunk, and answered with them until the next version. Found by reading; not shown to be what was seen on the users' machines, whose origin may send corrupt answers.

Cause: a manifest has no known digest, so two equal reads confirm it, but equal answers can be equally wrong: the fields that say which version a manifest is of were read and not compared, and an empty or short list of chunks was staged, checked and ordered as it was. The chunks that an engine still has staged then match the wrong list.

Change: a manifest must name the model and version that was asked for, and must list as many chunks as the configuration says.

Test: an origin that answers twice with a wrong manifest, and an engine that holds the older version staged. `test_document_that_was_cut` passes the model and version that it writes, and compares as before.

--- a/src/tamaracktray/deployment.py
+++ b/src/tamaracktray/deployment.py
@@ -1,6 +1,7 @@
 """Interface to the external systems of a deployment."""
 
 from abc import ABC, abstractmethod
+from collections.abc import Mapping
 
 from tamaracktray.engines import StagingEngine, VersionOrigin
 from tamaracktray.objects import ObjectStore
@@ -25,5 +26,10 @@
         """Return a client of a model engine."""
 
     @abstractmethod
-    def open_origin(self, address: Address) -> VersionOrigin:
-        """Return a client of the origin of weights."""
+    def open_origin(
+        self, address: Address, chunks_by_model: Mapping[str, int]
+    ) -> VersionOrigin:
+        """Return a client of the origin of weights.
+
+        It refuses a manifest with another number of chunks than its model's.
+        """
--- a/src/tamaracktray/node_process.py
+++ b/src/tamaracktray/node_process.py
@@ -181,10 +181,11 @@
         """Return a client of the origin, or ``None`` while its address is unknown."""
         if self.state.index is None:
             return None
-        service = self.state.index.table.find_origin()
+        table = self.state.index.table
+        service = table.find_origin()
         if service is None or service.origin is None:
             return None
-        return self.deployment.open_origin(service.origin)
+        return self.deployment.open_origin(service.origin, table.map_chunk_counts())
 
     async def handle_peer(self, request: Request, responder: Responder) -> None:
         """Handle a peer's request."""
--- a/src/tamaracktray/platform/deployment.py
+++ b/src/tamaracktray/platform/deployment.py
@@ -1,5 +1,7 @@
 """Opens the store, engines and origin of the platform."""
 
+from collections.abc import Mapping
+
 from typing_extensions import override
 
 from tamaracktray.deployment import Deployment
@@ -32,5 +34,7 @@
         return PlatformEngine(address)
 
     @override
-    def open_origin(self, address: Address) -> VersionOrigin:
-        return PlatformOrigin(address)
+    def open_origin(
+        self, address: Address, chunks_by_model: Mapping[str, int]
+    ) -> VersionOrigin:
+        return PlatformOrigin(address, chunks_by_model)
--- a/src/tamaracktray/platform/documents.py
+++ b/src/tamaracktray/platform/documents.py
@@ -320,9 +320,16 @@
     )
 
 
-def read_manifest(body: bytes) -> tuple[int, list[str]]:
-    """Return the chunk size in bytes and the digests of all chunks in order."""
+def read_manifest(body: bytes, model: str, version: int) -> tuple[int, list[str]]:
+    """Return the chunk size in bytes and the digests of all chunks in order.
+
+    Raise ``ValueError`` if the manifest is of another version or lists no chunks.
+    """
     document = msgspec.json.decode(body, type=_Manifest)
+    if (document.model, document.version) != (model, version):
+        raise ValueError(f"it is of {document.model}, version {document.version}")
+    if not document.digests:
+        raise ValueError("it lists no chunks")
     return document.chunk_bytes, document.digests
 
 
--- a/src/tamaracktray/platform/engine.py
+++ b/src/tamaracktray/platform/engine.py
@@ -1,5 +1,7 @@
 """Clients of the platform's model engines and of its origin of weights."""
 
+from collections.abc import Mapping
+
 import msgspec
 from returns.result import Failure, Result, Success
 from typing_extensions import override
@@ -134,12 +136,18 @@
 
 
 class PlatformOrigin(VersionOrigin):
-    """Fetches manifests and chunks from the origin of weights."""
+    """Fetches manifests and chunks from the origin of weights.
+
+    ``chunks_by_model`` has the number of chunks of a model's versions, where known.
+    """
 
-    __slots__ = ("_address",)
+    __slots__ = ("_address", "_chunks_by_model")
 
-    def __init__(self, address: Address) -> None:
+    def __init__(
+        self, address: Address, chunks_by_model: Mapping[str, int] | None = None
+    ) -> None:
         self._address = address
+        self._chunks_by_model = chunks_by_model or {}
 
     @override
     async def read_manifest(
@@ -149,9 +157,12 @@
         if isinstance(reply, Failure):
             return reply
         try:
-            chunk_bytes, digests = read_manifest(reply.unwrap().body)
+            body = reply.unwrap().body
+            chunk_bytes, digests = read_manifest(body, model, version)
         except UNREADABLE as error:
             return Failure(WeightError(f"unreadable manifest: {error}"))
+        if len(digests) != self._chunks_by_model.get(model, len(digests)):
+            return Failure(WeightError(f"manifest lists {len(digests)} chunks"))
         return Success(Manifest(chunk_bytes, chunk_bytes * len(digests), digests))
 
     @override
--- a/src/tamaracktray/routes.py
+++ b/src/tamaracktray/routes.py
@@ -158,6 +158,15 @@
                 return service
         return None
 
+    def map_chunk_counts(self) -> dict[str, int]:
+        """Return by model how many chunks each of its versions has, where known."""
+        return {
+            model.name: service.engine.chunks
+            for service in self.services_by_name.values()
+            if service.engine is not None and service.engine.chunks
+            for model in service.engine.models
+        }
+
 
 class RouteIndex:
     """Finds routes by host and path and teams by key."""
--- a/src/tamaracktray_emulator/platform/origin.py
+++ b/src/tamaracktray_emulator/platform/origin.py
@@ -1,6 +1,7 @@
 """Stand-in for the platform's weight origin."""
 
 import hashlib
+from typing import Any
 
 import curio
 from typing_extensions import override
@@ -29,12 +30,25 @@
     return [digest_bytes(make_chunk(version, index)) for index in range(CHUNKS)]
 
 
+def build_manifest(version: int, **fields: Any) -> dict[str, Any]:
+    """Return the manifest of a version."""
+    return {
+        "model": ENGINE_MODEL,
+        "version": version,
+        "chunkBytes": CHUNK_BYTES,
+        "layers": LAYERS,
+        "digests": list_digests(version),
+        **fields,
+    }
+
+
 class OriginStandIn(StandIn):
     """Serves manifests and chunks; counts the chunks sent.
 
     ``is_down`` resets every call. The chunks in ``corrupted`` are corrupted the next
     time they are sent, and so is the next manifest if ``is_manifest_corrupted`` is set.
-    Calls for ``withheld`` chunks are reset. Chunks are sent one at a time and take
+    The next manifests are ``wrong_manifests``, as far as these go. Calls for
+    ``withheld`` chunks are reset. Chunks are sent one at a time and take
     ``chunk_s`` seconds each.
     """
 
@@ -44,6 +58,7 @@
         self.is_down = False
         self.corrupted: set[int] = set()
         self.is_manifest_corrupted = False
+        self.wrong_manifests: list[dict[str, Any]] = []
         self.withheld: set[int] = set()
         self.chunk_s = 0.0
         self._link = curio.Lock()
@@ -59,13 +74,10 @@
             if self.is_manifest_corrupted:
                 self.is_manifest_corrupted = False
                 digests[0] = "0" * 64
-            document = {
-                "model": ENGINE_MODEL,
-                "version": version,
-                "chunkBytes": CHUNK_BYTES,
-                "layers": LAYERS,
-                "digests": digests,
-            }
+            document = build_manifest(version)
+            document["digests"] = digests
+            if self.wrong_manifests:
+                document = self.wrong_manifests.pop()
             await send_json(responder, 200, document)
             return
         if request.path.startswith("/manifest/"):
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -368,7 +368,7 @@
             (b'{"seq":12,"born":3,"models":[]}', read_report),
             (
                 b'{"model":"m","version":1,"chunkBytes":9,"digests":["a"]}',
-                read_manifest,
+                lambda data: read_manifest(data, "m", 1),
             ),
             (b'{"held":[1,2]}', lambda data: msgspec.json.decode(data)),
             (encode_snapshots(routes), lambda data: decode_snapshots(data).unwrap()),
--- a/tests/test_platform_versions.py
+++ b/tests/test_platform_versions.py
@@ -20,7 +20,11 @@
 from tamaracktray import attempt_relay, exchange
 from tamaracktray.types import Address
 from tamaracktray_emulator.platform.documents import CHUNKS, ENGINE_MODEL
-from tamaracktray_emulator.platform.origin import list_digests, make_chunk
+from tamaracktray_emulator.platform.origin import (
+    build_manifest,
+    list_digests,
+    make_chunk,
+)
 from tamaracktray_emulator.platform.worker import Mode
 
 
@@ -379,6 +383,30 @@
 
         run_fleet(scenario, version_ms=2_000.0)
 
+    @pytest.mark.parametrize(
+        "wrong",
+        [
+            build_manifest(1),
+            build_manifest(2, model="another", digests=list_digests(1)),
+            build_manifest(2, digests=[]),
+            build_manifest(2, digests=list_digests(1)[:-1]),
+        ],
+        ids=["of another version", "of another model", "empty", "cut"],
+    )
+    def test_wrong_manifest_is_not_loaded_from_the_stage(self, wrong):
+        async def scenario(fleet: PlatformFleet) -> None:
+            # Equal answers confirm each other, also wrong ones.
+            fleet.origin.wrong_manifests = [wrong] * 2
+            await fleet.start()
+            announce_version(fleet, 2)
+            engine = await fleet.add_engine("e-1", 0)
+            engine.staged = {index: make_chunk(1, index) for index in range(CHUNKS)}
+            await fleet.add_agent(engine)
+            await fleet.until(lambda: engine.version == 2, 8.0)
+            assert engine.loaded_digests == list_digests(2)
+
+        run_fleet(scenario, version_ms=2_000.0)
+
     def test_chunk_corrupted_in_the_stage_is_staged_again(self):
         async def scenario(fleet: PlatformFleet) -> None:
             engines = await start(fleet, 2)
