Take a cut watch for an outage only if its retry fails too

Callers' requests reached endpoints up to 0.42 s later than 2 s after their entry had been removed from the list, if a watch had been cut off shortly before. The platform may cut off waiting watches at any time; that is no disruption of its store.

The reader reported the store as lost at the first failed call, also when that was a waiting watch whose connection had ended. Endpoints that disappear within 2 s after an outage are kept, because their records may have expired in it. So an endpoint that never reports draining was used for 2 s after the watch was open again, which is later than 2 s after its removal; it serves little longer than that.

A waiting watch that is cut off no longer counts as a failure. The retry, which doesn't wait, shows whether the store is available, and only its failure starts an outage. The first retry comes within 0.5 s, long before a record can expire.

--- a/src/tamaracktray/collection_reader.py
+++ b/src/tamaracktray/collection_reader.py
@@ -2,9 +2,10 @@
 
 A watch that is open when the store stops responding may never be answered, although
 its connection stays up. The configuration is therefore watched with a short timeout,
-and if such a watch gets no answer, all other watches are reopened. While the store
-fails, only one collection retries and the others wait, because every call is charged,
-including rejected ones.
+and if such a watch gets no answer, all other watches are reopened. A waiting watch may
+be cut off while the store is available, so the store counts as lost only if the retry
+fails too. While the store fails, only one collection retries and the others wait,
+because every call is charged, including rejected ones.
 """
 
 import random
@@ -156,13 +157,18 @@
                     )
                     is_listed = is_listed and not is_changing_fast
             else:
+                is_probing = self._probing_collection is collection
                 failure, changes = await self._watch(collection)
                 is_changing_fast = (
                     collection is Collection.ROUTING and changes > MAX_WATCHED_CHANGES
                 )
                 is_expired = isinstance(failure, RevisionExpiredError)
                 is_listed = not is_changing_fast and not is_expired
-                if isinstance(failure, WatchReopenedError):
+                is_cut = not is_probing and _is_cut(failure)
+                if is_cut:
+                    # The retry shows whether the store is available.
+                    self._note_cut(collection)
+                if is_cut or isinstance(failure, WatchReopenedError):
                     await self._pause(collection, failure)
                     continue
             if failure is None:
@@ -309,6 +315,15 @@
                 "objects_unreadable", collection=collection.value
             )
 
+    def _note_cut(self, collection: Collection) -> None:
+        self._context.metrics.count("watches_cut", collection=collection.value)
+        self._log.info("watch cut", collection=collection.value)
+
     def _count_call(self, collection: Collection, kind: str) -> None:
         metrics = self._context.metrics
         metrics.count("store_calls", kind=kind, collection=collection.value)
+
+
+def _is_cut(failure: PlatformError | None) -> bool:
+    """Return whether a call's connection ended before the answer."""
+    return isinstance(failure, PlatformUnavailableError) and failure.is_cut
--- a/src/tamaracktray/exceptions.py
+++ b/src/tamaracktray/exceptions.py
@@ -66,12 +66,16 @@
 class PlatformUnavailableError(PlatformError):
     """The platform was unavailable; the call had no effect.
 
-    ``is_timed_out`` is true if the call timed out without any other error.
+    ``is_timed_out`` is true if the call timed out without any other error, and
+    ``is_cut`` if its connection ended after the call had been sent.
     """
 
-    def __init__(self, message: str, *, is_timed_out: bool = False) -> None:
+    def __init__(
+        self, message: str, *, is_timed_out: bool = False, is_cut: bool = False
+    ) -> None:
         super().__init__(message)
         self.is_timed_out = is_timed_out
+        self.is_cut = is_cut
 
 
 class WatchReopenedError(PlatformError):
--- a/src/tamaracktray/store_calls.py
+++ b/src/tamaracktray/store_calls.py
@@ -29,4 +29,5 @@
     return PlatformUnavailableError(
         f"the platform is unavailable: {error.message}",
         is_timed_out=error.is_timeout,
+        is_cut=error.sent and not error.is_timeout,
     )
--- a/src/tamaracktray_emulator/platform/store.py
+++ b/src/tamaracktray_emulator/platform/store.py
@@ -40,7 +40,8 @@
 
     ``delay_s`` delays every call. The next ``lost_answers`` writes take effect, but
     their connection is reset; the next ``refused_writes`` writes are answered with 503
-    and have no effect. With ``hides_changes``, watches return no changes.
+    and have no effect. With ``hides_changes``, watches return no changes. A watch that
+    has waited for ``watch_cut_s`` seconds is cut off.
     """
 
     outage: Outage = Outage.NONE
@@ -48,6 +49,7 @@
     lost_answers: int = 0
     refused_writes: int = 0
     hides_changes: bool = False
+    watch_cut_s: float = 3_600.0
 
 
 class StoredChange(msgspec.Struct, frozen=True):
@@ -209,7 +211,8 @@
 
     async def _watch(self, request: Request, responder: Responder, kind: str) -> None:
         revision = int(request.query["watch"])
-        deadline = time.monotonic() + int(request.query["waitMs"]) / MS_PER_S
+        started_at = time.monotonic()
+        deadline = started_at + int(request.query["waitMs"]) / MS_PER_S
         while True:
             if not self.first_revision <= revision <= self.revision:
                 await self._send(responder, 410, {"error": "history is gone"})
@@ -225,6 +228,9 @@
             if self.is_away or self.faults.outage is not Outage.NONE:
                 await self._fail(responder)
                 return
+            if time.monotonic() - started_at >= self.faults.watch_cut_s:
+                await responder.abort()
+                return
             await curio.sleep(WATCH_POLL_S)
         if self.faults.hides_changes:
             events = []
