Send an order only to the start of the engine that was staged

What callers saw: an engine that lost power and was back before its agent sent the order loaded a version with its chunks missing, and answered with it until the next version.

Cause: an order's only precondition is the number of orders that the engine has started. A restart sets it to 0, which is also what an engine that has not loaded anything yet reports, so the order fits. Two paths led there: a restart between the last report and the order, which is sent 30 ms after the decision, or later; and results of reads and writes of the earlier start that arrived after its restart had been noticed, and were counted as the new start's stage.

Change: the agent reads the engine's report once more just before it sends an order (its own engine's report is free), and withdraws the order if the engine has restarted, is busy, has started another order or gives no report. So an engine that hangs is not sent an order either, which would wait in its socket. Reads and writes that began before the agent noticed a restart are discarded.

--- a/src/tamaracktray/agent_process.py
+++ b/src/tamaracktray/agent_process.py
@@ -21,8 +21,13 @@
 from tamaracktray.clocks import measure_suspension, read_elapsed
 from tamaracktray.deployment import Deployment
 from tamaracktray.effects import Effect
+from tamaracktray.engines import EngineReport, OrderOutcome
 from tamaracktray.events import Event
-from tamaracktray.exceptions import SourceUnreachableError, WeightError
+from tamaracktray.exceptions import (
+    SourceUnreachableError,
+    TransportError,
+    WeightError,
+)
 from tamaracktray.exchange import fetch
 from tamaracktray.node_events import SnapshotsReceived
 from tamaracktray.node_process import (
@@ -173,12 +178,7 @@
     async def _run_reports(self) -> None:
         """Poll the engine's report."""
         while True:
-            report = await self._engine.read_report()
-            now = time.monotonic()
-            if isinstance(report, Failure):
-                await self.dispatch(EngineUnreachable(now))
-            else:
-                await self.dispatch(EngineAnswered(now, report.unwrap()))
+            await self._read_report()
             await self._send_changed_status()
             staging = self.state.staging
             interval_s = self.settings.engine.report_s
@@ -186,6 +186,15 @@
                 SWAP_REPORT_INTERVAL_S if staging.is_swapping else interval_s
             )
 
+    async def _read_report(self) -> Result[EngineReport, TransportError]:
+        report = await self._engine.read_report()
+        now = time.monotonic()
+        if isinstance(report, Failure):
+            await self.dispatch(EngineUnreachable(now))
+        else:
+            await self.dispatch(EngineAnswered(now, report.unwrap()))
+        return report
+
     async def _send_changed_status(self) -> None:
         """Send a beacon to entries if the engine's state has changed."""
         status = self._build_status()
@@ -280,23 +289,24 @@
 
     async def _check_stage(self, effect: CheckStage) -> None:
         """Read staged chunks back and report their digests."""
-        started = time.monotonic()
+        began_at = read_elapsed()
         chunk_by_index = await read_staged_chunks(
             self._engine, effect.model, effect.indices
         )
-        now = time.monotonic()
-        self.log.info(
-            "stage checked", chunks=len(effect.indices), took_s=round(now - started, 3)
-        )
-        await self.dispatch(StageChecked(now, chunk_by_index))
+        took_s = round(read_elapsed() - began_at, 3)
+        self.log.info("stage checked", chunks=len(effect.indices), took_s=took_s)
+        await self.dispatch(StageChecked(time.monotonic(), chunk_by_index, began_at))
 
     async def _send_order(self, effect: SendOrder) -> None:
         order = effect.order
         # Calls that arrive after the order wait for the load, so notify entries first.
         await self._send_changed_status()
         await curio.sleep(ORDER_DELAY_S)
-        answered = await self._engine.start(order)
-        outcome = answered.value_or(None)
+        report = await self._read_report()
+        if isinstance(report, Success) and order.fits(report.unwrap()):
+            outcome = (await self._engine.start(order)).value_or(None)
+        else:
+            outcome = OrderOutcome.EXPIRED
         self.log.info(
             "order",
             model=order.model,
--- a/src/tamaracktray/engines.py
+++ b/src/tamaracktray/engines.py
@@ -74,7 +74,8 @@
 class StartOrder(msgspec.Struct, frozen=True):
     """An order to load the staged chunks of a model as a version.
 
-    The order is only valid if the engine has started exactly ``sequence`` orders. An
+    The order is only valid if the engine has started exactly ``sequence`` orders since
+    its start at ``start_time_ms``, because a restart may have emptied its stage. An
     engine that checks fencing tokens refuses a ``fence`` below the highest it has seen.
     The order is not sent after ``deadline``, in seconds of ``clocks.read_elapsed``,
     because the staged chunks may have turned bad since they were verified.
@@ -85,6 +86,13 @@
     sequence: int
     fence: int
     deadline: float = math.inf
+    start_time_ms: int = 0
+
+    def fits(self, report: EngineReport) -> bool:
+        """Return whether the order is still valid by the engine's latest report."""
+        if report.is_busy or report.start_time_ms != self.start_time_ms:
+            return False
+        return report.sequence == self.sequence
 
     def is_sendable(self, connect_s: float) -> bool:
         """Return whether the order may be sent now, after ``connect_s`` seconds."""
--- a/src/tamaracktray/staging.py
+++ b/src/tamaracktray/staging.py
@@ -96,7 +96,7 @@
     state.last_report_at = event.now
     state.is_probed = True
     if previous is None or previous.start_time_ms != event.report.start_time_ms:
-        _reset_engine(state)
+        _reset_engine(state, event.now)
     return advance(state, event.now)
 
 
@@ -107,12 +107,13 @@
     state.is_probed = True
     if event.now - state.last_report_at >= ENGINE_TIMEOUT_S:
         state.report = None
-        _reset_engine(state)
+        _reset_engine(state, event.now)
     return advance(state, event.now)
 
 
-def _reset_engine(state: StagingState) -> None:
+def _reset_engine(state: StagingState, now: float) -> None:
     """Discard what is known about the engine's stage."""
+    state.stage_began_at = state.elapse(now)
     state.stage_by_index.clear()
     state.is_stage_known = state.loaded_version > 0
     if state.step is not Step.MANIFEST:
@@ -160,7 +161,7 @@
 def handle_chunk_staged(state: StagingState, event: ChunkStaged) -> list[Effect]:
     """Record whether a chunk was staged in the engine."""
     state.is_staging = False
-    if event.is_successful:
+    if event.is_successful and event.began_at >= state.stage_began_at:
         staged = StagedChunk(event.digest, event.began_at)
         state.stage_by_index[event.index] = staged
     else:
@@ -171,6 +172,8 @@
 def handle_stage_checked(state: StagingState, event: StageChecked) -> list[Effect]:
     """Record the chunks that were read back from the stage."""
     state.is_checking = False
+    if event.began_at < state.stage_began_at:
+        return advance(state, event.now)
     state.is_stage_known = True
     for index, chunk in event.chunk_by_index.items():
         if chunk is None:
@@ -329,5 +332,6 @@
         state.report.sequence,
         fence=work.version,
         deadline=checked_at + ORDER_TTL_S,
+        start_time_ms=state.report.start_time_ms,
     )
     return [SendOrder(order)]
--- a/src/tamaracktray/staging_events.py
+++ b/src/tamaracktray/staging_events.py
@@ -35,9 +35,13 @@
 
 
 class StageChecked(Event, frozen=True):
-    """Staged chunks were read back; ``None`` marks an unreadable chunk."""
+    """Staged chunks were read back; ``None`` marks an unreadable chunk.
+
+    ``began_at`` is when the first read began, in seconds of ``clocks.read_elapsed``.
+    """
 
     chunk_by_index: dict[int, StagedChunk | None]
+    began_at: float
 
 
 class EngineAnswered(Event, frozen=True):
--- a/src/tamaracktray/staging_state.py
+++ b/src/tamaracktray/staging_state.py
@@ -93,7 +93,9 @@
     read back, which takes time and is only worth it if the engine has lost its model.
     ``name`` is the agent's name and ``local_entries`` the number of entries in its
     region. ``buffered_digests`` are the digests of the chunks in memory. ``following``
-    is the version to work on after ``current``. ``suspended_s`` is by how much the
+    is the version to work on after ``current``. Reads and writes of the stage that
+    began before ``stage_began_at``, in seconds of ``clocks.read_elapsed``, may be of an
+    earlier start of the engine. ``suspended_s`` is by how much the
     monotonic clock is behind ``clocks.read_elapsed``.
     """
 
@@ -115,6 +117,7 @@
         "name",
         "order_retry_deadline",
         "report",
+        "stage_began_at",
         "stage_by_index",
         "step",
         "suspended_s",
@@ -144,6 +147,7 @@
         self.manifest_retry_deadline = 0.0
         self.fetch_retry_deadline = 0.0
         self.order_retry_deadline = 0.0
+        self.stage_began_at = 0.0
         self.suspended_s = 0.0
 
     def elapse(self, now: float) -> float:
--- a/tests/test_frozen_agents.py
+++ b/tests/test_frozen_agents.py
@@ -177,7 +177,7 @@
         state = build_state(0.0)
         state.is_checking = True
         chunks = {0: StagedChunk("a", 20.0), 1: StagedChunk("b", 24.0)}
-        effects = handle_stage_checked(state, StageChecked(24.1, chunks))
+        effects = handle_stage_checked(state, StageChecked(24.1, chunks, 20.0))
         assert effects == [CheckStage(ENGINE_MODEL, [0])]
 
     @pytest.mark.parametrize("age_s", [0.0, 1.0, STAGE_CHECK_TTL_S - 0.1])
