Judge home regions in the soak and change them during it

No promise of the soak spoke of regions and its configurations named none, so four tests of one decision each guarded HOME, and no run of processes.

"home regions kept" now checks every request that reaches an endpoint, whether the endpoint runs it or not. A configuration binds an entry from 2 s after its acknowledgement, once the entry is in touch, for the rest of its incarnation, whatever happens to the store. An incarnation that starts is bound by what an undisturbed peer had to know by then, so a store that is back from an older copy voids nothing. Until a newer configuration binds, a request may follow either.

The period in which a restore settles has a name of its own in the log of faults and excuses the same checks.

--- a/src/tamaracktray_emulator/main.py
+++ b/src/tamaracktray_emulator/main.py
@@ -48,6 +48,9 @@
             "--scale-out", help="Add workers while single entries are killed."
         ),
     ] = False,
+    regions: Annotated[
+        bool, typer.Option("--regions", help="Change the regions of team and routes.")
+    ] = False,
     entries: Annotated[int, typer.Option(help="Number of entries.")] = 3,
     logs: Annotated[Path, typer.Option(help="Directory for logs.")] = Path(
         "target/soak"
@@ -66,6 +69,7 @@
             entries=entries,
             restores_store=restores,
             scales_out=scale_out,
+            changes_regions=regions,
         )
         report = run_soak(plan, logs / str(number))
         typer.echo(report.format_row())
--- a/src/tamaracktray_emulator/platform/store.py
+++ b/src/tamaracktray_emulator/platform/store.py
@@ -76,6 +76,7 @@
 
     ``era`` counts how often the store was restored from a copy and stands in all its
     answers; ``None`` leaves it out. Connections are reset while ``is_away``.
+    ``changed_keys`` are the kinds and names of what was written since the last restore.
     """
 
     def __init__(self, address: Address) -> None:
@@ -86,6 +87,7 @@
         self.is_away = False
         self.objects: dict[tuple[str, str], dict[str, Any]] = {}
         self.history: list[StoredChange] = []
+        self.changed_keys: set[tuple[str, str]] = set()
         self.faults = StoreFaults()
         self.calls = 0
         self.calls_by_kind: Counter[str] = Counter()
@@ -102,6 +104,7 @@
         return self.revision
 
     def _store(self, kind: str, name: str, stored: dict[str, Any]) -> None:
+        self.changed_keys.add((kind, name))
         self.objects[kind, name] = stored
         self.history.append(StoredChange(self.revision, kind, name, stored, False))
 
@@ -115,11 +118,18 @@
 
     def remove(self, kind: str, name: str) -> int:
         """Remove an object and return the new revision."""
+        self.changed_keys.add((kind, name))
         stored = self.objects.pop((kind, name))
         self.revision += 1
         self.history.append(StoredChange(self.revision, kind, name, stored, True))
         return self.revision
 
+    def withdraw(self, kind: str, name: str) -> None:
+        """Remove an object if there is one, so that ``repeat`` leaves it out."""
+        self.changed_keys.add((kind, name))
+        if (kind, name) in self.objects:
+            self.remove(kind, name)
+
     def compact(self) -> None:
         """Drop the history, which forces older watches to list again."""
         self.first_revision = self.revision
@@ -142,17 +152,26 @@
         self.first_revision = copy.first_revision
         self.objects = dict(copy.objects)
         self.history = list(copy.history)
+        self.changed_keys.clear()
         self.era += 1
         self.is_away = False
 
     def repeat(self, newest: StoreCopy, kinds: Collection[str]) -> None:
-        """Write again what operator and endpoints had written of some kinds."""
+        """Write again what operator and endpoints had written of some kinds.
+
+        What they have written since the last restore stays.
+        """
+        changed_keys = set(self.changed_keys)
         for (kind, name), stored in newest.objects.items():
+            if kind not in kinds or (kind, name) in changed_keys:
+                continue
             known = self.objects.get((kind, name))
-            if kind in kinds and (known is None or known["spec"] != stored["spec"]):
+            if known is None or known["spec"] != stored["spec"]:
                 self.write(kind, name, stored["spec"])
         for kind, name in list(self.objects):
-            if kind in kinds and (kind, name) not in newest.objects:
+            if kind not in kinds or (kind, name) in changed_keys:
+                continue
+            if (kind, name) not in newest.objects:
                 self.remove(kind, name)
 
     @override
--- a/src/tamaracktray_emulator/soak/callers.py
+++ b/src/tamaracktray_emulator/soak/callers.py
@@ -34,6 +34,9 @@
 # Calls on one connection before a caller opens a new one.
 CALLS_PER_CONNECTION = 20
 
+# Interval between calls that press one entry, in seconds.
+PRESS_INTERVAL_S = 0.03
+
 # Parts of the streams' prompts: one that all share, and one that crashes engines.
 SHARED_PART = "5c1e07a2"
 FATAL_PART = "dead01"
@@ -150,9 +153,19 @@
 
     async def _send_random_call(self, connection: CallerConnection) -> bool:
         """Send one random call and return whether the connection can be reused."""
-        call = self._draw_call(connection.entry)
+        kind = self._random.choice(KINDS)
+        call = self._build_own_call(connection.entry, kind)
         return await self._send_call(connection, call)
 
+    async def press(self, entry: str, duration_s: float) -> None:
+        """Send calls of all kinds to one entry over new connections for some time."""
+        address = self.addresses_by_entry[entry]
+        async with curio.TaskGroup() as group:
+            for number in range(int(duration_s / PRESS_INTERVAL_S)):
+                call = self._build_own_call(entry, KINDS[number % len(KINDS)])
+                await group.spawn(self.send_on_new_connection, call, address)
+                await curio.sleep(PRESS_INTERVAL_S)
+
     async def send_on_new_connection(self, call: SoakCall, address: Address) -> None:
         """Send a call over a new connection and close the connection."""
         connection = CallerConnection(call.entry, address)
@@ -196,8 +209,7 @@
             self._check_success(call, answer, signer)
         return answer.headers.get("connection", "").lower() != "close"
 
-    def _draw_call(self, entry: str) -> SoakCall:
-        kind = self._random.choice(KINDS)
+    def _build_own_call(self, entry: str, kind: CallKind) -> SoakCall:
         name = f"{self._call_count + 1:08x}"
         body = b"" if kind is CallKind.SAFE else f"body of {name}".encode()
         target = f"{PATH_BY_KIND[kind]}{name}"
--- a/src/tamaracktray_emulator/soak/endpoints.py
+++ b/src/tamaracktray_emulator/soak/endpoints.py
@@ -23,7 +23,7 @@
     send_faulty_stream,
 )
 from tamaracktray_emulator.soak.notice_checks import NoticeChecker
-from tamaracktray_emulator.soak.record import Run, SoakRecord
+from tamaracktray_emulator.soak.record import Arrival, Run, SoakRecord
 
 TEAM_HEADER = "x-tamaracktray-tenant"
 REQUEST_ID = "x-tamaracktray-request-id"
@@ -54,6 +54,15 @@
     notice_checker: NoticeChecker | None = None
     answer_fault: AnswerFault | None = None
 
+    async def answer(self, request: Request, responder: Responder) -> None:
+        """Record the arrival of a request and answer it."""
+        call_id = request.headers.get(REQUEST_ID, "")
+        if call_id in self.record.calls_by_id:
+            now = time.monotonic() - self.started
+            arrival = Arrival(now, call_id, self.id, self.zone)
+            self.record.arrivals.append(arrival)
+        await super().answer(request, responder)
+
     def note_arrival(self, request: Request) -> None:
         """Check the request against the notices that this endpoint has sent."""
         if self.notice_checker is not None:
--- a/src/tamaracktray_emulator/soak/fault_injector.py
+++ b/src/tamaracktray_emulator/soak/fault_injector.py
@@ -115,9 +115,11 @@
         if daemon is not None:
             await self._kill_one(daemon)
 
-    async def kill_entry(self, random: Random) -> None:
-        """Kill and restart one entry, chosen by ``random``."""
-        await self._kill_one(random.choice(self._fleet.list_role(Role.ENTRY)))
+    async def kill_entry(self, random: Random) -> str:
+        """Kill and restart one entry, chosen by ``random``, and return its name."""
+        daemon = random.choice(self._fleet.list_role(Role.ENTRY))
+        await self._kill_one(daemon)
+        return daemon.name
 
     async def _kill_many(self) -> None:
         async with curio.TaskGroup() as group:
--- a/src/tamaracktray_emulator/soak/fault_log.py
+++ b/src/tamaracktray_emulator/soak/fault_log.py
@@ -13,6 +13,10 @@
     start: float
     end: float | None = None
 
+    def names(self, subject: str) -> bool:
+        """Return whether the name of the fault holds a subject as whole words."""
+        return f" {subject} " in f" {self.name} "
+
     def overlaps(self, start: float, end: float) -> bool:
         """Return whether the fault overlaps the period from ``start`` to ``end``."""
         return self.start < end and (self.end is None or self.end > start)
@@ -29,6 +33,10 @@
         """Return the names of all faults in the order they began."""
         return [item.name for item in self._periods]
 
+    def list_periods(self) -> list[FaultPeriod]:
+        """Return the periods of all faults in the order they began."""
+        return list(self._periods)
+
     def begin(self, name: str, now: float) -> FaultPeriod:
         """Add a fault that begins now and return its period."""
         period = FaultPeriod(name, now)
@@ -36,13 +44,9 @@
         return period
 
     def has_fault(self, subject: str, start: float, end: float) -> bool:
-        """Return whether a fault of ``subject`` overlaps the given period.
-
-        The name of a fault holds its subject as whole words.
-        """
+        """Return whether a fault of ``subject`` overlaps the given period."""
         return any(
-            f" {subject} " in f" {item.name} " and item.overlaps(start, end)
-            for item in self._periods
+            item.names(subject) and item.overlaps(start, end) for item in self._periods
         )
 
     def is_fault_free(self, start: float, end: float) -> bool:
--- a/src/tamaracktray_emulator/soak/fleet.py
+++ b/src/tamaracktray_emulator/soak/fleet.py
@@ -25,6 +25,7 @@
 from tamaracktray_emulator.platform.origin import OriginStandIn
 from tamaracktray_emulator.platform.store import PlatformStoreStandIn
 from tamaracktray_emulator.soak.endpoints import SoakEngine, SoakWorker
+from tamaracktray_emulator.soak.home_checks import HomeLog, Homes
 from tamaracktray_emulator.soak.plan import SoakPlan
 from tamaracktray_emulator.soak.proxy import FaultProxy
 from tamaracktray_emulator.soak.record import SoakRecord
@@ -33,7 +34,8 @@
 ORDERS = "orders"
 TEAM = "team-1"
 ZONES = ("zone-a", "zone-b", "zone-c")
-REGIONS = "zone-a=region-a, zone-b=region-a, zone-c=region-c"
+REGION_BY_ZONE = {"zone-a": "region-a", "zone-b": "region-a", "zone-c": "region-c"}
+REGIONS = ", ".join(f"{zone}={region}" for zone, region in REGION_BY_ZONE.items())
 
 # Every process and stand-in has its own loopback address.
 CALLER_PORT = 21_080
@@ -87,6 +89,9 @@
             build_route("look", "safe", ORDERS),
             build_route("order", "unsafe", ORDERS, maxAttempts=1),
         ]
+        self.home_log = HomeLog()
+        self.team_regions: tuple[str, ...] = ()
+        self.regions_by_route: dict[str, tuple[str, ...]] = {}
         self._tasks: list[curio.Task] = []
 
     def _next_host(self) -> str:
@@ -173,8 +178,7 @@
 
     def unlist_endpoint(self, name: str) -> None:
         """Remove an endpoint's record from the store, if present."""
-        if ("servers", name) in self.store.objects:
-            self.store.remove("servers", name)
+        self.store.withdraw("servers", name)
 
     def configure(self) -> int:
         """Write the current routes and keys to the store.
@@ -190,9 +194,19 @@
             "maxConnections": 48,
         }
         services = [build_engine_service(ENGINES), build_plain_service(ORDERS), origin]
-        tenants = [build_tenant(TEAM, *self.keys)]
-        document = build_configuration(self.version, self.routes, services, tenants)
+        regions = list(self.team_regions)
+        tenants = [build_tenant(TEAM, *self.keys, allowedRegions=regions)]
+        routes = [
+            {**item, "allowedRegions": self.regions_by_route.get(item["name"], ())}
+            for item in self.routes
+        ]
+        document = build_configuration(self.version, routes, services, tenants)
         self.store.write("config", "main", document)
+        regions_by_prefix = {
+            item["pathPrefix"]: tuple(item["allowedRegions"]) for item in routes
+        }
+        homes = Homes(self.now, self.team_regions, regions_by_prefix)
+        self.home_log.homes.append(homes)
         return self.version
 
     def announce_version(self, version: int) -> None:
@@ -251,6 +265,8 @@
         }
         daemon.is_stop_expected = False
         daemon.launched_at = self.now
+        if daemon.role is Role.ENTRY:
+            self.home_log.note_start(daemon.name, self.now)
         log = daemon.settings.with_suffix(".log")
         with log.open("ab") as output:
             daemon.process = subprocess.Popen(
@@ -262,8 +278,11 @@
 
     def send_signal(self, daemon: Daemon, number: int) -> None:
         """Send a signal to a process, if it is still running."""
-        if daemon.process is not None and daemon.process.poll() is None:
-            daemon.process.send_signal(number)
+        if daemon.process is None or daemon.process.poll() is not None:
+            return
+        daemon.process.send_signal(number)
+        if daemon.role is Role.ENTRY and number in (signal.SIGTERM, signal.SIGKILL):
+            self.home_log.note_stop(daemon.name, self.now)
 
     async def wait_ended(self, daemon: Daemon, timeout_s: float) -> bool:
         """Wait until a process has exited; return ``False`` after the timeout."""
--- a/src/tamaracktray_emulator/soak/operations.py
+++ b/src/tamaracktray_emulator/soak/operations.py
@@ -22,13 +22,12 @@
     SoakFleet,
     build_random,
 )
+from tamaracktray_emulator.soak.home_checks import CONFIG_BOUND_S, CONTACT_S
 from tamaracktray_emulator.soak.record import CallKind, SoakCall, SoakRecord
 
 # Bounds within which operations must take effect, in seconds.
-CONFIG_BOUND_S = 2.0
 EVACUATION_BOUND_S = 5.0
 DRAIN_BOUND_S = 2.0
-CONTACT_S = 3.0
 
 MEAN_PAUSE_S = 1.5
 
@@ -130,7 +129,7 @@
         start = self._fleet.now
         await curio.sleep(EVACUATION_BOUND_S + 1.0)
         end = self._fleet.now
-        self._fleet.store.remove("evacuations", zone)
+        self._fleet.store.withdraw("evacuations", zone)
         self._check_no_runs(
             "zone that is out", start, start + EVACUATION_BOUND_S, end, zone=zone
         )
--- a/src/tamaracktray_emulator/soak/plan.py
+++ b/src/tamaracktray_emulator/soak/plan.py
@@ -9,7 +9,8 @@
     ``duration_s`` is the time during which faults are injected. ``rate`` is the total
     number of calls per second of all callers. With ``restores_store``, the store also
     comes back from older copies. With ``scales_out``, workers are added while single
-    entries are killed.
+    entries are killed. With ``changes_regions``, the home regions of team and routes
+    change, and after a restore the lost writes are repeated only some time later.
     """
 
     seed: int
@@ -21,6 +22,7 @@
     rate: float = 60.0
     restores_store: bool = False
     scales_out: bool = False
+    changes_regions: bool = False
 
 
 class Violation(msgspec.Struct, frozen=True):
--- a/src/tamaracktray_emulator/soak/record.py
+++ b/src/tamaracktray_emulator/soak/record.py
@@ -36,6 +36,15 @@
     version: int = 0
 
 
+class Arrival(msgspec.Struct, frozen=True):
+    """Arrival of a request at an endpoint, whether the endpoint ran it or not."""
+
+    at: float
+    call_id: str
+    endpoint: str
+    zone: str
+
+
 class SoakCall(msgspec.Struct):
     """One request of a caller; ``status`` is 0 without a complete answer.
 
@@ -64,6 +73,7 @@
 
     def __init__(self) -> None:
         self.calls_by_id: dict[str, SoakCall] = {}
+        self.arrivals: list[Arrival] = []
         self.runs_by_id: dict[str, list[Run]] = {}
         self.broken_ids: set[str] = set()
         self.check_counts: Counter[str] = Counter()
--- a/src/tamaracktray_emulator/soak/run.py
+++ b/src/tamaracktray_emulator/soak/run.py
@@ -11,7 +11,8 @@
 from tamaracktray_emulator.soak.fatal_requests import FatalRequestInjector
 from tamaracktray_emulator.soak.fault_injector import FaultInjector
 from tamaracktray_emulator.soak.fault_log import FaultLog
-from tamaracktray_emulator.soak.fleet import TEAM, SoakFleet
+from tamaracktray_emulator.soak.fleet import REGION_BY_ZONE, TEAM, SoakFleet
+from tamaracktray_emulator.soak.home_checks import HomeChecker
 from tamaracktray_emulator.soak.limit_injector import LimitInjector
 from tamaracktray_emulator.soak.notice_checks import NoticeChecker
 from tamaracktray_emulator.soak.notice_injector import NoticeInjector
@@ -20,6 +21,7 @@
 from tamaracktray_emulator.soak.plan import SoakPlan, SoakReport
 from tamaracktray_emulator.soak.probes import ProbeChecker
 from tamaracktray_emulator.soak.record import NOT_RUN_STATUSES, SoakRecord
+from tamaracktray_emulator.soak.region_injector import RegionInjector
 from tamaracktray_emulator.soak.scale_out import ScaleOutInjector
 from tamaracktray_emulator.soak.store_restores import StoreRestoreInjector
 
@@ -68,12 +70,14 @@
         fault_injector = FaultInjector(fleet, fault_log)
         options = []
         if plan.restores_store:
-            options.append(StoreRestoreInjector(fleet, fault_log).run)
+            restores = StoreRestoreInjector(fleet, fault_log, fault_injector, callers)
+            options.append(restores.run)
         if plan.scales_out:
             scale_out = ScaleOutInjector(fleet, fault_injector, notice_checker)
             options.append(scale_out.run)
-        await _run_for(
-            plan.duration_s,
+        if plan.changes_regions:
+            options.append(RegionInjector(fleet).run)
+        runs = [
             fault_injector.run,
             operations.run,
             NoticeInjector(fleet, notice_checker).run,
@@ -83,7 +87,8 @@
             BrokenAnswerInjector(fleet).run,
             OddEntryInjector(fleet).run,
             *options,
-        )
+        ]
+        await _run_for(plan.duration_s, *runs)
         await fleet.restore()
         await curio.sleep(RECOVERY_S)
         final_start = fleet.now
@@ -93,6 +98,7 @@
             await task.cancel()
     finally:
         await fleet.stop()
+    HomeChecker(record, fault_log, fleet.home_log, REGION_BY_ZONE).check()
     return _build_report(plan, record, fault_log)
 
 
--- a/src/tamaracktray_emulator/soak/store_restores.py
+++ b/src/tamaracktray_emulator/soak/store_restores.py
@@ -3,6 +3,8 @@
 import curio
 
 from tamaracktray_emulator.platform.store import StoreCopy
+from tamaracktray_emulator.soak.callers import Callers
+from tamaracktray_emulator.soak.fault_injector import FaultInjector
 from tamaracktray_emulator.soak.fault_log import FaultLog
 from tamaracktray_emulator.soak.fleet import SoakFleet, build_random
 
@@ -12,6 +14,11 @@
 MAX_COPY_AGE_S = 4.0
 MAX_AWAY_S = 1.0
 
+# Longest time between the store's return and the repeated writes, in seconds, and the
+# share of these times in which an entry starts.
+MAX_GAP_S = 2.5
+RESTART_SHARE = 0.7
+
 # Time after a restore in which processes may hold departures, in seconds.
 SETTLING_S = 6.0
 
@@ -20,12 +27,25 @@
 
 
 class StoreRestoreInjector:
-    """Lets the store be away for a moment and come back from an older copy."""
+    """Lets the store be away for a moment and come back from an older copy.
+
+    Operator and endpoints write again at once, or some time later in soaks that change
+    regions.
+    """
 
-    def __init__(self, fleet: SoakFleet, fault_log: FaultLog) -> None:
+    def __init__(
+        self,
+        fleet: SoakFleet,
+        fault_log: FaultLog,
+        fault_injector: FaultInjector,
+        callers: Callers,
+    ) -> None:
         self._fleet = fleet
         self._fault_log = fault_log
+        self._fault_injector = fault_injector
+        self._callers = callers
         self._random = build_random(fleet.plan, "restores")
+        self._gap_random = build_random(fleet.plan, "restore gaps")
 
     async def run(self) -> None:
         """Restore the store at random times until cancelled."""
@@ -39,12 +59,26 @@
         store = self._fleet.store
         period = self._fault_log.begin("restored store", self._fleet.now)
         try:
-            await store.go_away()
-            await curio.sleep(self._random.uniform(0.1, MAX_AWAY_S))
+            try:
+                await store.go_away()
+                await curio.sleep(self._random.uniform(0.1, MAX_AWAY_S))
+            finally:
+                newest = store.copy()
+                store.restore(copy)
+            if self._fleet.plan.changes_regions:
+                await self._pass_gap()
         finally:
-            newest = store.copy()
-            store.restore(copy)
             store.repeat(newest, OPERATOR_KINDS)
             store.repeat(newest, ENDPOINT_KINDS)
+            period.end = self._fleet.now
+        period = self._fault_log.begin("restored store settling", self._fleet.now)
         await curio.sleep(SETTLING_S)
         period.end = self._fleet.now
+
+    async def _pass_gap(self) -> None:
+        """Wait before the repeated writes; an entry may start meanwhile."""
+        gap_s = self._gap_random.uniform(0.0, MAX_GAP_S)
+        if self._gap_random.random() < RESTART_SHARE:
+            entry = await self._fault_injector.kill_entry(self._gap_random)
+            await curio.spawn(self._callers.press, entry, gap_s, daemon=True)
+        await curio.sleep(gap_s)
