Bind open calls to the configuration in force

Callers saw: a call that waited for a busy worker while its team's regions changed ran in a region that is no longer allowed. The same held for repeated and resumed calls, and for dropped keys, moved keys and removed routes.

Cause: the route, services, team and regions of a call were computed when it arrived and never again, while zones, versions, leaving and quarantines are asked again before each attempt.

Change: a call keeps what its caller sent (host, path, key) and the version of the table that it was bound to. `call_binding` is the one place that binds a call to a table. When another table comes into force, the entry binds all open calls again before it places anything. A call that the table forbids gets no further attempt: one that waits is refused like a new request, an attempt whose connection is being opened is withdrawn, and what runs is answered but neither repeated nor resumed nor called "not run". A waiting call without an endpoint in its new regions is refused at once. The decision to send names the team, so that an attempt cannot carry an earlier team's name.

Deadline, place in the queue, priority and retry budget stay as they were. A call that was ever unsafe stays so, and whether its answer is a stream does not change under way.

Why it works: `is_eligible` and `is_sendable` are asked before each attempt and read the call's facts; these are now never older than the table in force.

`test_call_decisions` keeps its checks; its routes have paths of their own now, since calls are bound by path.

--- a/src/tamaracktray/attempt_abandonment.py
+++ b/src/tamaracktray/attempt_abandonment.py
@@ -11,8 +11,8 @@
 from tamaracktray.calls import AbandonAttempt, SendCall
 from tamaracktray.effects import Effect
 from tamaracktray.endpoint_loads import EndpointLoad
-from tamaracktray.gateway_crashes import is_quarantined, suspect_endpoint
-from tamaracktray.gateway_fleet import choose
+from tamaracktray.gateway_crashes import suspect_endpoint
+from tamaracktray.gateway_fleet import choose, is_barred
 from tamaracktray.gateway_state import GatewayContext, PendingCall
 from tamaracktray.placement import count_open_slots, is_available
 
@@ -136,7 +136,7 @@
     load = context.state.loads_by_id.get(pending.left_id)
     pending.left_id = ""
     call = pending.call
-    if load is None or now >= call.deadline or is_quarantined(context, now, pending):
+    if load is None or now >= call.deadline or is_barred(context, now, pending):
         return None
     if not is_available(now, call, load, context.placement_context):
         return None
@@ -152,6 +152,8 @@
 
     An answer that has begun can only be resumed after an event with an id.
     """
+    if pending.revocation is not None:
+        return False
     route = pending.call.route
     if pending.is_started and not pending.has_event_id:
         return False
@@ -196,7 +198,9 @@
     if pending is None or pending.endpoint_id != decision.endpoint_id:
         return False
     load = context.state.loads_by_id.get(decision.endpoint_id)
-    if load is None or pending.is_abandoned or is_quarantined(context, now, pending):
+    if load is None or pending.is_abandoned or is_barred(context, now, pending):
+        return False
+    if decision.team != pending.call.team:
         return False
     # A call already assigned may begin on the oldest version that is still allowed.
     floors = context.placement_context.last_floor_by_model
--- a/src/tamaracktray/attempt_relay.py
+++ b/src/tamaracktray/attempt_relay.py
@@ -145,7 +145,7 @@
         call = open_call.call
         fields = AttemptFields(
             decision.endpoint_id,
-            call.team,
+            decision.team,
             call.deadline - time.monotonic(),
             decision.version,
             decision.urgency,
--- a/src/tamaracktray/call_log.py
+++ b/src/tamaracktray/call_log.py
@@ -68,7 +68,7 @@
             call.request_id,
             number=decision.attempt,
             route=call.route.name,
-            team=call.team,
+            team=decision.team,
             fingerprint=call.fingerprint[:FINGERPRINT_DIGITS],
             endpoint=decision.endpoint_id,
             running=decision.running,
--- a/src/tamaracktray/calls.py
+++ b/src/tamaracktray/calls.py
@@ -18,7 +18,9 @@
 
     ``id`` is unique in this process; ``request_id`` comes from the caller. ``services``
     are the services that may run it, the selected one first. ``deadline`` is the
-    monotonic time at which the caller, or the route, gives up. An empty ``regions``
+    monotonic time at which the caller, or the route, gives up. ``host``, ``path`` and
+    ``key`` are the caller's; ``route``, ``services``, ``team`` and ``regions`` follow
+    from them by the routing table of version ``routing_version``. An empty ``regions``
     allows all. Token counts are 0 for calls without a prompt; ``output_tokens`` is the
     estimated length of the output and ``max_output`` its limit. ``wait_s`` is the time
     that the caller says it still waits, in seconds, 0 if unknown. ``fingerprint`` is
@@ -32,6 +34,10 @@
     services: tuple[str, ...]
     arrived: float
     deadline: float
+    host: str = ""
+    path: str = ""
+    key: str = ""
+    routing_version: int = 0
     team: str = ""
     priority: int = 0
     regions: frozenset[str] = frozenset()
@@ -117,7 +123,8 @@
 class SendCall(Effect, frozen=True):
     """Send a call to an endpoint.
 
-    ``version`` is the version that must answer, 0 for any. ``last_event_id`` is set
+    ``team`` is the caller's team, empty if there is none. ``version`` is the version
+    that must answer, 0 for any. ``last_event_id`` is set
     when a stream is resumed at another endpoint. ``running`` counts the calls at the
     endpoint before this one, ``held_version`` is the version that it was expected to
     hold and ``version_floor`` the oldest one allowed. ``is_trial`` is set if the call
@@ -128,6 +135,7 @@
     attempt: int
     endpoint_id: str
     address: Address
+    team: str = ""
     version: int = 0
     urgency: int | None = None
     last_event_id: str = ""
--- a/src/tamaracktray/gateway.py
+++ b/src/tamaracktray/gateway.py
@@ -306,6 +306,7 @@
         pending.attempts,
         load.record.id,
         load.record.address,
+        team=pending.call.team,
         # Without a floor any version may answer, even if the endpoint swaps meanwhile.
         version=held_version if floor else 0,
         urgency=None,
--- a/src/tamaracktray/gateway_fleet.py
+++ b/src/tamaracktray/gateway_fleet.py
@@ -114,11 +114,16 @@
     load.cold_budget.resize(rate, burst)
 
 
+def is_barred(context: GatewayContext, now: float, pending: PendingCall) -> bool:
+    """Return whether a call gets no further attempt at any endpoint."""
+    return pending.revocation is not None or is_quarantined(context, now, pending)
+
+
 def choose(
     context: GatewayContext, now: float, pending: PendingCall, excluded_id: str = ""
 ) -> EndpointLoad | None:
     """Return the endpoint for a call, ``None`` if none is available with capacity."""
-    if is_quarantined(context, now, pending):
+    if is_barred(context, now, pending):
         return None
     return choose_endpoint(
         now,
@@ -141,7 +146,7 @@
 
 def has_available(context: GatewayContext, now: float, pending: PendingCall) -> bool:
     """Return whether any endpoint is eligible for a call and not paused."""
-    if is_quarantined(context, now, pending):
+    if is_barred(context, now, pending):
         return False
     avoided = list_avoided(context, pending)
     return any(
--- a/src/tamaracktray/gateway_refusals.py
+++ b/src/tamaracktray/gateway_refusals.py
@@ -41,6 +41,11 @@
 def refuse(context: GatewayContext, now: float, pending: PendingCall) -> list[Effect]:
     """End a call with an error; say "not run" only if no endpoint may have run it."""
     call = pending.call
+    is_untouched = not pending.is_started and not pending.may_have_run
+    if pending.revocation is not None and is_untouched:
+        context.state.pending_by_id.pop(call.id, None)
+        context.state.waiting.remove(call.id)
+        return [RefuseCall(call.id, pending.revocation)]
     view = view_fleet(context, now, pending)
     context.state.pending_by_id.pop(call.id, None)
     context.state.waiting.remove(call.id)
--- /dev/null
+++ b/src/tamaracktray/gateway_routing.py
@@ -0,0 +1,48 @@
+"""Applies another routing table to the open calls of an entry."""
+
+import msgspec
+from returns.result import Failure
+
+from tamaracktray.call_binding import rebind_call
+from tamaracktray.calls import CallArrived, RefuseCall
+from tamaracktray.effects import Effect
+from tamaracktray.gateway import handle_call
+from tamaracktray.gateway_refusals import refuse
+from tamaracktray.gateway_state import GatewayContext
+from tamaracktray.routes import RouteIndex
+
+
+def rebind_calls(
+    context: GatewayContext, now: float, index: RouteIndex
+) -> list[Effect]:
+    """Bind the open calls to another routing table and end those that it forbids.
+
+    An attempt in flight ends by itself: it is withdrawn if it has not been sent, and
+    otherwise its answer is still relayed.
+    """
+    state = context.state
+    effects: list[Effect] = []
+    for pending in list(state.pending_by_id.values()):
+        bound = rebind_call(pending.call, index)
+        if isinstance(bound, Failure):
+            pending.revocation = bound.failure()
+            if not pending.endpoint_id:
+                effects.extend(refuse(context, now, pending))
+            continue
+        pending.revocation = None
+        pending.call = bound.unwrap()
+        state.waiting.replace(pending.call)
+    return effects
+
+
+def handle_arrival(
+    context: GatewayContext, index: RouteIndex | None, event: CallArrived
+) -> list[Effect]:
+    """Handle a call that may have been built with an earlier routing table."""
+    call = event.call
+    if index is None or call.routing_version == index.table.version:
+        return handle_call(context, event)
+    bound = rebind_call(call, index)
+    if isinstance(bound, Failure):
+        return [RefuseCall(call.id, bound.failure())]
+    return handle_call(context, msgspec.structs.replace(event, call=bound.unwrap()))
--- a/src/tamaracktray/gateway_state.py
+++ b/src/tamaracktray/gateway_state.py
@@ -14,6 +14,7 @@
 from tamaracktray.ownership import FleetNode
 from tamaracktray.part_watch import PartWatch
 from tamaracktray.placement import PlacementContext
+from tamaracktray.types import Refusal
 from tamaracktray.wait_queue import WaitQueue
 
 # Weight of a new measurement in the moving average of the start delay; about the last
@@ -61,7 +62,9 @@
     ``left_id`` is the endpoint that the call left for its silence, as long as no other
     one has run it since.
 
-    ``is_trial`` is set while the call tests quarantined parts of its prompt.
+    ``revocation`` is the refusal of the call by the routing table in force, ``None``
+    while that allows it; a refused call gets no further attempt. ``is_trial`` is set
+    while the call tests quarantined parts of its prompt.
     ``prior_wait_s`` is the time that the caller waited in earlier tries, in seconds.
     ``version`` is the version of the weights that began a stream.
     """
@@ -90,6 +93,7 @@
         "silent_since",
         "prior_wait_s",
         "reserved_id",
+        "revocation",
         "tried",
         "failed_connections",
         "version",
@@ -106,6 +110,7 @@
         self.has_failed_answer = False
         self.has_event_id = False
         self.reserved_id = ""
+        self.revocation: Refusal | None = None
         self.left_id = ""
         self.held_version = 0
         self.is_started = False
--- a/src/tamaracktray/node_reducer.py
+++ b/src/tamaracktray/node_reducer.py
@@ -27,10 +27,10 @@
 from tamaracktray.exceptions import InvariantError
 from tamaracktray.gateway import (
     handle_attempt_ended,
-    handle_call,
     handle_call_ended,
     handle_call_started,
     handle_gateway_tick,
+    refuse_unavailable,
     send_queued_calls,
 )
 from tamaracktray.gateway_fleet import apply_roster, update_ownership
@@ -40,6 +40,7 @@
     update_limit_shares,
 )
 from tamaracktray.gateway_notices import handle_notice
+from tamaracktray.gateway_routing import handle_arrival, rebind_calls
 from tamaracktray.gateway_state import GatewayContext
 from tamaracktray.node_events import (
     AnnouncementsRecorded,
@@ -178,8 +179,15 @@
     if state.index is not None and newest.version <= state.index.table.version:
         return []
     state.index = RouteIndex(newest)
-    effects = _apply_endpoints(state, now)
-    return [ApplyRouting(), *effects, *update_own_target(state, now)]
+    effects: list[Effect] = [ApplyRouting()]
+    if state.gateway is not None:
+        context = build_gateway_context(state, now)
+        effects.extend(rebind_calls(context, now, state.index))
+    effects.extend(_apply_endpoints(state, now))
+    if state.gateway is not None:
+        context = build_gateway_context(state, now)
+        effects.extend(refuse_unavailable(context, now))
+    return effects + update_own_target(state, now)
 
 
 def _apply_endpoints(state: NodeState, now: float) -> list[Effect]:
@@ -292,6 +300,10 @@
     return []
 
 
+def _on_call(state: NodeState, event: CallArrived) -> list[Effect]:
+    return handle_arrival(build_gateway_context(state, event.now), state.index, event)
+
+
 def _on_tick(state: NodeState, event: Tick) -> list[Effect]:
     effects = note_era(state, event.now, event.store_era)
     if state.store_era.end_settling(event.now):
@@ -357,7 +369,7 @@
     PeerLost: _on_peer_lost,
     AnnouncementsRecorded: handle_recorded,
     ShutdownRequested: begin_shutdown,
-    CallArrived: _with_gateway(handle_call),
+    CallArrived: _on_call,
     CallStarted: _with_gateway(handle_call_started),
     CallAttemptEnded: _with_gateway(handle_attempt_ended),
     CallEnded: _with_gateway(handle_call_ended),
--- a/src/tamaracktray/wait_queue.py
+++ b/src/tamaracktray/wait_queue.py
@@ -82,6 +82,12 @@
         self._by_id[call.id] = QueuedCall(call, deadline, sort_key)
         return True
 
+    def replace(self, call: Call) -> None:
+        """Replace a call if it is queued; its place and its deadline stay."""
+        queued = self._by_id.get(call.id)
+        if queued is not None:
+            queued.call = call
+
     def remove(self, call_id: str) -> None:
         """Remove a call if it is queued."""
         self._by_id.pop(call_id, None)
--- a/tests/gateways.py
+++ b/tests/gateways.py
@@ -89,6 +89,8 @@
 
 def build_call(name: str, route: Route = STREAM, now: float = 0.0, **fields) -> Call:
     options = {
+        "host": route.host,
+        "path": route.path_prefix,
         "model": MODEL if route.kind is RepeatKind.STREAM else "",
         "fingerprint": name,
         **fields,
--- a/tests/test_call_decisions.py
+++ b/tests/test_call_decisions.py
@@ -6,21 +6,25 @@
 
 from typing import Any
 
+import msgspec
 from hypothesis import given, settings
 from hypothesis import strategies as st
+from returns.result import Failure
 
 from gateways import (
     COLD_RATE,
     ENGINES,
     MODEL,
     ORDERS,
+    REGION_BY_ZONE,
     SERVICES,
-    build_call,
     build_entry_state,
-    build_route,
     engine,
     worker,
 )
+from tamaracktray.call_binding import find_binding
+from tamaracktray.call_building import build_call
+from tamaracktray.call_context import may_send
 from tamaracktray.calls import (
     AbandonAttempt,
     AbortAnswer,
@@ -37,13 +41,23 @@
 from tamaracktray.endpoint_limits import EndpointLimitReceived
 from tamaracktray.engines import VersionTarget
 from tamaracktray.events import Event, ShutdownRequested, Tick
+from tamaracktray.http_messages import Request
 from tamaracktray.node_events import CollectionListed, StoreLost
 from tamaracktray.node_reducer import reduce_node
 from tamaracktray.notices import EndpointNoticeReceived
 from tamaracktray.objects import StoredObject
 from tamaracktray.outcomes import AttemptPhase
+from tamaracktray.protocol import CallerFields
 from tamaracktray.roster import EndpointRecord
-from tamaracktray.routes import Backend, RepeatKind, Route, RoutingTable, Service
+from tamaracktray.routes import (
+    Backend,
+    RepeatKind,
+    Route,
+    RouteIndex,
+    RoutingTable,
+    Service,
+    Team,
+)
 from tamaracktray.snapshots import Collection
 from tamaracktray.types import RunState
 
@@ -54,6 +68,20 @@
 # Phases that end an attempt whose answer the caller has not begun to get.
 PHASES = tuple(phase for phase in AttemptPhase if phase is not AttemptPhase.CUT)
 
+BOTH = "both"
+ROUTES = (*(f"r-{number}" for number in range(9)), BOTH)
+PUBLIC_ROUTES = ("r-4", BOTH)
+TEAMS = ("red", "blue")
+KEYS = ("k-red", "k-blue", "")
+REGION_SETS = ((), ("region-a",), ("region-c",), ("region-a", "region-c"))
+ZONE_BY_ENDPOINT = {
+    name: zone
+    for kind in "ew"
+    for name, zone in zip(
+        (f"{kind}-0", f"{kind}-1", f"{kind}-2"), REGION_BY_ZONE, strict=True
+    )
+}
+
 SERVICE_SETS: tuple[tuple[Service, ...], ...] = (
     tuple(SERVICES.values()),
     (SERVICES[ORDERS],),
@@ -63,34 +91,79 @@
 )
 
 
-def build_routes(attempts: int) -> tuple[Route, ...]:
-    """Return routes of all kinds, also to several services and to an unknown one."""
-    routes = [
-        build_route(kind, service, max_attempts=attempts)
-        for kind in RepeatKind
-        for service in (ENGINES, ORDERS, "unknown")
-    ]
-    routes.append(
-        Route(
-            "both",
-            "h",
-            "/",
-            RepeatKind.SAFE,
-            (Backend(ORDERS), Backend(ENGINES)),
-            timeout_s=2.0,
-            target_latency_s=0.1,
-            max_attempts=attempts,
-        )
+class Plan(msgspec.Struct, frozen=True):
+    """A configuration, without the names that stay the same in all of them.
+
+    ``kind_shift`` gives each route another kind and ``dropped`` are routes that are
+    missing. ``team_by_key`` holds the valid keys. ``by_route`` and ``by_team`` are
+    allowed regions of all routes and of the teams.
+    """
+
+    services: tuple[Service, ...] = SERVICE_SETS[0]
+    attempts: int = 2
+    kind_shift: int = 0
+    dropped: frozenset[str] = frozenset()
+    team_by_key: dict[str, str] = msgspec.field(
+        default_factory=lambda: {"k-red": "red", "k-blue": "blue"}
     )
-    return tuple(routes)
+    by_route: tuple[str, ...] = ()
+    by_team: dict[str, tuple[str, ...]] = {}
+
+    def build_table(self, version: int) -> RoutingTable:
+        """Return the table with the routes that are not dropped."""
+        routes = [route for route in self._list_routes() if route.name in self.kept]
+        teams = tuple(
+            Team(
+                name,
+                tuple(key for key, team in self.team_by_key.items() if team == name),
+                allowed_regions=self.by_team.get(name, ()),
+            )
+            for name in TEAMS
+        )
+        by_name = {service.name: service for service in self.services}
+        return RoutingTable(version, tuple(routes), by_name, teams)
+
+    @property
+    def kept(self) -> frozenset[str]:
+        """Return the names of the routes that exist."""
+        return frozenset(ROUTES) - self.dropped
+
+    def _list_routes(self) -> list[Route]:
+        """Return routes of all kinds, to one, several and unknown services."""
+        kinds = list(RepeatKind)
+        routes = []
+        for number, name in enumerate(ROUTES):
+            service = (ENGINES, ORDERS, "unknown")[number % 3]
+            kind = kinds[(number // 3 + self.kind_shift) % len(kinds)]
+            backends: tuple[Backend, ...] = (Backend(service),)
+            times = {"timeout_s": 6.0, "target_latency_s": 0.4}
+            if name == BOTH:
+                kind, backends = RepeatKind.SAFE, (Backend(ORDERS), Backend(ENGINES))
+                times = {"timeout_s": 2.0, "target_latency_s": 0.1}
+            routes.append(
+                Route(
+                    name,
+                    "h",
+                    f"/{name}/",
+                    kind,
+                    backends,
+                    max_attempts=self.attempts,
+                    is_public=name in PUBLIC_ROUTES,
+                    is_resumable=kind is RepeatKind.STREAM,
+                    allowed_regions=self.by_route,
+                    **times,
+                )
+            )
+        return routes
 
 
 class CallDriver:
     """Feeds events to an entry's reducer and checks its decisions on calls.
 
-    ``attempt_by_call`` holds the endpoint of each attempt in flight and
+    ``attempt_by_call`` holds the decision on each attempt in flight and
     ``may_have_run`` the calls that an endpoint may have run. ``final_by_call`` holds
-    the effect that ended a call.
+    the effect that ended a call and ``unsafe`` the calls that some configuration in
+    force since their arrival allowed to run only once.
     """
 
     def __init__(self) -> None:
@@ -98,12 +171,14 @@
         self.now = 0.0
         self.revision = 1
         self.open_by_id: dict[str, Call] = {}
-        self.attempt_by_call: dict[str, str] = {}
+        self.attempt_by_call: dict[str, SendCall] = {}
         self.final_by_call: dict[str, Effect] = {}
         self.may_have_run: set[str] = set()
         self.begun: set[str] = set()
+        self.unsafe: set[str] = set()
+        self.earlier_index: RouteIndex | None = None
         self.sends_by_call: dict[str, int] = {}
-        self.configure(SERVICE_SETS[0])
+        self.configure(Plan())
         self.list_objects(Collection.EVACUATIONS, [])
         self.list_objects(Collection.MEMBERS, [])
         self.list_objects(Collection.QUARANTINES, [])
@@ -113,6 +188,7 @@
     def feed(self, event: Event) -> None:
         """Reduce an event, carry out its effects on calls and check them."""
         _, effects = reduce_node(self.state, event)
+        self._note_unsafe()
         for effect in effects:
             self._apply(effect)
         self._check()
@@ -126,20 +202,59 @@
         assert call_id not in self.attempt_by_call, effect
         call = self.open_by_id[call_id]
         if isinstance(effect, SendCall):
-            self.attempt_by_call[call_id] = effect.endpoint_id
+            self.attempt_by_call[call_id] = effect
             self.sends_by_call[call_id] = self.sends_by_call.get(call_id, 0) + 1
             is_repeated = call_id in self.may_have_run
             assert not is_repeated or call.route.is_idempotent
+            assert not is_repeated or call_id not in self.unsafe
+            assert self.is_allowed(effect), effect
             return
         assert isinstance(effect, FINAL_EFFECTS), effect
         self.final_by_call[call_id] = effect
         if isinstance(effect, AbortAnswer):
             assert call_id in self.begun
-        if not isinstance(effect, RefuseCall) or call_id not in self.may_have_run:
+        if not isinstance(effect, RefuseCall):
+            return
+        if effect.refusal.status in (401, 404):
+            # A proper call must not be denied.
+            bound = self._find_binding(call)
+            assert isinstance(bound, Failure)
+            assert bound.failure().status == effect.refusal.status
+        if call_id not in self.may_have_run:
             return
         assert effect.refusal.run is not RunState.NOT_RUN
         assert effect.refusal.status not in NOT_RUN_STATUSES
 
+    def _find_binding(self, call: Call):
+        return find_binding(self.state.index, call.host, call.path, call.key)
+
+    def _note_unsafe(self) -> None:
+        for name, call in self.open_by_id.items():
+            route = self.state.index.find_route(call.host, call.path)
+            if route is not None and not route.is_idempotent:
+                self.unsafe.add(name)
+
+    def is_allowed(self, decision: SendCall) -> bool:
+        """Return whether the configuration in force allows an attempt."""
+        call = self.open_by_id[decision.call_id]
+        table = self.state.index.table
+        holders = [team for team in table.teams if call.key in team.keys]
+        routes = [
+            route for route in table.routes if call.path.startswith(route.path_prefix)
+        ]
+        if not routes or not (holders or routes[0].is_public):
+            return False
+        if decision.team != (holders[0].name if holders else ""):
+            return False
+        region = REGION_BY_ZONE[ZONE_BY_ENDPOINT[decision.endpoint_id]]
+        if any(
+            item.allowed_regions and region not in item.allowed_regions
+            for item in (routes[0], *holders)
+        ):
+            return False
+        service = ENGINES if decision.endpoint_id.startswith("e") else ORDERS
+        return service in [backend.service for backend in routes[0].backends]
+
     def _check(self) -> None:
         """Check that each open call is in flight, waits, or has its final decision."""
         waiting = self.state.gateway.waiting
@@ -152,6 +267,8 @@
             ]
             assert places.count(True) == 1, (call_id, places)
             assert (call_id in pending) is not (call_id in self.final_by_call)
+        for call in waiting.list_ordered():
+            assert not isinstance(self._find_binding(call), Failure), call
         reserved = sum(
             item.reserved for item in self.state.gateway.loads_by_id.values()
         )
@@ -164,10 +281,10 @@
         objects = [StoredObject(name, self.revision, value) for name, value in values]
         self.feed(CollectionListed(self.now, collection, objects, self.revision, 1))
 
-    def configure(self, services: tuple[Service, ...]) -> None:
+    def configure(self, plan: Plan) -> None:
         self.revision += 1
-        by_name = {service.name: service for service in services}
-        table = RoutingTable(self.revision, services_by_name=by_name)
+        self.earlier_index = self.state.index
+        table = plan.build_table(self.revision)
         self.list_objects(Collection.ROUTING, [("main", table)])
 
     def name_version(self, version: int) -> None:
@@ -177,27 +294,64 @@
     def list_endpoints(self, entries: list[tuple[str, int, bool, int]]) -> None:
         records: dict[str, EndpointRecord] = {}
         for name, start_time_ms, is_draining, version in entries:
-            fields = {"start_time_ms": start_time_ms, "is_draining": is_draining}
+            fields = {
+                "zone": ZONE_BY_ENDPOINT[name],
+                "start_time_ms": start_time_ms,
+                "is_draining": is_draining,
+            }
             if name.startswith("e"):
                 records[name] = engine(name, version=version, **fields)
             else:
                 records[name] = worker(name, **fields)
         self.list_objects(Collection.ENDPOINTS, list(records.items()))
 
-    def arrive(self, route: Route, parts: tuple[str, ...]) -> None:
+    def arrive(
+        self, route: str, key: str, parts: tuple[str, ...], *, is_late: bool
+    ) -> None:
+        """Let a call arrive, built with an earlier configuration if it is late."""
         name = f"c-{len(self.sends_by_call)}-{len(self.final_by_call)}-{self.revision}"
         while name in self.open_by_id or name in self.final_by_call:
             name += "x"
-        call = build_call(name, route, self.now, parts=parts, wait_s=route.timeout_s)
+        index = self.state.index
+        if is_late and self.earlier_index is not None:
+            index = self.earlier_index
+        target = f"/{route}/{name}"
+        request = Request("POST", target, target, {}, {"host": "h"}, name.encode())
+        fields = CallerFields(name, key, model=MODEL, shared_parts=parts)
+        built = build_call(self.now, index, request, fields)
+        if isinstance(built, Failure):
+            return
+        call = msgspec.structs.replace(built.unwrap(), id=name)
         self.open_by_id[name] = call
+        if not call.route.is_idempotent:
+            self.unsafe.add(name)
         self.feed(CallArrived(self.now, call))
 
+    def connect(self, choice: int) -> None:
+        """Ask whether a call is still to be sent, once its connection is open."""
+        unsent = sorted(self.attempt_by_call.keys() - self.begun)
+        if not unsent:
+            return
+        decision = self.attempt_by_call[unsent[choice % len(unsent)]]
+        if may_send(self.state, self.now, decision, 0.0):
+            assert self.is_allowed(decision), decision
+            return
+        del self.attempt_by_call[decision.call_id]
+        self.feed(
+            CallAttemptEnded(
+                self.now,
+                decision.call_id,
+                decision.endpoint_id,
+                AttemptPhase.WITHDRAWN,
+            )
+        )
+
     def end_attempt(self, choice: int, phase: AttemptPhase, *, is_reset: bool) -> None:
         if not self.attempt_by_call:
             return
         names = sorted(self.attempt_by_call)
         name = names[choice % len(names)]
-        endpoint = self.attempt_by_call.pop(name)
+        endpoint = self.attempt_by_call.pop(name).endpoint_id
         last_event_id = ""
         if name in self.begun:
             phase = AttemptPhase.ANSWERED if phase.is_answer else AttemptPhase.CUT
@@ -228,7 +382,7 @@
             return
         name = streams[choice % len(streams)]
         self.begun.add(name)
-        endpoint = self.attempt_by_call[name]
+        endpoint = self.attempt_by_call[name].endpoint_id
         self.feed(CallStarted(self.now, name, endpoint, 1, has_event_id=True))
 
     def leave(self, choice: int) -> None:
@@ -250,6 +404,21 @@
         self.feed(Tick(self.now, responsive_ids=responsive, store_era=1))
 
 
+def draw_plan() -> st.SearchStrategy[Plan]:
+    regions = st.sampled_from(REGION_SETS)
+    keys = st.sampled_from(("k-red", "k-blue"))
+    return st.builds(
+        Plan,
+        st.sampled_from(SERVICE_SETS),
+        st.integers(1, 3),
+        st.sampled_from([0, 0, 1, 2]),
+        st.frozensets(st.sampled_from(ROUTES), max_size=4),
+        st.dictionaries(keys, st.sampled_from(TEAMS)),
+        regions,
+        st.fixed_dictionaries(dict.fromkeys(TEAMS, regions)),
+    )
+
+
 @st.composite
 def draw_step(draw: Any) -> tuple:
     """Return the name of a driver's method and its arguments."""
@@ -258,25 +427,26 @@
             ["arrive"] * 4
             + ["end_attempt"] * 4
             + ["tick"] * 4
-            + ["begin_answer", "leave", "configure", "list_endpoints", "name_version"]
+            + ["configure", "connect"] * 3
+            + ["begin_answer", "leave", "list_endpoints", "name_version"]
             + ["evacuate", "notice", "limit", "lose_store"]
         )
     )
     choice = st.integers(0, 7)
     if kind == "arrive":
-        routes = build_routes(draw(st.integers(1, 3)))
         parts = draw(st.sampled_from([(), ("p",), ("p", "q")]))
-        return kind, (draw(st.sampled_from(routes)), parts)
+        route, key = draw(st.sampled_from(ROUTES)), draw(st.sampled_from(KEYS))
+        return kind, (route, key, parts, draw(st.booleans()))
     if kind == "end_attempt":
         phase = draw(st.sampled_from(PHASES))
         return kind, (draw(choice), phase, draw(st.booleans()))
     if kind == "tick":
         seconds = draw(st.sampled_from([0.025, 0.2, 0.6, 1.1, 3.0]))
         return kind, (seconds, draw(st.frozensets(st.sampled_from(ENDPOINTS))))
-    if kind in ("begin_answer", "leave"):
+    if kind in ("begin_answer", "connect", "leave"):
         return kind, (draw(choice),)
     if kind == "configure":
-        return kind, (draw(st.sampled_from(SERVICE_SETS)),)
+        return kind, (draw(draw_plan()),)
     if kind == "list_endpoints":
         entry = st.tuples(
             st.sampled_from(ENDPOINTS),
@@ -300,7 +470,10 @@
 
 def take_step(driver: CallDriver, kind: str, arguments: tuple) -> None:
     now = driver.now
-    if kind == "end_attempt":
+    if kind == "arrive":
+        route, key, parts, is_late = arguments
+        driver.arrive(route, key, parts, is_late=is_late)
+    elif kind == "end_attempt":
         choice, phase, is_reset = arguments
         driver.end_attempt(choice, phase, is_reset=is_reset)
     elif kind == "evacuate":
--- a/tests/test_routes.py
+++ b/tests/test_routes.py
@@ -6,7 +6,8 @@
 import pytest
 from returns.result import Failure, Success
 
-from tamaracktray.call_building import build_call, intersect_regions, order_services
+from tamaracktray.call_binding import intersect_regions, order_services
+from tamaracktray.call_building import build_call
 from tamaracktray.http_messages import Request
 from tamaracktray.protocol import CallerFields
 from tamaracktray.routes import (
