Play entries that start as the store is back from an older copy

--copy-restarts plays one sequence in place of the random faults: the team moves to the other region and an endpoint leaves; 4.5 s later the store is away for 0.5 s and an entry is killed; the store comes back from a copy of before, the entry starts at once and is pressed with calls, and 2 s later the lost writes are repeated.

--- a/src/tamaracktray_emulator/main.py
+++ b/src/tamaracktray_emulator/main.py
@@ -51,6 +51,13 @@
     regions: Annotated[
         bool, typer.Option("--regions", help="Change the regions of team and routes.")
     ] = False,
+    copy_restarts: Annotated[
+        bool,
+        typer.Option(
+            "--copy-restarts",
+            help="Only start entries as the store is back from an older copy.",
+        ),
+    ] = False,
     entries: Annotated[int, typer.Option(help="Number of entries.")] = 3,
     logs: Annotated[Path, typer.Option(help="Directory for logs.")] = Path(
         "target/soak"
@@ -70,6 +77,7 @@
             restores_store=restores,
             scales_out=scale_out,
             changes_regions=regions,
+            restarts_on_copies=copy_restarts,
         )
         report = run_soak(plan, logs / str(number))
         typer.echo(report.format_row())
--- a/src/tamaracktray_emulator/soak/operations.py
+++ b/src/tamaracktray_emulator/soak/operations.py
@@ -62,7 +62,7 @@
             self._change_keys,
             self._evacuate,
             self._announce_version,
-            self._drain,
+            self.drain,
             self._terminate,
             self._reload,
         ]
@@ -155,7 +155,7 @@
             detail = f"{run.endpoint} on {run.version}, {version} was due"
             self._record.check("version is due", holds, run.at, detail)
 
-    async def _drain(self) -> None:
+    async def drain(self) -> None:
         """Drain a plain endpoint and list it again under a new id."""
         workers = [
             item
--- a/src/tamaracktray_emulator/soak/plan.py
+++ b/src/tamaracktray_emulator/soak/plan.py
@@ -10,7 +10,8 @@
     number of calls per second of all callers. With ``restores_store``, the store also
     comes back from older copies. With ``scales_out``, workers are added while single
     entries are killed. With ``changes_regions``, the home regions of team and routes
-    change, and after a restore the lost writes are repeated only some time later.
+    change, and after a restore the lost writes are repeated only some time later. With
+    ``restarts_on_copies``, entries start as the store is back, with no other faults.
     """
 
     seed: int
@@ -23,6 +24,7 @@
     restores_store: bool = False
     scales_out: bool = False
     changes_regions: bool = False
+    restarts_on_copies: bool = False
 
 
 class Violation(msgspec.Struct, frozen=True):
--- a/src/tamaracktray_emulator/soak/region_injector.py
+++ b/src/tamaracktray_emulator/soak/region_injector.py
@@ -44,6 +44,12 @@
             fleet.regions_by_route[name] = self._random.choice(choices)
         self._configure()
 
+    def move_team(self) -> None:
+        """Give the team a region other than its present one."""
+        choices = [(item,) for item in REGIONS if (item,) != self._fleet.team_regions]
+        self._fleet.team_regions = self._random.choice(choices)
+        self._configure()
+
     def _configure(self) -> None:
         fleet = self._fleet
         for name, regions in fleet.regions_by_route.items():
--- a/src/tamaracktray_emulator/soak/run.py
+++ b/src/tamaracktray_emulator/soak/run.py
@@ -7,6 +7,7 @@
 
 from tamaracktray_emulator.soak.broken_answers import BrokenAnswerInjector
 from tamaracktray_emulator.soak.callers import Callers
+from tamaracktray_emulator.soak.copy_restarts import CopyRestartInjector
 from tamaracktray_emulator.soak.fatal_parts import FatalPartInjector
 from tamaracktray_emulator.soak.fatal_requests import FatalRequestInjector
 from tamaracktray_emulator.soak.fault_injector import FaultInjector
@@ -69,8 +70,8 @@
         tasks.append(await curio.spawn(probe_checker.run))
         fault_injector = FaultInjector(fleet, fault_log)
         options = []
+        restores = StoreRestoreInjector(fleet, fault_log, fault_injector, callers)
         if plan.restores_store:
-            restores = StoreRestoreInjector(fleet, fault_log, fault_injector, callers)
             options.append(restores.run)
         if plan.scales_out:
             scale_out = ScaleOutInjector(fleet, fault_injector, notice_checker)
@@ -88,6 +89,11 @@
             OddEntryInjector(fleet).run,
             *options,
         ]
+        if plan.restarts_on_copies:
+            restarts = CopyRestartInjector(
+                fleet, fault_log, callers, operations, restores
+            )
+            runs = [restarts.run]
         await _run_for(plan.duration_s, *runs)
         await fleet.restore()
         await curio.sleep(RECOVERY_S)
--- a/src/tamaracktray_emulator/soak/store_restores.py
+++ b/src/tamaracktray_emulator/soak/store_restores.py
@@ -1,5 +1,7 @@
 """Restores the store from older copies during a soak."""
 
+from collections.abc import Awaitable, Callable
+
 import curio
 
 from tamaracktray_emulator.platform.store import StoreCopy
@@ -53,20 +55,23 @@
             await curio.sleep(self._random.expovariate(1 / MEAN_PAUSE_S))
             copy = self._fleet.store.copy()
             await curio.sleep(self._random.uniform(0.0, MAX_COPY_AGE_S))
-            await self._restore(copy)
+            away_s = self._random.uniform(0.1, MAX_AWAY_S)
+            await self.restore(copy, away_s, self._pass_gap)
 
-    async def _restore(self, copy: StoreCopy) -> None:
+    async def restore(
+        self, copy: StoreCopy, away_s: float, pass_gap: Callable[[], Awaitable[None]]
+    ) -> None:
+        """Let the store be away and come back; the gap precedes the repeated writes."""
         store = self._fleet.store
         period = self._fault_log.begin("restored store", self._fleet.now)
         try:
             try:
                 await store.go_away()
-                await curio.sleep(self._random.uniform(0.1, MAX_AWAY_S))
+                await curio.sleep(away_s)
             finally:
                 newest = store.copy()
                 store.restore(copy)
-            if self._fleet.plan.changes_regions:
-                await self._pass_gap()
+            await pass_gap()
         finally:
             store.repeat(newest, OPERATOR_KINDS)
             store.repeat(newest, ENDPOINT_KINDS)
@@ -77,6 +82,8 @@
 
     async def _pass_gap(self) -> None:
         """Wait before the repeated writes; an entry may start meanwhile."""
+        if not self._fleet.plan.changes_regions:
+            return
         gap_s = self._gap_random.uniform(0.0, MAX_GAP_S)
         if self._gap_random.random() < RESTART_SHARE:
             entry = await self._fault_injector.kill_entry(self._gap_random)
