Ask peers at the start what is in force

Callers of an entry that starts in the moment after the store has come back from an older copy, and before its writers have repeated their changes, were handled as the copy says: by regions and limits that had changed and with keys that had been dropped; in an evacuated zone; at endpoints that were leaving or gone. An agent that started then knew no version that had been named.

Cause: the era ranks a restored list above all that was known before, and a process that starts knows nothing else. Its peers keep to the newer state in memory, but they told only positions in the store, by which they know no more than the list.

A process that has a configuration now asks its peers what they have in force (`in_force`, `takeover`, `peer_questions`): routing table, announced versions and, while the store settles, evacuated zones, members and departed endpoints with the time that remains. Beacons name the versions in force, so a process that missed a change and has the same list asks too; so does one that learns of a later era. The store is called no more often. An agent asks only entries that have done so for its service's configuration.

--- a/src/tamaracktray/beacons.py
+++ b/src/tamaracktray/beacons.py
@@ -52,6 +52,9 @@
     ``crash_reports`` are the requests that may have crashed endpoints, ``part_reports``
     the prompt parts, and ``sound_answers`` refute such reports. ``limits_by_endpoint``
     are the requests a second that endpoints named to the sender as their limit.
+    ``routing_version`` and ``target_by_model`` are the versions of the routing table
+    and the announced versions that are in force at the sender. ``is_informed`` is set
+    if the sender knows what a restored store may have lost.
     """
 
     name: str
@@ -69,6 +72,9 @@
     part_reports: list[CrashReport] = []
     sound_answers: list[SoundAnswer] = []
     limits_by_endpoint: dict[str, float] = {}
+    routing_version: int = 0
+    target_by_model: dict[str, int] = {}
+    is_informed: bool = False
 
 
 _ENCODER = msgspec.msgpack.Encoder()
--- a/src/tamaracktray/entry_process.py
+++ b/src/tamaracktray/entry_process.py
@@ -194,7 +194,7 @@
 
     async def _describe_service(self, request: Request, responder: Responder) -> None:
         """Send an agent the part of the configuration about its service."""
-        if self.state.index is None:
+        if not self.state.is_initialized:
             await responder.respond(503, [])
             return
         name = request.path.removeprefix(SERVICES_PATH)
--- a/src/tamaracktray/eras.py
+++ b/src/tamaracktray/eras.py
@@ -11,7 +11,7 @@
 from collections.abc import Iterable
 
 from tamaracktray.effects import Effect
-from tamaracktray.node_events import RegisterMember, RelistCollections
+from tamaracktray.node_events import AskPeers, RegisterMember, RelistCollections
 from tamaracktray.node_state import NodeState
 from tamaracktray.peers import Member
 from tamaracktray.snapshots import Collection, Snapshot
@@ -39,7 +39,9 @@
     state.announcement_records.forget_written()
     state.quarantine_records.forget_read()
     effects: list[Effect] = [
-        RelistCollections(era, state.snapshot_cache.list_positions())
+        RelistCollections(era, state.snapshot_cache.list_positions()),
+        # This process may have missed changes that the store has lost.
+        AskPeers(),
     ]
     if state.gateway is not None:
         effects.append(RegisterMember())
--- a/src/tamaracktray/node_events.py
+++ b/src/tamaracktray/node_events.py
@@ -3,6 +3,7 @@
 from tamaracktray.beacons import Beacon
 from tamaracktray.effects import Effect
 from tamaracktray.events import Event
+from tamaracktray.in_force import InForceReport
 from tamaracktray.objects import StoredObject
 from tamaracktray.positions import Position
 from tamaracktray.snapshots import Collection, Snapshot
@@ -76,6 +77,42 @@
     known_by_collection: dict[Collection, Position]
 
 
+class InForceReported(Event, frozen=True):
+    """A peer reported what it has in force."""
+
+    report: InForceReport
+
+
+class TakeoverEnded(Event, frozen=True):
+    """The peers were asked what they have in force; some may not have answered."""
+
+
+class AskPeer(Effect, frozen=True):
+    """Ask a peer what it has in force."""
+
+    address: Address
+
+
+class AskPeers(Effect, frozen=True):
+    """Ask peers what they have in force, until one has answered."""
+
+
+class LogTakeover(Effect, frozen=True):
+    """Log what was taken over from a peer because the store lacks it.
+
+    ``version`` is that of the routing table, ``None`` if the one of ``known_version``
+    stays in force. The store may lack the rest for ``settle_s`` seconds.
+    """
+
+    peer: str
+    known_version: int
+    version: int | None
+    version_by_model: dict[str, int]
+    zones: list[str]
+    departed: int
+    settle_s: float
+
+
 class RegisterMember(Effect, frozen=True):
     """Write this entry's member record again."""
 
--- a/src/tamaracktray/node_process.py
+++ b/src/tamaracktray/node_process.py
@@ -1,6 +1,5 @@
 """Sockets, timers and background tasks of a process that follows the store."""
 
-import itertools
 import socket as socket_module
 import time
 from collections.abc import Awaitable, Callable, Iterable
@@ -40,21 +39,18 @@
 from tamaracktray.node_settings import NodeProcessSettings, load_node_settings
 from tamaracktray.node_state import NodeState
 from tamaracktray.peer_pulls import reads_store
+from tamaracktray.peer_questions import IN_FORCE_PATH, PeerQuestions
 from tamaracktray.positions import Position
 from tamaracktray.responders import Responder
 from tamaracktray.runtime import Runtime
 from tamaracktray.snapshot_codec import decode_snapshots, encode_snapshots
 from tamaracktray.snapshots import Collection
+from tamaracktray.takeover import get_routing_version, is_informed, list_target_versions
 from tamaracktray.task_yields import LoopLag, TaskYield
 from tamaracktray.types import Address
 
 TICK_S = 0.025
 
-# How long a new process waits for the store before it asks the seeds, and the delay
-# between seeds, in seconds.
-SEED_DELAY_S = 0.3
-SEED_RETRY_S = 0.05
-
 # Timeouts of a whole call to a peer and of its connection, in seconds. A large
 # configuration is slow to arrive over a link that other processes use as well.
 PEER_TIMEOUT_S = 3.0
@@ -125,6 +121,15 @@
         self._datagrams = curio.socket.socket(
             socket_module.AF_INET, socket_module.SOCK_DGRAM
         )
+        self._questions = PeerQuestions(
+            self.own_address,
+            settings.seed_addresses,
+            lambda: self.state,
+            self.dispatch,
+            self.spawn,
+        )
+        for effect, perform in self._questions.performer_by_effect.items():
+            self.add_performer(effect, perform)
         self.add_performer(ApplyRouting, self.apply_routing)
         self.add_performer(PullSnapshots, self._start_pull)
         self.add_performer(ReadCollection, self._read_collection)
@@ -156,7 +161,7 @@
             self._run_ticks,
             self._run_datagrams,
             self._run_beacons,
-            self._pull_from_seeds,
+            *self._questions.list_loops(self.pull_snapshots),
             *watches,
         ]
 
@@ -192,6 +197,9 @@
         if request.path == SNAPSHOTS_PATH:
             await self._serve_snapshots(request, responder)
             return
+        if request.path == IN_FORCE_PATH:
+            await self._questions.serve(request, responder)
+            return
         await responder.respond(404, [])
 
     def set_gauges(self) -> None:
@@ -216,6 +224,9 @@
             self.build_short_beacon(),
             position_by_collection=snapshot_cache.list_positions(),
             changed_by_collection=snapshot_cache.list_changed_positions(),
+            routing_version=get_routing_version(self.state),
+            target_by_model=list_target_versions(self.state),
+            is_informed=is_informed(self.state, time.monotonic()),
         )
 
     def build_short_beacon(self) -> Beacon:
@@ -271,16 +282,6 @@
     async def _answer_beacon(self, effect: SendBeacon) -> None:
         await self.send_beacon([effect.address])
 
-    async def _pull_from_seeds(self) -> None:
-        """Pull from the seeds while the data needed to answer callers is missing."""
-        await curio.sleep(SEED_DELAY_S)
-        seeds = itertools.cycle(self.settings.seed_addresses)
-        for address in seeds:
-            if self.state.is_initialized:
-                return
-            await self.pull_snapshots(address)
-            await curio.sleep(SEED_RETRY_S)
-
     async def _run_beacons(self) -> None:
         while True:
             await curio.sleep(IDLE_BEACON_INTERVAL_S * self.random.uniform(0.8, 1.2))
--- a/src/tamaracktray/node_reducer.py
+++ b/src/tamaracktray/node_reducer.py
@@ -45,16 +45,19 @@
 from tamaracktray.node_events import (
     AnnouncementsRecorded,
     ApplyRouting,
+    AskPeer,
     BeaconReceived,
     BroadcastBeacon,
     CollectionChanged,
     CollectionListed,
+    InForceReported,
     LogAnnouncement,
     PeerLost,
     PullSnapshots,
     SendBeacon,
     SnapshotsReceived,
     StoreLost,
+    TakeoverEnded,
 )
 from tamaracktray.node_state import NodeState
 from tamaracktray.notices import EndpointNoticeReceived
@@ -69,7 +72,7 @@
     sync_quarantine_records,
 )
 from tamaracktray.roster import EndpointRecord
-from tamaracktray.routes import RouteIndex, RoutingTable
+from tamaracktray.routes import RouteIndex
 from tamaracktray.shutdown import advance_shutdown, begin_shutdown
 from tamaracktray.snapshots import Collection, Snapshot
 from tamaracktray.staging import (
@@ -93,6 +96,12 @@
 )
 from tamaracktray.staging_state import StagingState
 from tamaracktray.store_readers import list_local
+from tamaracktray.takeover import (
+    adopt_report,
+    handle_takeover_ended,
+    is_outranked,
+    list_tables,
+)
 from tamaracktray.version_following import (
     apply_targets,
     apply_versions,
@@ -172,7 +181,7 @@
 
 
 def _apply_routing(state: NodeState, now: float) -> list[Effect]:
-    tables: list[RoutingTable] = state.snapshot_cache.list_values(Collection.ROUTING)
+    tables = list_tables(state)
     newest = max(tables, key=lambda table: table.version, default=None)
     if newest is None:
         return []
@@ -247,6 +256,13 @@
 }
 
 
+def _on_in_force(state: NodeState, event: InForceReported) -> list[Effect]:
+    effects, collections = adopt_report(state, event.now, event.report)
+    for collection in collections:
+        effects.extend(_APPLY_BY_COLLECTION[collection](state, event.now))
+    return effects
+
+
 def _on_store_lost(state: NodeState, event: StoreLost) -> list[Effect]:
     state.is_store_lost = True
     return []
@@ -264,6 +280,8 @@
     effects = note_era(state, event.now, era)
     if should_pull(state, event.now, beacon):
         effects.append(PullSnapshots(event.sender))
+    if is_outranked(state, event.now, beacon):
+        effects.append(AskPeer(event.sender))
     cache = state.snapshot_cache
     knows_more = bool(cache.select_newer(beacon.position_by_collection))
     if knows_more and state.beacon_answers.take(beacon, cache.list_changed_positions()):
@@ -364,6 +382,8 @@
     CollectionListed: _on_listed,
     CollectionChanged: _on_changed,
     SnapshotsReceived: _on_snapshots,
+    InForceReported: _on_in_force,
+    TakeoverEnded: handle_takeover_ended,
     StoreLost: _on_store_lost,
     BeaconReceived: _on_beacon,
     PeerLost: _on_peer_lost,
--- a/src/tamaracktray/node_state.py
+++ b/src/tamaracktray/node_state.py
@@ -12,7 +12,7 @@
 from tamaracktray.peers import Peers
 from tamaracktray.quarantine_records import QuarantineRecords
 from tamaracktray.roster import Roster
-from tamaracktray.routes import RouteIndex, Service
+from tamaracktray.routes import RouteIndex, RoutingTable, Service
 from tamaracktray.snapshots import Collection, SnapshotCache
 from tamaracktray.staging_state import StagingState
 from tamaracktray.types import Address, Role
@@ -47,6 +47,42 @@
         return True
 
 
+class Takeover:
+    """What this process has learned from peers about what they have in force.
+
+    ``is_over`` is unset while a process that has just started asks them. ``table`` is
+    a routing table that a peer had in force and the store lacked.
+    """
+
+    __slots__ = ("_asked", "_informed_deadline", "is_over", "table")
+
+    def __init__(self) -> None:
+        self.is_over = True
+        self.table: RoutingTable | None = None
+        self._informed_deadline = 0.0
+        self._asked: set[tuple[str, int]] = set()
+
+    def begin(self, informed_deadline: float) -> None:
+        """Start to ask; writers have repeated lost changes by the deadline."""
+        self.is_over = False
+        self._informed_deadline = informed_deadline
+
+    def note_informed(self) -> None:
+        """Note that a peer has answered that ran before or has heard from one."""
+        self._informed_deadline = 0.0
+
+    def is_informed(self, now: float) -> bool:
+        """Return whether this process knows all that the store may have lost."""
+        return now >= self._informed_deadline
+
+    def take_question(self, now: float, name: str, incarnation: int) -> bool:
+        """Return whether to ask a peer that appeared late; each start is asked once."""
+        if self.is_informed(now) or (name, incarnation) in self._asked:
+            return False
+        self._asked.add((name, incarnation))
+        return True
+
+
 class NodeState:
     """State of one process, either an entry or an agent.
 
@@ -95,6 +131,7 @@
         "engine_service",
         "staging",
         "store_era",
+        "takeover",
         "reachable_names",
         "target_by_model",
         "turn_target_by_model",
@@ -123,6 +160,7 @@
         self.region_by_zone = region_by_zone
         self.snapshot_cache = SnapshotCache(followed, initial)
         self.store_era = StoreEra()
+        self.takeover = Takeover()
         self.roster = Roster(OUTAGE_RECOVERY_S)
         self.quarantine_records = QuarantineRecords()
         self.crashes = CrashWatch(quarantine_s, heartbeat_s)
@@ -156,10 +194,15 @@
         self.own_engine: Address | None = None
 
     @property
-    def is_initialized(self) -> bool:
+    def has_configuration(self) -> bool:
         """Whether the process has the data that it needs to answer callers."""
         return self.snapshot_cache.is_complete and self.index is not None
 
+    @property
+    def is_initialized(self) -> bool:
+        """Whether the process has that data and has asked its peers for newer data."""
+        return self.takeover.is_over and self.has_configuration
+
     @property
     def services_by_name(self) -> dict[str, Service]:
         """The configured services by name, empty before the first routing table."""
--- a/src/tamaracktray/peer_pulls.py
+++ b/src/tamaracktray/peer_pulls.py
@@ -43,7 +43,7 @@
         if beacon.name == state.newer_peer:
             state.newer_peer = ""
         return False
-    if not state.is_initialized:
+    if not state.has_configuration:
         return True
     if not state.newer_peer:
         state.newer_peer = beacon.name
--- a/src/tamaracktray/roster.py
+++ b/src/tamaracktray/roster.py
@@ -113,6 +113,29 @@
         """
         self._hold_deadline = deadline
 
+    def adopt_departed(
+        self, now: float, incarnations: Iterable[tuple[str, int]], deadline: float
+    ) -> None:
+        """Hold endpoints too that a peer has seen leave."""
+        departed = self._departed_by_incarnation
+        for endpoint_id, start_time_ms in incarnations:
+            departed.setdefault((endpoint_id, start_time_ms), now)
+        self.hold_departed(deadline)
+
+    def list_departed(self, now: float) -> list[tuple[str, int]]:
+        """Return the id and start time of endpoints that have left or are leaving."""
+        departed = [
+            incarnation
+            for incarnation, departed_at in self._departed_by_incarnation.items()
+            if now - departed_at < DEPARTED_MEMORY_S
+        ]
+        leaving = [
+            (record.id, record.start_time_ms)
+            for record in self.records_by_id.values()
+            if record.is_draining
+        ]
+        return list(dict.fromkeys(departed + leaving))
+
     def _hold(self, now: float, record: EndpointRecord) -> EndpointRecord:
         incarnation = (record.id, record.start_time_ms)
         if now >= self._hold_deadline:
--- a/src/tamaracktray/version_following.py
+++ b/src/tamaracktray/version_following.py
@@ -69,7 +69,7 @@
     for target in targets:
         known = state.target_by_model.get(target.model)
         if known is not None and known.version >= target.version:
-            effects.extend(_apply_records(state, now, target))
+            effects.extend(apply_records(state, now, target))
             continue
         state.target_by_model[target.model] = target
         # A process that has just started doesn't know when the version was announced,
@@ -80,7 +80,7 @@
         state.announcements.add(target.model, target.version, announced_at, reported_at)
         age_s = None if announced_at is None else 0.0
         effects.append(LogAnnouncement(target.model, target.version, age_s))
-        effects.extend(_apply_records(state, now, target))
+        effects.extend(apply_records(state, now, target))
         if not state.has_versions:
             # Agents may already have most chunks of a version announced before the
             # start, so it is not prefetched.
@@ -100,7 +100,7 @@
     return effects
 
 
-def _apply_records(state: NodeState, now: float, target: VersionTarget) -> list[Effect]:
+def apply_records(state: NodeState, now: float, target: VersionTarget) -> list[Effect]:
     """Apply recorded times of announcements that this process did not observe."""
     effects: list[Effect] = []
     for announcement in read_records(target, now, state.unix_offset_s):
