Refuse unknown keys on public routes

Callers saw: a request on a public route whose key an entry didn't know ran as a request without a team, in any region and without the team's name. An entry that had not heard of a new team sent its calls out of their regions that way, and a dropped or made-up key ran.

Cause: a public route needs no key, and an unknown key was read as none.

Change: a request without a key passes on a public route as before. While the store is lost or settles after a restore, the key may be newer than the table: such a request, on any route, gets 503 with Retry-After instead, so that nobody is denied for a key that is not known here yet.

An entry that is late and does not know it still answers 401 in that time, on public routes now as it did on the others: until it has read the change, the older configuration is in force there.

Measured: before the change, a request of a team that was added while the store was away ran in a region that the team forbids, through real sockets (`test_region_changes`), and the test of event orders found a call that was sent on a public route after its key was dropped. Both hold now.

--- a/src/tamaracktray/call_building.py
+++ b/src/tamaracktray/call_building.py
@@ -37,12 +37,21 @@
 
 
 def build_call(
-    now: float, index: RouteIndex, request: Request, fields: CallerFields
+    now: float,
+    index: RouteIndex,
+    request: Request,
+    fields: CallerFields,
+    *,
+    is_up_to_date: bool = True,
 ) -> Result[Call, Refusal]:
-    """Return the call for a request, or the refusal if the table forbids it."""
+    """Return the call for a request, or the refusal if the table forbids it.
+
+    ``is_up_to_date`` is unset if the table may lack changes.
+    """
     host = request.headers.get("host", "").partition(":")[0].lower()
     path = request.target.partition("?")[0]
-    return find_binding(index, host, path, fields.key).map(
+    found = find_binding(index, host, path, fields.key, is_up_to_date=is_up_to_date)
+    return found.map(
         lambda binding: _create_call(now, index, binding, host, path, request, fields)
     )
 
--- a/tests/test_call_decisions.py
+++ b/tests/test_call_decisions.py
@@ -242,7 +242,9 @@
         routes = [
             route for route in table.routes if call.path.startswith(route.path_prefix)
         ]
-        if not routes or not (holders or routes[0].is_public):
+        if not routes or (call.key and not holders):
+            return False
+        if not call.key and not routes[0].is_public:
             return False
         if decision.team != (holders[0].name if holders else ""):
             return False
--- a/tests/test_rebinding.py
+++ b/tests/test_rebinding.py
@@ -32,7 +32,7 @@
 )
 from tamaracktray.effects import Effect
 from tamaracktray.http_messages import Request
-from tamaracktray.node_events import CollectionListed
+from tamaracktray.node_events import CollectionListed, SnapshotsReceived, StoreLost
 from tamaracktray.node_reducer import reduce_node
 from tamaracktray.objects import StoredObject
 from tamaracktray.outcomes import AttemptPhase
@@ -45,6 +45,7 @@
 SAFE = build_route(RepeatKind.SAFE, ORDERS)
 UNSAFE = build_route(RepeatKind.UNSAFE, ORDERS)
 STREAM = build_route(RepeatKind.STREAM, "engines")
+PUBLIC = build_route(RepeatKind.SAFE, ORDERS, is_public=True)
 
 # Workers of both regions with one slot each.
 NEAR = worker("near", max_batch=1)
@@ -294,6 +295,37 @@
         assert not sent(effects)
 
 
+class TestPublicRoutes:
+    """A key that is known no longer must not run without the regions of its team."""
+
+    def test_waiting_call_with_a_dropped_key_is_refused(self):
+        entry = Entry(NEAR, route=PUBLIC)
+        entry.arrive("a")
+        entry.arrive("b")
+        effects = entry.configure(team("red", "other"), is_public=True)
+        assert list_refusals(effects) == [(401, RunState.NOT_RUN)]
+
+    def test_key_that_may_be_unheard_of_is_not_denied(self):
+        entry = Entry(NEAR, route=PUBLIC)
+        entry.arrive("a")
+        entry.arrive("b")
+        entry.feed(StoreLost(entry.now))
+        revision = entry.version + 1
+        table = RoutingTable(revision, (PUBLIC,), SERVICES, (team("red", "other"),))
+        known = entry.state.snapshot_cache.by_collection[Collection.ROUTING]
+        objects = [StoredObject("main", revision, table)]
+        newer = known.replace_all(objects, revision, 1)
+        effects = entry.feed(SnapshotsReceived(entry.now, {Collection.ROUTING: newer}))
+        assert list_refusals(effects) == [(503, RunState.NOT_RUN)]
+
+    def test_call_without_a_key_goes_on(self):
+        entry = Entry(NEAR, FAR, route=PUBLIC)
+        entry.arrive("a")
+        call = msgspec.structs.replace(entry.build("b"), key="", team="")
+        entry.configure(team("red", "other"))
+        assert sent(entry.feed(CallArrived(entry.now, call))) == ["far"]
+
+
 class TestArrivals:
     def test_call_built_with_an_earlier_table_follows_the_one_in_force(self):
         entry = Entry(NEAR, FAR)
--- a/tests/test_region_changes.py
+++ b/tests/test_region_changes.py
@@ -20,6 +20,7 @@
 )
 from tamaracktray.types import Address
 from tamaracktray_emulator.platform.documents import build_route, build_tenant
+from tamaracktray_emulator.platform.store import Outage
 from tamaracktray_emulator.platform.worker import WorkerStandIn
 
 NEAR = "near"
@@ -96,6 +97,48 @@
         return set(self.workers[worker].runs)
 
 
+class TestUnknownKeys:
+    """A public route, and a team whose regions an entry has not heard of."""
+
+    def test_key_that_no_team_has_is_refused_on_a_public_route(self):
+        async def scenario(fleet: PlatformFleet) -> None:
+            fleet.routes.append(build_route("open", "safe", ORDERS, public=True))
+            await fleet.start()
+            worker = await fleet.add_worker(NEAR)
+            await fleet.until_listed(1)
+            assert (await fleet.call("/open/1", "id-1", key="bad")).status == 401
+            assert (await fleet.call("/open/1", "id-2", key="")).status == 200
+            assert (await fleet.call("/open/1", "id-3")).status == 200
+            assert set(worker.runs) == {"id-2", "id-3"}
+
+        run_fleet(scenario)
+
+    def test_key_that_was_added_while_the_store_was_away_is_not_denied(self):
+        async def scenario(fleet: PlatformFleet) -> None:
+            fleet.routes.append(build_route("open", "safe", ORDERS, public=True))
+            await fleet.start()
+            near = await fleet.add_worker(NEAR)
+            far = await fleet.add_worker(FAR, "zone-b")
+            await fleet.until_listed(2)
+            entry = fleet.entries[0]
+            fleet.store.faults.outage = Outage.RESET
+            await fleet.until(lambda: entry.state.is_store_lost)
+            fleet.tenants.append(
+                build_tenant("new", "new-key", allowedRegions=["region-b"])
+            )
+            fleet.configure()
+            reply = await fleet.call("/open/1", "early", key="new-key")
+            assert reply.status == 503
+            assert float(reply.headers["retry-after"]) > 0
+            fleet.store.faults.outage = Outage.NONE
+            await fleet.until(lambda: entry.state.index.table.version == fleet.version)
+            await fleet.until(lambda: not entry.state.is_store_lost)
+            assert (await fleet.call("/open/1", "late", key="new-key")).status == 200
+            assert (set(near.runs), set(far.runs)) == (set(), {"late"})
+
+        run_fleet(scenario)
+
+
 class TestWaitingCalls:
     @pytest.mark.parametrize(
         ("allowed", "forbidden", "region"),
