Order no older version than an engine has

An agent that started beside a store restored from an older copy, with nobody left who knew the newer version, ordered the version of the copy although its engine served a newer one: callers lost the engine for the time of a load, and would have been answered by an older version than the one named.

Cause: a version counted as brought into service only if the engine had loaded exactly that one. Versions that are named only rise, so a newer one in the engine shows a newer naming that the store has lost. It now counts as served.

Without the change the engine had unloaded version 3 within 2 s (version 0 instead of 3). With it, the 145 tests of test_takeovers, test_swap_turns, test_stage_checks, test_frozen_agents, test_platform_versions and test_announcement_records pass.

--- a/src/tamaracktray/staging.py
+++ b/src/tamaracktray/staging.py
@@ -238,11 +238,12 @@
 
 
 def _is_served(state: StagingState, work: VersionWork) -> bool:
+    """Return whether the engine has loaded the version or a newer one."""
     report = state.report
     if report is None or report.is_busy:
         return False
     loaded = report.find_model(state.model)
-    return loaded is not None and loaded.version == work.version
+    return loaded is not None and loaded.version >= work.version
 
 
 def _retry_load(state: StagingState, now: float) -> None:
--- a/tests/test_takeovers.py
+++ b/tests/test_takeovers.py
@@ -345,6 +345,27 @@
 
         run_fleet(scenario, version_ms=3_000.0)
 
+    def test_started_agent_orders_no_older_version_than_its_engine_has(self):
+        async def scenario(fleet: PlatformFleet) -> None:
+            await start_fleet(fleet)
+            fleet.store.write("versions", MODEL, {"model": MODEL, "version": 2})
+            await curio.sleep(0.3)
+            copy = fleet.store.copy()
+            fleet.store.write("versions", MODEL, {"model": MODEL, "version": 3})
+            await curio.sleep(0.3)
+            for entry in fleet.entries:
+                await entry.kill()
+            await restore(fleet, copy)
+            engine = await fleet.add_engine("e-1", version=3)
+            for number in range(3):
+                await fleet.restart_entry(number)
+            await fleet.add_agent(engine)
+            for _ in range(20):
+                assert engine.version == 3
+                await curio.sleep(0.1)
+
+        run_fleet(scenario, version_ms=3_000.0)
+
 
 class TestPeersKnown:
     def test_peers_known_only_by_seeds_are_asked(self):
