Send the next write to the stage only after the one before

What callers saw: an engine loaded a version with one chunk of the version before, and answered with it until the next version.

Cause: a write without an answer within 1 s was given up and sent again over another connection, and others followed it. The engine may execute the first one at any time after that, also when a newer version's chunk has been staged at its place, and a chunk that was written less than 2 s ago is not read back before the order. The connection was closed in order, so bytes that a broken link held up were delivered later, too.

--- a/src/tamaracktray/connections.py
+++ b/src/tamaracktray/connections.py
@@ -13,6 +13,8 @@
 KEEPALIVE_INTERVAL_S = 1
 KEEPALIVE_PROBES = 2
 
+MS_PER_S = 1_000.0
+
 CONNECTION_OPTIONS = (
     (socket_module.IPPROTO_TCP, socket_module.TCP_NODELAY, 1),
     (socket_module.SOL_SOCKET, socket_module.SO_KEEPALIVE, 1),
@@ -42,6 +44,15 @@
     return socket
 
 
+def limit_silence(socket: curio.io.Socket, timeout_s: float) -> None:
+    """Fail a connection on which sent bytes are not acknowledged for a time."""
+    socket.setsockopt(
+        socket_module.IPPROTO_TCP,
+        socket_module.TCP_USER_TIMEOUT,
+        round(timeout_s * MS_PER_S),
+    )
+
+
 async def refuses_connections(address: Address, timeout_s: float) -> bool:
     """Return whether nothing listens at an address; no answer at all proves nothing."""
     try:
--- a/src/tamaracktray/persistent_client.py
+++ b/src/tamaracktray/persistent_client.py
@@ -4,7 +4,7 @@
 import h11
 from returns.result import Failure, Result, Success
 
-from tamaracktray.connections import connect
+from tamaracktray.connections import connect, limit_silence, reset_on_close
 from tamaracktray.exceptions import TransportError
 from tamaracktray.exchange import Exchange
 from tamaracktray.http import peek
@@ -21,14 +21,26 @@
     Only for idempotent requests: one that fails on a reused connection, which the
     server may have closed, is sent again on a new connection. Each request has an id in
     the header ``id_header``, if that is set; an answer with another id is late and
-    belongs to an earlier request.
+    belongs to an earlier request. If ``silence_s`` is set, a connection on which the
+    server's machine acknowledges nothing for that many seconds is lost.
     """
 
-    __slots__ = ("_address", "_connection", "_id_header", "_lock", "_sent", "_socket")
-
-    def __init__(self, address: Address, id_header: str = "") -> None:
+    __slots__ = (
+        "_address",
+        "_connection",
+        "_id_header",
+        "_lock",
+        "_sent",
+        "_silence_s",
+        "_socket",
+    )
+
+    def __init__(
+        self, address: Address, id_header: str = "", silence_s: float = 0.0
+    ) -> None:
         self._address = address
         self._id_header = id_header
+        self._silence_s = silence_s
         self._sent = 0
         self._lock = curio.Lock()
         self._socket: curio.io.Socket | None = None
@@ -43,10 +55,13 @@
         *,
         timeout_s: float = 5.0,
         max_bytes: int = 4 * 1_048_576,
+        repeat_unanswered: bool = True,
     ) -> Result[Reply, TransportError]:
         """Send a request and return the complete answer.
 
-        Each of up to two tries fails after ``timeout_s`` seconds.
+        Each of up to two tries fails after ``timeout_s`` seconds. The server may still
+        execute a request that it has not answered in time; unset ``repeat_unanswered``
+        if it must not be overtaken by its repeat.
         """
         async with self._lock:
             is_reused = self._socket is not None
@@ -55,6 +70,8 @@
             )
             if isinstance(reply, Success) or not is_reused:
                 return reply
+            if reply.failure().is_timeout and not repeat_unanswered:
+                return reply
             return await self._fetch_once(
                 method, target, headers, body, timeout_s, max_bytes
             )
@@ -75,14 +92,14 @@
                 )
             )
         except curio.TaskTimeout:
-            await self._close()
+            await self._abandon()
             message = f"{self._address}: no complete answer within {timeout_s:g} s"
-            return Failure(TransportError(message, sent=True))
+            return Failure(TransportError(message, sent=True, is_timeout=True))
         except curio.CancelledError:
-            await self._close()
+            await self._abandon()
             raise
         except (OSError, h11.ProtocolError) as error:
-            await self._close()
+            await self._abandon()
             return Failure(TransportError(f"{self._address}: {error}", sent=True))
 
     async def _send(
@@ -98,6 +115,8 @@
             await self._close()
         if self._socket is None or self._connection is None:
             self._socket = await connect(self._address)
+            if self._silence_s:
+                limit_silence(self._socket, self._silence_s)
             self._connection = h11.Connection(h11.CLIENT)
         connection, socket = self._connection, self._socket
         framing = [("content-length", str(len(body))), ("host", str(self._address))]
@@ -121,6 +140,12 @@
             await self._close()
         return reply
 
+    async def _abandon(self) -> None:
+        """Close the connection such that unsent bytes are not delivered later."""
+        if self._socket is not None:
+            reset_on_close(self._socket)
+        await self._close()
+
     async def _close(self) -> None:
         if self._socket is not None:
             await self._socket.close()
