Stage no other version while an unanswered order may begin

What callers saw: an engine loaded version 2 with chunks of version 3, and answered with it until version 3 was loaded.

Cause: an order without an answer was followed by another attempt at the same version, but once the engine had been silent for 1 s the agent forgot it, and went over to a version that was named meanwhile. The engine takes the order when it resumes, and loads its stage as it is at that moment, half of it already written over.

Change: after an order without an answer, the agent stays with its version until a report shows that the engine has begun an order or has restarted, or for 10 s; a newer version follows. A repeat of the order settles the first one, as both name the same sequence number.

Test: an engine hangs for 3 s as it gets the order for version 2, version 3 is named, and the engine takes the order when half of version 3 is staged, or after another 5 s.

What remains: chunks that turn bad while the order waits at an engine that hangs are loaded with it. An agent that starts doesn't know of an order that its predecessor sent.

--- a/src/tamaracktray/engines.py
+++ b/src/tamaracktray/engines.py
@@ -90,7 +90,11 @@
 
     def fits(self, report: EngineReport) -> bool:
         """Return whether the order is still valid by the engine's latest report."""
-        if report.is_busy or report.start_time_ms != self.start_time_ms:
+        return not report.is_busy and self.may_begin(report)
+
+    def may_begin(self, report: EngineReport) -> bool:
+        """Return whether the engine may begin the order after this report."""
+        if report.start_time_ms != self.start_time_ms:
             return False
         return report.sequence == self.sequence
 
--- a/src/tamaracktray/staging.py
+++ b/src/tamaracktray/staging.py
@@ -42,6 +42,10 @@
 MANIFEST_RETRY_S = 0.2
 ORDER_RETRY_S = 0.1
 
+# Time after which an order without an answer counts as lost, in seconds. The engine may
+# begin it until then, so no other version is staged.
+UNANSWERED_ORDER_S = 10.0
+
 # Time without an answer after which an engine counts as down, in seconds.
 ENGINE_TIMEOUT_S = 1.0
 
@@ -62,7 +66,7 @@
     work = VersionWork(version, now, announced_at + state.version_bound_s)
     if state.current is None or state.step is Step.DONE:
         _start_work(state, work)
-    elif may_skip(state, now):
+    elif may_skip(state, now) and not state.may_begin_order(now):
         work.skipped_due_at = state.current.due_at
         work.due_at = min(work.due_at, work.skipped_due_at)
         _start_work(state, work)
@@ -93,6 +97,9 @@
     """Store the engine's report; reset the stage if the engine has restarted."""
     previous = state.report
     state.report = event.report
+    order = state.sent_order
+    if order is not None and not order.may_begin(event.report):
+        state.unanswered_order_deadline = 0.0
     state.last_report_at = event.now
     state.is_probed = True
     if previous is None or previous.start_time_ms != event.report.start_time_ms:
@@ -186,6 +193,8 @@
 def handle_order_answered(state: StagingState, event: OrderAnswered) -> list[Effect]:
     """Handle the engine's answer to a load order."""
     state.is_ordering = False
+    if event.outcome is None:
+        state.unanswered_order_deadline = event.now + UNANSWERED_ORDER_S
     work = state.current
     if work is None or work.version != event.version or state.step is not Step.ORDER:
         return advance(state, event.now)
@@ -335,4 +344,5 @@
         deadline=checked_at + ORDER_TTL_S,
         start_time_ms=state.report.start_time_ms,
     )
+    state.sent_order = order
     return [SendOrder(order)]
--- a/src/tamaracktray/staging_state.py
+++ b/src/tamaracktray/staging_state.py
@@ -5,7 +5,7 @@
 
 import msgspec
 
-from tamaracktray.engines import EngineReport
+from tamaracktray.engines import EngineReport, StartOrder
 from tamaracktray.weights import Manifest
 
 
@@ -96,7 +96,9 @@
     is the version to work on after ``current``. Reads and writes of the stage that
     began before ``stage_began_at``, in seconds of ``clocks.read_elapsed``, may be of an
     earlier start of the engine. ``suspended_s`` is by how much the
-    monotonic clock is behind ``clocks.read_elapsed``.
+    monotonic clock is behind ``clocks.read_elapsed``. The engine may still begin
+    ``sent_order``, the last order, while it is being sent and, if it got no answer,
+    until ``unanswered_order_deadline``.
     """
 
     __slots__ = (
@@ -117,11 +119,13 @@
         "name",
         "order_retry_deadline",
         "report",
+        "sent_order",
         "stage_began_at",
         "stage_by_index",
         "step",
         "suspended_s",
         "turn",
+        "unanswered_order_deadline",
         "version_bound_s",
     )
 
@@ -147,6 +151,8 @@
         self.manifest_retry_deadline = 0.0
         self.fetch_retry_deadline = 0.0
         self.order_retry_deadline = 0.0
+        self.sent_order: StartOrder | None = None
+        self.unanswered_order_deadline = 0.0
         self.stage_began_at = 0.0
         self.suspended_s = 0.0
 
@@ -154,6 +160,10 @@
         """Return the time of ``clocks.read_elapsed`` at a monotonic time."""
         return now + self.suspended_s
 
+    def may_begin_order(self, now: float) -> bool:
+        """Return whether the engine may still begin an order sent earlier."""
+        return self.is_ordering or now < self.unanswered_order_deadline
+
     @property
     def is_swapping(self) -> bool:
         """Whether a load order keeps the engine from accepting new work."""
