--- a/src/tamaracktray/agent_process.py
+++ b/src/tamaracktray/agent_process.py
@@ -299,6 +299,7 @@
 
     async def _send_order(self, effect: SendOrder) -> None:
         order = effect.order
+        began_at = read_elapsed()
         # Calls that arrive after the order wait for the load, so notify entries first.
         await self._send_changed_status()
         await curio.sleep(ORDER_DELAY_S)
@@ -313,6 +314,8 @@
             version=order.version,
             sequence=order.sequence,
             outcome=None if outcome is None else outcome.value,
+            waited_s=round(read_elapsed() - began_at, 3),
+            left_s=round(order.deadline - read_elapsed(), 3),
         )
         await self.dispatch(OrderAnswered(time.monotonic(), order.version, outcome))
 
