Judge endpoints that leave by what each entry had to know

"endpoint that leaves" judges a departure only if nobody in the fleet had a fault from 3 s before it to 3 s after it, so a departure that an entry knew was not judged during an outage of the store, beside a restart of another entry, or after a restore.

"nothing to what has left" judges every request that reaches an endpoint listed as leaving, or no more: from 2 s after the departure, at an entry in touch, unless the entry or its path to the endpoint was disturbed. Requests meant for another incarnation do not count, as they get 421. The older check stays. The module is named after what it checks now, and the sequence with a restart stands beside the restores that it shares.

--- a/src/tamaracktray_emulator/soak/home_checks.py
+++ b/src/tamaracktray_emulator/soak/binding_checks.py
@@ -1,4 +1,4 @@
-"""Checks that requests reach endpoints only in the home regions of route and team."""
+"""Checks that entries keep to home regions and to the departures of endpoints."""
 
 import math
 
@@ -7,9 +7,9 @@
 from tamaracktray_emulator.soak.fault_log import FaultLog, FaultPeriod
 from tamaracktray_emulator.soak.record import Arrival, SoakCall, SoakRecord
 
-# Bounds within which a configuration must be in force, and after which a process is in
+# Time after which a configuration or a departure binds, and after which a process is in
 # touch again, in seconds.
-CONFIG_BOUND_S = 2.0
+BOUND_S = 2.0
 CONTACT_S = 3.0
 
 # Ends of the names of faults that disturb the store for all processes.
@@ -46,12 +46,37 @@
     stopped_at: float = math.inf
 
 
-class HomeLog:
-    """The configurations' homes and the incarnations of entries, oldest first."""
+class Departure(msgspec.Struct):
+    """Time in which an endpoint is listed as leaving or not at all."""
+
+    endpoint: str
+    start: float
+    end: float = math.inf
+
+
+class BindingLog:
+    """What was listed, and the incarnations of entries, oldest first."""
 
     def __init__(self) -> None:
         self.homes: list[Homes] = []
         self.runs_by_entry: dict[str, list[ProcessRun]] = {}
+        self.departures: list[Departure] = []
+
+    def note_listed(self, endpoint: str, is_leaving: bool, now: float) -> None:
+        """Record that an endpoint is listed, or that it is leaving or not listed."""
+        last = self.find_departure(endpoint, now)
+        if last is None and is_leaving:
+            self.departures.append(Departure(endpoint, now))
+        elif last is not None and not is_leaving:
+            last.end = now
+
+    def find_departure(self, endpoint: str, moment: float) -> Departure | None:
+        """Return the departure of an endpoint that lasts at a moment."""
+        for departure in self.departures:
+            is_due = departure.start <= moment < departure.end
+            if departure.endpoint == endpoint and is_due:
+                return departure
+        return None
 
     def note_start(self, entry: str, now: float) -> None:
         """Add an incarnation of an entry, which ends the one before."""
@@ -71,10 +96,10 @@
         return next((run for run in reversed(runs) if run.started_at <= moment), None)
 
 
-class HomeChecker:
+class BindingChecker:
     """Checks all arrivals of a soak once it is over.
 
-    A configuration binds an entry from the moment at which it is in touch and the bound
+    A change binds an entry from the moment at which it is in touch and the bound
     has passed, for the rest of its incarnation, whatever happens to the store. A new
     incarnation is bound by what an undisturbed peer had to know as it started.
     """
@@ -83,12 +108,12 @@
         self,
         record: SoakRecord,
         fault_log: FaultLog,
-        home_log: HomeLog,
+        binding_log: BindingLog,
         region_by_zone: dict[str, str],
     ) -> None:
         self._record = record
         self._fault_log = fault_log
-        self._log = home_log
+        self._log = binding_log
         self._region_by_zone = region_by_zone
 
     def check(self) -> None:
@@ -105,6 +130,26 @@
                 f"{arrival.at - possible[0].at:.1f} s after the homes that bind it"
             )
             self._record.check("home regions kept", holds, arrival.at, detail)
+            departure = self._log.find_departure(arrival.endpoint, arrival.at)
+            if departure is not None and arrival.is_addressed:
+                self._check_departure(departure, call, arrival)
+
+    def _check_departure(
+        self, departure: Departure, call: SoakCall, arrival: Arrival
+    ) -> None:
+        """Check that a request by an entry in touch has not come too late."""
+        run = self._log.find_run(call.entry, call.sent_at)
+        path = f"path to {arrival.endpoint.partition('.')[0]}"
+        start = call.sent_at - CONTACT_S
+        is_disturbed = any(
+            self._fault_log.has_fault(subject, start, arrival.at)
+            for subject in (call.entry, path)
+        )
+        if run is None or is_disturbed or run.stopped_at <= arrival.at:
+            return
+        holds = arrival.at <= self._compute_bound_at(departure.start, call.entry, run)
+        detail = f"{call.id} by {call.entry} at {arrival.endpoint}"
+        self._record.check("nothing to what has left", holds, arrival.at, detail)
 
     def _list_possible(self, call: SoakCall, arrival: Arrival) -> list[Homes]:
         """Return the configurations that may be in force, the oldest first."""
@@ -121,7 +166,7 @@
         run = self._log.find_run(entry, moment)
         if run is None:
             return False
-        if self._compute_bound_at(homes, entry, run) <= moment:
+        if self._compute_bound_at(homes.at, entry, run) <= moment:
             return True
         return any(
             self._is_known_by(peer, homes, run.started_at, moment)
@@ -136,11 +181,11 @@
             return False
         if self._fault_log.has_fault(f"pause {entry}", start, end):
             return False
-        return self._compute_bound_at(homes, entry, run) <= start
+        return self._compute_bound_at(homes.at, entry, run) <= start
 
-    def _compute_bound_at(self, homes: Homes, entry: str, run: ProcessRun) -> float:
-        """Return when homes begin to bind an incarnation; ``inf`` if they never do."""
-        moment = max(homes.at + CONFIG_BOUND_S, run.started_at + CONTACT_S)
+    def _compute_bound_at(self, at: float, entry: str, run: ProcessRun) -> float:
+        """Return when a change binds an incarnation; ``inf`` if it never does."""
+        moment = max(at + BOUND_S, run.started_at + CONTACT_S)
         for period in self._fault_log.list_periods():
             if not self._disturbs(period, entry):
                 continue
--- a/src/tamaracktray_emulator/soak/endpoints.py
+++ b/src/tamaracktray_emulator/soak/endpoints.py
@@ -11,6 +11,7 @@
 from tamaracktray.types import Address
 from tamaracktray_emulator.platform.origin import list_digests
 from tamaracktray_emulator.platform.worker import (
+    EXPECTED_ENDPOINT,
     VERSION,
     EngineStandIn,
     Mode,
@@ -59,8 +60,10 @@
         call_id = request.headers.get(REQUEST_ID, "")
         if call_id in self.record.calls_by_id:
             now = time.monotonic() - self.started
-            arrival = Arrival(now, call_id, self.id, self.zone)
-            self.record.arrivals.append(arrival)
+            is_addressed = request.headers.get(EXPECTED_ENDPOINT, self.id) == self.id
+            self.record.arrivals.append(
+                Arrival(now, call_id, self.id, self.zone, is_addressed)
+            )
         await super().answer(request, responder)
 
     def note_arrival(self, request: Request) -> None:
--- a/src/tamaracktray_emulator/soak/fleet.py
+++ b/src/tamaracktray_emulator/soak/fleet.py
@@ -24,8 +24,8 @@
 )
 from tamaracktray_emulator.platform.origin import OriginStandIn
 from tamaracktray_emulator.platform.store import PlatformStoreStandIn
+from tamaracktray_emulator.soak.binding_checks import BindingLog, Homes
 from tamaracktray_emulator.soak.endpoints import SoakEngine, SoakWorker
-from tamaracktray_emulator.soak.home_checks import HomeLog, Homes
 from tamaracktray_emulator.soak.plan import SoakPlan
 from tamaracktray_emulator.soak.proxy import FaultProxy
 from tamaracktray_emulator.soak.record import SoakRecord
@@ -89,7 +89,7 @@
             build_route("look", "safe", ORDERS),
             build_route("order", "unsafe", ORDERS, maxAttempts=1),
         ]
-        self.home_log = HomeLog()
+        self.binding_log = BindingLog()
         self.team_regions: tuple[str, ...] = ()
         self.regions_by_route: dict[str, tuple[str, ...]] = {}
         self._tasks: list[curio.Task] = []
@@ -160,6 +160,8 @@
     def list_endpoint(self, endpoint: SoakWorker | SoakEngine, **fields: Any) -> None:
         """Write the endpoint's record to the store."""
         entry = endpoint.describe(endpoint.zone, **fields)
+        is_leaving = entry["state"] == "draining"
+        self.binding_log.note_listed(endpoint.id, is_leaving, self.now)
         self.store.write("servers", endpoint.id, entry)
 
     def restart_engine(self, engine: SoakEngine) -> None:
@@ -178,6 +180,7 @@
 
     def unlist_endpoint(self, name: str) -> None:
         """Remove an endpoint's record from the store, if present."""
+        self.binding_log.note_listed(name, True, self.now)
         self.store.withdraw("servers", name)
 
     def configure(self) -> int:
@@ -206,7 +209,7 @@
             item["pathPrefix"]: tuple(item["allowedRegions"]) for item in routes
         }
         homes = Homes(self.now, self.team_regions, regions_by_prefix)
-        self.home_log.homes.append(homes)
+        self.binding_log.homes.append(homes)
         return self.version
 
     def announce_version(self, version: int) -> None:
@@ -266,7 +269,7 @@
         daemon.is_stop_expected = False
         daemon.launched_at = self.now
         if daemon.role is Role.ENTRY:
-            self.home_log.note_start(daemon.name, self.now)
+            self.binding_log.note_start(daemon.name, self.now)
         log = daemon.settings.with_suffix(".log")
         with log.open("ab") as output:
             daemon.process = subprocess.Popen(
@@ -282,7 +285,7 @@
             return
         daemon.process.send_signal(number)
         if daemon.role is Role.ENTRY and number in (signal.SIGTERM, signal.SIGKILL):
-            self.home_log.note_stop(daemon.name, self.now)
+            self.binding_log.note_stop(daemon.name, self.now)
 
     async def wait_ended(self, daemon: Daemon, timeout_s: float) -> bool:
         """Wait until a process has exited; return ``False`` after the timeout."""
--- a/src/tamaracktray_emulator/soak/operations.py
+++ b/src/tamaracktray_emulator/soak/operations.py
@@ -10,6 +10,7 @@
 from tamaracktray.http_messages import Reply
 from tamaracktray.types import Address, Role
 from tamaracktray_emulator.platform.documents import build_route
+from tamaracktray_emulator.soak.binding_checks import CONTACT_S
 from tamaracktray_emulator.soak.callers import HOST, REQUEST_ID, Callers
 from tamaracktray_emulator.soak.fault_log import FaultLog
 from tamaracktray_emulator.soak.fleet import (
@@ -22,10 +23,10 @@
     SoakFleet,
     build_random,
 )
-from tamaracktray_emulator.soak.home_checks import CONFIG_BOUND_S, CONTACT_S
 from tamaracktray_emulator.soak.record import CallKind, SoakCall, SoakRecord
 
 # Bounds within which operations must take effect, in seconds.
+CONFIG_BOUND_S = 2.0
 EVACUATION_BOUND_S = 5.0
 DRAIN_BOUND_S = 2.0
 
--- a/src/tamaracktray_emulator/soak/record.py
+++ b/src/tamaracktray_emulator/soak/record.py
@@ -37,12 +37,16 @@
 
 
 class Arrival(msgspec.Struct, frozen=True):
-    """Arrival of a request at an endpoint, whether the endpoint ran it or not."""
+    """Arrival of a request at an endpoint, whether the endpoint ran it or not.
+
+    ``is_addressed`` is unset if it was meant for another one and so refused.
+    """
 
     at: float
     call_id: str
     endpoint: str
     zone: str
+    is_addressed: bool = True
 
 
 class SoakCall(msgspec.Struct):
--- a/src/tamaracktray_emulator/soak/run.py
+++ b/src/tamaracktray_emulator/soak/run.py
@@ -5,15 +5,14 @@
 
 import curio
 
+from tamaracktray_emulator.soak.binding_checks import BindingChecker
 from tamaracktray_emulator.soak.broken_answers import BrokenAnswerInjector
 from tamaracktray_emulator.soak.callers import Callers
-from tamaracktray_emulator.soak.copy_restarts import CopyRestartInjector
 from tamaracktray_emulator.soak.fatal_parts import FatalPartInjector
 from tamaracktray_emulator.soak.fatal_requests import FatalRequestInjector
 from tamaracktray_emulator.soak.fault_injector import FaultInjector
 from tamaracktray_emulator.soak.fault_log import FaultLog
 from tamaracktray_emulator.soak.fleet import REGION_BY_ZONE, TEAM, SoakFleet
-from tamaracktray_emulator.soak.home_checks import HomeChecker
 from tamaracktray_emulator.soak.limit_injector import LimitInjector
 from tamaracktray_emulator.soak.notice_checks import NoticeChecker
 from tamaracktray_emulator.soak.notice_injector import NoticeInjector
@@ -24,7 +23,10 @@
 from tamaracktray_emulator.soak.record import NOT_RUN_STATUSES, SoakRecord
 from tamaracktray_emulator.soak.region_injector import RegionInjector
 from tamaracktray_emulator.soak.scale_out import ScaleOutInjector
-from tamaracktray_emulator.soak.store_restores import StoreRestoreInjector
+from tamaracktray_emulator.soak.store_restores import (
+    CopyRestartInjector,
+    StoreRestoreInjector,
+)
 
 # Time that the processes have to start, in seconds.
 START_DELAY_S = 2.5
@@ -70,9 +72,9 @@
         tasks.append(await curio.spawn(probe_checker.run))
         fault_injector = FaultInjector(fleet, fault_log)
         options = []
-        restores = StoreRestoreInjector(fleet, fault_log, fault_injector, callers)
+        shared = (fleet, fault_log, fault_injector, callers)
         if plan.restores_store:
-            options.append(restores.run)
+            options.append(StoreRestoreInjector(*shared).run)
         if plan.scales_out:
             scale_out = ScaleOutInjector(fleet, fault_injector, notice_checker)
             options.append(scale_out.run)
@@ -90,10 +92,7 @@
             *options,
         ]
         if plan.restarts_on_copies:
-            restarts = CopyRestartInjector(
-                fleet, fault_log, callers, operations, restores
-            )
-            runs = [restarts.run]
+            runs = [CopyRestartInjector(*shared, operations).run]
         await _run_for(plan.duration_s, *runs)
         await fleet.restore()
         await curio.sleep(RECOVERY_S)
@@ -104,7 +103,7 @@
             await task.cancel()
     finally:
         await fleet.stop()
-    HomeChecker(record, fault_log, fleet.home_log, REGION_BY_ZONE).check()
+    BindingChecker(record, fault_log, fleet.binding_log, REGION_BY_ZONE).check()
     return _build_report(plan, record, fault_log)
 
 
--- a/src/tamaracktray_emulator/soak/store_restores.py
+++ b/src/tamaracktray_emulator/soak/store_restores.py
@@ -1,14 +1,19 @@
 """Restores the store from older copies during a soak."""
 
+import signal
 from collections.abc import Awaitable, Callable
+from functools import partial
 
 import curio
 
+from tamaracktray.types import Role
 from tamaracktray_emulator.platform.store import StoreCopy
 from tamaracktray_emulator.soak.callers import Callers
 from tamaracktray_emulator.soak.fault_injector import FaultInjector
-from tamaracktray_emulator.soak.fault_log import FaultLog
-from tamaracktray_emulator.soak.fleet import SoakFleet, build_random
+from tamaracktray_emulator.soak.fault_log import FaultLog, FaultPeriod
+from tamaracktray_emulator.soak.fleet import Daemon, SoakFleet, build_random
+from tamaracktray_emulator.soak.operations import Operations
+from tamaracktray_emulator.soak.region_injector import RegionInjector
 
 MEAN_PAUSE_S = 9.0
 
@@ -24,6 +29,18 @@
 # Time after a restore in which processes may hold departures, in seconds.
 SETTLING_S = 6.0
 
+# Times of the sequence with a restart, in seconds: from the changes to the outage, of
+# the outage, and from its end to the repeated writes.
+CHANGE_AGE_S = 4.5
+AWAY_S = 0.5
+GAP_S = 2.0
+
+# Time before the changes, in which the regions of the copy become known.
+SETTLED_S = 3.0
+
+# Time that a process has to end, or to start, in seconds.
+TURN_S = 1.0
+
 OPERATOR_KINDS = ("config", "evacuations", "versions")
 ENDPOINT_KINDS = ("servers",)
 
@@ -89,3 +106,43 @@
             entry = await self._fault_injector.kill_entry(self._gap_random)
             await curio.spawn(self._callers.press, entry, gap_s, daemon=True)
         await curio.sleep(gap_s)
+
+
+class CopyRestartInjector(StoreRestoreInjector):
+    """Changes regions and lets an endpoint leave; then the store forgets both."""
+
+    def __init__(
+        self,
+        fleet: SoakFleet,
+        fault_log: FaultLog,
+        fault_injector: FaultInjector,
+        callers: Callers,
+        operations: Operations,
+    ) -> None:
+        super().__init__(fleet, fault_log, fault_injector, callers)
+        self._operations = operations
+        self._regions = RegionInjector(fleet)
+
+    async def run(self) -> None:
+        """Repeat the sequence until cancelled."""
+        self._regions.move_team()
+        await curio.sleep(SETTLED_S)
+        async with curio.TaskGroup() as group:
+            while True:
+                copy = self._fleet.store.copy()
+                self._regions.move_team()
+                await group.spawn(self._operations.drain)
+                await curio.sleep(CHANGE_AGE_S)
+                entry = self._gap_random.choice(self._fleet.list_role(Role.ENTRY))
+                period = self._fault_log.begin(f"kill {entry.name}", self._fleet.now)
+                entry.is_stop_expected = True
+                self._fleet.send_signal(entry, signal.SIGKILL)
+                await self.restore(copy, AWAY_S, partial(self._start, entry, period))
+
+    async def _start(self, entry: Daemon, period: FaultPeriod) -> None:
+        """Start an entry and wait before the repeated writes."""
+        await self._fleet.wait_ended(entry, TURN_S)
+        self._fleet.launch(entry)
+        period.end = self._fleet.now + TURN_S
+        await curio.spawn(self._callers.press, entry.name, GAP_S, daemon=True)
+        await curio.sleep(GAP_S)
--- a/tests/test_soak_homes.py
+++ b/tests/test_soak_bindings.py
@@ -1,13 +1,14 @@
-"""The soak's own check that requests reach endpoints only in their home regions."""
+"""The soak's own checks of home regions and of endpoints that leave."""
 
 import curio
+import msgspec
 import pytest
 
 from tamaracktray.types import Address
 from tamaracktray_emulator.platform.store import PlatformStoreStandIn
+from tamaracktray_emulator.soak.binding_checks import BindingChecker, BindingLog, Homes
 from tamaracktray_emulator.soak.fault_log import FaultLog
 from tamaracktray_emulator.soak.fleet import REGION_BY_ZONE, ZONES, SoakFleet
-from tamaracktray_emulator.soak.home_checks import HomeChecker, HomeLog, Homes
 from tamaracktray_emulator.soak.plan import SoakPlan
 from tamaracktray_emulator.soak.record import (
     Arrival,
@@ -27,7 +28,7 @@
     def __init__(self) -> None:
         self.record = SoakRecord()
         self.faults = FaultLog()
-        self.log = HomeLog()
+        self.log = BindingLog()
         self.log.homes = [Homes(0.0, A, {}), Homes(10.0, C, {})]
         for entry in ("entry-0", "entry-1", "entry-2"):
             self.log.note_start(entry, 0.5)
@@ -55,11 +56,14 @@
         zone = ZONE_BY_REGION[region]
         self.record.arrivals = [Arrival(sent_at + took_s, "1", "w-0", zone)]
         self.record.violations.clear()
-        checker = HomeChecker(self.record, self.faults, self.log, REGION_BY_ZONE)
-        checker.check()
+        self.check()
         assert self.record.check_counts["home regions kept"]
         return not self.record.violations
 
+    def check(self) -> None:
+        checker = BindingChecker(self.record, self.faults, self.log, REGION_BY_ZONE)
+        checker.check()
+
 
 class TestBound:
     def test_change_binds_requests_sent_after_the_bound(self):
@@ -173,6 +177,60 @@
         assert not trial.holds(12.9, took_s=1.0)
 
 
+class TestDepartures:
+    def left(self, trial: Trial, arrived_at: float, **fields: object) -> bool:
+        """Return whether a call may arrive at an endpoint that left at 10 s."""
+        trial.log.homes = [Homes(0.0, (), {})]
+        trial.log.note_listed("w-0", True, 10.0)
+        trial.log.note_listed("w-0", True, 11.0)
+        return trial.holds(arrived_at - 0.01, **fields)
+
+    def test_request_after_the_bound_is_a_violation(self):
+        assert self.left(Trial(), 11.9)
+        assert not self.left(Trial(), 12.1)
+
+    def test_request_that_waited_is_judged_by_its_arrival(self):
+        assert not self.left(Trial(), 10.5, took_s=2.0)
+
+    def test_endpoint_that_is_listed_again_may_be_used(self):
+        trial = Trial()
+        assert not self.left(trial, 12.1)
+        trial.log.note_listed("w-0", False, 13.0)
+        assert trial.holds(13.1)
+
+    def test_request_that_was_meant_for_another_endpoint_does_not_count(self):
+        trial = Trial()
+        assert not self.left(trial, 12.1)
+        refused = msgspec.structs.replace(trial.record.arrivals[0], is_addressed=False)
+        trial.record.arrivals[0] = refused
+        trial.record.violations.clear()
+        trial.check()
+        assert trial.record.violations == []
+
+    def test_outage_of_the_store_does_not_excuse_what_an_entry_knew(self):
+        trial = Trial()
+        trial.fault("restored store", 13.0, 16.0)
+        assert not self.left(trial, 15.0)
+
+    @pytest.mark.parametrize(
+        "name",
+        ["pause entry-0", "delay path path to w-0", "busy store", "kill entry-0"],
+    )
+    def test_disturbed_entry_path_or_store_excuses(self, name):
+        trial = Trial()
+        trial.fault(name, 11.0, 12.0)
+        assert self.left(trial, 12.1)
+
+    def test_entry_that_starts_or_ends_is_excused(self):
+        starting = Trial()
+        starting.log.note_start("entry-0", 11.0)
+        assert self.left(starting, 13.9)
+        assert not self.left(starting, 14.1)
+        ending = Trial()
+        ending.log.note_stop("entry-0", 13.0)
+        assert self.left(ending, 13.5)
+
+
 class TestRegionChanges:
     @pytest.mark.parametrize("seed", range(5))
     def test_routes_and_team_keep_a_common_region(self, seed, tmp_path):
@@ -181,7 +239,7 @@
         injector = RegionInjector(fleet)
         for _ in range(50):
             injector.change()
-            homes = fleet.home_log.homes[-1]
+            homes = fleet.binding_log.homes[-1]
             for route in fleet.routes:
                 target = f"{route['pathPrefix']}1"
                 call = SoakCall("1", CallKind.SAFE, "e", target, b"", "team", 0.0)
@@ -189,8 +247,10 @@
                 assert any(homes.allow(call, region) for region in regions)
         spec = fleet.store.objects["config", "main"]["spec"]
         assert tuple(spec["tenants"][0]["allowedRegions"]) == homes.team_regions
-        assert len({item.team_regions for item in fleet.home_log.homes}) == 3
-        assert len({str(item.regions_by_prefix) for item in fleet.home_log.homes}) > 3
+        assert len({item.team_regions for item in fleet.binding_log.homes}) == 3
+        assert (
+            len({str(item.regions_by_prefix) for item in fleet.binding_log.homes}) > 3
+        )
 
 
 class TestRepeatedWrites:
