Check that reloads and changes of routes cut no calls

Only a planned stop was followed by a check of the calls that an entry cut after they had reached an endpoint. SIGHUP and a new configuration, which must not cut any either, are now followed by the same check over the 2 s in which they take effect. Bounds, draws and the check itself are unchanged.

--- a/src/tamaracktray_emulator/soak/operations.py
+++ b/src/tamaracktray_emulator/soak/operations.py
@@ -92,6 +92,7 @@
                 holds = status not in (401, 403, 404)
                 detail = f"{entry}: {status} on a route of version {version}"
                 self._record.check("change in force", holds, self._fleet.now, detail)
+                self._check_cuts("change cuts nothing", entry, start, self._fleet.now)
 
     async def _change_keys(self) -> None:
         """Replace an API key; entries must refuse the old one within the bound."""
@@ -214,7 +215,7 @@
         if self._is_fault_free(start, end):
             detail = f"{daemon.name} after {end - start:.1f} s"
             self._record.check("ends within its grace", has_ended, end, detail)
-            self._check_cuts(daemon.name, start, end)
+            self._check_cuts("shutdown cuts nothing", daemon.name, start, end)
         if not has_ended:
             self._fleet.send_signal(daemon, signal.SIGKILL)
             await self._fleet.wait_ended(daemon, 2.0)
@@ -222,8 +223,8 @@
             self._callers.notice_checker.note_entry_restart(daemon.name)
         self._fleet.launch(daemon)
 
-    def _check_cuts(self, entry: str, start: float, end: float) -> None:
-        """Check that the shutdown cut no call that had reached an endpoint.
+    def _check_cuts(self, promise: str, entry: str, start: float, end: float) -> None:
+        """Check that an entry cut no call that had reached an endpoint.
 
         A call whose endpoint broke its answer off proves nothing.
         """
@@ -233,12 +234,19 @@
             has_run = bool(self._record.runs_by_id.get(call.id))
             is_broken = call.id in self._record.broken_ids
             is_cut = bool(call.cut_by) and has_run and not is_broken
-            self._record.check("shutdown cuts nothing", not is_cut, start, call.id)
+            self._record.check(promise, not is_cut, start, call.id)
 
     async def _reload(self) -> None:
+        """Send SIGHUP to a process, which must not cut calls."""
         daemon = self._random.choice(self._fleet.daemons)
-        if self._fleet.now - daemon.launched_at >= INTERPRETER_START_S:
-            self._fleet.send_signal(daemon, signal.SIGHUP)
+        start = self._fleet.now
+        if start - daemon.launched_at < INTERPRETER_START_S:
+            return
+        self._fleet.send_signal(daemon, signal.SIGHUP)
+        await curio.sleep(CONFIG_BOUND_S)
+        if self._is_fault_free(start, self._fleet.now):
+            name, end = daemon.name, self._fleet.now
+            self._check_cuts("reload cuts nothing", name, start, end)
 
     def _list_entries(self) -> list[str]:
         """Return the entries that are not being stopped."""
