--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -186,6 +186,17 @@
         assert report.violations == []
         assert report.checked_by_promise["answers its probe"] > 100
 
+    @pytest.mark.parametrize(("seed", "restores_store"), [(7102, False), (7101, True)])
+    def test_home_regions_are_kept_while_they_change(
+        self, seed, restores_store, tmp_path
+    ):
+        plan = SoakPlan(
+            seed, duration_s=12.0, restores_store=restores_store, changes_regions=True
+        )
+        report = run_soak(plan, tmp_path)
+        assert report.violations == []
+        assert report.checked_by_promise["home regions kept"] > 100
+
 
 class TestFailedSeeds:
     @pytest.mark.parametrize("seed", FAILED_SEEDS)
