--- a/src/tamaracktray/gateway_routing.py
+++ b/src/tamaracktray/gateway_routing.py
@@ -35,11 +35,9 @@
     return effects
 
 
-def handle_arrival(
-    context: GatewayContext, index: RouteIndex | None, event: CallArrived
-) -> list[Effect]:
+def handle_arrival(context: GatewayContext, event: CallArrived) -> list[Effect]:
     """Handle a call that may have been built with an earlier routing table."""
-    call = event.call
+    call, index = event.call, context.index
     if index is None or call.routing_version == index.table.version:
         return handle_call(context, event)
     bound = rebind_call(call, index, is_up_to_date=context.is_up_to_date)
--- a/src/tamaracktray/gateway_state.py
+++ b/src/tamaracktray/gateway_state.py
@@ -14,6 +14,7 @@
 from tamaracktray.ownership import FleetNode
 from tamaracktray.part_watch import PartWatch
 from tamaracktray.placement import PlacementContext
+from tamaracktray.routes import RouteIndex
 from tamaracktray.types import Refusal
 from tamaracktray.wait_queue import WaitQueue
 
@@ -330,11 +331,12 @@
 class GatewayContext(msgspec.Struct):
     """Parts of the process state that the gateway reads.
 
-    ``is_up_to_date`` is unset while the routing table may lack changes.
-    A process that ``is_closing`` accepts no new calls, and one that ``is_ending`` makes
-    no more attempts. ``unix_offset_s`` is the wall
-    clock time minus the monotonic time. The endpoint list has been up to date since
-    ``list_valid_from``, which is infinite while the store is unavailable.
+    ``index`` is of the routing table in force, ``None`` before the first one, and
+    ``is_up_to_date`` is unset while that table may lack changes. A process that
+    ``is_closing`` accepts no new calls, and one that ``is_ending`` makes no more
+    attempts. ``unix_offset_s`` is the wall clock time minus the monotonic time. The
+    endpoint list has been up to date since ``list_valid_from``, which is infinite while
+    the store is unavailable.
     """
 
     state: GatewayState
@@ -346,3 +348,4 @@
     list_valid_from: float = 0.0
     is_ending: bool = False
     is_up_to_date: bool = True
+    index: RouteIndex | None = None
--- a/src/tamaracktray/node_reducer.py
+++ b/src/tamaracktray/node_reducer.py
@@ -188,15 +188,13 @@
     if state.index is not None and newest.version <= state.index.table.version:
         return []
     state.index = RouteIndex(newest)
-    effects: list[Effect] = [ApplyRouting()]
-    if state.gateway is not None:
-        context = build_gateway_context(state, now)
-        effects.extend(rebind_calls(context, now, state.index))
+    if state.gateway is None:
+        effects = _apply_endpoints(state, now)
+        return [ApplyRouting(), *effects, *update_own_target(state, now)]
+    context = build_gateway_context(state, now)
+    effects = rebind_calls(context, now, state.index)
     effects.extend(_apply_endpoints(state, now))
-    if state.gateway is not None:
-        context = build_gateway_context(state, now)
-        effects.extend(refuse_unavailable(context, now))
-    return effects + update_own_target(state, now)
+    return [ApplyRouting(), *effects, *refuse_unavailable(context, now)]
 
 
 def _apply_endpoints(state: NodeState, now: float) -> list[Effect]:
@@ -318,10 +316,6 @@
     return []
 
 
-def _on_call(state: NodeState, event: CallArrived) -> list[Effect]:
-    return handle_arrival(build_gateway_context(state, event.now), state.index, event)
-
-
 def _on_tick(state: NodeState, event: Tick) -> list[Effect]:
     effects = note_era(state, event.now, event.store_era)
     if state.store_era.end_settling(event.now):
@@ -389,7 +383,7 @@
     PeerLost: _on_peer_lost,
     AnnouncementsRecorded: handle_recorded,
     ShutdownRequested: begin_shutdown,
-    CallArrived: _on_call,
+    CallArrived: _with_gateway(handle_arrival),
     CallStarted: _with_gateway(handle_call_started),
     CallAttemptEnded: _with_gateway(handle_attempt_ended),
     CallEnded: _with_gateway(handle_call_ended),
