Send nothing to the earlier owner of an address

Callers saw: a call for one region reached an endpoint of another region, which answered 421. The list names a crashed endpoint until three heartbeats have passed, while its address may be given to another endpoint sooner. A call sent to the former then arrives at the latter; it isn't run there, but it has left its regions, and an attempt is lost.

Cause: only records retained after an outage lost their address to a newer endpoint. Of two records that are both listed, both were used.

Change: of endpoints listed at one address, the one with the latest start is used. The record of the other stays, so that what is known of a crash there still counts.

Why it works: two endpoints can't listen at one address, and the later start is the one that can. Equal start times decide nothing. A clock that is behind by more than the earlier owner's lifetime would name the wrong one, until the record of the crashed endpoint expires.

Not covered: an address whose new owner isn't listed here yet, or not at all while the store is away. The first call that goes there gets 421.

The test of event orders draws shared addresses and fails without the check; its endpoints have addresses and zones of their own otherwise.

--- a/src/tamaracktray/endpoint_loads.py
+++ b/src/tamaracktray/endpoint_loads.py
@@ -48,7 +48,9 @@
     endpoint loads another version on its agent's order; ``swap_at`` is the planned time
     of the next swap. Until ``status_deadline`` the agent's report of the versions takes
     precedence over the endpoint list, which is older. ``is_record_stale`` is set, until
-    ``stale_deadline``, if the list is known to be wrong about the endpoint.
+    ``stale_deadline``, if the list is known to be wrong about the endpoint, and
+    ``is_superseded`` while it names another endpoint at the same address that started
+    later.
     ``last_contact_at`` is the time when the endpoint last sent data, or got a call
     while idle. ``is_owned`` is set if this entry owns the endpoint; slots elsewhere are
     borrowed, which costs ``borrow_penalty`` running calls. ``reported_start_ms`` is a
@@ -73,6 +75,7 @@
         "is_owned",
         "is_leaving",
         "is_record_stale",
+        "is_superseded",
         "is_swapping",
         "stale_deadline",
         "pause_deadline",
@@ -97,6 +100,7 @@
         self.last_contact_at = 0.0
         self.status_deadline = 0.0
         self.is_record_stale = False
+        self.is_superseded = False
         self.stale_deadline = 0.0
         self.is_owned = True
         self.is_leaving = False
--- a/src/tamaracktray/gateway_fleet.py
+++ b/src/tamaracktray/gateway_fleet.py
@@ -84,6 +84,7 @@
         if load.record.service == service.name
         and not load.record.is_draining
         and not load.is_record_stale
+        and not load.is_superseded
         and not load.is_leaving
         and load.record.zone not in placement_context.evacuated_zones
         and any(load.find_version(model) for model in models)
--- a/src/tamaracktray/gateway_state.py
+++ b/src/tamaracktray/gateway_state.py
@@ -189,6 +189,11 @@
         for endpoint_id, load in loads_by_id.items():
             address = str(load.record.address)
             self.ids_by_address.setdefault(address, []).append(endpoint_id)
+        for endpoint_ids in self.ids_by_address.values():
+            sharing = [loads_by_id[endpoint_id] for endpoint_id in endpoint_ids]
+            latest_ms = max(load.record.start_time_ms for load in sharing)
+            for load in sharing:
+                load.is_superseded = load.record.start_time_ms < latest_ms
 
     def record_peer_counts(
         self, now: float, peer: str, counts: Mapping[str, int]
--- a/src/tamaracktray/placement.py
+++ b/src/tamaracktray/placement.py
@@ -70,7 +70,7 @@
     record = load.record
     if record.service not in call.services or record.is_draining:
         return False
-    if load.is_record_stale or load.is_leaving:
+    if load.is_record_stale or load.is_superseded or load.is_leaving:
         return False
     if record.zone in placement_context.evacuated_zones:
         return False
--- a/tests/gateways.py
+++ b/tests/gateways.py
@@ -59,15 +59,14 @@
 
 def engine(name: str, zone: str = ZONE, version: int = 1, **fields) -> EndpointRecord:
     models = (LoadedModel(MODEL, version, 0, LAYERS),) if version else ()
-    options = {"max_batch": 4, "models": models, **fields}
-    return EndpointRecord(
-        name, ENGINES, Address("10.0.0.1", 1_000 + len(name)), zone, **options
-    )
+    address = Address("10.0.0.1", 1_000 + len(name))
+    options = {"address": address, "max_batch": 4, "models": models, **fields}
+    return EndpointRecord(id=name, service=ENGINES, zone=zone, **options)
 
 
 def worker(name: str, zone: str = ZONE, **fields) -> EndpointRecord:
-    options = {"max_batch": 2, **fields}
-    return EndpointRecord(name, ORDERS, Address("10.0.0.2", 80), zone, **options)
+    options = {"address": Address("10.0.0.2", 80), "max_batch": 2, **fields}
+    return EndpointRecord(id=name, service=ORDERS, zone=zone, **options)
 
 
 def build_route(kind: RepeatKind, *services: str, **fields) -> Route:
--- a/tests/test_call_decisions.py
+++ b/tests/test_call_decisions.py
@@ -59,7 +59,7 @@
     Team,
 )
 from tamaracktray.snapshots import Collection
-from tamaracktray.types import RunState
+from tamaracktray.types import Address, RunState
 
 ENDPOINTS = ("e-0", "e-1", "e-2", "w-0", "w-1", "w-2")
 FINAL_EFFECTS = (RefuseCall, AbortAnswer, RelayFailure)
@@ -183,7 +183,7 @@
         self.list_objects(Collection.MEMBERS, [])
         self.list_objects(Collection.QUARANTINES, [])
         self.name_version(1)
-        self.list_endpoints([(name, 0, False, 1) for name in ENDPOINTS])
+        self.list_endpoints([(name, 0, False, 1, False) for name in ENDPOINTS])
 
     def feed(self, event: Event) -> None:
         """Reduce an event, carry out its effects on calls and check them."""
@@ -235,7 +235,7 @@
                 self.unsafe.add(name)
 
     def is_allowed(self, decision: SendCall) -> bool:
-        """Return whether the configuration in force allows an attempt."""
+        """Return whether the configuration and the list in force allow an attempt."""
         call = self.open_by_id[decision.call_id]
         table = self.state.index.table
         holders = [team for team in table.teams if call.key in team.keys]
@@ -248,6 +248,12 @@
             return False
         if decision.team != (holders[0].name if holders else ""):
             return False
+        record = self.state.roster.records_by_id[decision.endpoint_id]
+        if any(
+            item.address == record.address and item.start_time_ms > record.start_time_ms
+            for item in self.state.roster.records_by_id.values()
+        ):
+            return False
         region = REGION_BY_ZONE[ZONE_BY_ENDPOINT[decision.endpoint_id]]
         if any(
             item.allowed_regions and region not in item.allowed_regions
@@ -293,10 +299,12 @@
         target = VersionTarget(MODEL, version)
         self.list_objects(Collection.VERSIONS, [(MODEL, target)])
 
-    def list_endpoints(self, entries: list[tuple[str, int, bool, int]]) -> None:
+    def list_endpoints(self, entries: list[tuple[str, int, bool, int, bool]]) -> None:
         records: dict[str, EndpointRecord] = {}
-        for name, start_time_ms, is_draining, version in entries:
+        for name, start_time_ms, is_draining, version, is_shared in entries:
+            port = 80 if is_shared else 81 + ENDPOINTS.index(name)
             fields = {
+                "address": Address("10.0.0.1", port),
                 "zone": ZONE_BY_ENDPOINT[name],
                 "start_time_ms": start_time_ms,
                 "is_draining": is_draining,
@@ -429,8 +437,8 @@
             ["arrive"] * 4
             + ["end_attempt"] * 4
             + ["tick"] * 4
-            + ["configure", "connect"] * 3
-            + ["begin_answer", "leave", "list_endpoints", "name_version"]
+            + ["configure", "connect", "list_endpoints"] * 3
+            + ["begin_answer", "leave", "name_version"]
             + ["evacuate", "notice", "limit", "lose_store"]
         )
     )
@@ -455,6 +463,7 @@
             st.integers(0, 2),
             st.booleans(),
             st.integers(0, 2),
+            st.booleans(),
         )
         return kind, (draw(st.lists(entry, max_size=6)),)
     if kind == "name_version":
