Answer 401 for an unknown key also while the store is away or settles

The table in force at an entry doesn't go back, so a key that it lacks has been dropped or was never told to this entry, and callers without the right to run get a final answer at once, as before.

--- a/src/tamaracktray/call_binding.py
+++ b/src/tamaracktray/call_binding.py
@@ -12,9 +12,6 @@
 from tamaracktray.routes import RepeatKind, Route, RouteIndex, Team
 from tamaracktray.types import ErrorCode, Refusal, RunState
 
-# Retry-After while this process may lack the key of a request, in seconds.
-UNKNOWN_KEY_RETRY_S = 0.5
-
 
 class Binding(msgspec.Struct, frozen=True):
     """What a routing table says about a call; ``team`` is ``None`` without a key."""
@@ -34,14 +31,13 @@
 
 
 def find_binding(
-    index: RouteIndex, host: str, path: str, key: str, *, is_up_to_date: bool = True
+    index: RouteIndex, host: str, path: str, key: str
 ) -> Result[Binding, Refusal]:
     """Return what the table says about a call, or the refusal if it forbids it.
 
     The refusal's status is 404 if no route matches and 401 if the key is missing or
     unknown. A public route needs no key, but an unknown one is not ignored there: it
-    may belong to a team with regions of its own. Unless ``is_up_to_date``, the table
-    may lack the key, and the status is 503.
+    may belong to a team with regions of its own.
     """
     route = index.find_route(host, path)
     if route is None:
@@ -50,37 +46,18 @@
     team = index.find_team(key) if key else None
     if team is not None or not index.needs_keys:
         return Success(Binding(route, team))
-    if key:
-        return Failure(_refuse_unknown_key(is_up_to_date=is_up_to_date))
-    if route.is_public:
+    if route.is_public and not key:
         return Success(Binding(route, None))
-    message = "a key is needed"
+    message = "the key is unknown" if key else "a key is needed"
     return Failure(Refusal(ErrorCode.UNAUTHORIZED, message, RunState.NOT_RUN, 401))
 
 
-def _refuse_unknown_key(*, is_up_to_date: bool) -> Refusal:
-    if is_up_to_date:
-        message = "the key is unknown"
-        return Refusal(ErrorCode.UNAUTHORIZED, message, RunState.NOT_RUN, 401)
-    return Refusal(
-        ErrorCode.ISOLATED,
-        "the key is unknown to an entry that may have missed a configuration change",
-        RunState.NOT_RUN,
-        503,
-        UNKNOWN_KEY_RETRY_S,
-    )
-
-
-def rebind_call(
-    call: Call, index: RouteIndex, *, is_up_to_date: bool = True
-) -> Result[Call, Refusal]:
+def rebind_call(call: Call, index: RouteIndex) -> Result[Call, Refusal]:
     """Return a call as another table has it, or the refusal if that forbids it.
 
     The deadline and the priority stay as they were at its arrival.
     """
-    found = find_binding(
-        index, call.host, call.path, call.key, is_up_to_date=is_up_to_date
-    )
+    found = find_binding(index, call.host, call.path, call.key)
     if isinstance(found, Failure):
         return found
     binding = found.unwrap()
--- a/src/tamaracktray/call_building.py
+++ b/src/tamaracktray/call_building.py
@@ -41,16 +41,11 @@
     index: RouteIndex,
     request: Request,
     fields: CallerFields,
-    *,
-    is_up_to_date: bool = True,
 ) -> Result[Call, Refusal]:
-    """Return the call for a request, or the refusal if the table forbids it.
-
-    ``is_up_to_date`` is unset if the table may lack changes.
-    """
+    """Return the call for a request, or the refusal if the table forbids it."""
     host = request.headers.get("host", "").partition(":")[0].lower()
     path = request.target.partition("?")[0]
-    found = find_binding(index, host, path, fields.key, is_up_to_date=is_up_to_date)
+    found = find_binding(index, host, path, fields.key)
     return found.map(
         lambda binding: _create_call(now, index, binding, host, path, request, fields)
     )
--- a/src/tamaracktray/call_context.py
+++ b/src/tamaracktray/call_context.py
@@ -33,7 +33,6 @@
         state.unix_offset_s,
         math.inf if state.is_store_lost else state.outage_end,
         state.is_leaving and now >= state.answer_deadline,
-        state.is_up_to_date(now),
         state.index,
     )
 
--- a/src/tamaracktray/entry_process.py
+++ b/src/tamaracktray/entry_process.py
@@ -229,9 +229,8 @@
             self._call_log.note_rejected(fields.request_id, refusal, 0)
             await self._send_refusal(responder, refusal)
             return
-        index, now = self.state.index, time.monotonic()
-        is_up_to_date = self.state.is_up_to_date(now)
-        built = build_call(now, index, request, fields, is_up_to_date=is_up_to_date)
+        index = self.state.index
+        built = build_call(time.monotonic(), index, request, fields)
         if isinstance(built, Failure):
             refusal = built.failure()
             version = index.table.version
--- a/src/tamaracktray/gateway_routing.py
+++ b/src/tamaracktray/gateway_routing.py
@@ -23,7 +23,7 @@
     state = context.state
     effects: list[Effect] = []
     for pending in list(state.pending_by_id.values()):
-        bound = rebind_call(pending.call, index, is_up_to_date=context.is_up_to_date)
+        bound = rebind_call(pending.call, index)
         if isinstance(bound, Failure):
             pending.revocation = bound.failure()
             if not pending.endpoint_id:
@@ -40,7 +40,7 @@
     call, index = event.call, context.index
     if index is None or call.routing_version == index.table.version:
         return handle_call(context, event)
-    bound = rebind_call(call, index, is_up_to_date=context.is_up_to_date)
+    bound = rebind_call(call, index)
     if isinstance(bound, Failure):
         return [RefuseCall(call.id, bound.failure())]
     return handle_call(context, msgspec.structs.replace(event, call=bound.unwrap()))
--- a/src/tamaracktray/gateway_state.py
+++ b/src/tamaracktray/gateway_state.py
@@ -336,9 +336,8 @@
 class GatewayContext(msgspec.Struct):
     """Parts of the process state that the gateway reads.
 
-    ``index`` is of the routing table in force, ``None`` before the first one, and
-    ``is_up_to_date`` is unset while that table may lack changes. A process that
-    ``is_closing`` accepts no new calls, and one that ``is_ending`` makes no more
+    ``index`` is of the routing table in force, ``None`` before the first one. A process
+    that ``is_closing`` accepts no new calls, and one that ``is_ending`` makes no more
     attempts. ``unix_offset_s`` is the wall clock time minus the monotonic time. The
     endpoint list has been up to date since ``list_valid_from``, which is infinite while
     the store is unavailable.
@@ -352,5 +351,4 @@
     unix_offset_s: float = 0.0
     list_valid_from: float = 0.0
     is_ending: bool = False
-    is_up_to_date: bool = True
     index: RouteIndex | None = None
--- a/src/tamaracktray/node_state.py
+++ b/src/tamaracktray/node_state.py
@@ -198,10 +198,6 @@
         """Whether the process has the data that it needs to answer callers."""
         return self.snapshot_cache.is_complete and self.index is not None
 
-    def is_up_to_date(self, now: float) -> bool:
-        """Return whether no change of the store is known to be out of reach."""
-        return not self.is_store_lost and not self.store_era.is_settling(now)
-
     @property
     def is_initialized(self) -> bool:
         """Whether the process has that data and has asked its peers for newer data."""
