Log only what a peer knows more than this process

After a restore each running entry asks a peer too, and logged "peer outranks store" although it knew the same, so the line didn't tell which process had missed something.

--- a/src/tamaracktray/roster.py
+++ b/src/tamaracktray/roster.py
@@ -115,12 +115,13 @@
 
     def adopt_departed(
         self, now: float, incarnations: Iterable[tuple[str, int]], deadline: float
-    ) -> None:
-        """Hold endpoints too that a peer has seen leave."""
-        departed = self._departed_by_incarnation
-        for endpoint_id, start_time_ms in incarnations:
-            departed.setdefault((endpoint_id, start_time_ms), now)
+    ) -> list[str]:
+        """Hold endpoints too that a peer has seen leave; return the ids of new ones."""
+        known = set(self.list_departed(now))
+        new = [item for item in incarnations if item not in known]
+        self._departed_by_incarnation.update(dict.fromkeys(new, now))
         self.hold_departed(deadline)
+        return [endpoint_id for endpoint_id, _ in new]
 
     def list_departed(self, now: float) -> list[tuple[str, int]]:
         """Return the id and start time of endpoints that have left or are leaving."""
--- a/src/tamaracktray/takeover.py
+++ b/src/tamaracktray/takeover.py
@@ -125,8 +125,10 @@
     effects = note_era(state, now, report.era)
     known_version = get_routing_version(state)
     collections: list[Collection] = []
+    version: int | None = None
     table = report.table
     if table is not None and table.version > known_version:
+        version = table.version
         state.takeover.table = table
         collections.append(Collection.ROUTING)
     targets = [
@@ -136,22 +138,25 @@
     ]
     effects.extend(_adopt_targets(state, now, report, targets))
     settle_s = _find_settle_time(state, now, report)
+    zones: list[str] = []
+    departed: list[str] = []
     if settle_s:
-        _adopt_settling(state, now, report, now + settle_s)
+        zones = sorted(set(report.zones) - state.evacuated_zones)
+        departed = _adopt_settling(state, now, report, now + settle_s)
         collections.extend(
             (Collection.EVACUATIONS, Collection.MEMBERS, Collection.ENDPOINTS)
         )
     if report.is_informed:
         state.takeover.note_informed()
-    if collections or targets:
+    if version is not None or targets or zones or departed:
         effects.append(
             LogTakeover(
                 report.name,
                 known_version,
-                table.version if Collection.ROUTING in collections else None,
+                version,
                 {target.model: target.version for target in targets},
-                report.zones if settle_s else [],
-                len(report.departed) if settle_s else 0,
+                zones,
+                len(departed),
                 settle_s,
             )
         )
@@ -176,16 +181,20 @@
 
 def _adopt_settling(
     state: NodeState, now: float, report: InForceReport, deadline: float
-) -> None:
-    """Keep what the store may have lost until ``deadline``."""
+) -> list[str]:
+    """Keep until ``deadline`` what the store may have lost.
+
+    Return the ids of endpoints that were not known to have left or to be leaving.
+    """
     era = state.store_era
     era.settle_deadline = max(era.settle_deadline, deadline)
-    state.roster.adopt_departed(now, report.departed, era.settle_deadline)
+    departed = state.roster.adopt_departed(now, report.departed, era.settle_deadline)
     state.evacuated_zones |= frozenset(report.zones)
     members = {member.name: member for member in report.members}
     members |= state.peers.members_by_name
     members.pop(state.name, None)
     state.peers.update_members(now, members.values())
+    return departed
 
 
 def _adopt_targets(
--- a/tests/test_takeovers.py
+++ b/tests/test_takeovers.py
@@ -26,6 +26,7 @@
     BeaconReceived,
     CollectionListed,
     InForceReported,
+    LogTakeover,
     TakeoverEnded,
 )
 from tamaracktray.node_reducer import reduce_node
@@ -637,6 +638,19 @@
     def test_unreadable_report_is_refused(self, body):
         assert isinstance(decode_report(body), Failure)
 
+    def test_peer_that_tells_nothing_new_is_not_logged_as_newer(self):
+        def list_logged(state: NodeState) -> list[LogTakeover]:
+            effects = reduce_node(state, InForceReported(1.0, peer))[1]
+            return [item for item in effects if isinstance(item, LogTakeover)]
+
+        peer = InForceReport("a", 1, True, 4.0, zones=["zone-a"], departed=[("w", 1)])
+        state = build_state()
+        state.takeover.begin(5.0)
+        assert [(item.zones, item.departed) for item in list_logged(state)] == [
+            (["zone-a"], 1)
+        ]
+        assert not list_logged(state)
+
     def test_later_era_is_asked_about_once(self):
         state = build_state()
         effects = reduce_node(state, Tick(1.0, store_era=2))[1]
