Spread questions to peers, and tell only what was taken over

Found by reading. All agents of a region asked the same entry first: at a restore of the store a single one got every question. Peers are now ranked by the asking process's name. And a process that still asks its own peers named its versions in beacons, which others asked it about at each beacon and got nothing; it now names them once it is initialized.

--- a/src/tamaracktray/node_process.py
+++ b/src/tamaracktray/node_process.py
@@ -45,7 +45,7 @@
 from tamaracktray.runtime import Runtime
 from tamaracktray.snapshot_codec import decode_snapshots, encode_snapshots
 from tamaracktray.snapshots import Collection
-from tamaracktray.takeover import get_routing_version, is_informed, list_target_versions
+from tamaracktray.takeover import add_in_force
 from tamaracktray.task_yields import LoopLag, TaskYield
 from tamaracktray.types import Address
 
@@ -220,14 +220,12 @@
     def build_beacon(self) -> Beacon:
         """Return a beacon with the current state of this process."""
         snapshot_cache = self.state.snapshot_cache
-        return msgspec.structs.replace(
+        beacon = msgspec.structs.replace(
             self.build_short_beacon(),
             position_by_collection=snapshot_cache.list_positions(),
             changed_by_collection=snapshot_cache.list_changed_positions(),
-            routing_version=get_routing_version(self.state),
-            target_by_model=list_target_versions(self.state),
-            is_informed=is_informed(self.state, time.monotonic()),
         )
+        return add_in_force(self.state, time.monotonic(), beacon)
 
     def build_short_beacon(self) -> Beacon:
         """Return a beacon without the positions of the collections."""
--- a/src/tamaracktray/peer_questions.py
+++ b/src/tamaracktray/peer_questions.py
@@ -34,8 +34,7 @@
 from tamaracktray.node_state import NodeState
 from tamaracktray.responders import Responder
 from tamaracktray.snapshots import Collection
-from tamaracktray.store_readers import list_local
-from tamaracktray.takeover import build_report, get_routing_version
+from tamaracktray.takeover import build_report, get_routing_version, list_peers
 from tamaracktray.types import Address
 
 IN_FORCE_PATH = "/in-force"
@@ -207,21 +206,9 @@
         )
         await responder.respond(200, [], encode_report(report))
 
-    def _list_addresses(self) -> list[Address]:
-        """Return the members in this process's region, the seeds and other members."""
-        state = self._read_state()
-        members = state.peers.members_by_name.values()
-        local = list_local(state.zone, members, state.region_by_zone)
-        addresses = [
-            *(member.address for member in local),
-            *self._seeds,
-            *(member.address for member in members),
-        ]
-        return [item for item in dict.fromkeys(addresses) if item != self._address]
-
     async def _ask_all(self) -> None:
         began_at = time.monotonic()
-        addresses = self._list_addresses()
+        addresses = list_peers(self._read_state(), self._address, self._seeds)
         outcome = await ask_in_turn(addresses, self._ask, self._spawn)
         write = self._log.warning if outcome is Outcome.UNHEARD else self._log.info
         write(
--- a/src/tamaracktray/takeover.py
+++ b/src/tamaracktray/takeover.py
@@ -7,6 +7,10 @@
 the store.
 """
 
+from collections.abc import Iterable
+
+import msgspec
+
 from tamaracktray.beacons import Beacon
 from tamaracktray.effects import Effect
 from tamaracktray.engines import VersionTarget
@@ -18,10 +22,11 @@
     TakeoverEnded,
 )
 from tamaracktray.node_state import NodeState
-from tamaracktray.peers import Member
+from tamaracktray.peers import Member, rank_members
 from tamaracktray.positions import UNKNOWN
 from tamaracktray.routes import RoutingTable
 from tamaracktray.snapshots import Collection
+from tamaracktray.store_readers import list_local
 from tamaracktray.types import Address
 from tamaracktray.version_following import (
     apply_records,
@@ -88,6 +93,35 @@
     )
 
 
+def list_peers(
+    state: NodeState, own_address: Address, seeds: Iterable[Address]
+) -> list[Address]:
+    """Return the peers to ask: members in the own region, seeds and other members.
+
+    Processes rank members differently, so that they don't all ask the same one.
+    """
+    members = rank_members(state.name, state.peers.members_by_name.values())
+    local = list_local(state.zone, members, state.region_by_zone)
+    addresses = [
+        *(member.address for member in local),
+        *seeds,
+        *(member.address for member in members),
+    ]
+    return [address for address in dict.fromkeys(addresses) if address != own_address]
+
+
+def add_in_force(state: NodeState, now: float, beacon: Beacon) -> Beacon:
+    """Return a beacon with the versions in force, once this process is initialized."""
+    if not state.is_initialized:
+        return beacon
+    return msgspec.structs.replace(
+        beacon,
+        routing_version=get_routing_version(state),
+        target_by_model=list_target_versions(state),
+        is_informed=is_informed(state, now),
+    )
+
+
 def is_outranked(state: NodeState, now: float, beacon: Beacon) -> bool:
     """Return whether to ask a beacon's sender for what it has in force.
 
