--- a/src/tamaracktray_emulator/soak/binding_checks.py
+++ b/src/tamaracktray_emulator/soak/binding_checks.py
@@ -166,9 +166,8 @@
         run = self._log.find_run(entry, moment)
         if run is None:
             return False
-        if self._compute_bound_at(homes.at, entry, run) <= moment:
-            return True
-        return any(
+        is_due = self._compute_bound_at(homes.at, entry, run) <= moment
+        return is_due or any(
             self._is_known_by(peer, homes, run.started_at, moment)
             for peer in self._log.runs_by_entry
             if peer != entry
--- a/src/tamaracktray_emulator/soak/store_restores.py
+++ b/src/tamaracktray_emulator/soak/store_restores.py
@@ -8,6 +8,7 @@
 
 from tamaracktray.types import Role
 from tamaracktray_emulator.platform.store import StoreCopy
+from tamaracktray_emulator.soak.binding_checks import BOUND_S
 from tamaracktray_emulator.soak.callers import Callers
 from tamaracktray_emulator.soak.fault_injector import FaultInjector
 from tamaracktray_emulator.soak.fault_log import FaultLog, FaultPeriod
@@ -35,9 +36,6 @@
 AWAY_S = 0.5
 GAP_S = 2.0
 
-# Time before the changes, in which the regions of the copy become known.
-SETTLED_S = 3.0
-
 # Time that a process has to end, or to start, in seconds.
 TURN_S = 1.0
 
@@ -48,8 +46,8 @@
 class StoreRestoreInjector:
     """Lets the store be away for a moment and come back from an older copy.
 
-    Operator and endpoints write again at once, or some time later in soaks that change
-    regions.
+    In soaks that change regions, the copy lacks a change that is due, and operator and
+    endpoints write again some time later rather than at once.
     """
 
     def __init__(
@@ -63,6 +61,7 @@
         self._fault_log = fault_log
         self._fault_injector = fault_injector
         self._callers = callers
+        self._regions = RegionInjector(fleet)
         self._random = build_random(fleet.plan, "restores")
         self._gap_random = build_random(fleet.plan, "restore gaps")
 
@@ -71,6 +70,9 @@
         while True:
             await curio.sleep(self._random.expovariate(1 / MEAN_PAUSE_S))
             copy = self._fleet.store.copy()
+            if self._fleet.plan.changes_regions:
+                self._regions.move_team()
+                await curio.sleep(BOUND_S)
             await curio.sleep(self._random.uniform(0.0, MAX_COPY_AGE_S))
             away_s = self._random.uniform(0.1, MAX_AWAY_S)
             await self.restore(copy, away_s, self._pass_gap)
@@ -121,12 +123,11 @@
     ) -> None:
         super().__init__(fleet, fault_log, fault_injector, callers)
         self._operations = operations
-        self._regions = RegionInjector(fleet)
 
     async def run(self) -> None:
         """Repeat the sequence until cancelled."""
         self._regions.move_team()
-        await curio.sleep(SETTLED_S)
+        await curio.sleep(CHANGE_AGE_S)
         async with curio.TaskGroup() as group:
             while True:
                 copy = self._fleet.store.copy()
