--- a/src/tamaracktray_emulator/main.py
+++ b/src/tamaracktray_emulator/main.py
@@ -51,6 +51,9 @@
     regions: Annotated[
         bool, typer.Option("--regions", help="Change the regions of team and routes.")
     ] = False,
+    calm: Annotated[
+        bool, typer.Option("--calm", help="Leave out faults that suspend promises.")
+    ] = False,
     copy_restarts: Annotated[
         bool,
         typer.Option(
@@ -78,6 +81,7 @@
             scales_out=scale_out,
             changes_regions=regions,
             restarts_on_copies=copy_restarts,
+            is_calm=calm,
         )
         report = run_soak(plan, logs / str(number))
         typer.echo(report.format_row())
--- a/src/tamaracktray_emulator/soak/plan.py
+++ b/src/tamaracktray_emulator/soak/plan.py
@@ -9,9 +9,9 @@
     ``duration_s`` is the time during which faults are injected. ``rate`` is the total
     number of calls per second of all callers. With ``restores_store``, the store also
     comes back from older copies. With ``scales_out``, workers are added while single
-    entries are killed. With ``changes_regions``, the home regions of team and routes
-    change, and after a restore the lost writes are repeated only some time later. With
-    ``restarts_on_copies``, entries start as the store is back, with no other faults.
+    entries are killed. With ``changes_regions``, team and routes move between regions,
+    and lost writes are repeated later. With ``restarts_on_copies``, only entries start
+    as the store is back. ``is_calm`` leaves out faults that suspend promises.
     """
 
     seed: int
@@ -25,6 +25,7 @@
     scales_out: bool = False
     changes_regions: bool = False
     restarts_on_copies: bool = False
+    is_calm: bool = False
 
 
 class Violation(msgspec.Struct, frozen=True):
--- a/src/tamaracktray_emulator/soak/record.py
+++ b/src/tamaracktray_emulator/soak/record.py
@@ -37,10 +37,7 @@
 
 
 class Arrival(msgspec.Struct, frozen=True):
-    """Arrival of a request at an endpoint, whether the endpoint ran it or not.
-
-    ``is_addressed`` is unset if it was meant for another one and so refused.
-    """
+    """Arrival of a request; ``is_addressed`` unless meant for another endpoint."""
 
     at: float
     call_id: str
--- a/src/tamaracktray_emulator/soak/run.py
+++ b/src/tamaracktray_emulator/soak/run.py
@@ -91,6 +91,8 @@
             OddEntryInjector(fleet).run,
             *options,
         ]
+        if plan.is_calm:
+            runs.remove(fault_injector.run)
         if plan.restarts_on_copies:
             runs = [CopyRestartInjector(*shared, operations).run]
         await _run_for(plan.duration_s, *runs)
