--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -23,6 +23,19 @@
 # Promises that every soak must check at least once.
 REQUIRED_PROMISES = ("at most once", "answer is whole", "ends only when told to")
 
+# Promises that a soak without random faults must check at least once.
+PLANNED_PROMISES = (
+    "change cuts nothing",
+    "change in force",
+    "endpoint that leaves",
+    "home regions kept",
+    "key taken away",
+    "reload cuts nothing",
+    "shutdown cuts nothing",
+    "version is due",
+    "zone that is out",
+)
+
 
 # Seeds that failed, with the cause of each failure.
 FAILED_SEEDS = {
@@ -197,6 +210,13 @@
         assert report.violations == []
         assert report.checked_by_promise["home regions kept"] > 100
 
+    def test_promises_around_planned_work_are_checked_and_hold(self, tmp_path):
+        """Random faults had suspended nearly all of these checks."""
+        plan = SoakPlan(8501, changes_regions=True, is_calm=True)
+        report = run_soak(plan, tmp_path)
+        assert report.violations == []
+        assert all(report.checked_by_promise.get(name) for name in PLANNED_PROMISES)
+
 
 class TestFailedSeeds:
     @pytest.mark.parametrize("seed", FAILED_SEEDS)
