--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -210,6 +210,13 @@
         assert report.violations == []
         assert report.checked_by_promise["home regions kept"] > 100
 
+    def test_entry_that_starts_on_an_older_copy_keeps_home_regions(self, tmp_path):
+        """It had followed the regions of the copy, which its peers knew to be old."""
+        plan = SoakPlan(7021, duration_s=12.0, restarts_on_copies=True)
+        report = run_soak(plan, tmp_path)
+        assert report.violations == []
+        assert "restored store" in report.faults
+
     def test_promises_around_planned_work_are_checked_and_hold(self, tmp_path):
         """Random faults had suspended nearly all of these checks."""
         plan = SoakPlan(8501, changes_regions=True, is_calm=True)
