Read every staged chunk back before an order, also those just written

What callers saw: an engine that had answered the write of a chunk and had not stored it loaded the version without that chunk, and answered with it until the next version.

Cause: a chunk that was written less than 2 s before the order counted as checked by the engine's answer to the write. That answer may be a late one that belongs to the write before (an engine need not echo the request's id), or precede the storing. `docs/design/weights.md` says that all chunks are read back before the order.

Change: a write leaves a chunk unchecked. Chunks that wait for the engine's turn for 2 s were read back before anyway.

Test: an engine answers the write of the last chunk and doesn't store it. On the code before, the version was loaded without it; now the chunk is staged again and the version loaded whole.

--- a/src/tamaracktray/staging.py
+++ b/src/tamaracktray/staging.py
@@ -23,6 +23,7 @@
     StageChunk,
 )
 from tamaracktray.staging_state import (
+    NEVER,
     StagedChunk,
     StagingState,
     Step,
@@ -169,8 +170,8 @@
     """Record whether a chunk was staged in the engine."""
     state.is_staging = False
     if event.is_successful and event.began_at >= state.stage_began_at:
-        staged = StagedChunk(event.digest, event.began_at)
-        state.stage_by_index[event.index] = staged
+        # The answer to a write doesn't show that the engine holds what was sent.
+        state.stage_by_index[event.index] = StagedChunk(event.digest, NEVER)
     else:
         state.stage_by_index.pop(event.index, None)
     return advance(state, event.now)
--- a/src/tamaracktray/staging_state.py
+++ b/src/tamaracktray/staging_state.py
@@ -8,6 +8,8 @@
 from tamaracktray.engines import EngineReport, StartOrder
 from tamaracktray.weights import Manifest
 
+NEVER = -math.inf
+
 
 class Step(str, Enum):
     """Steps of the work on a version."""
@@ -36,8 +38,8 @@
     """Digest of a chunk in the engine's stage.
 
     ``checked_at`` is when its last verification began, in seconds of
-    ``clocks.read_elapsed``. The chunk may have turned bad at any time after that, also
-    before the verification ended.
+    ``clocks.read_elapsed``, ``NEVER`` after a write. The chunk may have turned bad at
+    any time after that, also before the verification ended.
     """
 
     digest: str
--- a/tests/test_stage_checks.py
+++ b/tests/test_stage_checks.py
@@ -116,3 +116,32 @@
             assert engine.loaded_digests == list_digests(2)
 
         run_fleet(scenario, version_ms=4_000.0)
+
+
+class TestUnstoredWrite:
+    def test_chunk_that_the_engine_has_not_stored_is_not_ordered(self, monkeypatch):
+        handle = EngineStandIn._handle_stage
+        unstored: list[int] = []
+
+        async def answer_without_storing(self, request, responder):
+            if request.method == "PUT" and len(self.staged) == CHUNKS - 1:
+                index = int(request.query["quantity"])
+                if not unstored and index not in self.staged:
+                    unstored.append(index)
+                    await responder.respond(200, [])
+                    return
+            await handle(self, request, responder)
+
+        monkeypatch.setattr(EngineStandIn, "_handle_stage", answer_without_storing)
+
+        async def scenario(fleet: PlatformFleet) -> None:
+            await fleet.start()
+            engine = await fleet.add_engine("e-1")
+            await fleet.add_agent(engine)
+            document = {"model": ENGINE_MODEL, "version": 2}
+            fleet.store.write("versions", ENGINE_MODEL, document)
+            await fleet.until(lambda: engine.version == 2, 8.0)
+            assert unstored
+            assert engine.loaded_digests == list_digests(2)
+
+        run_fleet(scenario, version_ms=4_000.0)
