Keep a server running when it can't accept a connection

Callers lost everything that a process had accepted when it ran out of file descriptors: `accept` raised EMFILE, the loop of the server failed, and a failed loop stops the process, which closes all connections without an answer. Other errors of `accept` that pass, such as a connection that its client has already reset, did the same.

Nothing limited the connections of callers, so they could also take the descriptors that an entry needs for endpoints, the store and its peers.

An error of `accept` ends the server only if it concerns the listening socket itself. For a shortage, the connection that has been idle for longest is closed; otherwise the server waits 20 ms, and logs it once a second.

--- a/src/tamaracktray/http.py
+++ b/src/tamaracktray/http.py
@@ -4,7 +4,9 @@
 slow ones. Answers are in ``responders``, the client is in ``exchange``.
 """
 
+import errno
 import socket as socket_module
+import sys
 import time
 from collections.abc import Awaitable, Callable
 
@@ -29,6 +31,18 @@
 # Connections, and requests of one connection, after which a task yields to others.
 YIELD_AFTER = 8
 
+# Errors of ``accept`` that concern the listening socket and don't pass, and those that
+# are a lack of descriptors or memory.
+LISTENER_ERRORS = frozenset(
+    {errno.EBADF, errno.EINVAL, errno.ENOTSOCK, errno.EOPNOTSUPP}
+)
+SHORTAGE_ERRORS = frozenset({errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM})
+
+# Pause after a failed ``accept``, or while all connections are busy, and the least time
+# between two log lines about it, in seconds.
+ACCEPT_PAUSE_S = 0.02
+ACCEPT_LOG_INTERVAL_S = 1.0
+
 # Shortest wait for the first bytes of a request, in seconds.
 MIN_IDLE_READ_S = 0.01
 
@@ -40,15 +54,19 @@
 
     With ``cancel_on_disconnect`` a handler is cancelled when its client closes the
     connection. ``limits`` may be replaced at any time and applies to later requests.
+    With ``max_connections`` open, the connection that has been idle for longest is
+    closed for a new one; if none is idle, new ones wait to be accepted.
     """
 
     __slots__ = (
+        "_accept_log_deadline",
         "_active_requests",
         "_cancel_on_disconnect",
         "_handler",
         "_idle_sockets_by_task",
         "_is_closed",
         "_listener",
+        "_max_connections",
         "_tasks",
         "address",
         "limits",
@@ -61,6 +79,7 @@
         limits: HttpLimits | None = None,
         *,
         cancel_on_disconnect: bool = False,
+        max_connections: int = sys.maxsize,
     ) -> None:
         self.address = address
         self.limits = limits or HttpLimits()
@@ -68,6 +87,8 @@
         self._cancel_on_disconnect = cancel_on_disconnect
         self._listener: curio.io.Socket | None = None
         self._is_closed = False
+        self._max_connections = max_connections
+        self._accept_log_deadline = 0.0
         self._active_requests = 0
         self._tasks: set[curio.Task] = set()
         self._idle_sockets_by_task: dict[curio.Task, curio.io.Socket] = {}
@@ -99,17 +120,59 @@
             task_yield = TaskYield(YIELD_AFTER)
             while True:
                 await task_yield.step()
-                client, _ = await listener.accept()
+                try:
+                    client, _ = await listener.accept()
+                except OSError as error:
+                    if error.errno in LISTENER_ERRORS:
+                        raise
+                    is_shortage = error.errno in SHORTAGE_ERRORS
+                    await self._pause_accepting(str(error), is_shortage=is_shortage)
+                    continue
+                try:
+                    await self._wait_for_room()
+                except curio.CancelledError:
+                    await client.close()
+                    raise
                 if self._is_closed:
                     # This task still runs until its next wait.
                     await client.close()
                     continue
-                client.setsockopt(
-                    socket_module.IPPROTO_TCP, socket_module.TCP_NODELAY, 1
-                )
                 task = await curio.spawn(self._run_connection, client, daemon=True)
                 self._tasks.add(task)
 
+    async def _wait_for_room(self) -> None:
+        """Wait until one more connection may be open."""
+        while len(self._tasks) >= self._max_connections:
+            await self._pause_accepting("too many connections", is_shortage=True)
+
+    async def _pause_accepting(self, reason: str, *, is_shortage: bool) -> None:
+        """Wait a moment, or close an idle connection if there is a shortage."""
+        now = time.monotonic()
+        if now >= self._accept_log_deadline:
+            self._accept_log_deadline = now + ACCEPT_LOG_INTERVAL_S
+            structlog.get_logger().warning(
+                "connection not accepted",
+                reason=reason,
+                address=str(self.address),
+                open=len(self._tasks),
+                idle=len(self._idle_sockets_by_task),
+            )
+        if is_shortage and await self._close_longest_idle():
+            await curio.sleep(0)
+            return
+        await curio.sleep(ACCEPT_PAUSE_S)
+
+    async def _close_longest_idle(self) -> bool:
+        """Close the connection that has been idle for longest; return whether any is.
+
+        A connection with an unread request in its socket buffer stays open.
+        """
+        for task, client in self._idle_sockets_by_task.items():
+            if not peek(client):
+                await task.cancel(blocking=False)
+                return True
+        return False
+
     async def close(self) -> None:
         """Accept no more connections and close the open ones at once."""
         self._is_closed = True
@@ -134,6 +197,9 @@
     async def _run_connection(self, client: curio.io.Socket) -> None:
         try:
             async with client:
+                client.setsockopt(
+                    socket_module.IPPROTO_TCP, socket_module.TCP_NODELAY, 1
+                )
                 await self._serve_connection(client)
         except OSError:
             return
