Answer callers before the exit of a process that was held up

All callers that still waited were closed without an answer if a process that shuts down got no processor time for 0.3 s just before its exit: one late timer, and as many lost requests as were open.

The callers without an answer get one from 0.2 s before the exit on. If no tick fell into that time, the first one after it exited at once, although SIGKILL was still 0.3 s away.

A process that is late at its exit now answers first, and exits once no caller without any answer is left, at the latest 0.05 s before SIGKILL.

--- a/src/tamaracktray/shutdown.py
+++ b/src/tamaracktray/shutdown.py
@@ -19,6 +19,9 @@
 # How long before SIGKILL a process that shuts down exits, in seconds.
 EXIT_MARGIN_S = 0.3
 
+# The same for a process that has been held up and still has callers to answer.
+LAST_EXIT_MARGIN_S = 0.05
+
 # Time before the exit in which callers without an answer get an error, in seconds.
 LAST_ANSWERS_S = 0.2
 
@@ -36,7 +39,7 @@
 
 def advance_shutdown(state: NodeState, event: Tick) -> list[Effect]:
     """Close idle connections once callers stop arriving; exit when no call is left."""
-    if state.gateway is None or event.now >= state.exit_deadline:
+    if state.gateway is None or _must_exit(state, event.now):
         return [Exit()]
     if event.now < state.close_deadline:
         return []
@@ -44,3 +47,16 @@
         context = build_gateway_context(state, event.now)
         return [*end_unanswered_calls(context, event.now), CloseIdleConnections()]
     return [CloseIdleConnections(), Exit()]
+
+
+def _must_exit(state: NodeState, now: float) -> bool:
+    """Return whether the process exits although it has open connections.
+
+    One that is late waits until the callers without any answer have got one.
+    """
+    if now < state.exit_deadline:
+        return False
+    if now >= state.exit_deadline + EXIT_MARGIN_S - LAST_EXIT_MARGIN_S:
+        return True
+    pending_by_id = state.gateway.pending_by_id
+    return all(pending.is_started for pending in pending_by_id.values())
--- a/tests/test_planned_stops.py
+++ b/tests/test_planned_stops.py
@@ -124,6 +124,43 @@
 
         run_fleet(scenario, grace_s=GRACE_S)
 
+    @pytest.mark.parametrize("blocked_s", [0.3, 0.4])
+    def test_process_that_is_held_up_at_its_end_answers_before_it_exits(
+        self, blocked_s
+    ):
+        async def serve(answer: RawAnswer) -> None:
+            await curio.sleep(SLOW_S)
+
+        async def scenario(fleet: PlatformFleet) -> None:
+            await fleet.start()
+            endpoint = await list_endpoint(fleet, "w-1", "orders", serve)
+            entry = {**endpoint.describe("orders"), "maxBatchSize": 10}
+            fleet.store.write("servers", "w-1", entry)
+            await fleet.until_listed(1)
+            callers = [
+                RawCaller(fleet, CallerProtocol.HTTP_1_1_KEPT) for _ in range(30)
+            ]
+            calls = [
+                await curio.spawn(
+                    caller.call, f"/{ROUTES[number % 2]}/1", f"id-{number}"
+                )
+                for number, caller in enumerate(callers)
+            ]
+            stopping = fleet.entries[0]
+            pending_by_id = stopping.state.gateway.pending_by_id
+            await fleet.until(lambda: len(pending_by_id) == len(calls))
+            stop_at = time.monotonic()
+            await stopping.dispatch(ShutdownRequested(stop_at))
+            await curio.sleep(stopping.state.answer_deadline - stop_at - 0.05)
+            time.sleep(blocked_s)
+            await fleet.until(lambda: stopping.is_halted, 1.0)
+            assert time.monotonic() < stop_at + GRACE_S
+            answers = [await call.join() for call in calls]
+            assert all(answer.is_complete for answer in answers)
+            assert {answer.status for answer in answers} == {502, 503}
+
+        run_fleet(scenario, grace_s=GRACE_S)
+
     def test_stream_that_has_begun_goes_on_to_the_end_of_the_grace(self):
         grace_s = 2.2
 
