Keep a notice of leaving when the clock is behind

Calls were sent to an endpoint that had said in its answer that it leaves, if its record had lapsed meanwhile and came back, and the clock of the entry was behind that of the endpoint by more than the endpoint's age.

A notice holds for the incarnation that gave it, which is bounded by its start time: no later than the arrival of the answer, or than the listed start. While the endpoint was not listed, only the entry's own clock was left as the bound. It also replaced a better bound that was known from an earlier answer, so a clock that stepped back had the same effect.

The notice now has the start time of the record by which the call was sent, and a later bound is kept.

--- a/src/tamaracktray/attempt_events.py
+++ b/src/tamaracktray/attempt_events.py
@@ -31,6 +31,7 @@
         fields.is_leaving,
         fields.pause_s,
         fields.is_misdirected,
+        decision.start_time_ms,
     )
 
 
--- a/src/tamaracktray/calls.py
+++ b/src/tamaracktray/calls.py
@@ -128,7 +128,8 @@
     when a stream is resumed at another endpoint. ``running`` counts the calls at the
     endpoint before this one, ``held_version`` is the version that it was expected to
     hold and ``version_floor`` the oldest one allowed. ``is_trial`` is set if the call
-    tests quarantined parts of its prompt.
+    tests quarantined parts of its prompt. ``start_time_ms`` is the endpoint's start
+    time in Unix milliseconds.
     """
 
     call_id: str
@@ -143,6 +144,7 @@
     held_version: int = 0
     version_floor: int = 0
     is_trial: bool = False
+    start_time_ms: int = 0
 
 
 class SendLoadBeacon(Effect, frozen=True):
--- a/src/tamaracktray/gateway.py
+++ b/src/tamaracktray/gateway.py
@@ -315,6 +315,7 @@
         held_version=held_version,
         version_floor=floor,
         is_trial=pending.is_trial,
+        start_time_ms=load.record.start_time_ms,
     )
     return [send] if load.is_owned else [send, SendLoadBeacon()]
 
--- a/src/tamaracktray/gateway_notices.py
+++ b/src/tamaracktray/gateway_notices.py
@@ -31,6 +31,8 @@
     for endpoint_id in sender_ids:
         load = state.loads_by_id.get(endpoint_id)
         start_time_ms = 0 if load is None else load.record.start_time_ms
+        if endpoint_id == event.endpoint_id:
+            start_time_ms = max(start_time_ms, event.start_time_ms)
         incarnation = NoticedIncarnation(endpoint_id, max(now_ms, start_time_ms))
         if event.is_leaving:
             state.notices.note_leaving(incarnation)
--- a/src/tamaracktray/notices.py
+++ b/src/tamaracktray/notices.py
@@ -29,13 +29,15 @@
 
     ``pause_s`` is the requested pause in seconds, ``None`` if there is none and NaN if
     it is unreadable. An answer that ``is_misdirected`` came from another endpoint at
-    the same address, or from another incarnation.
+    the same address, or from another incarnation. ``start_time_ms`` is the start time
+    of the endpoint that was called, in Unix milliseconds.
     """
 
     endpoint_id: str
     is_leaving: bool = False
     pause_s: float | None = None
     is_misdirected: bool = False
+    start_time_ms: int = 0
 
 
 class LogNotice(Effect, frozen=True):
@@ -55,7 +57,8 @@
     """One incarnation of an endpoint, identified by an upper bound of its start time.
 
     ``latest_start_ms`` is the latest Unix time in milliseconds at which it can have
-    started: when its answer arrived, or the listed start time if that is later.
+    started: when its answer arrived, or the listed start time if that is later by the
+    clock of this process, which may be behind.
     """
 
     endpoint_id: str
@@ -65,6 +68,12 @@
         """Return whether a record may describe this incarnation."""
         return record.start_time_ms <= self.latest_start_ms
 
+    def merge(self, earlier: "NoticedIncarnation | None") -> "NoticedIncarnation":
+        """Return the later bound; a clock that steps back yields an early one."""
+        if earlier is None or earlier.latest_start_ms < self.latest_start_ms:
+            return self
+        return earlier
+
 
 class EndpointNotices:
     """Notices of all endpoints: which ones leave, and which ones are paused."""
@@ -77,12 +86,15 @@
 
     def note_leaving(self, incarnation: NoticedIncarnation) -> None:
         """Record that an endpoint leaves."""
-        self._leaving_by_id[incarnation.endpoint_id] = incarnation
+        known = self._leaving_by_id.get(incarnation.endpoint_id)
+        self._leaving_by_id[incarnation.endpoint_id] = incarnation.merge(known)
 
     def note_pause(self, incarnation: NoticedIncarnation, deadline: float) -> None:
         """Record a pause until ``deadline``, unless a longer one is known."""
-        _, known = self._pause_by_id.get(incarnation.endpoint_id, (None, 0.0))
-        self._pause_by_id[incarnation.endpoint_id] = (incarnation, max(known, deadline))
+        endpoint_id = incarnation.endpoint_id
+        known, known_deadline = self._pause_by_id.get(endpoint_id, (None, 0.0))
+        pause = (incarnation.merge(known), max(known_deadline, deadline))
+        self._pause_by_id[endpoint_id] = pause
 
     def is_leaving(self, record: EndpointRecord) -> bool:
         """Return whether the endpoint of a record has announced that it leaves."""
--- a/tests/test_notices.py
+++ b/tests/test_notices.py
@@ -7,6 +7,7 @@
 import math
 
 import curio
+import msgspec
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
@@ -26,6 +27,7 @@
 )
 from platforms import PlatformFleet, run_fleet
 from tamaracktray.attempt_abandonment import is_sendable
+from tamaracktray.attempt_events import build_notice
 from tamaracktray.budgets import RetryBudget
 from tamaracktray.calls import RefuseCall, SendCall
 from tamaracktray.gateway_notices import handle_notice
@@ -41,6 +43,7 @@
 )
 from tamaracktray.outcomes import AttemptPhase
 from tamaracktray.platform.protocol import PlatformProtocol
+from tamaracktray.protocol import AnswerFields
 from tamaracktray.refusals import PAUSE_SPREAD_S
 from tamaracktray.routes import RepeatKind
 from tamaracktray.types import Address, RunState
@@ -194,6 +197,27 @@
         gateway.follow(worker("w", start_time_ms=5))
         assert not sent(gateway.arrive(build_call("2", SAFE)))
 
+    @pytest.mark.parametrize("is_first_listed", [True, False])
+    def test_notice_of_an_unlisted_endpoint_is_kept_by_a_clock_that_is_behind(
+        self, is_first_listed
+    ):
+        record = worker("w", start_time_ms=5_000)
+        gateway = Gateway(record)
+        gateway.now = 1.0
+        (decision,) = [
+            item
+            for item in gateway.arrive(build_call("1", SAFE))
+            if isinstance(item, SendCall)
+        ]
+        received = build_notice(decision, AnswerFields(is_leaving=True))
+        received = msgspec.structs.replace(received, now=gateway.now)
+        if is_first_listed:
+            handle_notice(gateway.context, received)
+        gateway.follow()
+        handle_notice(gateway.context, received)
+        gateway.follow(record)
+        assert not sent(gateway.arrive(build_call("2", SAFE)))
+
     def test_misdirected_answer_applies_to_all_endpoints_at_the_address(self):
         address = Address("10.0.0.9", 80)
         old = worker("old").__class__("old", ORDERS, address, "zone-a", 2)
