Reopen watches that return none of the store's latest changes

Calls reached endpoints that had said to the store that they leave, and zones that were evacuated, for up to half a minute after connections to the store had gone silent for good while new ones worked and keep-alives were answered.

Only the watch of the configuration is short, and its timeout makes a process reopen the others. If it wasn't open at the moment of the silence, as after each change of the configuration, all later ones were answered, and the other watches were left open until they ended by themselves after 30 s and more. If it was open, it took up to 4 s and a retry, longer than `contactMs`; and the timeout counted as an outage, so endpoints that had been removed meanwhile were kept for 2 s more.

Each answer names the revision of the store. When the configuration's watch is answered, a watch is now reopened if it was opened before the store had reached that revision: that of the endpoints at once, those of evacuations and versions from an age of 2 s. While the store doesn't change, this costs no call. The watch of the configuration lasts 1.2 s instead of 2.5 s, so that with the timeout of 1.5 s silence is noticed within `contactMs`; the first retry after a timeout is made at once. A timed-out watch starts an outage only if its retry fails too; until then peers are still told that the store is lost, and the list isn't taken as evidence of crashes.

--- a/src/tamaracktray/call_context.py
+++ b/src/tamaracktray/call_context.py
@@ -31,7 +31,7 @@
         state.part_crashes,
         state.is_leaving and now >= state.close_deadline,
         state.unix_offset_s,
-        math.inf if state.is_store_lost else state.outage_end,
+        math.inf if state.is_store_lost else max(state.outage_end, state.regained_at),
         state.is_leaving and now >= state.answer_deadline,
         state.index,
     )
--- a/src/tamaracktray/collection_reader.py
+++ b/src/tamaracktray/collection_reader.py
@@ -1,13 +1,17 @@
 """Keeps collections of the platform's store current by long polls.
 
 A watch that is open when the store stops responding may never be answered, although
-its connection stays up. The configuration is therefore watched with a short timeout,
-and if such a watch gets no answer, all other watches are reopened. A waiting watch may
-be cut off while the store is available, so the store counts as lost only if the retry
-fails too. While the store fails, only one collection retries and the others wait,
-because every call is charged, including rejected ones.
+its connection stays up. The configuration is therefore watched with a short timeout. If
+such a watch gets no answer, all other watches are reopened. If its answer shows that
+the store has changed since another watch was opened, that one is reopened: it may be
+silent while new connections work.
+
+A waiting watch may be cut off or become silent while the store is available, so it
+takes a failed retry to show an outage. While the store fails, only one collection
+retries and the others wait, because every call is charged, including rejected ones.
 """
 
+import math
 import random
 import time
 from collections.abc import Awaitable, Callable
@@ -31,7 +35,7 @@
     StoreLost,
 )
 from tamaracktray.objects import ObjectList, ObjectStore
-from tamaracktray.positions import Position
+from tamaracktray.positions import UNKNOWN, Position
 from tamaracktray.snapshots import Collection, SnapshotCache
 
 # Delay in seconds between two watches of a collection, which batches changes that occur
@@ -44,6 +48,14 @@
     Collection.MEMBERS: 1.0,
 }
 
+# Age in seconds from which a watch is reopened if the store has changed since it was
+# opened. The endpoints come first, because they change most and at the shortest notice.
+RENEWAL_AGE_S_BY_COLLECTION = {
+    Collection.ENDPOINTS: 0.0,
+    Collection.EVACUATIONS: 2.0,
+    Collection.VERSIONS: 2.0,
+}
+
 # Changes in one watch of the configuration above which the next read is a list: each
 # change contains the whole configuration, a list only the latest one.
 MAX_WATCHED_CHANGES = 1
@@ -81,11 +93,20 @@
     max_retry_delay_s: float
 
 
+class OpenWatch(msgspec.Struct, frozen=True):
+    """A waiting watch, opened at ``opened_at`` when ``known`` was the last position."""
+
+    task: curio.Task
+    opened_at: float
+    known: Position
+
+
 class CollectionReader:
     """Reads the collections for one process."""
 
     __slots__ = (
         "_context",
+        "_last_position",
         "_log",
         "_probing_collection",
         "_relist_due",
@@ -99,7 +120,8 @@
         self._probing_collection: Collection | None = None
         self._store_available = curio.Event()
         self._relist_due: set[Collection] = set()
-        self._watches: dict[Collection, curio.Task] = {}
+        self._last_position = UNKNOWN
+        self._watches: dict[Collection, OpenWatch] = {}
 
     def build_loop(self, collection: Collection) -> Callable[[], Awaitable[None]]:
         """Return the background loop that keeps a collection current."""
@@ -113,7 +135,7 @@
         """Make all collections be listed again, also those with an open watch."""
         self._relist_due.update(Collection)
         for watch in list(self._watches.values()):
-            await watch.cancel(blocking=False)
+            await watch.task.cancel(blocking=False)
 
     async def read_once(self, collection: Collection) -> None:
         """Read a collection; log failures and retry a few times."""
@@ -145,6 +167,7 @@
             if collection in self._relist_due:
                 self._relist_due.discard(collection)
                 is_listed = False
+            is_waiting = is_listed and self._probing_collection is not collection
             if not is_listed:
                 previous_change = self._read_changed_position(collection)
                 failure, changes = await self._list(collection), 1
@@ -157,14 +180,13 @@
                     )
                     is_listed = is_listed and not is_changing_fast
             else:
-                is_probing = self._probing_collection is collection
                 failure, changes = await self._watch(collection)
                 is_changing_fast = (
                     collection is Collection.ROUTING and changes > MAX_WATCHED_CHANGES
                 )
                 is_expired = isinstance(failure, RevisionExpiredError)
                 is_listed = not is_changing_fast and not is_expired
-                is_cut = not is_probing and _is_cut(failure)
+                is_cut = is_waiting and _is_cut(failure)
                 if is_cut:
                     # The retry shows whether the store is available.
                     self._note_cut(collection)
@@ -173,6 +195,8 @@
                     continue
             if failure is None:
                 await self._record_success(collection, failed_at)
+                if collection is Collection.ROUTING:
+                    await self._renew_watches()
                 failed_at = 0.0
                 batch_delay_s = BATCH_DELAY_S_BY_COLLECTION.get(
                     collection, BATCH_DELAY_S
@@ -184,23 +208,37 @@
             if isinstance(failure, RevisionExpiredError):
                 self._log.info("history expired", collection=collection.value)
                 continue
-            await self._record_failure(collection, failure, is_first=not failed_at)
+            is_confirmed = not (is_waiting and _is_timed_out(failure))
+            await self._record_failure(
+                collection, failure, is_first=not failed_at, is_confirmed=is_confirmed
+            )
             failed_at = failed_at or time.monotonic()
-            await self._pause(collection, failure)
+            await self._pause(collection, failure, is_confirmed=is_confirmed)
+
+    async def _pause(
+        self,
+        collection: Collection,
+        failure: PlatformError,
+        *,
+        is_confirmed: bool = True,
+    ) -> None:
+        """Wait before the next call; only one collection retries at a time.
 
-    async def _pause(self, collection: Collection, failure: PlatformError) -> None:
-        """Wait before the next call; only one collection retries at a time."""
+        There is no wait after a failure that isn't confirmed yet.
+        """
         if isinstance(failure, WatchReopenedError) and self._probing_collection is None:
             # The store became available again while this watch was being cancelled.
             return
         if self._probing_collection is None:
             self._probing_collection = collection
             self._store_available.clear()
-        if isinstance(failure, PlatformUnavailableError) and failure.is_timed_out:
+        if _is_timed_out(failure):
             await self._reopen_watches(collection)
         if self._probing_collection is not collection:
             await curio.ignore_after(MAX_PROBE_WAIT_S, self._store_available.wait())
             return
+        if not is_confirmed:
+            return
         context = self._context
         retry_delay_s = context.random.uniform(
             context.min_retry_delay_s, context.max_retry_delay_s
@@ -211,7 +249,17 @@
         """Cancel all other watches, which may not be answered either."""
         for collection, watch in list(self._watches.items()):
             if collection is not unresponsive:
-                await watch.cancel(blocking=False)
+                await watch.task.cancel(blocking=False)
+
+    async def _renew_watches(self) -> None:
+        """Reopen old watches that have not returned any of the latest changes."""
+        now = time.monotonic()
+        for collection, watch in list(self._watches.items()):
+            renewal_age_s = RENEWAL_AGE_S_BY_COLLECTION.get(collection, math.inf)
+            if now - watch.opened_at < renewal_age_s:
+                continue
+            if watch.known < self._last_position:
+                await watch.task.cancel(blocking=False)
 
     async def _record_success(self, collection: Collection, failed_at: float) -> None:
         if self._probing_collection is not None:
@@ -222,10 +270,17 @@
             self._log.info("store regained", collection=collection.value, lost_s=lost_s)
 
     async def _record_failure(
-        self, collection: Collection, failure: PlatformError, *, is_first: bool
+        self,
+        collection: Collection,
+        failure: PlatformError,
+        *,
+        is_first: bool,
+        is_confirmed: bool,
     ) -> None:
         self._context.metrics.count("store_failures", collection=collection.value)
-        await self._context.dispatch(StoreLost(time.monotonic()))
+        await self._context.dispatch(
+            StoreLost(time.monotonic(), is_confirmed=is_confirmed)
+        )
         if is_first:
             self._log.warning(
                 "store lost", collection=collection.value, error=failure.message
@@ -244,6 +299,7 @@
         if isinstance(listed, Failure):
             return listed.failure()
         objects = listed.unwrap()
+        self._note_position(objects)
         self._count_unreadable(collection, objects)
         await self._context.dispatch(
             CollectionListed(
@@ -266,6 +322,7 @@
         if isinstance(watched, Failure):
             return watched.failure(), 0
         changes = watched.unwrap()
+        self._note_position(changes)
         if changes.era != known.era:
             message = f"{collection.value}: watched from era {known.era}"
             return RevisionExpiredError(message), 0
@@ -294,7 +351,9 @@
         watch = await curio.spawn(
             self._context.store.watch, collection, revision, watch_s
         )
-        self._watches[collection] = watch
+        self._watches[collection] = OpenWatch(
+            watch, time.monotonic(), self._last_position
+        )
         try:
             return await watch.join()
         except curio.TaskError as error:
@@ -315,6 +374,10 @@
                 "objects_unreadable", collection=collection.value
             )
 
+    def _note_position(self, objects: ObjectList) -> None:
+        position = Position(objects.era, objects.revision)
+        self._last_position = max(self._last_position, position)
+
     def _note_cut(self, collection: Collection) -> None:
         self._context.metrics.count("watches_cut", collection=collection.value)
         self._log.info("watch cut", collection=collection.value)
@@ -324,6 +387,11 @@
         metrics.count("store_calls", kind=kind, collection=collection.value)
 
 
+def _is_timed_out(failure: PlatformError) -> bool:
+    """Return whether a call timed out without any other error."""
+    return isinstance(failure, PlatformUnavailableError) and failure.is_timed_out
+
+
 def _is_cut(failure: PlatformError | None) -> bool:
     """Return whether a call's connection ended before the answer."""
     return isinstance(failure, PlatformUnavailableError) and failure.is_cut
--- a/src/tamaracktray/node_events.py
+++ b/src/tamaracktray/node_events.py
@@ -35,7 +35,13 @@
 
 
 class StoreLost(Event, frozen=True):
-    """A call to the store failed."""
+    """A call to the store failed.
+
+    Unless the failure ``is_confirmed``, only a waiting watch got no answer, which may
+    be the fault of its connection.
+    """
+
+    is_confirmed: bool = True
 
 
 class BeaconReceived(Event, frozen=True):
--- a/src/tamaracktray/node_reducer.py
+++ b/src/tamaracktray/node_reducer.py
@@ -153,6 +153,9 @@
 ) -> list[Effect]:
     if state.is_store_lost:
         state.is_store_lost = False
+        state.regained_at = now
+    if state.is_outage:
+        state.is_outage = False
         state.outage_end = now
     effects = _merge_snapshots(state, now, {collection: snapshot})
     is_changed = snapshot.changed_revision == snapshot.revision
@@ -201,7 +204,7 @@
     records: list[EndpointRecord] = state.snapshot_cache.list_values(
         Collection.ENDPOINTS
     )
-    outage_end = now if state.is_store_lost else state.outage_end
+    outage_end = now if state.is_outage else state.outage_end
     state.roster.update(now, records, outage_end)
     return _apply_roster(state, now)
 
@@ -263,6 +266,7 @@
 
 def _on_store_lost(state: NodeState, event: StoreLost) -> list[Effect]:
     state.is_store_lost = True
+    state.is_outage = state.is_outage or event.is_confirmed
     return []
 
 
--- a/src/tamaracktray/node_settings.py
+++ b/src/tamaracktray/node_settings.py
@@ -67,7 +67,7 @@
             0.5,
             30.0,
         ),
-    ] = 2.5
+    ] = 1.2
 
 
 class NodePeerSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
--- a/src/tamaracktray/node_state.py
+++ b/src/tamaracktray/node_state.py
@@ -86,12 +86,14 @@
 class NodeState:
     """State of one process, either an entry or an agent.
 
-    ``outage_end`` is when the store last answered after a failure; ``is_store_lost`` is
-    set while a later failure lasts. ``newer_peer`` names a peer that has had changes
-    since ``behind_since`` which the process's own watch has not delivered. A process
-    that shuts down takes no new calls after ``close_deadline``, ends those without an
-    answer after ``answer_deadline`` and exits by ``exit_deadline``, before ``grace_s``
-    has passed. ``has_versions`` is set once the
+    ``regained_at`` is when the store last answered after a failure, and
+    ``is_store_lost`` is set while a later failure lasts. ``outage_end`` and
+    ``is_outage`` are the same for confirmed failures, in which records may have
+    expired. ``newer_peer`` names a peer that has had changes since ``behind_since``
+    which the process's own watch has not delivered. A process that shuts down takes no
+    new calls after ``close_deadline``, ends those without an answer after
+    ``answer_deadline`` and exits by ``exit_deadline``, before ``grace_s`` has passed.
+    ``has_versions`` is set once the
     announced versions have been read from the store. ``engine_service`` is the service
     of an agent's engine. ``unix_offset_s`` is the wall clock minus the monotonic clock.
     ``turn_target_by_model`` are the versions for which the swap turn was last
@@ -113,6 +115,7 @@
         "grace_s",
         "assignment_deadline",
         "is_leaving",
+        "is_outage",
         "is_store_lost",
         "snapshot_cache",
         "name",
@@ -125,6 +128,7 @@
         "peers",
         "quarantine_records",
         "announcement_records",
+        "regained_at",
         "region_by_zone",
         "role",
         "roster",
@@ -178,7 +182,9 @@
         self.logged_floor_by_model: dict[str, int] = {}
         self.peers = Peers(expects_beacons=role is Role.ENTRY)
         self.outage_end = 0.0
+        self.is_outage = False
         self.is_store_lost = False
+        self.regained_at = 0.0
         self.newer_peer = ""
         self.behind_since = 0.0
         self.is_leaving = False
--- a/src/tamaracktray_emulator/platform/store.py
+++ b/src/tamaracktray_emulator/platform/store.py
@@ -41,7 +41,8 @@
     ``delay_s`` delays every call. The next ``lost_answers`` writes take effect, but
     their connection is reset; the next ``refused_writes`` writes are answered with 503
     and have no effect. With ``hides_changes``, watches return no changes. A watch that
-    has waited for ``watch_cut_s`` seconds is cut off.
+    has waited for ``watch_cut_s`` seconds is cut off. Watches that were open at
+    ``silent_before`` are never answered, although their connections stay up.
     """
 
     outage: Outage = Outage.NONE
@@ -50,6 +51,7 @@
     refused_writes: int = 0
     hides_changes: bool = False
     watch_cut_s: float = 3_600.0
+    silent_before: float = 0.0
 
 
 class StoredChange(msgspec.Struct, frozen=True):
@@ -233,6 +235,8 @@
         started_at = time.monotonic()
         deadline = started_at + int(request.query["waitMs"]) / MS_PER_S
         while True:
+            if started_at <= self.faults.silent_before:
+                await curio.sleep(3_600.0)
             if not self.first_revision <= revision <= self.revision:
                 await self._send(responder, 410, {"error": "history is gone"})
                 return
--- a/tests/platforms.py
+++ b/tests/platforms.py
@@ -122,13 +122,15 @@
 class PlatformFleet:
     """Stand-ins and processes of one test.
 
-    Changes to ``routes``, ``services`` and ``tenants`` apply with ``configure``.
+    Changes to ``routes``, ``services`` and ``tenants`` apply with ``configure``, and
+    those to ``store_options`` to processes that start later.
     """
 
     def __init__(self, **bounds: Any) -> None:
         self.store = PlatformStoreStandIn(Address(next_host(), STORE_PORT))
         self.origin = OriginStandIn(Address(next_host(), STORE_PORT))
         self.bounds = BoundSettings(**bounds)
+        self.store_options: dict[str, Any] = {"timeout_s": 0.5, "watch_s": 5.0}
         self.workers: dict[str, WorkerStandIn] = {}
         self.entries: list[EntryProcess] = []
         self.agents: list[AgentProcess] = []
@@ -279,7 +281,7 @@
         return NodeProcessSettings(
             NodeIdentitySettings(role, name, zone, REGIONS, ip),
             ListenSettings(PEER_PORTS, f"{ip}:{CALLER_PORT}", f"{ip}:{READY_PORT}", 0),
-            StoreSettings(str(self.store.server.address), timeout_s=0.5, watch_s=5.0),
+            StoreSettings(str(self.store.server.address), **self.store_options),
             NodePeerSettings(seeds),
             engine or EngineSettings(),
             self.bounds,
