Accept as many callers as the present limit of descriptors allows

The soft limit of a process is its operator's decision, so an entry no longer raises it to the hard one; it counts the connections that it accepts by it.

--- a/src/tamaracktray/descriptors.py
+++ b/src/tamaracktray/descriptors.py
@@ -1,8 +1,7 @@
 """How many connections fit into the file descriptors of a process."""
 
 import resource
-
-import structlog
+import sys
 
 # Descriptors that callers don't get: files, listeners, the store and peers.
 RESERVED_DESCRIPTORS = 300
@@ -14,22 +13,10 @@
 MIN_CALLER_CONNECTIONS = 16
 
 
-def raise_descriptor_limit() -> int:
-    """Raise the soft limit of descriptors as far as allowed, and return it.
-
-    Many systems set a low soft limit for programs that use ``select``.
-    """
-    soft, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
-    if soft == hard:
-        return soft
-    try:
-        resource.setrlimit(resource.RLIMIT_NOFILE, (hard, hard))
-    except (OSError, ValueError) as error:
-        structlog.get_logger().warning(
-            "limit of descriptors not raised", limit=soft, error=str(error)
-        )
-        return soft
-    return hard
+def read_descriptor_limit() -> int:
+    """Return how many descriptors this process may have open."""
+    soft, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
+    return sys.maxsize if soft == resource.RLIM_INFINITY else soft
 
 
 def count_caller_connections(descriptors: int) -> int:
--- a/src/tamaracktray/entry_process.py
+++ b/src/tamaracktray/entry_process.py
@@ -28,7 +28,7 @@
 )
 from tamaracktray.chunk_relay import ChunkRelay
 from tamaracktray.deployment import Deployment
-from tamaracktray.descriptors import count_caller_connections, raise_descriptor_limit
+from tamaracktray.descriptors import count_caller_connections, read_descriptor_limit
 from tamaracktray.effects import Effect
 from tamaracktray.endpoint_limits import LogLimit
 from tamaracktray.events import Event, Tick
@@ -113,7 +113,7 @@
             Address.parse(settings.listen.callers),
             self.handle_caller,
             cancel_on_disconnect=True,
-            max_connections=count_caller_connections(raise_descriptor_limit()),
+            max_connections=count_caller_connections(read_descriptor_limit()),
         )
         self.add_performer(AbandonAttempt, self._abandon_attempt)
         self.add_performer(PrefetchVersion, self._prefetch_version)
--- a/src/tamaracktray/node_reducer.py
+++ b/src/tamaracktray/node_reducer.py
@@ -151,12 +151,7 @@
 def _merge_from_store(
     state: NodeState, now: float, collection: Collection, snapshot: Snapshot
 ) -> list[Effect]:
-    if state.is_store_lost:
-        state.is_store_lost = False
-        state.regained_at = now
-    if state.is_outage:
-        state.is_outage = False
-        state.outage_end = now
+    state.note_store_answer(now)
     effects = _merge_snapshots(state, now, {collection: snapshot})
     is_changed = snapshot.changed_revision == snapshot.revision
     if collection in RELAYED_COLLECTIONS and state.gateway is not None and is_changed:
--- a/src/tamaracktray/node_state.py
+++ b/src/tamaracktray/node_state.py
@@ -199,6 +199,15 @@
         self.engine_service = ""
         self.own_engine: Address | None = None
 
+    def note_store_answer(self, now: float) -> None:
+        """Record that the store answers, which ends an outage."""
+        if self.is_store_lost:
+            self.is_store_lost = False
+            self.regained_at = now
+        if self.is_outage:
+            self.is_outage = False
+            self.outage_end = now
+
     @property
     def has_configuration(self) -> bool:
         """Whether the process has the data that it needs to answer callers."""
