Take an unreadable limit of descriptors for no limit

An entry would not have started where the limit can't be read. Not seen; it follows from the limit on callers' connections. The new test failed before.

--- a/src/tamaracktray/descriptors.py
+++ b/src/tamaracktray/descriptors.py
@@ -3,6 +3,8 @@
 import resource
 import sys
 
+import structlog
+
 # Descriptors that callers don't get: files, listeners, the store and peers.
 RESERVED_DESCRIPTORS = 300
 
@@ -15,7 +17,11 @@
 
 def read_descriptor_limit() -> int:
     """Return how many descriptors this process may have open."""
-    soft, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
+    try:
+        soft, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
+    except OSError as error:
+        structlog.get_logger().warning("limit unknown", error=str(error))
+        return sys.maxsize
     return sys.maxsize if soft == resource.RLIM_INFINITY else soft
 
 
--- a/tests/test_descriptors.py
+++ b/tests/test_descriptors.py
@@ -173,6 +173,13 @@
         monkeypatch.setattr(resource, "getrlimit", lambda _: pair)
         assert count_caller_connections(read_descriptor_limit()) > 1_000_000
 
+    def test_unreadable_limit_bounds_no_callers(self, monkeypatch):
+        def refuse(kind):
+            raise OSError("refused")
+
+        monkeypatch.setattr(resource, "getrlimit", refuse)
+        assert count_caller_connections(read_descriptor_limit()) > 1_000_000
+
     def test_calls_of_all_callers_leave_descriptors(self):
         assert count_caller_connections(4_100) == 1_900
         assert count_caller_connections(64) == MIN_CALLER_CONNECTIONS
