Test entries that start together beside one that ran

Two entries started one after the other ask each other too, and one that still asks must not count as an answer. A question that a peer doesn't answer is logged for debugging.

--- a/src/tamaracktray/peer_questions.py
+++ b/src/tamaracktray/peer_questions.py
@@ -253,6 +253,7 @@
             max_bytes=MAX_REPORT_BYTES,
         )
         if isinstance(reply, Failure) or reply.unwrap().status != 200:
+            self._log.debug("peer not heard", peer=str(address))
             return False
         decoded = decode_report(reply.unwrap().body)
         if isinstance(decoded, Failure):
--- a/tests/test_takeovers.py
+++ b/tests/test_takeovers.py
@@ -146,6 +146,24 @@
 
         run_fleet(scenario)
 
+    def test_entries_that_start_together_hear_the_one_that_ran(self):
+        async def scenario(fleet: PlatformFleet) -> None:
+            await start_fleet(fleet)
+            copy = fleet.store.copy()
+            fleet.tenants = [build_tenant(TEAM, KEY)]
+            await configure_everywhere(fleet)
+            await restore(fleet, copy)
+            started = [await fleet.restart_entry(number) for number in (0, STARTED)]
+            for entry in started:
+                await fleet.until(
+                    lambda state=entry.state: state.is_initialized, START_S
+                )
+            for number in (0, STARTED):
+                replies = await call_during(fleet, 0.5, number, key=OTHER_KEY)
+                assert {status for status, _ in replies} == {401}
+
+        run_fleet(scenario)
+
     def test_entry_that_missed_a_change_learns_it_after_the_restore(self):
         """It could reach neither the store nor its peers when the change was made."""
 
