Excuse cuts by crashed endpoints beside reloads and changes

The log of the entry shows that both engines that were asked had crashed in between on a fatal part (the first fell silent after four events, the second reset 14 ms after the call reached it); a worker that broke off is an exception of the promise. Calls that run at an endpoint as it crashes are now recorded and left out beside reloads and changes; the older check around a planned stop is as it was.

--- a/src/tamaracktray_emulator/soak/binding_checks.py
+++ b/src/tamaracktray_emulator/soak/binding_checks.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from tamaracktray_emulator.soak.fault_log import FaultLog, FaultPeriod
+from tamaracktray_emulator.soak.fault_log import FaultLog
 from tamaracktray_emulator.soak.record import Arrival, SoakCall, SoakRecord
 
 # Time after which a configuration or a departure binds, and after which a process is in
@@ -28,15 +28,11 @@
 
     def allow(self, call: SoakCall, region: str) -> bool:
         """Return whether a call may reach an endpoint in a region."""
-        route_regions = [
-            regions
-            for prefix, regions in self.regions_by_prefix.items()
-            if call.target.startswith(prefix)
-        ]
-        return all(
-            not regions or region in regions
-            for regions in (self.team_regions, *route_regions)
-        )
+        regions_by_prefix = {"": self.team_regions, **self.regions_by_prefix}
+        for prefix, regions in regions_by_prefix.items():
+            if call.target.startswith(prefix) and regions and region not in regions:
+                return False
+        return True
 
 
 class ProcessRun(msgspec.Struct):
@@ -185,14 +181,9 @@
     def _compute_bound_at(self, at: float, entry: str, run: ProcessRun) -> float:
         """Return when a change binds an incarnation; ``inf`` if it never does."""
         moment = max(at + BOUND_S, run.started_at + CONTACT_S)
-        for period in self._fault_log.list_periods():
-            if not self._disturbs(period, entry):
-                continue
-            if period.overlaps(moment - CONTACT_S, moment):
+        for period in self._fault_log.periods:
+            is_own = period.names(entry) or period.name.endswith(STORE_SUBJECTS)
+            if is_own and period.overlaps(moment - CONTACT_S, moment):
                 end = math.inf if period.end is None else period.end
                 moment = end + CONTACT_S
         return moment if moment <= run.stopped_at else math.inf
-
-    @staticmethod
-    def _disturbs(period: FaultPeriod, entry: str) -> bool:
-        return period.names(entry) or period.name.endswith(STORE_SUBJECTS)
--- a/src/tamaracktray_emulator/soak/endpoints.py
+++ b/src/tamaracktray_emulator/soak/endpoints.py
@@ -100,6 +100,13 @@
         if self.answer_fault is not AnswerFault.WHOLE:
             self.record.broken_ids.add(request.headers.get(REQUEST_ID, ""))
 
+    async def _drop_request(self, responder: Responder) -> None:
+        for call_id, runs in self.record.runs_by_id.items():
+            call = self.record.calls_by_id.get(call_id)
+            if runs[-1].endpoint == self.id and call is not None and not call.ended_at:
+                self.record.crashed_ids.add(call_id)
+        await super()._drop_request(responder)
+
     def prepare(self, record: SoakRecord, zone: str, started: float) -> None:
         self.record = record
         self.zone = zone
--- a/src/tamaracktray_emulator/soak/fault_log.py
+++ b/src/tamaracktray_emulator/soak/fault_log.py
@@ -26,29 +26,25 @@
     """The injected faults of one soak, without planned operations."""
 
     def __init__(self) -> None:
-        self._periods: list[FaultPeriod] = []
+        self.periods: list[FaultPeriod] = []
 
     @property
     def names(self) -> list[str]:
         """Return the names of all faults in the order they began."""
-        return [item.name for item in self._periods]
-
-    def list_periods(self) -> list[FaultPeriod]:
-        """Return the periods of all faults in the order they began."""
-        return list(self._periods)
+        return [item.name for item in self.periods]
 
     def begin(self, name: str, now: float) -> FaultPeriod:
         """Add a fault that begins now and return its period."""
         period = FaultPeriod(name, now)
-        self._periods.append(period)
+        self.periods.append(period)
         return period
 
     def has_fault(self, subject: str, start: float, end: float) -> bool:
         """Return whether a fault of ``subject`` overlaps the given period."""
         return any(
-            item.names(subject) and item.overlaps(start, end) for item in self._periods
+            item.names(subject) and item.overlaps(start, end) for item in self.periods
         )
 
     def is_fault_free(self, start: float, end: float) -> bool:
         """Return whether no fault overlaps the period from ``start`` to ``end``."""
-        return not any(item.overlaps(start, end) for item in self._periods)
+        return not any(item.overlaps(start, end) for item in self.periods)
--- a/src/tamaracktray_emulator/soak/operations.py
+++ b/src/tamaracktray_emulator/soak/operations.py
@@ -37,6 +37,8 @@
 INTERPRETER_START_S = 0.5
 PROBE_TIMEOUT_S = 1.5
 
+STOP_PROMISE = "shutdown cuts nothing"
+
 
 class Operations:
     """Operations on the configuration, zones, versions, endpoints and processes."""
@@ -215,7 +217,7 @@
         if self._is_fault_free(start, end):
             detail = f"{daemon.name} after {end - start:.1f} s"
             self._record.check("ends within its grace", has_ended, end, detail)
-            self._check_cuts("shutdown cuts nothing", daemon.name, start, end)
+            self._check_cuts(STOP_PROMISE, daemon.name, start, end)
         if not has_ended:
             self._fleet.send_signal(daemon, signal.SIGKILL)
             await self._fleet.wait_ended(daemon, 2.0)
@@ -226,13 +228,16 @@
     def _check_cuts(self, promise: str, entry: str, start: float, end: float) -> None:
         """Check that an entry cut no call that had reached an endpoint.
 
-        A call whose endpoint broke its answer off proves nothing.
+        A call whose endpoint broke its answer off proves nothing, nor one that a crash
+        ended, except around a planned stop.
         """
         for call in self._record.calls_by_id.values():
             if call.entry != entry or not start <= call.ended_at <= end + 0.1:
                 continue
             has_run = bool(self._record.runs_by_id.get(call.id))
             is_broken = call.id in self._record.broken_ids
+            if promise != STOP_PROMISE:
+                is_broken |= call.id in self._record.crashed_ids
             is_cut = bool(call.cut_by) and has_run and not is_broken
             self._record.check(promise, not is_cut, start, call.id)
 
--- a/src/tamaracktray_emulator/soak/record.py
+++ b/src/tamaracktray_emulator/soak/record.py
@@ -69,7 +69,8 @@
 class SoakRecord:
     """Calls, runs and check results of a soak.
 
-    ``broken_ids`` are the calls to which an endpoint gave an answer that may break off.
+    ``broken_ids`` are the calls whose answer an endpoint may break off, ``crashed_ids``
+    those that ran at an endpoint as it crashed.
     """
 
     def __init__(self) -> None:
@@ -77,6 +78,7 @@
         self.arrivals: list[Arrival] = []
         self.runs_by_id: dict[str, list[Run]] = {}
         self.broken_ids: set[str] = set()
+        self.crashed_ids: set[str] = set()
         self.check_counts: Counter[str] = Counter()
         self.violations: list[Violation] = []
 
--- a/src/tamaracktray_emulator/soak/store_restores.py
+++ b/src/tamaracktray_emulator/soak/store_restores.py
@@ -141,7 +141,6 @@
                 await self.restore(copy, AWAY_S, partial(self._start, entry, period))
 
     async def _start(self, entry: Daemon, period: FaultPeriod) -> None:
-        """Start an entry and wait before the repeated writes."""
         await self._fleet.wait_ended(entry, TURN_S)
         self._fleet.launch(entry)
         period.end = self._fleet.now + TURN_S
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -11,13 +11,15 @@
 from tamaracktray.types import Address
 from tamaracktray_emulator.platform.worker import WORK_S, EngineStandIn, Mode
 from tamaracktray_emulator.soak import scale_out
+from tamaracktray_emulator.soak.callers import Callers
 from tamaracktray_emulator.soak.endpoints import SoakEngine, SoakWorker
 from tamaracktray_emulator.soak.fault_injector import FaultInjector
 from tamaracktray_emulator.soak.fault_log import FaultLog
 from tamaracktray_emulator.soak.fleet import ENGINES, ORDERS, ZONES, SoakFleet
 from tamaracktray_emulator.soak.notice_checks import DRAIN_S, NoticeChecker
+from tamaracktray_emulator.soak.operations import STOP_PROMISE, Operations
 from tamaracktray_emulator.soak.plan import SoakPlan
-from tamaracktray_emulator.soak.record import CallKind, SoakCall, SoakRecord
+from tamaracktray_emulator.soak.record import CallKind, Run, SoakCall, SoakRecord
 from tamaracktray_emulator.soak.run import run_soak
 
 # Promises that every soak must check at least once.
@@ -127,6 +129,53 @@
         assert not log.has_fault("entry-20", 1.5, 2.0)
 
 
+class TestCutChecks:
+    """The soak's own checks that entries cut no calls around planned work."""
+
+    def broken(self, tmp_path, promise: str, *, crashed: bool) -> list[str]:
+        """Return the promises broken by a call that was cut after it had run."""
+        record = SoakRecord()
+        fleet = SoakFleet(SoakPlan(1), tmp_path, record)
+        call = SoakCall("1", CallKind.SAFE, "entry-0", "/", b"", "team", 1.0, 2.0)
+        call.cut_by = "entry-0"
+        record.calls_by_id["1"] = call
+        run = Run(1.1, "w-0", ZONES[0], "/", b"", "team", has_key=False)
+        record.note_run("1", run)
+        if crashed:
+            record.crashed_ids.add("1")
+        callers = Callers(record, 1, fleet.started, 1.0)
+        operations = Operations(fleet, FaultLog(), callers, record)
+        operations._check_cuts(promise, "entry-0", 1.5, 3.5)
+        return [item.promise for item in record.violations]
+
+    @pytest.mark.parametrize("promise", ["reload cuts nothing", STOP_PROMISE])
+    def test_call_that_was_cut_is_a_violation(self, promise, tmp_path):
+        assert self.broken(tmp_path, promise, crashed=False) == [promise]
+
+    def test_crash_of_the_endpoint_excuses_except_around_a_stop(self, tmp_path):
+        """Seed 8614: two engines had crashed on the calls that were cut."""
+        assert self.broken(tmp_path, "change cuts nothing", crashed=True) == []
+        assert self.broken(tmp_path, STOP_PROMISE, crashed=True) == [STOP_PROMISE]
+
+    def test_calls_at_an_endpoint_as_it_crashes_are_recorded(self, tmp_path):
+        class ClosingResponder:
+            async def abort(self) -> None:
+                pass
+
+        record = SoakRecord()
+        fleet = SoakFleet(SoakPlan(1), tmp_path, record)
+        worker = SoakWorker(fleet.store.server.address, "w-0", ORDERS)
+        worker.prepare(record, ZONES[0], fleet.started)
+        for name, ended_at in (("1", 0.0), ("2", 2.0)):
+            call = SoakCall(name, CallKind.SAFE, "entry-0", "/", b"", "team", 1.0)
+            call.ended_at = ended_at
+            record.calls_by_id[name] = call
+            run = Run(1.1, "w-0", ZONES[0], "/", b"", "team", has_key=False)
+            record.note_run(name, run)
+        curio.run(worker._drop_request, ClosingResponder())
+        assert record.crashed_ids == {"1"}
+
+
 class TestStandIns:
     @pytest.mark.parametrize("mode", [Mode.FAILING, Mode.HANGING])
     def test_engine_that_fails_never_sends_a_plain_answer_as_success(self, mode):
