Give up a pull whose peer doesn't begin to answer

Calls reached an endpoint up to 3.15 s after the store had acknowledged that it leaves, sent by entries that were in touch, if both entries of their region that read the endpoints froze as they told of it: about 33 calls each time at three entries with 40 calls a second each.

An entry that doesn't read the endpoints itself pulls them from a peer after its beacon, two pulls at a time, and waits 3 s for the whole answer, since a configuration is slow to arrive. A frozen peer accepts the connection and never answers. With both pulls taken up, nothing else could be pulled for 3 s, although other entries had taken over reading after 1.3 s and told of the change.

The head of the answer must now arrive within 1 s; the body still has 3 s. So a pull is free again before others take over.

--- a/src/tamaracktray/exchange.py
+++ b/src/tamaracktray/exchange.py
@@ -297,6 +297,7 @@
     *,
     timeout_s: float = 5.0,
     connect_timeout_s: float | None = None,
+    head_timeout_s: float | None = None,
     max_bytes: int = 4 * 1_048_576,
     has_host_header: bool = False,
     may_send: Callable[[float], bool] = _always_send,
@@ -304,7 +305,8 @@
     """Send one request and return its complete answer within ``timeout_s`` seconds.
 
     ``connect_timeout_s`` is limited to half of that, so that an unsent request can be
-    distinguished from an unanswered one. ``may_send`` is asked once connected.
+    distinguished from an unanswered one. The head of the answer must arrive within
+    ``head_timeout_s``. ``may_send`` is asked once connected.
     """
     exchange = _fetch(
         address,
@@ -314,6 +316,7 @@
         body,
         timeout_s,
         min(connect_timeout_s or timeout_s, timeout_s / 2),
+        head_timeout_s or timeout_s,
         max_bytes,
         has_host_header,
         may_send,
@@ -333,6 +336,7 @@
     body: bytes,
     timeout_s: float,
     connect_timeout_s: float,
+    head_timeout_s: float,
     max_bytes: int,
     has_host_header: bool,
     may_send: Callable[[float], bool],
@@ -352,7 +356,7 @@
         return opened
     exchange = opened.unwrap()
     try:
-        head = await exchange.read_head(timeout_s)
+        head = await exchange.read_head(head_timeout_s)
         if isinstance(head, Failure):
             return head
         answer = await exchange.read_body(timeout_s, max_bytes)
--- a/src/tamaracktray/node_process.py
+++ b/src/tamaracktray/node_process.py
@@ -51,10 +51,12 @@
 
 TICK_S = 0.025
 
-# Timeouts of a whole call to a peer and of its connection, in seconds. A large
-# configuration is slow to arrive over a link that other processes use as well.
+# Timeouts of a whole call to a peer, its connection and the head of its answer, in
+# seconds. A large configuration is slow to arrive over a link that other processes use
+# as well, but a peer that is frozen accepts connections and never answers.
 PEER_TIMEOUT_S = 3.0
 PEER_CONNECT_S = 0.5
+PEER_HEAD_S = 1.0
 
 # Limit of concurrent pulls from peers: each answer may be as large as the
 # configuration.
@@ -343,6 +345,7 @@
                 known_positions,
                 timeout_s=PEER_TIMEOUT_S,
                 connect_timeout_s=PEER_CONNECT_S,
+                head_timeout_s=PEER_HEAD_S,
                 max_bytes=MAX_SNAPSHOT_BYTES,
             )
         finally:
