Pause after a write to the stage that has failed

What callers saw: nothing directly; an engine that is down or refuses writes was sent the next one at once, over a new connection each, and each was logged, which takes processor time from the engine as it starts.

Cause: a failed write was followed by the next without a pause, and an engine that is down refuses connections at once.

Change: 0.1 s of pause, as after a chunk that could not be fetched.

Test: an engine refuses all writes for 1 s.

--- a/src/tamaracktray/staging.py
+++ b/src/tamaracktray/staging.py
@@ -43,6 +43,10 @@
 MANIFEST_RETRY_S = 0.2
 ORDER_RETRY_S = 0.1
 
+# Pause after a failed write to the stage, in seconds. An engine that is down refuses
+# connections at once.
+STAGE_RETRY_S = 0.1
+
 # Time after which an order without an answer counts as lost, in seconds. The engine may
 # begin it until then, so no other version is staged.
 UNANSWERED_ORDER_S = 10.0
@@ -174,6 +178,8 @@
         state.stage_by_index[event.index] = StagedChunk(event.digest, NEVER)
     else:
         state.stage_by_index.pop(event.index, None)
+    if not event.is_successful:
+        state.stage_retry_deadline = event.now + STAGE_RETRY_S
     return advance(state, event.now)
 
 
@@ -231,7 +237,7 @@
         _retry_load(state, now)
     effects.extend(request_manifests(state, now))
     effects.extend(fetch_chunks(state, now))
-    effects.extend(_stage_chunk(state))
+    effects.extend(_stage_chunk(state, now))
     effects.extend(_check_stage(state, now))
     effects.extend(_order_load(state, now))
     return effects
@@ -265,13 +271,15 @@
     state.step = Step.CHUNKS
 
 
-def _stage_chunk(state: StagingState) -> list[Effect]:
+def _stage_chunk(state: StagingState, now: float) -> list[Effect]:
     """Stage the next chunk of the current version in the engine."""
     work = state.current
     if work is None or state.report is None or not state.is_stage_known:
         return []
     if state.is_staging or state.step not in (Step.CHUNKS, Step.CHECK):
         return []
+    if now < state.stage_retry_deadline:
+        return []
     for index, digest in enumerate(work.digests):
         if is_staged(state, index, digest) or digest not in state.buffered_digests:
             continue
--- a/src/tamaracktray/staging_state.py
+++ b/src/tamaracktray/staging_state.py
@@ -124,6 +124,7 @@
         "sent_order",
         "stage_began_at",
         "stage_by_index",
+        "stage_retry_deadline",
         "step",
         "suspended_s",
         "turn",
@@ -156,6 +157,7 @@
         self.sent_order: StartOrder | None = None
         self.unanswered_order_deadline = 0.0
         self.stage_began_at = 0.0
+        self.stage_retry_deadline = 0.0
         self.suspended_s = 0.0
 
     def elapse(self, now: float) -> float:
--- a/tests/test_engine_restarts.py
+++ b/tests/test_engine_restarts.py
@@ -3,6 +3,7 @@
 Guards against orders that rest on what an earlier start of the engine had staged.
 """
 
+import time
 from collections.abc import Callable
 from typing import Any
 
@@ -12,6 +13,7 @@
 from tamaracktray.agent_process import AgentProcess
 from tamaracktray.engines import EngineReport, StartOrder
 from tamaracktray.staging import (
+    STAGE_RETRY_S,
     handle_chunk_staged,
     handle_engine_answered,
     handle_stage_checked,
@@ -28,6 +30,9 @@
 from tamaracktray_emulator.platform.origin import list_digests
 from tamaracktray_emulator.platform.worker import EngineStandIn
 
+# Time for which an engine refuses writes, in seconds.
+REFUSED_S = 1.0
+
 
 class PowerLoss:
     """Restarts an engine with an empty stage, once."""
@@ -144,3 +149,30 @@
     def test_order_fits_only_the_engine_that_it_was_made_for(self, report, fits):
         order = StartOrder(ENGINE_MODEL, 2, 3, 2, start_time_ms=7)
         assert order.fits(report) is fits
+
+
+class TestEngineThatRefusesWrites:
+    def test_writes_that_fail_at_once_are_paced(self, monkeypatch):
+        handle = EngineStandIn._handle_stage
+        refused: list[float] = []
+
+        async def refuse_writes(self, request, responder):
+            now = time.monotonic()
+            if request.method == "PUT" and now < (refused or [now])[0] + REFUSED_S:
+                refused.append(now)
+                await responder.abort()
+                return
+            await handle(self, request, responder)
+
+        monkeypatch.setattr(EngineStandIn, "_handle_stage", refuse_writes)
+
+        async def scenario(fleet: PlatformFleet) -> None:
+            await fleet.start()
+            engine = await fleet.add_engine("e-1")
+            await fleet.add_agent(engine)
+            document = {"model": ENGINE_MODEL, "version": 2}
+            fleet.store.write("versions", ENGINE_MODEL, document)
+            await fleet.until(lambda: engine.version == 2, 8.0)
+            assert len(refused) <= REFUSED_S / STAGE_RETRY_S + 1
+
+        run_fleet(scenario, version_ms=4_000.0)
