Keep endpoints whose records expire while the store hangs

Callers got 503 until the endpoints had registered again, if the store held its answers for some 3 to 5 s and a record expired meanwhile.

A timed-out watch starts an outage only if its retry fails, and a store that hangs answers the retry late, without a failure. A retry that isn't answered within 0.3 s now starts an outage, while it is still open, so that the list that comes with the late answer finds it. What a failure means is an attribute of all failures.

--- a/src/tamaracktray/collection_reader.py
+++ b/src/tamaracktray/collection_reader.py
@@ -24,7 +24,6 @@
 from tamaracktray.events import Event
 from tamaracktray.exceptions import (
     PlatformError,
-    PlatformUnavailableError,
     RevisionExpiredError,
     WatchReopenedError,
 )
@@ -56,6 +55,10 @@
     Collection.VERSIONS: 2.0,
 }
 
+# Time in seconds within which a store that is available answers a retry. A store that
+# hangs answers what it holds later, and records may have expired meanwhile.
+PROMPT_ANSWER_S = 0.3
+
 # Changes in one watch of the configuration above which the next read is a list: each
 # change contains the whole configuration, a list only the latest one.
 MAX_WATCHED_CHANGES = 1
@@ -186,7 +189,7 @@
                 )
                 is_expired = isinstance(failure, RevisionExpiredError)
                 is_listed = not is_changing_fast and not is_expired
-                is_cut = is_waiting and _is_cut(failure)
+                is_cut = is_waiting and failure is not None and failure.is_cut
                 if is_cut:
                     # The retry shows whether the store is available.
                     self._note_cut(collection)
@@ -208,7 +211,7 @@
             if isinstance(failure, RevisionExpiredError):
                 self._log.info("history expired", collection=collection.value)
                 continue
-            is_confirmed = not (is_waiting and _is_timed_out(failure))
+            is_confirmed = not (is_waiting and failure.is_timed_out)
             await self._record_failure(
                 collection, failure, is_first=not failed_at, is_confirmed=is_confirmed
             )
@@ -232,7 +235,7 @@
         if self._probing_collection is None:
             self._probing_collection = collection
             self._store_available.clear()
-        if _is_timed_out(failure):
+        if failure.is_timed_out:
             await self._reopen_watches(collection)
         if self._probing_collection is not collection:
             await curio.ignore_after(MAX_PROBE_WAIT_S, self._store_available.wait())
@@ -355,6 +358,8 @@
             watch, time.monotonic(), self._last_position
         )
         try:
+            if not watch_s:
+                await self._note_slow_retry(watch)
             return await watch.join()
         except curio.TaskError as error:
             if not watch.cancelled:
@@ -366,6 +371,12 @@
         finally:
             del self._watches[collection]
 
+    async def _note_slow_retry(self, retry: curio.Task) -> None:
+        """Report an outage if a retry is not answered promptly."""
+        await curio.ignore_after(PROMPT_ANSWER_S, retry.wait)
+        if not retry.terminated:
+            await self._context.dispatch(StoreLost(time.monotonic()))
+
     def _count_unreadable(self, collection: Collection, objects: ObjectList) -> None:
         for item in objects.items:
             if item.value is not None or item.deleted:
@@ -385,13 +396,3 @@
     def _count_call(self, collection: Collection, kind: str) -> None:
         metrics = self._context.metrics
         metrics.count("store_calls", kind=kind, collection=collection.value)
-
-
-def _is_timed_out(failure: PlatformError) -> bool:
-    """Return whether a call timed out without any other error."""
-    return isinstance(failure, PlatformUnavailableError) and failure.is_timed_out
-
-
-def _is_cut(failure: PlatformError | None) -> bool:
-    """Return whether a call's connection ended before the answer."""
-    return isinstance(failure, PlatformUnavailableError) and failure.is_cut
--- a/src/tamaracktray/exceptions.py
+++ b/src/tamaracktray/exceptions.py
@@ -60,16 +60,19 @@
 
 
 class PlatformError(TamaracktrayError):
-    """A call to the platform that failed."""
-
-
-class PlatformUnavailableError(PlatformError):
-    """The platform was unavailable; the call had no effect.
+    """A call to the platform that failed.
 
     ``is_timed_out`` is true if the call timed out without any other error, and
     ``is_cut`` if its connection ended after the call had been sent.
     """
 
+    is_timed_out = False
+    is_cut = False
+
+
+class PlatformUnavailableError(PlatformError):
+    """The platform was unavailable; the call had no effect."""
+
     def __init__(
         self, message: str, *, is_timed_out: bool = False, is_cut: bool = False
     ) -> None:
--- a/tests/test_silent_watches.py
+++ b/tests/test_silent_watches.py
@@ -10,6 +10,7 @@
 import pytest
 
 from platforms import PlatformFleet, run_fleet
+from tamaracktray_emulator.platform.store import PlatformStoreStandIn
 
 # Silent connections count as reset ones: processes are connected again after this time.
 CONTACT_S = 3.0
@@ -69,6 +70,50 @@
     assert all(entry.state.evacuated_zones for entry in fleet.entries)
 
 
+class HangingStore:
+    """Makes a store hold all calls, and answer them when it no longer hangs."""
+
+    def __init__(self, patch: pytest.MonkeyPatch) -> None:
+        self.is_hanging = False
+        for name in ("_list", "_watch", "_send"):
+            method = getattr(PlatformStoreStandIn, name)
+            patch.setattr(PlatformStoreStandIn, name, self._hold(method))
+
+    def _hold(self, method):
+        async def held(*args) -> None:
+            while self.is_hanging:
+                await curio.sleep(0.02)
+            await method(*args)
+
+        return held
+
+
+class TestHangingStore:
+    @pytest.mark.parametrize("silence_s", [3.2, 4.2, 6.5])
+    def test_endpoint_that_expires_while_the_store_hangs_is_kept(
+        self, silence_s, monkeypatch
+    ):
+        store = HangingStore(monkeypatch)
+
+        async def scenario(fleet: PlatformFleet) -> None:
+            await fleet.start()
+            worker = await fleet.add_worker("w-1")
+            await fleet.until_listed(1)
+            await curio.sleep(1.0)
+            assert (await fleet.call("/order/1", "first")).status == 200
+            store.is_hanging = True
+            await curio.sleep(silence_s)
+            fleet.store.remove("servers", "w-1")
+            store.is_hanging = False
+            for number in range(12):
+                await curio.sleep(0.1)
+                reply = await fleet.call("/order/1", f"id-{number}")
+                assert reply.status == 200
+            fleet.list_worker(worker)
+
+        run_fleet(scenario)
+
+
 class TestSilentWatches:
     @pytest.mark.parametrize("leaves_after_s", [0.05, 1.0])
     def test_changes_are_known_once_connected_again(self, leaves_after_s):
