Refuse calls on a route without a service

An entry would have stopped, with all its open calls, if a table left a route no backend of positive weight while a call on it was open: the call was bound again without a service, and the first one was asked for.

Binding now refuses such a route with 503, after the key has been checked.

--- a/src/tamaracktray/call_binding.py
+++ b/src/tamaracktray/call_binding.py
@@ -35,21 +35,23 @@
 ) -> Result[Binding, Refusal]:
     """Return what the table says about a call, or the refusal if it forbids it.
 
-    The refusal's status is 404 if no route matches and 401 if the key is missing or
-    unknown. A public route needs no key, but an unknown one is not ignored there: it
-    may belong to a team with regions of its own.
+    The refusal's status is 404 if no route matches, 401 if the key is missing or
+    unknown, and 503 if the route has no service. A public route needs no key, but an
+    unknown one is not ignored there: it may belong to a team with regions of its own.
     """
     route = index.find_route(host, path)
     if route is None:
         message = "no route matches the host and path"
         return Failure(Refusal(ErrorCode.NOT_FOUND, message, RunState.NOT_RUN, 404))
     team = index.find_team(key) if key else None
-    if team is not None or not index.needs_keys:
-        return Success(Binding(route, team))
-    if route.is_public and not key:
-        return Success(Binding(route, None))
-    message = "the key is unknown" if key else "a key is needed"
-    return Failure(Refusal(ErrorCode.UNAUTHORIZED, message, RunState.NOT_RUN, 401))
+    is_open = not index.needs_keys or (route.is_public and not key)
+    if team is None and not is_open:
+        message = "the key is unknown" if key else "a key is needed"
+        return Failure(Refusal(ErrorCode.UNAUTHORIZED, message, RunState.NOT_RUN, 401))
+    if not any(backend.weight > 0 for backend in route.backends):
+        message = "the route has no service"
+        return Failure(Refusal(ErrorCode.NO_ENDPOINT, message, RunState.NOT_RUN, 503))
+    return Success(Binding(route, team))
 
 
 def rebind_call(call: Call, index: RouteIndex) -> Result[Call, Refusal]:
--- a/tests/test_rebinding.py
+++ b/tests/test_rebinding.py
@@ -37,7 +37,14 @@
 from tamaracktray.objects import StoredObject
 from tamaracktray.outcomes import AttemptPhase
 from tamaracktray.protocol import CallerFields
-from tamaracktray.routes import RepeatKind, Route, RouteIndex, RoutingTable, Team
+from tamaracktray.routes import (
+    Backend,
+    RepeatKind,
+    Route,
+    RouteIndex,
+    RoutingTable,
+    Team,
+)
 from tamaracktray.snapshots import Collection
 from tamaracktray.types import RunState
 
@@ -313,6 +320,17 @@
         assert sent(entry.feed(CallArrived(entry.now, call))) == ["far"]
 
 
+class TestRoutesWithoutServices:
+    @pytest.mark.parametrize("backends", [(), (Backend(ORDERS, 0.0),)])
+    def test_waiting_call_is_refused_and_the_process_goes_on(self, backends):
+        entry = Entry(NEAR)
+        entry.arrive("a")
+        entry.arrive("b")
+        effects = entry.configure(team(), backends=backends)
+        assert list_refusals(effects) == [(503, RunState.NOT_RUN)]
+        assert not sent(entry.end("a", "near", AttemptPhase.NOT_SENT))
+
+
 class TestArrivals:
     def test_call_built_with_an_earlier_table_follows_the_one_in_force(self):
         entry = Entry(NEAR, FAR)
