Excuse a cut beside a reload only by the endpoint that ran it last

A call that ran at an endpoint that crashed and was then sent to a sound one was excused for good, so a cut by the entry after that went unseen. A later run now takes the excuse back; the test of what is recorded has the case.

--- a/src/tamaracktray_emulator/soak/record.py
+++ b/src/tamaracktray_emulator/soak/record.py
@@ -70,7 +70,7 @@
     """Calls, runs and check results of a soak.
 
     ``broken_ids`` are the calls whose answer an endpoint may break off, ``crashed_ids``
-    those that ran at an endpoint as it crashed.
+    those whose last run was at an endpoint as it crashed.
     """
 
     def __init__(self) -> None:
@@ -86,6 +86,7 @@
         """Record that an endpoint runs a request and check the invariants."""
         runs = self.runs_by_id.setdefault(call_id, [])
         runs.append(run)
+        self.crashed_ids.discard(call_id)
         call = self.calls_by_id.get(call_id)
         self.check("no request but the callers'", call is not None, run.at, call_id)
         if call is None:
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -174,6 +174,9 @@
             record.note_run(name, run)
         curio.run(worker._drop_request, ClosingResponder())
         assert record.crashed_ids == {"1"}
+        again = Run(1.2, "w-1", ZONES[0], "/", b"", "team", has_key=False)
+        record.note_run("1", again)
+        assert not record.crashed_ids
 
 
 class TestStandIns:
