--- a/src/tamaracktray/platform/engine.py
+++ b/src/tamaracktray/platform/engine.py
@@ -18,24 +18,13 @@
 from tamaracktray.exceptions import TransportError, WeightError
 from tamaracktray.exchange import fetch
 from tamaracktray.http_messages import Headers, Reply
-from tamaracktray.persistent_client import ClientPool, PersistentClient
 from tamaracktray.platform.documents import read_manifest, read_report
 from tamaracktray.platform.protocol import REQUEST_ID
+from tamaracktray.stage_connections import LOCAL_TIMEOUT_S, StageConnections
 from tamaracktray.types import Address
 from tamaracktray.weights import MAX_CHUNK_BYTES, Manifest
 
 JSON: Headers = [("content-type", "application/json")]
-OCTET_STREAM: Headers = [("content-type", "application/octet-stream")]
-
-# Timeout of a call to the engine on the same instance.
-LOCAL_TIMEOUT_S = 1.0
-
-# Timeout of a write to the engine on the same instance. An engine that hangs executes
-# the writes that it has received when it resumes, so the timeout is long.
-WRITE_TIMEOUT_S = 10.0
-
-# Time without acknowledgement after which a connection for writes is lost.
-SILENCE_S = 2.0
 
 # Timeout of a chunk transfer, which shares its link with other chunks and live answers.
 CHUNK_TIMEOUT_S = 4.0
@@ -52,24 +41,17 @@
 
 
 class PlatformEngine(StagingEngine):
-    """Calls the model engine on the same instance over persistent connections.
-
-    Writes have a connection of their own, and so has each further reader; all other
-    calls share one. The next write is sent when the engine has answered the one before
-    or has closed its connection, so that none is executed after a later one.
-    """
+    """Calls the model engine on the same instance."""
 
-    __slots__ = ("_address", "_clients", "_writer")
+    __slots__ = ("_address", "_connections")
 
     def __init__(self, address: Address) -> None:
         self._address = address
-        self._clients = ClientPool(address, REQUEST_ID)
-        self._writer = PersistentClient(address, REQUEST_ID, SILENCE_S)
+        self._connections = StageConnections(address, REQUEST_ID)
 
     @override
     async def read_report(self) -> Result[EngineReport, TransportError]:
-        client = self._clients.get_client()
-        reply = await client.fetch("GET", "/report", timeout_s=LOCAL_TIMEOUT_S)
+        reply = await self._connections.get("/report")
         if isinstance(reply, Failure):
             return reply
         answer = reply.unwrap()
@@ -81,7 +63,7 @@
 
     @override
     async def list_staged(self, model: str) -> Result[list[int], WeightError]:
-        reply = await self._call(f"/stage-get/{model}")
+        reply = await self._connections.read(f"/stage-get/{model}")
         if isinstance(reply, Failure):
             return reply
         staged = decode_json(reply.unwrap().body, dict[str, list[int]])
@@ -95,7 +77,7 @@
     ) -> Result[bytes, WeightError]:
         # The platform's parameter "quantity" is the index of the chunk.
         target = f"/stage-get/{model}?quantity={index}"
-        reply = await self._call(target, reader)
+        reply = await self._connections.read(target, reader)
         return reply.map(lambda answer: answer.body)
 
     @override
@@ -103,15 +85,7 @@
         self, model: str, index: int, data: bytes
     ) -> Result[None, WeightError]:
         target = f"/stage-put/{model}?quantity={index}"
-        reply = await self._writer.fetch(
-            "PUT",
-            target,
-            OCTET_STREAM,
-            data,
-            timeout_s=WRITE_TIMEOUT_S,
-            repeat_unanswered=False,
-        )
-        return require_ok(reply, f"PUT {target}").map(lambda _: None)
+        return await self._connections.write(target, data)
 
     @override
     async def start(self, order: StartOrder) -> Result[OrderOutcome, TransportError]:
@@ -139,12 +113,6 @@
             lambda answer: OUTCOME_BY_STATUS.get(answer.status, OrderOutcome.REFUSED)
         )
 
-    async def _call(self, target: str, reader: int = 0) -> Result[Reply, WeightError]:
-        reply = await self._clients.get_client(reader).fetch(
-            "GET", target, timeout_s=LOCAL_TIMEOUT_S, max_bytes=MAX_CHUNK_BYTES
-        )
-        return require_ok(reply, f"GET {target}")
-
 
 class PlatformOrigin(VersionOrigin):
     """Fetches manifests and chunks from the origin of weights.
