--- /dev/null
+++ b/tests/test_moves_beside_changes.py
@@ -0,0 +1,229 @@
+"""Streams whose endpoint falls silent while something else changes.
+
+Guards against an answer that is given up for a silence although no other endpoint goes
+on with it: what allowed the move may have changed before it is carried out.
+"""
+
+import time
+from collections.abc import Callable
+from functools import partial
+from typing import Any
+
+import curio
+import msgspec
+import pytest
+
+from platforms import ENGINES, ORDERS, PlatformFleet, run_fleet
+from tamaracktray.calls import AbandonAttempt
+from tamaracktray.effects import Effect
+from tamaracktray.endpoint_limits import EndpointLimitReceived
+from tamaracktray.entry_process import EntryProcess
+from tamaracktray.events import Event
+from tamaracktray.node_events import CollectionListed
+from tamaracktray.notices import EndpointNoticeReceived
+from tamaracktray.objects import StoredObject
+from tamaracktray.routes import Backend, Route
+from tamaracktray.snapshots import Collection
+from tamaracktray.suspicions import CrashReport, Incarnation
+from tamaracktray_emulator.platform.documents import build_route
+from tamaracktray_emulator.platform.worker import EVENTS
+
+SILENT_S = 1.3
+# Events before the first silence.
+FIRST_EVENTS = 2
+
+# Of this reserve an entry without peers uses one retry.
+RESERVE_OF_ONE = 4.0
+
+Change = Callable[[EntryProcess, str], list[Event]]
+
+
+def list_objects(
+    entry: EntryProcess, collection: Collection, *objects: StoredObject
+) -> list[Event]:
+    """Return the event of a new content of a collection."""
+    known = entry.state.snapshot_cache.by_collection[collection]
+    revision, era = known.revision + 1, entry.store.era
+    now = time.monotonic()
+    return [CollectionListed(now, collection, list(objects), revision, era)]
+
+
+def replace_table(entry: EntryProcess, **fields: Any) -> list[Event]:
+    table = entry.state.index.table
+    changed = msgspec.structs.replace(table, version=table.version + 1, **fields)
+    return list_objects(entry, Collection.ROUTING, StoredObject("main", 0, changed))
+
+
+def replace_routes(entry: EntryProcess, **fields: Any) -> list[Event]:
+    def change(route: Route) -> Route:
+        return msgspec.structs.replace(route, **fields)
+
+    return replace_table(
+        entry, routes=tuple(change(route) for route in entry.state.index.table.routes)
+    )
+
+
+def allow_one_attempt(entry: EntryProcess, other: str) -> list[Event]:
+    return replace_routes(entry, max_attempts=1)
+
+
+def forbid_resuming(entry: EntryProcess, other: str) -> list[Event]:
+    return replace_routes(entry, is_resumable=False)
+
+
+def drop_routes(entry: EntryProcess, other: str) -> list[Event]:
+    return replace_table(entry, routes=())
+
+
+def drop_keys(entry: EntryProcess, other: str) -> list[Event]:
+    return replace_table(entry, teams=())
+
+
+def change_region(entry: EntryProcess, other: str) -> list[Event]:
+    return replace_routes(entry, allowed_regions=("region-b",))
+
+
+def change_service(entry: EntryProcess, other: str) -> list[Event]:
+    return replace_routes(entry, backends=(Backend(ORDERS),))
+
+
+def drop_service(entry: EntryProcess, other: str) -> list[Event]:
+    return replace_table(entry, services_by_name={})
+
+
+def evacuate_zones(entry: EntryProcess, other: str) -> list[Event]:
+    zones = [StoredObject(zone, 0, zone) for zone in ("zone-a", "zone-b")]
+    return list_objects(entry, Collection.EVACUATIONS, *zones)
+
+
+def remove_other(entry: EntryProcess, other: str) -> list[Event]:
+    known = entry.state.snapshot_cache.by_collection[Collection.ENDPOINTS]
+    kept = [item for name, item in known.objects_by_name.items() if name != other]
+    return list_objects(entry, Collection.ENDPOINTS, *kept)
+
+
+def announce_leaving(entry: EntryProcess, other: str) -> list[Event]:
+    return [EndpointNoticeReceived(time.monotonic(), other, True, None)]
+
+
+def pause_other(entry: EntryProcess, other: str) -> list[Event]:
+    return [EndpointNoticeReceived(time.monotonic(), other, False, 5.0)]
+
+
+def limit_other(entry: EntryProcess, other: str) -> list[Event]:
+    now = time.monotonic()
+    return [EndpointLimitReceived(now, other, 0.0, now)]
+
+
+def quarantine_request(entry: EntryProcess, other: str) -> list[Event]:
+    (pending,) = entry.state.gateway.pending_by_id.values()
+    reports = [
+        CrashReport(pending.call.fingerprint, Incarnation(f"e-{number}", 1), 0.1)
+        for number in (7, 8)
+    ]
+    entry.state.crashes.merge(time.monotonic(), reports)
+    return []
+
+
+CHANGES: list[Change] = [
+    allow_one_attempt,
+    forbid_resuming,
+    drop_routes,
+    drop_keys,
+    change_region,
+    change_service,
+    drop_service,
+    evacuate_zones,
+    remove_other,
+    announce_leaving,
+    pause_other,
+    limit_other,
+    quarantine_request,
+]
+
+
+def intervene(entry: EntryProcess, react: Callable[[], list[Event]]) -> None:
+    """Reduce further events right behind each decision to abandon an attempt."""
+    reduce = entry.reduce
+
+    def reduce_with_changes(event: Event) -> list[Effect]:
+        effects = reduce(event)
+        if any(isinstance(item, AbandonAttempt) for item in effects):
+            for following in react():
+                effects.extend(reduce(following))
+        return effects
+
+    entry.reduce = reduce_with_changes
+
+
+async def start_engines(fleet: PlatformFleet, count: int) -> None:
+    await fleet.start()
+    for number in range(count):
+        engine = await fleet.add_engine(f"e-{number}")
+        engine.pause_after = FIRST_EVENTS
+        engine.pause_s = SILENT_S
+    await fleet.until_listed(count)
+
+
+def list_used(fleet: PlatformFleet) -> list[str]:
+    return [name for name, worker in fleet.workers.items() if worker.runs]
+
+
+class TestBegunStreams:
+    @pytest.mark.parametrize("change", CHANGES, ids=lambda change: change.__name__)
+    def test_change_behind_the_decision_to_move_cuts_no_stream(self, change):
+        moves: list[str] = []
+
+        async def scenario(fleet: PlatformFleet) -> None:
+            await start_engines(fleet, 2)
+            entry = fleet.entries[0]
+
+            def react() -> list[Event]:
+                (used,) = list_used(fleet)
+                (other,) = (name for name in fleet.workers if name != used)
+                moves.append(other)
+                return change(entry, other)
+
+            intervene(entry, react)
+            reply = await fleet.call("/talk/1", wait_ms=6_000)
+            assert reply.status == 200
+            assert reply.body.count(b"id:") == EVENTS
+
+        run_fleet(scenario, repeat_ratio=0.0, repeat_reserve=RESERVE_OF_ONE)
+        assert moves
+
+    def test_second_silence_of_a_request_cuts_no_stream(self):
+        async def scenario(fleet: PlatformFleet) -> None:
+            fleet.routes[0] = build_route(
+                "talk", "stream", ENGINES, maxAttempts=3, timeoutMs=6_000
+            )
+            await start_engines(fleet, 4)
+
+            def react() -> list[Event]:
+                for engine in fleet.workers.values():
+                    engine.pause_after += FIRST_EVENTS
+                return []
+
+            intervene(fleet.entries[0], react)
+            reply = await fleet.call("/talk/1", wait_ms=6_000)
+            assert reply.status == 200
+            assert reply.body.count(b"id:") == EVENTS
+            assert len(list_used(fleet)) > 1
+
+        run_fleet(scenario)
+
+    def test_stream_goes_on_where_its_endpoint_does_so_first(self):
+        async def scenario(fleet: PlatformFleet) -> None:
+            await start_engines(fleet, 2)
+            calling = await curio.spawn(partial(fleet.call, "/talk/1", wait_ms=6_000))
+            await fleet.until(lambda: list_used(fleet))
+            (used,) = list_used(fleet)
+            for name, engine in fleet.workers.items():
+                if name != used:
+                    engine.pause_after, engine.pause_s = FIRST_EVENTS, 4.0
+            reply = await calling.join()
+            assert reply.status == 200
+            assert reply.body.count(b"id:") == EVENTS
+            assert all(len(worker.runs) == 1 for worker in fleet.workers.values())
+
+        run_fleet(scenario)
