Keep an attempt that is left for its silence until another one answers

Callers saw: streams that ended in the middle, beside a change of the configuration or at the second silence of a request, although their endpoint went on a moment later.

Cause: leaving a silent endpoint ended the attempt there at once. What had allowed the move (a place, a retry, the route, key, regions, quarantines) could change before another endpoint had taken the call, and its own suspicion could bar it; the answer that was given up couldn't be taken back.

Each attempt now has a task of its own. One that its call leaves is parked: it ends only when another attempt has the next part of the answer. If nobody takes the call, the call waits for the parked attempt again, and if its endpoint goes on first, that supersedes the other attempt. Parked attempts still count at their endpoints, and end with their call or if they must not begin any more (version, quarantined part).

--- a/src/tamaracktray/attempt_abandonment.py
+++ b/src/tamaracktray/attempt_abandonment.py
@@ -8,12 +8,14 @@
 
 import msgspec
 
-from tamaracktray.calls import AbandonAttempt, SendCall
+from tamaracktray.calls import AbandonAttempt, LeaveAttempt, SendCall
 from tamaracktray.effects import Effect
 from tamaracktray.endpoint_loads import EndpointLoad
 from tamaracktray.gateway_crashes import suspect_endpoint
 from tamaracktray.gateway_fleet import choose, is_barred
-from tamaracktray.gateway_state import GatewayContext, PendingCall
+from tamaracktray.gateway_state import GatewayContext
+from tamaracktray.parked_attempts import end_parked_attempts
+from tamaracktray.pending_calls import ParkedAttempt, PendingCall
 from tamaracktray.placement import count_open_slots, is_available
 
 # Silence of an endpoint after which its calls are retried elsewhere, in seconds: before
@@ -36,7 +38,7 @@
 
 
 def abandon_silent_attempts(context: GatewayContext, now: float) -> list[Effect]:
-    """Abandon attempts that get no data if another endpoint can take the call.
+    """Leave attempts that get no data if another endpoint can take the call.
 
     The others are noted, to move before queued calls once a slot is free.
     """
@@ -77,7 +79,7 @@
 
 
 def move_noted_attempts(context: GatewayContext, now: float) -> list[Effect]:
-    """Abandon noted attempts, as many as there are free slots."""
+    """Leave noted attempts, as many as there are free slots."""
     state = context.state
     effects: list[Effect] = []
     for call_id, reason in list(state.move_reason_by_id.items()):
@@ -96,9 +98,9 @@
 def _move(
     context: GatewayContext, now: float, pending: PendingCall, reason: str
 ) -> list[Effect]:
-    """Abandon an attempt if the call can certainly go on at another endpoint.
+    """Leave an attempt if another endpoint can take the call.
 
-    The endpoint may be sound and go on soon, so the answer must not be lost by this.
+    The endpoint may be sound and go on soon, so the attempt is parked.
     """
     endpoint_id = pending.endpoint_id
     if not reserve_move(context, now, pending):
@@ -106,14 +108,14 @@
     pending.is_abandoned = True
     pending.left_id = endpoint_id
     return [
-        AbandonAttempt(pending.call.id, reason),
+        LeaveAttempt(pending.call.id, reason),
         *suspect_endpoint(context, now, pending, endpoint_id),
     ]
 
 
 def reserve_move(context: GatewayContext, now: float, pending: PendingCall) -> bool:
     """Reserve a slot at another endpoint and a retry; return whether both exist."""
-    if not _is_movable(pending):
+    if context.is_ending or not _is_movable(pending):
         return False
     load = choose(context, now, pending, pending.endpoint_id)
     if load is None or load.measure_silence(now) > SILENCE_TIMEOUT_S:
@@ -136,7 +138,9 @@
     load = context.state.loads_by_id.get(pending.left_id)
     pending.left_id = ""
     call = pending.call
-    if load is None or now >= call.deadline or is_barred(context, now, pending):
+    if load is None or now >= call.deadline or context.is_ending:
+        return None
+    if is_barred(context, now, pending):
         return None
     if not is_available(now, call, load, context.placement_context):
         return None
@@ -164,13 +168,24 @@
     """Abandon attempts that have not begun at endpoints with an outdated version."""
     state = context.state
     effects: list[Effect] = []
+    reason = "version is too old"
     for pending in state.pending_by_id.values():
+        model = pending.call.model
+        if pending.parked_by_id:
+            effects.extend(
+                end_parked_attempts(
+                    context,
+                    pending,
+                    reason,
+                    lambda item, model=model: _is_outdated(context, model, item),
+                )
+            )
         if not pending.endpoint_id or pending.is_answer_started or pending.is_abandoned:
             continue
-        if not _is_outdated(context, pending):
+        if not _is_outdated(context, model, pending):
             continue
         pending.is_abandoned = True
-        effects.append(AbandonAttempt(pending.call.id, "version is too old"))
+        effects.append(AbandonAttempt(pending.call.id, reason))
     return effects
 
 
@@ -179,14 +194,20 @@
     if context.part_crashes.is_empty:
         return []
     effects: list[Effect] = []
+    reason = "prompt part is quarantined"
     for pending in context.state.pending_by_id.values():
-        if not pending.endpoint_id or pending.is_answer_started or pending.is_abandoned:
+        if pending.is_trial or not (pending.endpoint_id or pending.parked_by_id):
             continue
         end = context.part_crashes.find_prompt_quarantine_end(now, pending.call.parts)
-        if end is None or pending.is_trial:
+        if end is None:
+            continue
+        effects.extend(
+            end_parked_attempts(context, pending, reason, lambda parked: True)
+        )
+        if not pending.endpoint_id or pending.is_answer_started or pending.is_abandoned:
             continue
         pending.is_abandoned = True
-        effects.append(AbandonAttempt(pending.call.id, "prompt part is quarantined"))
+        effects.append(AbandonAttempt(pending.call.id, reason))
         # The endpoint may have begun to answer before the attempt is taken back.
         effects.extend(suspect_endpoint(context, now, pending, pending.endpoint_id))
     return effects
@@ -210,13 +231,14 @@
     return is_available(now, pending.call, load, placement_context)
 
 
-def _is_outdated(context: GatewayContext, pending: PendingCall) -> bool:
-    """Return whether the endpoint's version is too old for the call to begin there."""
-    model = pending.call.model
+def _is_outdated(
+    context: GatewayContext, model: str, attempt: PendingCall | ParkedAttempt
+) -> bool:
+    """Return whether the endpoint's version is too old for an answer to begin."""
     floor = context.placement_context.last_floor_by_model.get(model, 0)
     if not floor:
         return False
-    load = context.state.loads_by_id.get(pending.endpoint_id)
+    load = context.state.loads_by_id.get(attempt.endpoint_id)
     # An endpoint that is no longer listed may still begin a call sent to it.
-    version = pending.held_version if load is None else load.find_version(model)
+    version = attempt.held_version if load is None else load.find_version(model)
     return 0 < version < floor
--- a/src/tamaracktray/attempt_events.py
+++ b/src/tamaracktray/attempt_events.py
@@ -55,6 +55,30 @@
     )
 
 
+def build_parked_end(
+    decision: SendCall, last_event_id: str | None = None
+) -> CallAttemptEnded:
+    """Return the end of an attempt that its call leaves but that may be resumed.
+
+    ``last_event_id`` is as in ``build_failed_end``.
+    """
+    phase = AttemptPhase.SENT if last_event_id is None else AttemptPhase.CUT
+    return CallAttemptEnded(
+        time.monotonic(),
+        decision.call_id,
+        decision.endpoint_id,
+        phase,
+        last_event_id=last_event_id or "",
+        detail="left",
+        is_parked=True,
+    )
+
+
+def build_superseded_end(decision: SendCall) -> CallAttemptEnded:
+    """Return the end of an attempt whose place another one has taken."""
+    return build_attempt_end(decision, AttemptPhase.SENT, detail="superseded")
+
+
 def build_unmarked_end(
     decision: SendCall, status: int, end: AnswerEnd | None = None
 ) -> CallAttemptEnded:
--- a/src/tamaracktray/attempt_relay.py
+++ b/src/tamaracktray/attempt_relay.py
@@ -6,14 +6,21 @@
 from returns.result import Failure, Result
 
 from tamaracktray.answer_ends import AnswerEnd
+from tamaracktray.answer_sending import AnswerSender
 from tamaracktray.attempt_events import (
     build_attempt_end,
     build_failed_end,
     build_notice,
     build_started,
+    build_superseded_end,
     build_unmarked_end,
 )
-from tamaracktray.calls import Call, CallAttemptEnded, CallStarted, SendCall
+from tamaracktray.calls import (
+    Call,
+    CallAttemptEnded,
+    CallStarted,
+    SendCall,
+)
 from tamaracktray.connections import refuses_connections
 from tamaracktray.endpoint_limits import EndpointLimitReceived
 from tamaracktray.exceptions import TransportError
@@ -25,10 +32,9 @@
     compute_rest_timeout,
 )
 from tamaracktray.notices import EndpointNoticeReceived
-from tamaracktray.open_calls import BufferedAnswer, OpenCall
+from tamaracktray.open_calls import Attempt, BufferedAnswer, OpenCall
 from tamaracktray.outcomes import AttemptPhase
 from tamaracktray.protocol import AnswerFields, AttemptFields, RequestProtocol
-from tamaracktray.responders import Responder
 from tamaracktray.routes import RepeatKind
 
 # Connection timeout to an endpoint, in seconds: a full accept queue drops the SYN, and
@@ -54,7 +60,7 @@
     itself. ``may_send`` checks whether a decision is still valid, given the seconds
     that connecting took. ``is_limited`` checks whether an endpoint has named a limit,
     which ends with an answer that names none. An answer of more than ``answer_bytes``
-    is cut. With ``closes_connections``, answers ask callers to close their connection.
+    is cut.
     """
 
     __slots__ = (
@@ -64,14 +70,15 @@
         "_protocol",
         "_on_notice",
         "_on_start",
+        "_sender",
         "_progress_at_by_call",
-        "closes_connections",
         "responsive_ids",
     )
 
     def __init__(
         self,
         protocol: RequestProtocol,
+        sender: AnswerSender,
         on_start: Callable[[CallStarted], Awaitable[None]],
         on_notice: Callable[
             [EndpointNoticeReceived | EndpointLimitReceived], Awaitable[None]
@@ -82,13 +89,13 @@
     ) -> None:
         self._answer_bytes = answer_bytes
         self._protocol = protocol
+        self._sender = sender
         self._is_limited = is_limited
         self._may_send = may_send
         self._on_start = on_start
         self._on_notice = on_notice
         self.responsive_ids: set[str] = set()
         self._progress_at_by_call: dict[str, float] = {}
-        self.closes_connections = False
 
     def take_progress(self) -> dict[str, float]:
         """Return when data of each answer last arrived since the last call."""
@@ -102,22 +109,25 @@
         self._progress_at_by_call[call.id] = progress_at
         return progress_at
 
-    async def attempt(
-        self, open_call: OpenCall, decision: SendCall
-    ) -> CallAttemptEnded:
-        """Send a call to an endpoint, relay the answer and return the outcome."""
+    async def attempt(self, open_call: OpenCall, attempt: Attempt) -> CallAttemptEnded:
+        """Send a call to an endpoint, relay the answer and return the outcome.
+
+        The outcome of an attempt that has been superseded has no meaning.
+        """
         request = open_call.request
-        open_call.is_abandoned = False
+        decision = attempt.decision
         started_at = time.monotonic()
         opened = await open_exchange(
             decision.address,
             request.method,
             request.target,
-            self._build_headers(open_call, decision),
+            self._build_headers(open_call, attempt),
             request.body,
             connect_timeout_s=CONNECT_TIMEOUT_S,
             has_host_header=True,
-            may_send=lambda connect_s: self._may_send(decision, connect_s),
+            may_send=lambda connect_s: (
+                not attempt.is_superseded and self._may_send(decision, connect_s)
+            ),
             max_bytes=self._answer_bytes,
         )
         if isinstance(opened, Failure):
@@ -127,22 +137,17 @@
                 phase = AttemptPhase.WITHDRAWN
             return build_attempt_end(decision, phase, detail=error.message)
         exchange = opened.unwrap()
-        open_call.exchange = exchange
+        attempt.exchange = exchange
         try:
-            if open_call.is_abandoned:
+            if attempt.is_abandoned:
                 await exchange.abandon()
-            return await self._read_answer(open_call, decision, exchange, started_at)
+            return await self._read_answer(open_call, attempt, exchange, started_at)
         finally:
-            open_call.exchange = None
+            attempt.exchange = None
             await exchange.close()
 
-    async def respond(self, responder: Responder, answer: BufferedAnswer) -> None:
-        """Relay a complete answer to the caller."""
-        headers = self._select_headers(answer.headers)
-        await responder.respond(answer.status, headers, answer.body)
-
-    def _build_headers(self, open_call: OpenCall, decision: SendCall) -> RawHeaders:
-        call = open_call.call
+    def _build_headers(self, open_call: OpenCall, attempt: Attempt) -> RawHeaders:
+        call, decision = open_call.call, attempt.decision
         fields = AttemptFields(
             decision.endpoint_id,
             decision.team,
@@ -153,24 +158,19 @@
         )
         return self._protocol.build_attempt(open_call.request, fields)
 
-    def _select_headers(self, headers: RawHeaders) -> RawHeaders:
-        selected = self._protocol.select_answer_headers(headers)
-        if self.closes_connections:
-            selected.append((b"connection", b"close"))
-        return selected
-
     async def _read_answer(
         self,
         open_call: OpenCall,
-        decision: SendCall,
+        attempt: Attempt,
         exchange: Exchange,
         started_at: float,
     ) -> CallAttemptEnded:
-        call = open_call.call
+        call, decision = open_call.call, attempt.decision
         head = await exchange.read_head(compute_rest_timeout(call))
         if isinstance(head, Failure):
             return build_failed_end(decision, exchange, head.failure().message)
-        self._note_progress(call)
+        if not attempt.is_parked:
+            self._note_progress(call)
         self.responsive_ids.add(decision.endpoint_id)
         fields = self._protocol.parse_answer_fields(exchange.status, exchange.headers)
         if fields.is_leaving or fields.pause_s is not None:
@@ -197,8 +197,8 @@
                 decision, AttemptPhase.FAILED, exchange.status, detail=detail
             )
         if is_success and call.route.kind is RepeatKind.STREAM:
-            return await self._relay_stream(open_call, decision, exchange, fields)
-        return await self._relay_whole(open_call, decision, exchange, fields)
+            return await self._relay_stream(open_call, attempt, exchange, fields)
+        return await self._relay_whole(open_call, attempt, exchange, fields)
 
     async def _note_limit(
         self, decision: SendCall, fields: AnswerFields, started_at: float
@@ -216,24 +216,26 @@
     async def _relay_whole(
         self,
         open_call: OpenCall,
-        decision: SendCall,
+        attempt: Attempt,
         exchange: Exchange,
         fields: AnswerFields,
     ) -> CallAttemptEnded:
         """Relay an answer once it is complete, or as it arrives if it is large."""
         body = bytearray()
+        decision = attempt.decision
         while len(body) <= MAX_BUFFERED_ANSWER_BYTES:
             rest_timeout_s = compute_rest_timeout(open_call.call)
             read = await self._read_data(decision, exchange, rest_timeout_s)
             if isinstance(read, Failure):
                 return build_failed_end(decision, exchange, read.failure().message)
-            self._note_progress(open_call.call)
+            if not attempt.is_parked:
+                self._note_progress(open_call.call)
             data = read.unwrap()
             if isinstance(data, AnswerEnd):
                 answer = BufferedAnswer(
                     exchange.status, exchange.raw_headers, bytes(body)
                 )
-                return await self._relay_buffered(open_call, decision, answer, data)
+                return await self._relay_buffered(open_call, attempt, answer, data)
             body += data
         if exchange.status in NOT_RUN_STATUSES:
             return build_unmarked_end(decision, exchange.status)
@@ -242,43 +244,48 @@
             return build_attempt_end(
                 decision, AttemptPhase.SENT, exchange.status, detail=detail
             )
+        if not await self._sender.take_lead(open_call, attempt):
+            return build_superseded_end(decision)
         await self._on_start(build_started(decision, fields))
-        return await self._relay_large(open_call, decision, exchange, bytes(body))
+        return await self._relay_large(open_call, attempt, exchange, bytes(body))
 
     async def _relay_buffered(
         self,
         open_call: OpenCall,
-        decision: SendCall,
+        attempt: Attempt,
         answer: BufferedAnswer,
         end: AnswerEnd,
     ) -> CallAttemptEnded:
         """Relay a success; keep an error answer in case no retry succeeds."""
-        phase = AttemptPhase.ANSWERED
+        phase, decision = AttemptPhase.ANSWERED, attempt.decision
         if answer.status in NOT_RUN_STATUSES:
             return build_unmarked_end(decision, answer.status, end)
         if answer.status >= 500:
             open_call.failure = answer
             phase = AttemptPhase.FAILED
+        elif await self._sender.take_lead(open_call, attempt):
+            await open_call.deliver(self._sender.respond(open_call.responder, answer))
         else:
-            await self.respond(open_call.responder, answer)
+            return build_superseded_end(decision)
         return build_attempt_end(decision, phase, answer.status, answer_end=end)
 
     async def _relay_large(
         self,
         open_call: OpenCall,
-        decision: SendCall,
+        attempt: Attempt,
         exchange: Exchange,
         data: bytes | AnswerEnd,
     ) -> CallAttemptEnded:
+        decision = attempt.decision
         while not isinstance(data, AnswerEnd):
             self._note_progress(open_call.call)
-            await self._send_part(open_call, exchange, data)
+            await self._sender.send_part(open_call, exchange, data)
             rest_timeout_s = compute_rest_timeout(open_call.call)
             read = await self._read_data(decision, exchange, rest_timeout_s)
             if isinstance(read, Failure):
                 return build_failed_end(decision, exchange, read.failure().message, "")
             data = read.unwrap()
-        await open_call.responder.finish()
+        await open_call.deliver(open_call.responder.finish())
         return build_attempt_end(
             decision, AttemptPhase.ANSWERED, exchange.status, answer_end=data
         )
@@ -286,18 +293,17 @@
     async def _relay_stream(
         self,
         open_call: OpenCall,
-        decision: SendCall,
+        attempt: Attempt,
         exchange: Exchange,
         fields: AnswerFields,
     ) -> CallAttemptEnded:
         """Relay a stream in whole events, so that another endpoint can resume it."""
-        buffer = open_call.buffer
-        buffer.resume(decision.last_event_id)
+        buffer, decision = attempt.buffer, attempt.decision
         is_started = False
         progress_at = time.monotonic()
         while True:
             read = await self._read_event_data(
-                open_call, decision, exchange, progress_at
+                open_call, attempt, exchange, progress_at
             )
             if isinstance(read, Failure):
                 message = read.failure().message
@@ -319,6 +325,9 @@
                 return build_failed_end(
                     decision, exchange, fault, open_call.last_event_id
                 )
+            is_delivered = bool(events) or is_end
+            if is_delivered and not await self._sender.take_lead(open_call, attempt):
+                return build_superseded_end(decision)
             if events:
                 progress_at = self._note_progress(open_call.call)
             if events and not is_started:
@@ -327,10 +336,10 @@
                 await self._on_start(
                     build_started(decision, fields, has_event_id=has_event_id)
                 )
-            if events or is_end:
-                await self._send_part(open_call, exchange, events)
+            if is_delivered:
+                await self._sender.send_part(open_call, exchange, events)
             if is_end:
-                await open_call.responder.finish()
+                await open_call.deliver(open_call.responder.finish())
                 return build_attempt_end(
                     decision, AttemptPhase.ANSWERED, exchange.status, answer_end=data
                 )
@@ -338,7 +347,7 @@
     async def _read_event_data(
         self,
         open_call: OpenCall,
-        decision: SendCall,
+        attempt: Attempt,
         exchange: Exchange,
         progress_at: float,
     ) -> Result[bytes | AnswerEnd, TransportError]:
@@ -349,7 +358,7 @@
         idle_deadline = progress_at + compute_idle_timeout(open_call.call)
         timeout_s = idle_deadline - time.monotonic()
         if timeout_s > 0:
-            read = await self._read_data(decision, exchange, timeout_s)
+            read = await self._read_data(attempt.decision, exchange, timeout_s)
             if not isinstance(read, Failure) or not read.failure().is_timeout:
                 return read
         return Failure(TransportError("stream stalled for good", sent=True))
@@ -370,17 +379,6 @@
         exchange.end = AnswerEnd.CUT
         return Failure(TransportError("the endpoint is gone", sent=True))
 
-    async def _send_part(
-        self, open_call: OpenCall, exchange: Exchange, data: bytes
-    ) -> None:
-        responder = open_call.responder
-        if not open_call.is_head_sent:
-            open_call.begin(exchange)
-            headers = self._select_headers(exchange.raw_headers)
-            await responder.send_head(exchange.status, headers)
-        if data:
-            await responder.send_data(data)
-
 
 def _holds_events(open_call: OpenCall, exchange: Exchange) -> bool:
     """Return whether a body on a stream route has to end behind an event.
--- a/src/tamaracktray/call_log.py
+++ b/src/tamaracktray/call_log.py
@@ -115,6 +115,22 @@
         self._metrics.count("attempts_given_up")
         self._write("attempt given up", call.request_id, reason=reason)
 
+    def note_resumed(
+        self, call: Call, endpoint_id: str, reason: str, age_s: float = 0.0
+    ) -> None:
+        """Log that a call goes back to an attempt that it had left.
+
+        ``age_s`` is the time since the attempt was sent, in seconds, 0 if unknown.
+        """
+        self._metrics.count("attempts_resumed")
+        self._write(
+            "attempt resumed",
+            call.request_id,
+            endpoint=endpoint_id,
+            reason=reason,
+            age_s=round(age_s, TIME_DECIMALS),
+        )
+
     def note_refused(self, call: Call, decision: RefuseCall, routing: int) -> None:
         """Log a refusal and the state on which it was based."""
         refusal = decision.refusal
--- a/src/tamaracktray/calls.py
+++ b/src/tamaracktray/calls.py
@@ -69,6 +69,7 @@
     ``is_reset`` is set if the endpoint reset the connection. ``last_event_id`` is the
     id of the last complete stream event that was passed to the caller. ``answer_end``
     is how the body of the answer ended, ``None`` if it wasn't read to an end.
+    ``is_parked`` is set if the call left the attempt, which goes on and may be resumed.
     """
 
     call_id: str
@@ -79,6 +80,14 @@
     last_event_id: str = ""
     detail: str = ""
     answer_end: AnswerEnd | None = None
+    is_parked: bool = False
+
+
+class AttemptResumed(Event, frozen=True):
+    """A parked attempt went on before another endpoint began to answer."""
+
+    call_id: str
+    endpoint_id: str
 
 
 class CallStarted(Event, frozen=True):
@@ -166,6 +175,29 @@
     reason: str = ""
 
 
+class LeaveAttempt(AbandonAttempt, frozen=True):
+    """Park the attempt in flight and retry the call elsewhere meanwhile."""
+
+
+class ResumeAttempt(Effect, frozen=True):
+    """Wait for a parked attempt again, as no other endpoint takes the call.
+
+    The call was sent there ``age_s`` seconds ago.
+    """
+
+    call_id: str
+    endpoint_id: str
+    age_s: float = 0.0
+
+
+class EndParkedAttempt(Effect, frozen=True):
+    """End a parked attempt that must not go on."""
+
+    call_id: str
+    endpoint_id: str
+    reason: str = ""
+
+
 class AbortAnswer(Effect, frozen=True):
     """Abort an answer that has begun and cannot be completed."""
 
--- a/src/tamaracktray/entry_process.py
+++ b/src/tamaracktray/entry_process.py
@@ -9,20 +9,22 @@
 from returns.result import Failure
 from typing_extensions import override
 
+from tamaracktray.answer_sending import AnswerSender
 from tamaracktray.attempt_relay import CallRelay
 from tamaracktray.beacons import Beacon
 from tamaracktray.byte_rates import build_upload_bucket
+from tamaracktray.call_answering import CallAnswering
 from tamaracktray.call_building import build_call, refuse_unconfigured
-from tamaracktray.call_context import may_send
+from tamaracktray.call_context import build_gateway_context, may_send
 from tamaracktray.call_log import CallLog
 from tamaracktray.calls import (
     AbandonAttempt,
     AbortAnswer,
-    CallArrived,
-    CallEnded,
-    CallStarted,
+    EndParkedAttempt,
+    LeaveAttempt,
     RefuseCall,
     RelayFailure,
+    ResumeAttempt,
     SendCall,
     SendLoadBeacon,
 )
@@ -37,7 +39,6 @@
 from tamaracktray.http import HttpServer
 from tamaracktray.http_messages import HttpLimits, Request
 from tamaracktray.member_registration import MemberRegistration
-from tamaracktray.messages import encode_refusal
 from tamaracktray.node_events import (
     ApplyRouting,
     CloseIdleConnections,
@@ -50,17 +51,16 @@
 from tamaracktray.notices import LogNotice
 from tamaracktray.objects import StoredObject
 from tamaracktray.open_calls import OpenCall
-from tamaracktray.outcomes import AttemptPhase
+from tamaracktray.parked_attempts import may_resume
 from tamaracktray.peers import Member
 from tamaracktray.quarantine_records import RecordQuarantine, RemoveQuarantine
 from tamaracktray.record_writer import RecordWriter
-from tamaracktray.refusals import refuse_deadline_passed, refuse_unanswered
 from tamaracktray.responders import Responder
 from tamaracktray.snapshot_codec import encode_snapshots
 from tamaracktray.snapshots import Collection
 from tamaracktray.store_readers import list_local
 from tamaracktray.suspicions import LogFinding
-from tamaracktray.types import Address, Refusal
+from tamaracktray.types import Address
 from tamaracktray.upstreams import Upstreams
 from tamaracktray.version_keys import VERSIONS_PATH, VersionKey
 
@@ -96,26 +96,39 @@
             self.note_peer_lost,
             build_upload_bucket(settings.peers.link_mbps),
         )
+        sender = AnswerSender(
+            deployment.protocol,
+            self._may_resume,
+            lambda event: self._answering.note_resumed(event),
+        )
+        self._sender = sender
         self._call_relay = CallRelay(
             deployment.protocol,
-            self._on_start,
+            sender,
+            lambda event: self._answering.note_start(event),
             self.dispatch,
             self._may_send,
             self.state.gateway.is_limited,
             bounds.answer_bytes,
         )
+        self._answering = CallAnswering(
+            self.state, self._call_relay, sender, self._call_log, self.dispatch
+        )
         self._registration = MemberRegistration(
             self.store, lambda: self._own_member, self.random
         )
         self._loads_changed = curio.Event()
-        self._open_by_id: dict[str, OpenCall] = {}
+        self._open_by_id = self._answering.open_by_id
         self._caller_server = HttpServer(
             Address.parse(settings.listen.callers),
             self.handle_caller,
             cancel_on_disconnect=True,
             max_connections=count_caller_connections(read_descriptor_limit()),
         )
-        self.add_performer(AbandonAttempt, self._abandon_attempt)
+        self.add_performer(AbandonAttempt, self._answering.abandon_attempt)
+        self.add_performer(LeaveAttempt, self._answering.leave_attempt)
+        self.add_performer(ResumeAttempt, self._answering.resume_attempt)
+        self.add_performer(EndParkedAttempt, self._answering.end_parked_attempt)
         self.add_performer(PrefetchVersion, self._prefetch_version)
         self.add_performer(CloseIdleConnections, self._close_idle_connections)
         self.add_performer(LogNotice, self._log_notice)
@@ -128,7 +141,7 @@
         self.add_performer(RecordQuarantine, writer.record_quarantine)
         self.add_performer(RemoveQuarantine, writer.remove_quarantine)
         for effect in (SendCall, RefuseCall, AbortAnswer, RelayFailure):
-            self.add_performer(effect, self._deliver_decision)
+            self.add_performer(effect, self._answering.deliver_decision)
 
     @override
     def build_servers(self) -> list[HttpServer]:
@@ -145,7 +158,7 @@
     @override
     def reduce(self, event: Event) -> list[Effect]:
         effects = super().reduce(event)
-        self._call_relay.closes_connections = self.state.is_leaving
+        self._sender.closes_connections = self.state.is_leaving
         return effects
 
     @override
@@ -229,7 +242,7 @@
         if not self.state.is_initialized:
             refusal = refuse_unconfigured()
             self._call_log.note_rejected(fields.request_id, refusal, 0)
-            await self._send_refusal(responder, refusal)
+            await self._answering.send_refusal(responder, refusal)
             return
         index = self.state.index
         built = build_call(time.monotonic(), index, request, fields)
@@ -237,105 +250,16 @@
             refusal = built.failure()
             version = index.table.version
             self._call_log.note_rejected(fields.request_id, refusal, version)
-            await self._send_refusal(responder, refusal)
+            await self._answering.send_refusal(responder, refusal)
             return
-        await self._answer(OpenCall(built.unwrap(), request, responder))
-
-    async def _answer(self, open_call: OpenCall) -> None:
-        """Carry out decisions on a call until one is final or its deadline passes."""
-        call = open_call.call
-        self._call_log.note_arrived(call)
-        self._open_by_id[call.id] = open_call
-        remaining_s = call.deadline - time.monotonic()
-        try:
-            await self.dispatch(CallArrived(time.monotonic(), call))
-            await curio.timeout_after(remaining_s, self._follow_decisions(open_call))
-        except curio.TaskTimeout:
-            await self._end_expired(open_call)
-        except curio.CancelledError:
-            self._call_log.note_caller_disconnected(call)
-            raise
-        finally:
-            self._open_by_id.pop(call.id, None)
-            await self.dispatch(CallEnded(time.monotonic(), call.id))
-
-    async def _follow_decisions(self, open_call: OpenCall) -> None:
-        call = open_call.call
-        while True:
-            decision: Effect = await open_call.decisions.get()
-            if not isinstance(decision, SendCall):
-                await self._finish(open_call, decision)
-                return
-            version = self.state.index.table.version
-            self._call_log.note_attempt(call, decision, version)
-            ended = await self._call_relay.attempt(open_call, decision)
-            self._call_log.note_attempt_end(call, ended)
-            await self.dispatch(ended)
-            if ended.phase is AttemptPhase.ANSWERED:
-                return
+        await self._answering.answer(OpenCall(built.unwrap(), request, responder))
 
     def _may_send(self, decision: SendCall, connect_s: float) -> bool:
         return may_send(self.state, time.monotonic(), decision, connect_s)
 
-    async def _on_start(self, event: CallStarted) -> None:
-        open_call = self._open_by_id.get(event.call_id)
-        if open_call is not None:
-            self._call_log.note_first_part(open_call.call)
-        await self.dispatch(event)
-
-    async def _finish(self, open_call: OpenCall, decision: Effect) -> None:
-        """Answer the caller according to a final decision."""
-        call, responder = open_call.call, open_call.responder
-        if isinstance(decision, RelayFailure) and open_call.failure is not None:
-            failure = open_call.failure
-            self._call_log.note_failure_relayed(call, failure.status)
-            await self._call_relay.respond(responder, failure)
-            return
-        if isinstance(decision, RefuseCall):
-            version = self.state.index.table.version
-            self._call_log.note_refused(call, decision, version)
-            await self._send_refusal(responder, decision.refusal)
-            return
-        if not open_call.is_head_sent:
-            unanswered = RefuseCall(call.id, refuse_unanswered())
-            version = self.state.index.table.version
-            self._call_log.note_refused(call, unanswered, version)
-            await self._send_refusal(responder, unanswered.refusal)
-            return
-        reason = decision.reason if isinstance(decision, AbortAnswer) else "no answer"
-        self._call_log.note_answer_aborted(call, reason)
-        await responder.abort()
-
-    async def _end_expired(self, open_call: OpenCall) -> None:
-        """Abort or refuse a call whose deadline has passed."""
-        call = open_call.call
-        if open_call.is_head_sent:
-            self._call_log.note_deadline_passed(call, None)
-            await open_call.responder.abort()
-            return
-        refusal = refuse_deadline_passed(self.state.gateway.may_have_run(call.id))
-        self._call_log.note_deadline_passed(call, refusal)
-        await self._send_refusal(open_call.responder, refusal)
-
-    async def _deliver_decision(
-        self, effect: SendCall | RefuseCall | AbortAnswer | RelayFailure
-    ) -> None:
-        open_call = self._open_by_id.get(effect.call_id)
-        if open_call is not None:
-            await open_call.decisions.put(effect)
-
-    async def _abandon_attempt(self, effect: AbandonAttempt) -> None:
-        open_call = self._open_by_id.get(effect.call_id)
-        if open_call is None:
-            return
-        self._call_log.note_abandoned(open_call.call, effect.reason)
-        await open_call.abandon()
-
-    async def _send_refusal(self, responder: Responder, refusal: Refusal) -> None:
-        headers, body = encode_refusal(refusal, allows_fractions=True)
-        if self.state.is_leaving:
-            headers.append(("connection", "close"))
-        await responder.respond(refusal.status, headers, body)
+    def _may_resume(self, decision: SendCall) -> bool:
+        context = build_gateway_context(self.state, time.monotonic())
+        return may_resume(context, decision.call_id, decision.endpoint_id)
 
     async def _close_idle_connections(self, effect: CloseIdleConnections) -> None:
         await self._caller_server.close_idle_connections()
--- a/src/tamaracktray/event_stream.py
+++ b/src/tamaracktray/event_stream.py
@@ -25,6 +25,13 @@
         self._is_repeating = False
         self.last_event_id = ""
 
+    def fork(self, last_event_id: str) -> "EventBuffer":
+        """Return a buffer for a stream that goes on after an event of this one."""
+        buffer = EventBuffer()
+        buffer.last_event_id = self.last_event_id
+        buffer.resume(last_event_id)
+        return buffer
+
     def resume(self, last_event_id: str) -> None:
         """Prepare for a stream that goes on after an event, empty for a new stream.
 
--- a/src/tamaracktray/gateway.py
+++ b/src/tamaracktray/gateway.py
@@ -9,9 +9,14 @@
     move_noted_attempts,
     take_return,
 )
+from tamaracktray.call_estimates import (
+    estimate_call_cost,
+    estimate_call_prefill,
+    estimate_call_start,
+)
 from tamaracktray.calls import (
     AbandonAttempt,
-    Call,
+    AttemptResumed,
     CallArrived,
     CallAttemptEnded,
     CallEnded,
@@ -20,7 +25,6 @@
     SendCall,
     SendLoadBeacon,
 )
-from tamaracktray.costs import estimate_cost, estimate_prefill
 from tamaracktray.effects import Effect
 from tamaracktray.endpoint_loads import EndpointLoad
 from tamaracktray.gateway_crashes import (
@@ -35,6 +39,7 @@
 from tamaracktray.gateway_refusals import refuse, refuse_if_quarantined
 from tamaracktray.gateway_state import GatewayContext, PendingCall
 from tamaracktray.outcomes import AttemptPhase
+from tamaracktray.parked_attempts import note_parked_end, resume_parked, take_resumed
 from tamaracktray.placement import is_eligible, list_with_capacity
 from tamaracktray.refusals import refuse_leaving
 from tamaracktray.routes import RepeatKind
@@ -74,6 +79,7 @@
             pending.answer_began_at = event.now
             pending.observed_since = event.now
             pending.silent_since = event.now
+        context.state.drop_parked(pending)
         pending.is_started = True
         pending.is_answer_started = True
         pending.has_event_id = pending.has_event_id or event.has_event_id
@@ -88,7 +94,7 @@
     context: GatewayContext, now: float, pending: PendingCall
 ) -> None:
     call = pending.call
-    prefill_s = _estimate_prefill(context, call)
+    prefill_s = estimate_call_prefill(context, call)
     delay_s = max(now - pending.sent_at - prefill_s, 0.0)
     context.state.record_start_delay(call.services[0], delay_s)
 
@@ -101,8 +107,14 @@
     pending = state.pending_by_id.get(event.call_id)
     load = state.loads_by_id.get(event.endpoint_id)
     if load is not None:
-        load.note_ended()
         _record_attempt_result(load, event)
+    if pending is not None and event.endpoint_id in pending.parked_by_id:
+        note_parked_end(context, pending, event)
+        return send_queued_calls(context, event.now)
+    if pending is not None and event.is_parked:
+        pending.park()
+    elif load is not None:
+        load.note_ended()
     if pending is None:
         return send_queued_calls(context, event.now)
     pending.endpoint_id = ""
@@ -113,11 +125,19 @@
     return effects + send_queued_calls(context, event.now)
 
 
+def handle_attempt_resumed(
+    context: GatewayContext, event: AttemptResumed
+) -> list[Effect]:
+    """Go back to a parked attempt that went on by itself."""
+    take_resumed(context, event)
+    return send_queued_calls(context, event.now)
+
+
 def handle_call_ended(context: GatewayContext, event: CallEnded) -> list[Effect]:
     """Remove a call whose caller has its answer or has disconnected."""
     state = context.state
     state.waiting.remove(event.call_id)
-    pending = state.pending_by_id.pop(event.call_id, None)
+    pending = state.remove(event.call_id)
     if pending is None or not pending.endpoint_id:
         return []
     state.release(pending)
@@ -149,7 +169,7 @@
     for call in state.waiting.remove_expired(now):
         pending = state.pending_by_id.get(call.id)
         if pending is not None:
-            effects.extend(_give_up(context, now, pending))
+            effects.extend(give_up(context, now, pending))
     return effects
 
 
@@ -179,7 +199,7 @@
         pending = context.state.pending_by_id.get(call.id)
         if pending is None or not is_refused(pending):
             continue
-        effects.extend(_give_up(context, now, pending))
+        effects.extend(give_up(context, now, pending))
     return effects
 
 
@@ -231,30 +251,33 @@
     context: GatewayContext, now: float, pending: PendingCall
 ) -> list[Effect]:
     if context.is_ending:
-        return refuse(context, now, pending)
+        return resume_parked(context, now, pending) or refuse(context, now, pending)
     load = choose(context, now, pending)
     if load is not None:
         return _send(context, now, pending, load)
     if not has_available(context, now, pending):
-        return _give_up(context, now, pending)
+        return give_up(context, now, pending)
     call = pending.call
     bands = context.state.find_bands(call.route.name)
     is_waiting = context.state.waiting.push(
         now,
         call,
-        cost=_estimate_cost(context, call),
-        start_s=_estimate_start(context, call),
+        cost=estimate_call_cost(context, call),
+        start_s=estimate_call_start(context, call),
         prior_wait_s=pending.prior_wait_s,
         is_underserved=call.size > 0 and bands.is_underserved(call.size),
         is_resumed=pending.is_started,
     )
     if not is_waiting:
-        return _give_up(context, now, pending)
+        return give_up(context, now, pending)
     return []
 
 
-def _give_up(context: GatewayContext, now: float, pending: PendingCall) -> list[Effect]:
-    """Send a call back to the endpoint that it left, or refuse it."""
+def give_up(context: GatewayContext, now: float, pending: PendingCall) -> list[Effect]:
+    """Go back to an attempt or endpoint that the call left, or refuse the call."""
+    resumed = resume_parked(context, now, pending)
+    if resumed:
+        return resumed
     load = take_return(context, now, pending)
     if load is None:
         return refuse(context, now, pending)
@@ -262,27 +285,6 @@
     return _send(context, now, pending, load)
 
 
-def _estimate_cost(context: GatewayContext, call: Call) -> float:
-    """Return the engine time that a call takes, in seconds; 0 if it is unknown."""
-    service = context.placement_context.services_by_name.get(call.services[0])
-    if service is None or service.engine is None:
-        return 0.0
-    return estimate_cost(call, service.engine)
-
-
-def _estimate_prefill(context: GatewayContext, call: Call) -> float:
-    service = context.placement_context.services_by_name.get(call.services[0])
-    if service is None or service.engine is None:
-        return 0.0
-    return estimate_prefill(call, service.engine)
-
-
-def _estimate_start(context: GatewayContext, call: Call) -> float:
-    """Return the time from sending a call to the start of its answer, in seconds."""
-    delay_s = context.state.start_delay_by_service.get(call.services[0], 0.0)
-    return delay_s + _estimate_prefill(context, call)
-
-
 def _send(
     context: GatewayContext, now: float, pending: PendingCall, load: EndpointLoad
 ) -> list[Effect]:
@@ -345,7 +347,7 @@
     """Return how a call goes on; ``is_paid`` is set if its retry has been paid for."""
     now = event.now
     if event.phase is AttemptPhase.ANSWERED:
-        del context.state.pending_by_id[event.call_id]
+        context.state.remove(event.call_id)
         context.state.note_outcome(pending.call, is_served=True)
         effects: list[Effect] = []
         if event.status < 300:
@@ -361,7 +363,7 @@
         pending.failed_connections += 1
         pending.tried.add(event.endpoint_id)
         if pending.failed_connections > MAX_FAILED_CONNECTIONS:
-            return _give_up(context, now, pending)
+            return give_up(context, now, pending)
         return _place_call(context, now, pending)
     pending.tried.add(event.endpoint_id)
     effects = []
@@ -375,7 +377,7 @@
     # Resuming a broken stream needs the id of the last event.
     is_unresumable = event.phase is AttemptPhase.CUT and not event.last_event_id
     if is_unresumable or not _may_retry(context, now, pending, is_paid=is_paid):
-        return effects + _give_up(context, now, pending)
+        return effects + give_up(context, now, pending)
     return effects + _place_call(context, now, pending)
 
 
--- a/src/tamaracktray/gateway_refusals.py
+++ b/src/tamaracktray/gateway_refusals.py
@@ -43,11 +43,11 @@
     call = pending.call
     is_untouched = not pending.is_started and not pending.may_have_run
     if pending.revocation is not None and is_untouched:
-        context.state.pending_by_id.pop(call.id, None)
+        context.state.remove(call.id)
         context.state.waiting.remove(call.id)
         return [RefuseCall(call.id, pending.revocation)]
     view = view_fleet(context, now, pending)
-    context.state.pending_by_id.pop(call.id, None)
+    context.state.remove(call.id)
     context.state.waiting.remove(call.id)
     context.state.note_outcome(call, is_served=False)
     if pending.is_started:
--- a/src/tamaracktray/gateway_routing.py
+++ b/src/tamaracktray/gateway_routing.py
@@ -6,8 +6,7 @@
 from tamaracktray.call_binding import rebind_call
 from tamaracktray.calls import CallArrived, RefuseCall
 from tamaracktray.effects import Effect
-from tamaracktray.gateway import handle_call
-from tamaracktray.gateway_refusals import refuse
+from tamaracktray.gateway import give_up, handle_call
 from tamaracktray.gateway_state import GatewayContext
 from tamaracktray.routes import RouteIndex
 
@@ -17,8 +16,8 @@
 ) -> list[Effect]:
     """Bind the open calls to another routing table and end those that it forbids.
 
-    An attempt in flight ends by itself: it is withdrawn if it has not been sent, and
-    otherwise its answer is still relayed.
+    An attempt in flight, or a parked one, ends by itself: it is withdrawn if it has not
+    been sent, and otherwise its answer is still relayed.
     """
     state = context.state
     effects: list[Effect] = []
@@ -27,7 +26,7 @@
         if isinstance(bound, Failure):
             pending.revocation = bound.failure()
             if not pending.endpoint_id:
-                effects.extend(refuse(context, now, pending))
+                effects.extend(give_up(context, now, pending))
             continue
         pending.revocation = None
         pending.call = bound.unwrap()
--- a/src/tamaracktray/node_reducer.py
+++ b/src/tamaracktray/node_reducer.py
@@ -10,6 +10,7 @@
 
 from tamaracktray.call_context import build_gateway_context
 from tamaracktray.calls import (
+    AttemptResumed,
     CallArrived,
     CallAttemptEnded,
     CallEnded,
@@ -27,6 +28,7 @@
 from tamaracktray.exceptions import InvariantError
 from tamaracktray.gateway import (
     handle_attempt_ended,
+    handle_attempt_resumed,
     handle_call_ended,
     handle_call_started,
     handle_gateway_tick,
@@ -305,9 +307,8 @@
         state.gateway.note_status(event.now, beacon.status)
     if not len(state.gateway.waiting):
         return effects
-    return effects + send_queued_calls(
-        build_gateway_context(state, event.now), event.now
-    )
+    context = build_gateway_context(state, event.now)
+    return effects + send_queued_calls(context, event.now)
 
 
 def _on_peer_lost(state: NodeState, event: PeerLost) -> list[Effect]:
@@ -385,6 +386,7 @@
     CallArrived: _with_gateway(handle_arrival),
     CallStarted: _with_gateway(handle_call_started),
     CallAttemptEnded: _with_gateway(handle_attempt_ended),
+    AttemptResumed: _with_gateway(handle_attempt_resumed),
     CallEnded: _with_gateway(handle_call_ended),
     EndpointNoticeReceived: _with_gateway(handle_notice),
     EndpointLimitReceived: _with_gateway(handle_limit),
