--- a/tests/raw_endpoints.py
+++ b/tests/raw_endpoints.py
@@ -95,6 +95,14 @@
             await self.send(body)
         await self.finish()
 
+    async def wait_closed(self) -> None:
+        """Wait until the entry closes or resets the connection."""
+        try:
+            while await self._client.recv(READ_BYTES):
+                continue
+        except OSError:
+            return
+
     async def reset(self) -> None:
         # What was sent before has to arrive first.
         await curio.sleep(0.05)
--- a/tests/test_moves_beside_changes.py
+++ b/tests/test_moves_beside_changes.py
@@ -1,4 +1,4 @@
-"""Streams whose endpoint falls silent while something else changes.
+"""Calls whose endpoint falls silent while something else changes.
 
 Guards against an answer that is given up for a silence although no other endpoint goes
 on with it: what allowed the move may have changed before it is carried out.
@@ -14,6 +14,7 @@
 import pytest
 
 from platforms import ENGINES, ORDERS, PlatformFleet, run_fleet
+from raw_endpoints import Framing, RawAnswer, build_events, list_endpoint
 from tamaracktray.calls import AbandonAttempt
 from tamaracktray.effects import Effect
 from tamaracktray.endpoint_limits import EndpointLimitReceived
@@ -22,7 +23,7 @@
 from tamaracktray.node_events import CollectionListed
 from tamaracktray.notices import EndpointNoticeReceived
 from tamaracktray.objects import StoredObject
-from tamaracktray.routes import Backend, Route
+from tamaracktray.routes import Backend, RepeatKind, Route
 from tamaracktray.snapshots import Collection
 from tamaracktray.suspicions import CrashReport, Incarnation
 from tamaracktray_emulator.platform.documents import build_route
@@ -67,8 +68,8 @@
     return replace_routes(entry, max_attempts=1)
 
 
-def forbid_resuming(entry: EntryProcess, other: str) -> list[Event]:
-    return replace_routes(entry, is_resumable=False)
+def forbid_repeats(entry: EntryProcess, other: str) -> list[Event]:
+    return replace_routes(entry, kind=RepeatKind.UNSAFE, is_resumable=False)
 
 
 def drop_routes(entry: EntryProcess, other: str) -> list[Event]:
@@ -84,7 +85,7 @@
 
 
 def change_service(entry: EntryProcess, other: str) -> list[Event]:
-    return replace_routes(entry, backends=(Backend(ORDERS),))
+    return replace_routes(entry, backends=(Backend("another"),))
 
 
 def drop_service(entry: EntryProcess, other: str) -> list[Event]:
@@ -127,7 +128,7 @@
 
 CHANGES: list[Change] = [
     allow_one_attempt,
-    forbid_resuming,
+    forbid_repeats,
     drop_routes,
     drop_keys,
     change_region,
@@ -227,3 +228,59 @@
             assert all(len(worker.runs) == 1 for worker in fleet.workers.values())
 
         run_fleet(scenario)
+
+    def test_left_endpoint_sees_the_end_once_another_one_answers(self):
+        ended_at: list[float] = []
+
+        async def watch(answer: RawAnswer) -> None:
+            if ended_at or answer.last_event_id:
+                await answer.respond(Framing.CHUNKS, build_events(3))
+                return
+            await answer.begin(Framing.CHUNKS)
+            await answer.send(build_events(1, FIRST_EVENTS))
+            await curio.ignore_after(4.0, answer.wait_closed())
+            ended_at.append(time.monotonic())
+
+        async def scenario(fleet: PlatformFleet) -> None:
+            await fleet.start()
+            for name in ("e-0", "e-1"):
+                await list_endpoint(fleet, name, ENGINES, watch)
+            await fleet.until_listed(2)
+            reply = await fleet.call("/talk/1", wait_ms=6_000)
+            answered_at = time.monotonic()
+            assert reply.body == build_events(1)
+            await fleet.until(lambda: ended_at)
+            assert ended_at[0] - answered_at < 0.5
+
+        run_fleet(scenario)
+
+
+class TestUnbegunAnswers:
+    @pytest.mark.parametrize("change", CHANGES, ids=lambda change: change.__name__)
+    def test_change_behind_the_decision_to_move_fails_no_call(self, change):
+        moves: list[str] = []
+        arrivals: list[str] = []
+
+        async def answer_late(name: str, answer: RawAnswer) -> None:
+            arrivals.append(name)
+            await curio.sleep(SILENT_S)
+            await answer.respond(Framing.LENGTH, b"late", content_type="text/plain")
+
+        async def scenario(fleet: PlatformFleet) -> None:
+            await fleet.start()
+            for name in ("w-0", "w-1"):
+                await list_endpoint(fleet, name, ORDERS, partial(answer_late, name))
+            await fleet.until_listed(2)
+            entry = fleet.entries[0]
+
+            def react() -> list[Event]:
+                (other,) = {"w-0", "w-1"} - set(arrivals)
+                moves.append(other)
+                return change(entry, other)
+
+            intervene(entry, react)
+            reply = await fleet.call("/look/1", method="GET", wait_ms=6_000)
+            assert (reply.status, reply.body) == (200, b"late")
+
+        run_fleet(scenario, repeat_ratio=0.0, repeat_reserve=RESERVE_OF_ONE)
+        assert moves
