Read on after an answer that ends a connection

Callers whose request was rejected before it was read to its end (408, 413, 400, 431), or who had sent the next request behind an answer with "connection: close", saw a connection reset: while they were sending, or instead of the end of their refusal.

Cause: the server closed the socket with bytes of the caller unread or still arriving. The kernel answers these with a reset, which discards what the caller has not received yet and fails its writes (RFC 9112, section 9.6).

Such a connection isn't busy, so it delays neither a planned stop nor readiness; a closing server closes it, and so does a lack of descriptors, before any idle connection. Callers that announced that their request is the last are closed at once, as before.

--- a/src/tamaracktray/http.py
+++ b/src/tamaracktray/http.py
@@ -21,6 +21,7 @@
     Request,
     RequestRejectedError,
 )
+from tamaracktray.lingering import linger
 from tamaracktray.request_reading import receive_request
 from tamaracktray.responders import ConnectionResponder, Responder
 from tamaracktray.task_yields import TaskYield
@@ -54,8 +55,9 @@
 
     With ``cancel_on_disconnect`` a handler is cancelled when its client closes the
     connection. ``limits`` may be replaced at any time and applies to later requests.
-    With ``max_connections`` open, the connection that has been idle for longest is
-    closed for a new one; if none is idle, new ones wait to be accepted.
+    With ``max_connections`` open, one that only waits for its client to close is closed
+    for a new one, then the one that has been idle for longest; if there is none, new
+    ones wait to be accepted.
     """
 
     __slots__ = (
@@ -65,6 +67,7 @@
         "_handler",
         "_idle_sockets_by_task",
         "_is_closed",
+        "_lingering_tasks",
         "_listener",
         "_max_connections",
         "_tasks",
@@ -92,17 +95,24 @@
         self._active_requests = 0
         self._tasks: set[curio.Task] = set()
         self._idle_sockets_by_task: dict[curio.Task, curio.io.Socket] = {}
+        # Ordered by the time of their answers.
+        self._lingering_tasks: dict[curio.Task, None] = {}
 
     @property
     def active_requests(self) -> int:
         """Return the number of requests being answered."""
         return self._active_requests
 
+    @property
+    def open_connections(self) -> int:
+        """Return the number of all connections."""
+        return len(self._tasks)
+
     @property
     def busy_connections(self) -> int:
         """Return the number of connections with a request in progress."""
         idle = sum(not peek(client) for client in self._idle_sockets_by_task.values())
-        return len(self._tasks) - idle
+        return len(self._tasks) - idle - len(self._lingering_tasks)
 
     async def open(self) -> None:
         """Bind the listening socket; port 0 selects a free port."""
@@ -156,17 +166,21 @@
                 address=str(self.address),
                 open=len(self._tasks),
                 idle=len(self._idle_sockets_by_task),
+                lingering=len(self._lingering_tasks),
             )
-        if is_shortage and await self._close_longest_idle():
+        if is_shortage and await self._close_dispensable():
             await curio.sleep(0)
             return
         await curio.sleep(ACCEPT_PAUSE_S)
 
-    async def _close_longest_idle(self) -> bool:
-        """Close the connection that has been idle for longest; return whether any is.
+    async def _close_dispensable(self) -> bool:
+        """Close a connection without a request in progress; return whether any is.
 
         A connection with an unread request in its socket buffer stays open.
         """
+        for task in self._lingering_tasks:
+            await task.cancel(blocking=False)
+            return True
         for task, client in self._idle_sockets_by_task.items():
             if not peek(client):
                 await task.cancel(blocking=False)
@@ -200,20 +214,30 @@
                 client.setsockopt(
                     socket_module.IPPROTO_TCP, socket_module.TCP_NODELAY, 1
                 )
-                await self._serve_connection(client)
+                if await self._serve_connection(client):
+                    await self._linger(client)
         except OSError:
             return
         finally:
             self._tasks.discard(await curio.current_task())
 
-    async def _serve_connection(self, client: curio.io.Socket) -> None:
+    async def _linger(self, client: curio.io.Socket) -> None:
+        task = await curio.current_task()
+        self._lingering_tasks[task] = None
+        try:
+            await linger(client)
+        finally:
+            self._lingering_tasks.pop(task, None)
+
+    async def _serve_connection(self, client: curio.io.Socket) -> bool:
+        """Answer requests; return whether the client may still be sending."""
         connection = h11.Connection(h11.SERVER)
         header_limit = 0
         task_yield = TaskYield(YIELD_AFTER)
         while True:
             await task_yield.step()
             if not await self._wait_for_request(connection, client):
-                return
+                return False
             limits = self.limits
             if limits.max_header_bytes != header_limit:
                 header_limit = limits.max_header_bytes
@@ -223,20 +247,25 @@
                 request = await receive_request(connection, client, limits)
             except RequestRejectedError as error:
                 await _reject(responder, connection, error)
-                return
+                return connection.our_state is h11.MUST_CLOSE
             if request is None:
-                return
+                return False
+            is_last = connection.their_state is h11.MUST_CLOSE
             if self._cancel_on_disconnect:
                 if peek(client) == b"":
                     # After a stall of this process, the client may have disconnected.
-                    return
+                    return False
                 await self._handle_until_disconnect(
                     request, responder, connection, client
                 )
             else:
                 await self._handle(request, responder)
-            if responder.is_aborted or connection.our_state is not h11.DONE:
-                return
+            if responder.is_aborted:
+                return False
+            if connection.our_state is h11.MUST_CLOSE:
+                return not is_last or bool(peek(client))
+            if connection.our_state is not h11.DONE:
+                return False
             connection.start_next_cycle()
 
     async def _wait_for_request(
