Send a long request while its answer is read

Callers got a 502 for a request with a long body, safe or unsafe, although its only endpoint was sound and went on a second later.

Cause: open_exchange sent the whole request under the connection timeout, 0.4 s. What doesn't fit into the socket buffers waits until the endpoint reads, so an endpoint that read nothing for 0.4 s lost the request ("request was cut", sent). An endpoint that answered before it had read everything lost its answer in the same way.

The exchange now sends what the socket accepts at once, and the rest in a task beside the reader, so the deadline of the call bounds both, abandoning an attempt ends both, and an early answer is read. A loss of the connection that only the sender notices still makes an answer without framing incomplete, and closing an exchange whose request isn't sent resets the connection.

--- a/src/tamaracktray/connections.py
+++ b/src/tamaracktray/connections.py
@@ -44,6 +44,19 @@
     return socket
 
 
+def send_nonblocking(socket: curio.io.Socket, data: bytes) -> int:
+    """Send as much as the socket accepts without blocking; return the byte count.
+
+    This is nearly always all of ``data``, which saves setting a timeout.
+    """
+    if not data:
+        return 0
+    try:
+        return socket._socket.send(data)
+    except BlockingIOError:
+        return 0
+
+
 def limit_silence(socket: curio.io.Socket, timeout_s: float) -> None:
     """Fail a connection on which sent bytes are not acknowledged for a time."""
     socket.setsockopt(
--- a/src/tamaracktray/exchange.py
+++ b/src/tamaracktray/exchange.py
@@ -23,6 +23,7 @@
     Reply,
     decode_headers,
 )
+from tamaracktray.request_sending import RequestSender
 from tamaracktray.types import Address
 
 # Default size limit of an answer's body in bytes.
@@ -46,7 +47,7 @@
 
 
 class Exchange:
-    """A request that has been sent and whose answer is being read.
+    """A request that is being sent and whose answer is being read.
 
     Each exchange has its own connection, so a late answer to an earlier request cannot
     be taken for this one. Reading fails if far more than ``max_bytes`` arrive, framing
@@ -60,6 +61,7 @@
         "_early_head",
         "_interim_answers",
         "_is_closed",
+        "_sender",
         "_socket",
         "end",
         "is_abandoned",
@@ -73,11 +75,13 @@
         connection: h11.Connection,
         socket: curio.io.Socket,
         max_bytes: int = MAX_ANSWER_BYTES,
+        sender: RequestSender | None = None,
     ) -> None:
         self._byte_budget = max_bytes * FRAMING_RATIO + FRAMING_BYTES
         self._interim_answers = 0
         self._connection = connection
         self._socket = socket
+        self._sender = sender
         self._is_closed = False
         self.is_abandoned = False
         self.end: AnswerEnd | None = None
@@ -148,6 +152,8 @@
         if not data and self.is_abandoned:
             # This side shut down reading, which says nothing about the answer.
             raise ConnectionAbortedError("the exchange was abandoned")
+        if not data and self._sender is not None and self._sender.error is not None:
+            raise ConnectionResetError(str(self._sender.error))
         self._is_closed = not data
         self._charge_bytes(len(data))
         self._connection.receive_data(data)
@@ -228,8 +234,12 @@
             await self._socket.shutdown(socket_module.SHUT_RD)
 
     async def close(self) -> None:
-        """Close the connection; reset it if the answer is incomplete."""
-        if self.end in (None, AnswerEnd.CUT, AnswerEnd.ABANDONED):
+        """Close the connection; reset it if the request or answer is incomplete."""
+        is_sent = True
+        if self._sender is not None:
+            await self._sender.stop()
+            is_sent = self._sender.is_complete
+        if not is_sent or self.end in (None, AnswerEnd.CUT, AnswerEnd.ABANDONED):
             reset_on_close(self._socket)
         await self._socket.close()
 
@@ -250,12 +260,14 @@
     may_send: Callable[[float], bool] = _always_send,
     max_bytes: int = MAX_ANSWER_BYTES,
 ) -> Result[Exchange, TransportError]:
-    """Connect, send one request and return the exchange.
-
-    Set ``has_host_header`` if ``headers`` include the host. ``may_send`` is called with
-    the connection time in seconds once connected, as the decision to send may be out of
-    date by then. Reading an answer fails if its body far exceeds ``max_bytes``. The
-    failure states whether any byte of the request may have been sent.
+    """Connect, start to send one request and return the exchange.
+
+    What the socket doesn't accept at once is sent while the answer is read, within the
+    timeouts for reading. Set ``has_host_header`` if ``headers`` include the host.
+    ``may_send`` is called with the connection time in seconds once connected, as the
+    decision to send may be out of date by then. Reading an answer fails if its body far
+    exceeds ``max_bytes``. The failure states whether any byte of the request may have
+    been sent.
     """
     connection = h11.Connection(h11.CLIENT)
     framing = [("content-length", str(len(body))), ("connection", "close")]
@@ -275,17 +287,17 @@
         await socket.close()
         message = "withdrawn while connecting"
         return Failure(TransportError(message, sent=False, is_withdrawn=True))
+    sender = RequestSender(socket)
+    exchange = Exchange(connection, socket, max_bytes, sender)
     try:
-        await curio.timeout_after(connect_timeout_s, socket.sendall(payload))
-    except (OSError, curio.TaskTimeout) as error:
-        reset_on_close(socket)
-        await socket.close()
+        await sender.start(payload)
+    except OSError as error:
+        await exchange.close()
         return Failure(TransportError(f"request was cut: {error}", sent=True))
     except curio.CancelledError:
-        reset_on_close(socket)
-        await socket.close()
+        await exchange.close()
         raise
-    return Success(Exchange(connection, socket, max_bytes))
+    return Success(exchange)
 
 
 async def fetch(
--- a/src/tamaracktray/responders.py
+++ b/src/tamaracktray/responders.py
@@ -8,7 +8,11 @@
 import msgspec
 from typing_extensions import override
 
-from tamaracktray.connections import close_in_order, reset_on_close
+from tamaracktray.connections import (
+    close_in_order,
+    reset_on_close,
+    send_nonblocking,
+)
 from tamaracktray.http_messages import Headers, RawHeaders
 from tamaracktray.types import ErrorCode, Refusal, RunState
 
@@ -78,7 +82,7 @@
 
     async def _send(self, *events: h11.Event) -> None:
         data = b"".join(self._connection.send(event) or b"" for event in events)
-        unsent = data[_send_nonblocking(self._socket, data) :]
+        unsent = data[send_nonblocking(self._socket, data) :]
         if not unsent:
             return
         try:
@@ -138,16 +142,3 @@
         framed_headers = [*headers, ("content-length", str(len(body)))]
         head = h11.Response(status_code=status, headers=framed_headers)
         await self._send(head, h11.Data(data=body), h11.EndOfMessage())
-
-
-def _send_nonblocking(socket: curio.io.Socket, data: bytes) -> int:
-    """Send as much as the socket accepts without blocking; return the byte count.
-
-    This is nearly always all of ``data``, which saves setting a timeout.
-    """
-    if not data:
-        return 0
-    try:
-        return socket._socket.send(data)
-    except BlockingIOError:
-        return 0
--- a/tests/raw_endpoints.py
+++ b/tests/raw_endpoints.py
@@ -45,14 +45,29 @@
     """An answer that an endpoint writes to a connection."""
 
     def __init__(
-        self, endpoint: "RawEndpoint", client: Any, request_id: str, last_event_id: int
+        self,
+        endpoint: "RawEndpoint",
+        client: Any,
+        request_id: str,
+        last_event_id: int,
+        unread_bytes: int = 0,
     ) -> None:
         self.endpoint = endpoint
         self.last_event_id = last_event_id
+        self._unread_bytes = unread_bytes
         self._client = client
         self._request_id = request_id
         self._framing = Framing.NEITHER
 
+    async def read_body(self) -> bool:
+        """Read the rest of the request; return whether it arrived as a whole."""
+        while self._unread_bytes > 0:
+            data = await self._client.recv(READ_BYTES)
+            if not data:
+                return False
+            self._unread_bytes -= len(data)
+        return True
+
     async def begin(
         self,
         framing: Framing,
@@ -119,7 +134,7 @@
     def __init__(self, play: Play) -> None:
         self.address = Address(next_host(), WORKER_PORT)
         self.arrivals = 0
-        self._play = play
+        self.play = play
         self._acceptor: Any = None
 
     async def open(self) -> None:
@@ -146,13 +161,20 @@
                 head += data
             self.arrivals += 1
             fields: dict[str, str] = {}
+            head, _, body = head.partition(b"\r\n\r\n")
             for line in head.decode().split("\r\n")[1:]:
                 name, _, value = line.partition(": ")
                 fields[name.lower()] = value
             last_event_id = int(fields.get("last-event-id", "0"))
-            answer = RawAnswer(self, client, fields.get(REQUEST_ID, ""), last_event_id)
+            answer = RawAnswer(
+                self,
+                client,
+                fields.get(REQUEST_ID, ""),
+                last_event_id,
+                int(fields.get("content-length", "0")) - len(body),
+            )
             try:
-                await self._play(answer)
+                await self.play(answer)
             except OSError:
                 # The entry has given the attempt up.
                 return
