Refuse a request whose target can't be parsed

A caller that sent a target such as "//[" saw its connection closed without an answer: urlsplit raises ValueError, which ended the connection's task behind the point where a malformed request is answered. It gets 400 now, like other malformed requests.

Evidence: the new case of TestBadInput got no byte before and gets 400 now.

--- a/src/tamaracktray/request_reading.py
+++ b/src/tamaracktray/request_reading.py
@@ -70,7 +70,10 @@
 
 def _build_request(event: h11.Request, body: bytes) -> Request:
     target = event.target.decode("ascii")
-    parts = urlsplit(target)
+    try:
+        parts = urlsplit(target)
+    except ValueError as error:
+        raise RequestRejectedError(HTTPStatus.BAD_REQUEST, str(error)) from error
     return Request(
         method=event.method.decode("ascii"),
         path=unquote(parts.path),
--- a/tests/test_http.py
+++ b/tests/test_http.py
@@ -64,6 +64,7 @@
         ("data", "end", "status"),
         [
             (b"nonsense\r\n\r\n", False, b"400"),
+            (b"GET //[ HTTP/1.1\r\nhost: a\r\n\r\n", False, b"400"),
             (b"GET / HTTP/1.1\r\nhost: a\r\nx: " + b"y" * 9_000, False, b"431"),
             (
                 b"POST / HTTP/1.1\r\nhost: a\r\ncontent-length: 9000\r\n\r\n"
