Answer HEAD requests without a body

A caller whose HEAD request was refused (401, 404, 503 and so on) saw its connection closed without an answer, and the log said "handler failed": h11 doesn't accept a body in the answer to HEAD, which failed both the refusal and the answer that reports a failure. Such answers now state the length of their body and leave the body out.

Evidence: the new test of TestServer got no byte before. Tried by hand at an entry: 404, 401 and a relayed 200 arrive on a connection that stays open.

--- a/src/tamaracktray/http.py
+++ b/src/tamaracktray/http.py
@@ -250,6 +250,7 @@
                 return connection.our_state is h11.MUST_CLOSE
             if request is None:
                 return False
+            responder.sends_body = request.method != "HEAD"
             is_last = connection.their_state is h11.MUST_CLOSE
             if self._cancel_on_disconnect:
                 if peek(client) == b"":
--- a/src/tamaracktray/responders.py
+++ b/src/tamaracktray/responders.py
@@ -58,7 +58,8 @@
 class ConnectionResponder(Responder):
     """Answers one request on a server connection.
 
-    A client that reads nothing for ``timeout_s`` seconds loses the connection.
+    A client that reads nothing for ``timeout_s`` seconds loses the connection. Unset
+    ``sends_body`` for a request whose answer has none.
     """
 
     __slots__ = (
@@ -67,6 +68,7 @@
         "_socket",
         "_timeout_s",
         "is_aborted",
+        "sends_body",
         "watcher",
     )
 
@@ -78,6 +80,7 @@
         self._timeout_s = timeout_s
         self._resets_on_close = False
         self.is_aborted = False
+        self.sends_body = True
         self.watcher: curio.Task | None = None
 
     async def _send(self, *events: h11.Event) -> None:
@@ -106,7 +109,8 @@
 
     @override
     async def send_data(self, data: bytes) -> None:
-        await self._send(h11.Data(data=data))
+        if self.sends_body:
+            await self._send(h11.Data(data=data))
 
     @override
     async def finish(self) -> None:
@@ -141,4 +145,5 @@
     ) -> None:
         framed_headers = [*headers, ("content-length", str(len(body)))]
         head = h11.Response(status_code=status, headers=framed_headers)
-        await self._send(head, h11.Data(data=body), h11.EndOfMessage())
+        data = body if self.sends_body else b""
+        await self._send(head, h11.Data(data=data), h11.EndOfMessage())
--- a/tests/test_http.py
+++ b/tests/test_http.py
@@ -108,6 +108,19 @@
 
         assert serve(echo, client).count(b"200 ") == 2
 
+    def test_answer_to_a_head_request_has_the_length_of_its_body_and_no_body(self):
+        async def refuse(request, responder):
+            await responder.respond(404, [("x-path", request.path)], b"no route")
+
+        async def client(server):
+            requests = b"HEAD /%d HTTP/1.1\r\nhost: a\r\n\r\n"
+            return await send_raw(server.address, requests % 1 + requests % 2)
+
+        answers = serve(refuse, client)
+        assert answers.count(b"HTTP/1.1 404") == 2
+        assert answers.count(b"content-length: 8\r\n") == 2
+        assert b"no route" not in answers
+
     def test_raised_idle_limit_applies_to_idle_connections(self):
         """A caller reuses a connection within the limit that is in force now."""
 
