Don't cut an answer that its client reads slowly

A client that read all the time, but slowly, lost its answer after send_timeout_s, 10 s: the timeout bounded one whole write, of up to 262,144 bytes, and not the time in which the client reads nothing.

The writer now waits for as long as the bytes that the client's side has not accepted become fewer, by what is unsent and what the kernel counts as unacknowledged. The deadline of a call bounds its answer as before.

--- a/src/tamaracktray/connections.py
+++ b/src/tamaracktray/connections.py
@@ -1,8 +1,11 @@
 """Outgoing TCP connections, and how connections end."""
 
+import array
 import contextlib
+import fcntl
 import socket as socket_module
 import struct
+import termios
 
 import curio
 
@@ -44,7 +47,7 @@
     return socket
 
 
-def send_nonblocking(socket: curio.io.Socket, data: bytes) -> int:
+def send_nonblocking(socket: curio.io.Socket, data: bytes | memoryview) -> int:
     """Send as much as the socket accepts without blocking; return the byte count.
 
     This is nearly always all of ``data``, which saves setting a timeout.
@@ -57,6 +60,13 @@
         return 0
 
 
+def count_unacknowledged(socket: curio.io.Socket) -> int:
+    """Return the bytes sent on a connection that its peer has not acknowledged."""
+    unacknowledged = array.array("i", [0])
+    fcntl.ioctl(socket.fileno(), termios.TIOCOUTQ, unacknowledged)
+    return unacknowledged[0]
+
+
 def limit_silence(socket: curio.io.Socket, timeout_s: float) -> None:
     """Fail a connection on which sent bytes are not acknowledged for a time."""
     socket.setsockopt(
--- a/src/tamaracktray/http_messages.py
+++ b/src/tamaracktray/http_messages.py
@@ -18,7 +18,8 @@
 
     Sizes are in bytes, timeouts in seconds. ``idle_timeout_s`` applies to the wait for
     the next request on a connection, ``receive_timeout_s`` to the head and to the body
-    of a request and ``send_timeout_s`` to one write of an answer.
+    of a request and ``send_timeout_s`` to times in which a client reads nothing of its
+    answer.
     """
 
     max_header_bytes: int = 16_384
--- a/src/tamaracktray/responders.py
+++ b/src/tamaracktray/responders.py
@@ -6,10 +6,12 @@
 import curio
 import h11
 import msgspec
+from curio.traps import _write_wait
 from typing_extensions import override
 
 from tamaracktray.connections import (
     close_in_order,
+    count_unacknowledged,
     reset_on_close,
     send_nonblocking,
 )
@@ -58,7 +60,8 @@
 class ConnectionResponder(Responder):
     """Answers one request on a server connection.
 
-    A client that reads nothing for ``timeout_s`` seconds loses the connection. Unset
+    A client that reads nothing for two spans of ``timeout_s`` seconds loses the
+    connection, however long the whole answer takes. Unset
     ``sends_body`` for a request whose answer has none.
     """
 
@@ -67,6 +70,7 @@
         "_resets_on_close",
         "_socket",
         "_timeout_s",
+        "_unsent",
         "is_aborted",
         "sends_body",
         "watcher",
@@ -78,6 +82,7 @@
         self._connection = connection
         self._socket = socket
         self._timeout_s = timeout_s
+        self._unsent = memoryview(b"")
         self._resets_on_close = False
         self.is_aborted = False
         self.sends_body = True
@@ -85,13 +90,25 @@
 
     async def _send(self, *events: h11.Event) -> None:
         data = b"".join(self._connection.send(event) or b"" for event in events)
-        unsent = data[send_nonblocking(self._socket, data) :]
-        if not unsent:
-            return
-        try:
-            await curio.timeout_after(self._timeout_s, self._socket.sendall(unsent))
-        except curio.TaskTimeout as error:
-            raise ConnectionError("client does not read the answer") from error
+        self._unsent = memoryview(data)[send_nonblocking(self._socket, data) :]
+        while self._unsent:
+            remaining_bytes = self._count_remaining()
+            try:
+                await curio.timeout_after(self._timeout_s, self._send_rest())
+            except curio.TaskTimeout as error:
+                if self._count_remaining() >= remaining_bytes:
+                    message = "client does not read the answer"
+                    raise ConnectionError(message) from error
+
+    async def _send_rest(self) -> None:
+        while self._unsent:
+            await _write_wait(self._socket._fileno)
+            sent = send_nonblocking(self._socket, self._unsent)
+            self._unsent = self._unsent[sent:]
+
+    def _count_remaining(self) -> int:
+        """Return the bytes that the client's side has not accepted yet."""
+        return len(self._unsent) + count_unacknowledged(self._socket)
 
     @override
     async def acknowledge(self) -> None:
--- a/tests/test_http.py
+++ b/tests/test_http.py
@@ -366,6 +366,22 @@
         assert self.serve_stream(client) == ["whole"]
         assert bodies == [b"first" + self.PIECE + b"last"]
 
+    def test_answer_is_whole_if_its_client_reads_slowly_all_the_time(self):
+        sizes: list[int] = []
+
+        async def client(server):
+            connection = await curio.open_connection(
+                server.address.host, server.address.port
+            )
+            async with connection:
+                await connection.sendall(b"GET / HTTP/1.0\r\nhost: a\r\n\r\n")
+                while piece := await connection.recv(65_536):
+                    sizes.append(len(piece))
+                    await curio.sleep(0.02)
+
+        assert self.serve_stream(client, HttpLimits(send_timeout_s=0.2)) == ["whole"]
+        assert sum(sizes) > len(self.PIECE)
+
     def test_answer_is_aborted_after_the_timeout(self):
         async def client(server):
             opened = await open_exchange(server.address, "GET", "/", [])
