Take no endpoint for silent while its caller isn't reading

A stream whose caller paused for longer than the idle timeout was aborted, "stream stalled for good", although its endpoint had sent data all along. With a second attempt it was given up after 0.7 s, "endpoint is silent", run again elsewhere, and its sound endpoint suspected.

Cause: an entry reads nothing from an endpoint while it waits for a caller to read, and both the idle timeout and the search for silent attempts counted that time as silence of the endpoint.

The idle timeout of a stream now begins once the caller has taken the last part, and the reducer is told at each tick which calls wait for their callers: their attempts are silent since then at the earliest. What other calls see of the endpoint is unchanged.

--- a/src/tamaracktray/attempt_abandonment.py
+++ b/src/tamaracktray/attempt_abandonment.py
@@ -68,9 +68,9 @@
     timeout_s = STREAM_SILENCE_TIMEOUT_S if pending.is_started else SILENCE_TIMEOUT_S
     load = context.state.loads_by_id.get(pending.endpoint_id)
     endpoint_silence_s = 0.0 if load is None else load.measure_silence(now)
-    if min(endpoint_silence_s, now - pending.sent_at) > timeout_s:
-        return "endpoint is silent"
     silence_s = now - pending.silent_since
+    if min(endpoint_silence_s, now - pending.sent_at, silence_s) > timeout_s:
+        return "endpoint is silent"
     if pending.is_answer_started:
         return "stream stalled" if silence_s >= STALL_S else ""
     target_s = pending.call.route.target_latency_s
--- a/src/tamaracktray/attempt_relay.py
+++ b/src/tamaracktray/attempt_relay.py
@@ -338,6 +338,7 @@
                 )
             if is_delivered:
                 await self._sender.send_part(open_call, exchange, events)
+                progress_at = time.monotonic()
             if is_end:
                 await open_call.deliver(open_call.responder.finish())
                 return build_attempt_end(
@@ -351,7 +352,7 @@
         exchange: Exchange,
         progress_at: float,
     ) -> Result[bytes | AnswerEnd, TransportError]:
-        """Read from a stream whose last whole event arrived at ``progress_at``.
+        """Read from a stream whose last whole event was passed on at ``progress_at``.
 
         Bytes that complete no event don't count as progress.
         """
--- a/src/tamaracktray/entry_process.py
+++ b/src/tamaracktray/entry_process.py
@@ -185,6 +185,9 @@
             time.monotonic(),
             responsive_ids=responsive_ids,
             progress_at_by_call=self._call_relay.take_progress(),
+            sending_ids=frozenset(
+                call_id for call_id, call in self._open_by_id.items() if call.is_sending
+            ),
             open_connections=open_connections,
             store_era=self.store.era,
         )
--- a/src/tamaracktray/events.py
+++ b/src/tamaracktray/events.py
@@ -30,6 +30,7 @@
     ``random_value`` is a random number, the only source of randomness in the reducer.
     ``responsive_ids`` holds the endpoints that sent data since the last tick, and
     ``progress_at_by_call`` when data of each answer last arrived since then.
+    ``sending_ids`` holds the calls whose answers wait for their callers to read.
     ``open_connections`` counts the caller connections on which a request is being
     received or answered. ``store_era`` is the latest era of the platform's store,
     ``None`` while unknown.
@@ -38,6 +39,7 @@
     random_value: int = 0
     responsive_ids: frozenset[str] = frozenset()
     progress_at_by_call: dict[str, float] = {}
+    sending_ids: frozenset[str] = frozenset()
     open_connections: int = 0
     store_era: int | None = None
 
--- a/src/tamaracktray/gateway_state.py
+++ b/src/tamaracktray/gateway_state.py
@@ -174,6 +174,13 @@
                 pending.progress_at = progress_at
                 pending.silent_since = max(pending.silent_since, progress_at)
 
+    def excuse_sending(self, now: float, call_ids: frozenset[str]) -> None:
+        """Excuse endpoints whose data is not read while a caller has to read first."""
+        for call_id in call_ids:
+            pending = self.pending_by_id.get(call_id)
+            if pending is not None:
+                pending.silent_since = now
+
     def excuse_silence(self, now: float, held_up_s: float) -> None:
         """Excuse endpoints for a time in which this process did not read their data.
 
--- a/src/tamaracktray/node_reducer.py
+++ b/src/tamaracktray/node_reducer.py
@@ -328,9 +328,8 @@
     if state.gateway is not None:
         state.gateway.excuse_silence(event.now, held_up_s)
         _update_peer_count(state, event.now)
-        reachable = tuple(
-            member.name for member in state.peers.list_reachable(event.now)
-        )
+        peers = state.peers.list_reachable(event.now)
+        reachable = tuple(member.name for member in peers)
         if reachable != state.reachable_names:
             state.reachable_names = reachable
             effects.extend(_apply_roster(state, event.now))
@@ -345,6 +344,7 @@
             update_ownership(context)
             update_limit_shares(context, event.now)
         state.gateway.note_progress(event.progress_at_by_call)
+        state.gateway.excuse_sending(event.now, event.sending_ids)
         effects.extend(handle_gateway_tick(context, event.now, event.responsive_ids))
         effects.extend(report_crashes(state))
     if state.staging is not None:
--- a/src/tamaracktray/pending_calls.py
+++ b/src/tamaracktray/pending_calls.py
@@ -39,9 +39,10 @@
     has begun, at ``answer_began_at``. ``progress_at`` is when data of the answer last
     arrived, known as of the last tick. ``silent_since`` is the same, or when the
     attempt was sent, and ``observed_since`` the begin of the answer, but both are later
-    by the times in which this process was held up. ``is_sound`` is set once that answer
-    has gone on long enough to refute suspicions. ``is_started`` is also set if the
-    answer of an earlier attempt has begun.
+    by the times in which this process was held up, and the former by those in which it
+    waited for the caller to read. ``is_sound`` is set once that answer has gone on long
+    enough to refute suspicions. ``is_started`` is also set if the answer of an earlier
+    attempt has begun.
 
     While an attempt is being abandoned, ``reserved_id`` is the endpoint that holds a
     slot for the next one. ``has_event_id`` is set once a stream can be resumed.
