Don't quarantine requests for the silence of endpoints alone

What callers saw: while two sound endpoints that had a request fell silent for a second each, the same request was refused as quarantined, at this entry and at peers that were told, and so was a request with the same new part; a begun answer that was to go on at a third endpoint was ended; attempts with that part were abandoned.

Cause: an open suspicion counted like a crash, whatever it rested on. A silent endpoint is suspected after half a second, and data that it sends later refutes that only at entries that get some; at the others it stood for up to 6.6 s.

A suspicion now knows whether it rests on silence alone, and peers and records are told. Until the list confirms it, or the endpoint breaks the call off, it only keeps the same request away from the endpoint. It counts beside other evidence, and from the fourth silent endpoint on, so that a fatal request stays within three retries from the contact time after its third crash: the list shows a silent crash later than that. Parts are judged alike; they still excuse others by all that is suspected.

--- a/src/tamaracktray/crash_watch.py
+++ b/src/tamaracktray/crash_watch.py
@@ -5,7 +5,8 @@
 disappears from the list or is listed with a later start time. It is dropped when the
 endpoint responds again, remains listed or had announced that it is leaving. A request
 with two open or confirmed suspicions is quarantined until one of them is dropped; two
-confirmed suspicions quarantine it for the full quarantine time.
+confirmed suspicions quarantine it for the full quarantine time. Open suspicions that
+rest on silence alone quarantine it only if there are many.
 """
 
 from collections.abc import Iterable, Mapping
@@ -17,6 +18,7 @@
     ListedEndpoint,
     LogFinding,
     Suspicion,
+    list_counted,
 )
 
 # Suspicions, each about another incarnation, that quarantine a request.
@@ -81,18 +83,26 @@
         fingerprint: str,
         endpoint: Incarnation,
         run_s: float = 0.0,
+        *,
+        is_silent: bool = False,
     ) -> list[LogFinding]:
         """Record that a call of this process broke off or stalled at an endpoint.
 
-        ``run_s`` is the time since the call was sent, in seconds.
+        ``run_s`` is the time since the call was sent, in seconds. ``is_silent`` is set
+        if the endpoint only sent no data.
         """
         if self._is_cleared(now, fingerprint, now):
             return []
         known = self._by_fingerprint.get(fingerprint, {}).get(endpoint)
         if known is not None:
             known.is_local = True
+            if known.is_silent and not is_silent:
+                known.is_silent = False
+                self._has_news = True
             return []
-        suspicion = self._add(fingerprint, endpoint, now, run_s, is_local=True)
+        suspicion = self._add(
+            fingerprint, endpoint, now, run_s, is_local=True, is_silent=is_silent
+        )
         self._has_news = True
         return [suspicion.describe(now, Finding.SUSPECTED)]
 
@@ -114,10 +124,13 @@
                     seen_at,
                     report.run_s,
                     is_local=False,
+                    is_silent=report.is_silent,
                 )
                 notes.append(suspicion.describe(now, Finding.REPORTED))
             if report.is_beside_sound:
                 suspicion.is_beside_sound = True
+            if not report.is_silent:
+                suspicion.is_silent = False
             if report.is_confirmed and not suspicion.is_confirmed:
                 suspicion.is_confirmed = True
                 notes.append(suspicion.describe(now, Finding.CONFIRMED, "told"))
@@ -223,7 +236,7 @@
         if suspicions is None:
             return None
         deadlines = sorted(
-            item.find_deadline(now) for item in suspicions.values() if item.is_active
+            item.find_deadline(now) for item in list_counted(suspicions.values())
         )
         if len(deadlines) < SUSPICIONS_TO_QUARANTINE:
             return None
@@ -242,7 +255,7 @@
     def list_quarantined(self, now: float) -> dict[str, list[Suspicion]]:
         """Return the active suspicions of each quarantined request."""
         return {
-            fingerprint: [item for item in suspicions.values() if item.is_active]
+            fingerprint: list_counted(suspicions.values())
             for fingerprint, suspicions in self._by_fingerprint.items()
             if len(suspicions) >= SUSPICIONS_TO_QUARANTINE
             and self.find_quarantine_end(now, fingerprint) is not None
@@ -296,6 +309,7 @@
                 item.is_confirmed,
                 item.seen_at - item.sent_at,
                 item.is_beside_sound,
+                item.is_silent,
             )
             for item in selected[:MAX_REPORTS]
         ]
@@ -312,6 +326,7 @@
         run_s: float,
         *,
         is_local: bool,
+        is_silent: bool = False,
     ) -> Suspicion:
         if len(self) >= MAX_SUSPICIONS:
             self._drop_oldest()
@@ -322,6 +337,7 @@
             seen_at + self.verdict_s,
             seen_at + self.quarantine_s,
             is_local=is_local,
+            is_silent=is_silent,
             run_s=run_s,
         )
         self._by_fingerprint.setdefault(fingerprint, {})[endpoint] = suspicion
--- a/src/tamaracktray/gateway_crashes.py
+++ b/src/tamaracktray/gateway_crashes.py
@@ -13,12 +13,18 @@
 
 
 def suspect_endpoint(
-    context: GatewayContext, now: float, pending: PendingCall, endpoint_id: str
+    context: GatewayContext,
+    now: float,
+    pending: PendingCall,
+    endpoint_id: str,
+    *,
+    is_silent: bool = True,
 ) -> list[Effect]:
     """Suspect a call's request, and its prompt parts, of having crashed an endpoint.
 
-    Endpoints that had announced that they are leaving are not suspected. The parts are
-    not suspected either if the answer had gone on for a while.
+    ``is_silent`` is cleared if the endpoint broke the call off. Endpoints that had
+    announced that they are leaving are not suspected. The parts are not suspected
+    either if the answer had gone on for a while.
     """
     pending.is_trial = False
     if pending.is_endpoint_leaving:
@@ -26,11 +32,18 @@
     endpoint = Incarnation(endpoint_id, pending.start_time_ms)
     run_s = now - pending.sent_at
     fingerprint = pending.call.fingerprint
-    effects = list(context.crashes.suspect(now, fingerprint, endpoint, run_s))
+    effects: list[Effect] = []
+    effects.extend(
+        context.crashes.suspect(now, fingerprint, endpoint, run_s, is_silent=is_silent)
+    )
     if pending.is_sound or _is_going_on(pending):
         return effects
     parts = pending.call.parts
-    effects.extend(context.part_crashes.suspect_prompt(now, parts, endpoint, run_s))
+    effects.extend(
+        context.part_crashes.suspect_prompt(
+            now, parts, endpoint, run_s, is_silent=is_silent
+        )
+    )
     return effects
 
 
@@ -79,7 +92,7 @@
     """
     if endpoint_id not in context.state.loads_by_id:
         return []
-    return suspect_endpoint(context, now, pending, endpoint_id)
+    return suspect_endpoint(context, now, pending, endpoint_id, is_silent=False)
 
 
 def suspect_on_silence(
--- a/src/tamaracktray/part_blame.py
+++ b/src/tamaracktray/part_blame.py
@@ -16,7 +16,7 @@
 
 import msgspec
 
-from tamaracktray.suspicions import Incarnation, Suspicion
+from tamaracktray.suspicions import Incarnation, Suspicion, list_counted
 
 # Crashes in a row that quarantine a part: of one without a known sound answer, and of
 # one that has been answered, which the crashes are more likely to have met by chance.
@@ -65,7 +65,7 @@
     """
     quarantine_by_part: dict[str, PartQuarantine] = {}
     active_by_part = {
-        part: list_active(now, suspicions)
+        part: list_current(now, suspicions)
         for part, suspicions in evidence.items()
         if len(suspicions) >= count_needed(part, sound)
     }
@@ -108,7 +108,11 @@
     for part, suspicions in evidence.items():
         if part in sound:
             continue
-        active = list_active(now, suspicions)
+        active = [
+            item
+            for item in suspicions.values()
+            if item.is_active and item.find_deadline(now) > now
+        ]
         if len(active) >= CRASHES_TO_EXCUSE:
             excused.update(item.endpoint for item in active)
     return excused
@@ -151,7 +155,7 @@
     for part, suspicions in evidence.items():
         if part in sound or len(suspicions) < EARLY_CRASHES:
             continue
-        active = list_active(now, suspicions)
+        active = list_current(now, suspicions)
         if len(active) >= EARLY_CRASHES:
             crashes_by_part[part] = active
     endpoints_by_part = {
@@ -176,15 +180,13 @@
     return quarantine_by_part
 
 
-def list_active(
+def list_current(
     now: float, suspicions: Mapping[Incarnation, Suspicion]
 ) -> list[Suspicion]:
     """Return the suspicions of a part that count toward a quarantine."""
-    return [
-        item
-        for item in suspicions.values()
-        if item.is_active and item.find_deadline(now) > now
-    ]
+    return list_counted(
+        item for item in suspicions.values() if item.find_deadline(now) > now
+    )
 
 
 def list_successive(suspicions: Iterable[Suspicion]) -> list[Suspicion]:
--- a/src/tamaracktray/part_watch.py
+++ b/src/tamaracktray/part_watch.py
@@ -19,7 +19,7 @@
     PartQuarantine,
     count_needed,
     find_quarantines,
-    list_active,
+    list_current,
     list_successive,
 )
 from tamaracktray.part_trials import PartTrials
@@ -140,14 +140,20 @@
         ]
 
     def suspect_prompt(
-        self, now: float, parts: Iterable[str], endpoint: Incarnation, run_s: float
+        self,
+        now: float,
+        parts: Iterable[str],
+        endpoint: Incarnation,
+        run_s: float,
+        *,
+        is_silent: bool = False,
     ) -> list[LogFinding]:
         """Record that a call whose prompt has these parts broke off or stalled."""
         notes: list[LogFinding] = []
         parts = tuple(parts)
         sound = [part for part in parts if part in self._sound_at_by_part]
         for part in parts:
-            notes.extend(self.suspect(now, part, endpoint, run_s))
+            notes.extend(self.suspect(now, part, endpoint, run_s, is_silent=is_silent))
             suspicion = self._by_fingerprint.get(part, {}).get(endpoint)
             if suspicion is not None:
                 suspicion.is_beside_sound = bool(sound) and part not in sound
@@ -160,9 +166,11 @@
         fingerprint: str,
         endpoint: Incarnation,
         run_s: float = 0.0,
+        *,
+        is_silent: bool = False,
     ) -> list[LogFinding]:
         self._reassessment_deadline = 0.0
-        return super().suspect(now, fingerprint, endpoint, run_s)
+        return super().suspect(now, fingerprint, endpoint, run_s, is_silent=is_silent)
 
     @override
     def merge(self, now: float, reports: Iterable[CrashReport]) -> list[LogFinding]:
@@ -224,7 +232,7 @@
             is_known_sound = part in self._sound_at_by_part
             if not is_known_sound and not self._trials.is_broad(part):
                 return False
-            crashes = list_active(now, self._by_fingerprint.get(part, {}))
+            crashes = list_current(now, self._by_fingerprint.get(part, {}))
             last_at = max((item.seen_at for item in crashes), default=now)
             needed = count_needed(part, self._sound_at_by_part)
             extra = max(len(list_successive(crashes)) - needed, 0)
@@ -237,7 +245,7 @@
     def list_quarantined(self, now: float) -> dict[str, list[Suspicion]]:
         self._reassess(now)
         return {
-            part: _select_evidence(list_active(now, self._by_fingerprint[part]))
+            part: _select_evidence(list_current(now, self._by_fingerprint[part]))
             for part, quarantine in self._quarantine_by_part.items()
             if quarantine.end > now
         }
--- a/src/tamaracktray/quarantine_records.py
+++ b/src/tamaracktray/quarantine_records.py
@@ -33,11 +33,13 @@
     """An endpoint that a request may have crashed, with the Unix time in seconds.
 
     ``run_s`` is the time that the call had been at the endpoint, in seconds.
+    ``is_silent`` is as in ``CrashReport``.
     """
 
     endpoint: Incarnation
     unix_s: float
     run_s: float = 0.0
+    is_silent: bool = False
 
 
 class QuarantineRecord(msgspec.Struct, frozen=True):
@@ -75,6 +77,7 @@
                 item.endpoint,
                 round(item.seen_at + unix_offset_s, 3),
                 round(item.seen_at - item.sent_at, 3),
+                item.is_silent,
             )
             for item in suspicions
         )
@@ -94,6 +97,7 @@
             suspicion.endpoint,
             max(now + unix_offset_s - suspicion.unix_s, 0.0),
             run_s=suspicion.run_s,
+            is_silent=suspicion.is_silent,
         )
         for suspicion in record.ends
     ]
--- a/src/tamaracktray/suspicions.py
+++ b/src/tamaracktray/suspicions.py
@@ -1,5 +1,6 @@
 """Suspicions that a call crashed the endpoint at which it broke off or stalled."""
 
+from collections.abc import Iterable
 from enum import Enum
 
 import msgspec
@@ -7,6 +8,10 @@
 from tamaracktray.effects import Effect
 from tamaracktray.types import Int64
 
+# Silent endpoints that count as crashed without any other evidence: a fatal request
+# must not crash one endpoint after the other until the endpoint list shows it.
+SILENCES_TO_COUNT = 4
+
 # Shortest quarantine while the endpoint list can't be read, in seconds.
 MIN_QUARANTINE_S = 0.5
 
@@ -26,7 +31,7 @@
 
     ``age_s`` is its age and ``run_s`` how long the call had been at the endpoint, both
     in seconds. ``is_beside_sound`` is set for a part of a prompt with another part that
-    had been answered before.
+    had been answered before, and ``is_silent`` as in ``Suspicion``.
     """
 
     fingerprint: str
@@ -35,6 +40,7 @@
     is_confirmed: bool = False
     run_s: float = 0.0
     is_beside_sound: bool = False
+    is_silent: bool = False
 
 
 class Finding(str, Enum):
@@ -69,10 +75,11 @@
     """A call, sent at ``sent_at``, that broke off or stalled at ``seen_at``.
 
     ``is_local`` is set if this process observed it and ``is_answering`` if the endpoint
-    sent data later. ``is_beside_sound`` is as in ``CrashReport``. ``was_listed`` and
-    ``is_leaving`` are taken from the endpoint list. An up-to-date list shows a crash by
-    ``verdict_deadline``. ``is_overdue`` is set if the endpoint was still listed then; a
-    delayed list may still confirm the crash.
+    sent data later. ``is_silent`` is set if the endpoint merely sent no data, as a
+    sound one may for a while. ``is_beside_sound`` is as in ``CrashReport``.
+    ``was_listed`` and ``is_leaving`` are taken from the endpoint list. An up-to-date
+    list shows a crash by ``verdict_deadline``. ``is_overdue`` is set if the endpoint
+    was still listed then; a delayed list may still confirm the crash.
     """
 
     __slots__ = (
@@ -85,6 +92,7 @@
         "is_leaving",
         "is_overdue",
         "is_local",
+        "is_silent",
         "seen_at",
         "sent_at",
         "verdict_deadline",
@@ -100,6 +108,7 @@
         quarantine_deadline: float,
         *,
         is_local: bool,
+        is_silent: bool = False,
         run_s: float = 0.0,
     ) -> None:
         self.fingerprint = fingerprint
@@ -109,6 +118,7 @@
         self.verdict_deadline = verdict_deadline
         self.quarantine_deadline = quarantine_deadline
         self.is_local = is_local
+        self.is_silent = is_silent
         self.is_answering = False
         self.is_beside_sound = False
         self.is_confirmed = False
@@ -118,9 +128,14 @@
 
     @property
     def is_active(self) -> bool:
-        """Whether the suspicion counts toward a quarantine of its request."""
+        """Whether the suspicion still stands."""
         return self.is_confirmed or not (self.is_answering or self.is_overdue)
 
+    @property
+    def is_mere_silence(self) -> bool:
+        """Whether nothing but the silence of its endpoint supports the suspicion."""
+        return self.is_silent and not self.is_confirmed
+
     def find_deadline(self, now: float) -> float:
         """Return the time until which the suspicion counts toward a quarantine."""
         if self.is_confirmed:
@@ -131,3 +146,16 @@
         """Return the effect that logs a change in its state."""
         age_s = now - self.seen_at
         return LogFinding(self.fingerprint, self.endpoint, finding, age_s, reason)
+
+
+def list_counted(suspicions: Iterable[Suspicion]) -> list[Suspicion]:
+    """Return the suspicions that count toward a quarantine.
+
+    Silence alone counts only if many endpoints fell silent.
+    """
+    active = [item for item in suspicions if item.is_active]
+    if len(active) >= SILENCES_TO_COUNT:
+        return active
+    if all(item.is_mere_silence for item in active):
+        return []
+    return active
