Let endpoints of the soak fall silent beside changes in quick series

Silences of several overlap. They are no faults of the log, so they suspend no check.

Beside them, configurations change in series of up to 20, 0.02 to 0.3 s apart: attempts, timeouts, objectives, priorities, limits, weights and services of plain routes, regions, whether streams may be resumed, and whether a route is there. The service of streams doesn't change, as each engine's agent is set up for one.

Calls wait for 5 s instead of 3 s.

--- a/src/tamaracktray_emulator/main.py
+++ b/src/tamaracktray_emulator/main.py
@@ -54,6 +54,12 @@
     calm: Annotated[
         bool, typer.Option("--calm", help="Leave out faults that suspend promises.")
     ] = False,
+    pauses: Annotated[
+        bool,
+        typer.Option(
+            "--pauses", help="Let endpoints fall silent beside changes of routes."
+        ),
+    ] = False,
     copy_restarts: Annotated[
         bool,
         typer.Option(
@@ -67,7 +73,11 @@
     ),
 ) -> None:
     """Run the real programs under random faults and check their guarantees."""
-    from tamaracktray_emulator.soak.plan import REPORT_HEAD, SoakPlan
+    from tamaracktray_emulator.soak.plan import (
+        REPORT_HEAD,
+        SIZES_WITH_SILENCES,
+        SoakPlan,
+    )
     from tamaracktray_emulator.soak.run import run_soak
 
     typer.echo(REPORT_HEAD)
@@ -82,6 +92,8 @@
             changes_regions=regions,
             restarts_on_copies=copy_restarts,
             is_calm=calm,
+            has_silences=pauses,
+            **(SIZES_WITH_SILENCES if pauses else {}),
         )
         report = run_soak(plan, logs / str(number))
         typer.echo(report.format_row())
--- a/src/tamaracktray_emulator/platform/worker.py
+++ b/src/tamaracktray_emulator/platform/worker.py
@@ -95,7 +95,8 @@
     asks for a pause of that many seconds; ``is_pause_marked`` also marks them as not
     run. A request with the body ``fatal_body`` crashes the worker as ``crash_mode``
     says; ``crashed_at`` is the time of the crash, or 0. A non-empty ``limit`` is named
-    in all answers; ``arrived_at`` are the times at which requests arrived.
+    in all answers; ``arrived_at`` are the times at which requests arrived. Until
+    ``silent_until`` on the monotonic clock the worker sends no data.
     """
 
     def __init__(self, address: Address, endpoint_id: str, service: str) -> None:
@@ -116,12 +117,18 @@
         self.fatal_body: bytes | None = None
         self.crash_mode = CrashMode.RESET
         self.crashed_at = 0.0
+        self.silent_until = 0.0
 
     @property
     def is_unresponsive(self) -> bool:
         """Return whether the worker crashed but keeps its connections open."""
         return bool(self.crashed_at) and self.crash_mode is CrashMode.SILENCE
 
+    async def wait_out_silence(self) -> None:
+        """Wait until the worker may send data."""
+        while (left_s := self.silent_until - time.monotonic()) > 0:
+            await curio.sleep(left_s)
+
     def describe(self, zone: str, **fields: Any) -> dict[str, Any]:
         """Return the record that the worker writes to the store."""
         options = {"born": self.start_time_ms, **fields}
@@ -141,6 +148,8 @@
             await responder.respond(421, notices)
             return
         self.note_arrival(request)
+        if self.pause or self.mode is Mode.FULL:
+            await self.wait_out_silence()
         if self.pause:
             self.note_pause(request, float(self.pause))
             marks = [(NOT_RUN, "1")] if self.is_pause_marked else []
@@ -187,6 +196,7 @@
         # Modes change meanwhile, and an engine leaves only some of them to this method.
         mode = self.mode
         await curio.sleep(WORK_S)
+        await self.wait_out_silence()
         if mode is Mode.HANGING or self.is_unresponsive:
             await curio.sleep(3_600.0)
         body = build_body(self.id, self.compute_answer_bytes(request))
@@ -205,6 +215,7 @@
             return
         await responder.send_head(status, headers)
         for start in range(0, len(body), PIECE_BYTES):
+            await self.wait_out_silence()
             await responder.send_data(body[start : start + PIECE_BYTES])
         await responder.finish()
 
@@ -216,8 +227,9 @@
 class EngineStandIn(WorkerStandIn):
     """A worker that streams events and accepts weights and load orders.
 
-    A stream pauses for ``pause_s`` seconds after event ``pause_after``. A request whose
-    prompt holds one of the ``fatal_parts`` crashes the engine at ``crash_point``.
+    An event takes ``event_s`` seconds. A stream pauses for ``pause_s`` seconds after
+    event ``pause_after``. A request whose prompt holds one of the ``fatal_parts``
+    crashes the engine at ``crash_point``.
     """
 
     def __init__(self, address: Address, endpoint_id: str, service: str) -> None:
@@ -229,6 +241,7 @@
         self.is_busy = False
         self.sequence = 0
         self.load_s = 0.05
+        self.event_s = EVENT_S
         self.pause_after = 0
         self.pause_s = 0.0
         self.fatal_parts: frozenset[str] = frozenset()
@@ -260,6 +273,8 @@
 
     @override
     async def answer(self, request: Request, responder: Responder) -> None:
+        if request.path.startswith(("/report", "/order", "/stage-")):
+            await self.wait_out_silence()
         if request.path == "/report":
             await send_json(responder, 200, self._report())
         elif request.path == "/order":
@@ -335,12 +350,14 @@
         if is_fatal and self.crash_point is CrashPoint.BEFORE_HEAD:
             await self._crash(responder)
             return
+        await self.wait_out_silence()
         await responder.send_head(200, headers)
         while self.mode is Mode.DRIPPING:
             await responder.send_data(b":")
             await curio.sleep(DRIP_S)
         for number in range(first, EVENTS + 1):
-            await curio.sleep(EVENT_S)
+            await curio.sleep(self.event_s)
+            await self.wait_out_silence()
             if number == self.pause_after + 1:
                 await curio.sleep(self.pause_s)
             if self.is_unresponsive:
@@ -354,6 +371,7 @@
             if is_fatal:
                 await self._crash(responder)
                 return
+        await self.wait_out_silence()
         await responder.finish()
 
     def is_fatal(self, request: Request) -> bool:
--- a/src/tamaracktray_emulator/soak/callers.py
+++ b/src/tamaracktray_emulator/soak/callers.py
@@ -28,9 +28,6 @@
 QUARANTINE_STATUS = 503
 QUARANTINE_CODE = b"quarantined"
 
-# Timeout of a caller for a complete answer, in seconds.
-DEADLINE_S = 3.0
-
 # Calls on one connection before a caller opens a new one.
 CALLS_PER_CONNECTION = 20
 
@@ -121,11 +118,17 @@
 class Callers:
     """All callers of one soak.
 
-    ``addresses_by_entry`` maps each entry to the address that callers connect to.
+    ``addresses_by_entry`` maps each entry to the address that callers connect to. They
+    wait for a complete answer for ``deadline_s`` seconds.
     """
 
     def __init__(
-        self, record: SoakRecord, seed: int, started: float, wait_s: float
+        self,
+        record: SoakRecord,
+        seed: int,
+        started: float,
+        wait_s: float,
+        deadline_s: float = 3.0,
     ) -> None:
         self.record = record
         self.addresses_by_entry: dict[str, Address] = {}
@@ -135,6 +138,7 @@
         self._random = random.Random(seed)
         self._started = started
         self._wait_s = wait_s
+        self._deadline_s = deadline_s
         self._call_count = 0
 
     async def run_caller(self) -> None:
@@ -175,7 +179,7 @@
     async def _send_call(self, connection: CallerConnection, call: SoakCall) -> bool:
         headers = [
             (REQUEST_ID, call.id),
-            ("x-tamaracktray-deadline-ms", str(int(DEADLINE_S * 1_000))),
+            ("x-tamaracktray-deadline-ms", str(int(self._deadline_s * 1_000))),
             ("x-tamaracktray-model", ENGINE_MODEL),
             ("x-tamaracktray-token-usage", "100,20"),
             ("authorization", f"Token {self.key}"),
@@ -186,7 +190,7 @@
         method = "POST" if call.body else "GET"
         try:
             answer = await curio.timeout_after(
-                DEADLINE_S,
+                self._deadline_s,
                 connection.send_request(method, call.target, headers, call.body),
             )
         except curio.TaskTimeout:
--- a/src/tamaracktray_emulator/soak/fleet.py
+++ b/src/tamaracktray_emulator/soak/fleet.py
@@ -32,6 +32,7 @@
 
 ENGINES = "engines"
 ORDERS = "orders"
+RETURNS = "returns"
 TEAM = "team-1"
 ZONES = ("zone-a", "zone-b", "zone-c")
 REGION_BY_ZONE = {"zone-a": "region-a", "zone-b": "region-a", "zone-c": "region-c"}
@@ -84,11 +85,18 @@
         self.entry_proxies: dict[str, FaultProxy] = {}
         self.version = 0
         self.keys = ["key-0"]
+        timeout_ms = int(plan.deadline_s * 1_000)
         self.routes = [
-            build_route("talk", "stream", ENGINES),
-            build_route("look", "safe", ORDERS),
-            build_route("order", "unsafe", ORDERS, maxAttempts=1),
+            build_route("talk", "stream", ENGINES, timeoutMs=timeout_ms),
+            build_route("look", "safe", ORDERS, timeoutMs=timeout_ms),
+            build_route("order", "unsafe", ORDERS, maxAttempts=1, timeoutMs=timeout_ms),
         ]
+        self.services = [build_engine_service(ENGINES), build_plain_service(ORDERS)]
+        if plan.has_silences:
+            self.services.append(build_plain_service(RETURNS))
+        self.dropped_routes: set[str] = set()
+        self.limits: dict[str, Any] = {}
+        self.team_priority = 1
         self.binding_log = BindingLog()
         self.team_regions: tuple[str, ...] = ()
         self.regions_by_route: dict[str, tuple[str, ...]] = {}
@@ -113,6 +121,9 @@
         self.configure()
         for number in range(self.plan.workers):
             await self.add_endpoint(SoakWorker, f"w-{number}", ORDERS, number)
+        if self.plan.has_silences:
+            for number in range(self.plan.workers):
+                await self.add_endpoint(SoakWorker, f"r-{number}", RETURNS, number)
         for number in range(self.plan.engines):
             engine = await self.add_endpoint(SoakEngine, f"e-{number}", ENGINES, number)
             engine.version = 1
@@ -196,14 +207,17 @@
             "linkMbps": 7.3,
             "maxConnections": 48,
         }
-        services = [build_engine_service(ENGINES), build_plain_service(ORDERS), origin]
+        services = [*self.services, origin]
         regions = list(self.team_regions)
-        tenants = [build_tenant(TEAM, *self.keys, allowedRegions=regions)]
+        fields = {"priority": self.team_priority, "allowedRegions": regions}
+        tenants = [build_tenant(TEAM, *self.keys, **fields)]
         routes = [
             {**item, "allowedRegions": self.regions_by_route.get(item["name"], ())}
             for item in self.routes
+            if item["name"] not in self.dropped_routes
         ]
         document = build_configuration(self.version, routes, services, tenants)
+        document["limits"].update(self.limits)
         self.store.write("config", "main", document)
         regions_by_prefix = {
             item["pathPrefix"]: tuple(item["allowedRegions"]) for item in routes
--- a/src/tamaracktray_emulator/soak/plan.py
+++ b/src/tamaracktray_emulator/soak/plan.py
@@ -2,16 +2,22 @@
 
 import msgspec
 
+# Sizes for soaks with silences: calls need endpoints to move to and time for it.
+SIZES_WITH_SILENCES = {"engines": 6, "callers": 60, "rate": 200.0, "deadline_s": 5.0}
+
 
 class SoakPlan(msgspec.Struct, frozen=True):
     """Parameters of a soak; equal plans inject the same faults at the same times.
 
     ``duration_s`` is the time during which faults are injected. ``rate`` is the total
-    number of calls per second of all callers. With ``restores_store``, the store also
-    comes back from older copies. With ``scales_out``, workers are added while single
-    entries are killed. With ``changes_regions``, team and routes move between regions,
-    and lost writes are repeated later. With ``restarts_on_copies``, only entries start
-    as the store is back. ``is_calm`` leaves out faults that suspend promises.
+    number of calls per second of all callers, which wait for ``deadline_s`` each. With
+    ``restores_store``, the store also comes back from older copies. With
+    ``scales_out``, workers are added while single entries are killed. With
+    ``changes_regions``, team and routes move between regions, and lost writes are
+    repeated later. With ``restarts_on_copies``, only entries start as the store is
+    back. ``is_calm`` leaves out faults that suspend promises. With ``has_silences``,
+    sound endpoints fall silent for about a second and configurations change in series;
+    if the soak is also calm, no other fault breaks answers off.
     """
 
     seed: int
@@ -21,11 +27,13 @@
     workers: int = 3
     callers: int = 12
     rate: float = 60.0
+    deadline_s: float = 3.0
     restores_store: bool = False
     scales_out: bool = False
     changes_regions: bool = False
     restarts_on_copies: bool = False
     is_calm: bool = False
+    has_silences: bool = False
 
 
 class Violation(msgspec.Struct, frozen=True):
--- a/src/tamaracktray_emulator/soak/record.py
+++ b/src/tamaracktray_emulator/soak/record.py
@@ -70,10 +70,12 @@
     """Calls, runs and check results of a soak.
 
     ``broken_ids`` are the calls whose answer an endpoint may break off, ``crashed_ids``
-    those whose last run was at an endpoint as it crashed.
+    those whose last run was at an endpoint as it crashed. A call may reach
+    ``max_attempts`` endpoints.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, max_attempts: int = 2) -> None:
+        self.max_attempts = max_attempts
         self.calls_by_id: dict[str, SoakCall] = {}
         self.arrivals: list[Arrival] = []
         self.runs_by_id: dict[str, list[Run]] = {}
@@ -100,7 +102,8 @@
         refused = call.status in NOT_RUN_STATUSES
         self.check("not run is true", not refused, run.at, f"{call_id} ran later")
         endpoints = {item.endpoint for item in runs}
-        self.check("attempts are bounded", len(endpoints) <= 2, run.at, call_id)
+        is_bounded = len(endpoints) <= self.max_attempts
+        self.check("attempts are bounded", is_bounded, run.at, call_id)
 
     def note_answer(self, call: SoakCall) -> None:
         """Check that a request answered as not run has no run so far."""
--- a/src/tamaracktray_emulator/soak/run.py
+++ b/src/tamaracktray_emulator/soak/run.py
@@ -8,6 +8,10 @@
 from tamaracktray_emulator.soak.binding_checks import BindingChecker
 from tamaracktray_emulator.soak.broken_answers import BrokenAnswerInjector
 from tamaracktray_emulator.soak.callers import Callers
+from tamaracktray_emulator.soak.configuration_injector import (
+    ATTEMPTS,
+    ConfigurationInjector,
+)
 from tamaracktray_emulator.soak.fatal_parts import FatalPartInjector
 from tamaracktray_emulator.soak.fatal_requests import FatalRequestInjector
 from tamaracktray_emulator.soak.fault_injector import FaultInjector
@@ -23,6 +27,7 @@
 from tamaracktray_emulator.soak.record import NOT_RUN_STATUSES, SoakRecord
 from tamaracktray_emulator.soak.region_injector import RegionInjector
 from tamaracktray_emulator.soak.scale_out import ScaleOutInjector
+from tamaracktray_emulator.soak.silence_injector import SilenceInjector
 from tamaracktray_emulator.soak.store_restores import (
     CopyRestartInjector,
     StoreRestoreInjector,
@@ -49,7 +54,7 @@
 
 
 async def _run_soak(plan: SoakPlan, directory: Path) -> SoakReport:
-    record = SoakRecord()
+    record = SoakRecord(max(ATTEMPTS)) if plan.has_silences else SoakRecord()
     fleet = SoakFleet(plan, directory, record)
     fault_log = FaultLog()
     await fleet.start()
@@ -57,7 +62,7 @@
     for endpoint in fleet.endpoints:
         endpoint.notice_checker = notice_checker
     wait_s = plan.callers / plan.rate
-    callers = Callers(record, plan.seed, fleet.started, wait_s)
+    callers = Callers(record, plan.seed, fleet.started, wait_s, plan.deadline_s)
     callers.notice_checker = notice_checker
     callers.key, callers.team = fleet.keys[0], TEAM
     callers.addresses_by_entry = {
@@ -80,19 +85,27 @@
             options.append(scale_out.run)
         if plan.changes_regions:
             options.append(RegionInjector(fleet).run)
+        if plan.has_silences:
+            options.append(SilenceInjector(fleet).run)
+            options.append(ConfigurationInjector(fleet).run)
+        breaks = [
+            FatalRequestInjector(fleet, fault_log, callers, record).run,
+            FatalPartInjector(fleet, fault_log, callers, record).run,
+            BrokenAnswerInjector(fleet).run,
+        ]
         runs = [
             fault_injector.run,
             operations.run,
             NoticeInjector(fleet, notice_checker).run,
-            FatalRequestInjector(fleet, fault_log, callers, record).run,
-            FatalPartInjector(fleet, fault_log, callers, record).run,
+            *breaks,
             LimitInjector(fleet, fault_log, record).run,
-            BrokenAnswerInjector(fleet).run,
             OddEntryInjector(fleet).run,
             *options,
         ]
         if plan.is_calm:
             runs.remove(fault_injector.run)
+        if plan.is_calm and plan.has_silences:
+            runs = [run for run in runs if run not in breaks]
         if plan.restarts_on_copies:
             runs = [CopyRestartInjector(*shared, operations).run]
         await _run_for(plan.duration_s, *runs)
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -3,13 +3,20 @@
 ``make soak`` runs more seeds; see ``tamaracktray_emulator.soak``.
 """
 
+import time
+
 import curio
 import msgspec
 import pytest
 
 from tamaracktray.http_messages import Request
 from tamaracktray.types import Address
-from tamaracktray_emulator.platform.worker import WORK_S, EngineStandIn, Mode
+from tamaracktray_emulator.platform.worker import (
+    WORK_S,
+    EngineStandIn,
+    Mode,
+    WorkerStandIn,
+)
 from tamaracktray_emulator.soak import scale_out
 from tamaracktray_emulator.soak.callers import Callers
 from tamaracktray_emulator.soak.endpoints import SoakEngine, SoakWorker
@@ -180,6 +187,32 @@
 
 
 class TestStandIns:
+    @pytest.mark.parametrize(
+        ("kind", "length"), [(WorkerStandIn, 1), (EngineStandIn, 6)]
+    )
+    def test_silent_endpoint_sends_its_whole_answer_later(self, kind, length):
+        sent_at: list[float] = []
+
+        class RecordingResponder:
+            async def send_head(self, *_: object) -> None:
+                pass
+
+            async def send_data(self, *_: object) -> None:
+                sent_at.append(time.monotonic())
+
+            async def finish(self) -> None:
+                pass
+
+            async def respond(self, *_: object) -> None:
+                await self.send_data()
+
+        endpoint = kind(Address("127.0.0.1", 0), "e-1", ENGINES)
+        endpoint.silent_until = time.monotonic() + 0.2
+        request = Request("POST", "/talk/2", "/talk/2", {}, {})
+        curio.run(endpoint.run, request, RecordingResponder(), [])
+        assert len(sent_at) == length
+        assert sent_at[0] >= endpoint.silent_until
+
     @pytest.mark.parametrize("mode", [Mode.FAILING, Mode.HANGING])
     def test_engine_that_fails_never_sends_a_plain_answer_as_success(self, mode):
         """Seed 2011: it turned sound during the work time of its failure."""
