Check in every soak that accepted requests get answers

The soak judged calls that were cut only around planned work, and only as long as no fault of any process was near. Now every call counts whose whole request was read: it was passed on, or 0.2 s have passed since its last byte. Its connection may end without a whole answer only after seven tenths of its time, or if its entry was started or disturbed in the last 3 s, the store was, or an endpoint that it had reached was disturbed, crashed or broke its answer off. Silences and planned work are no excuse.

On the new test fails: a stream is abandoned for a silence of its sound engine, and the next engine falls silent, too, or refuses, so that "the answer broke off and no endpoint can resume it".

--- a/src/tamaracktray_emulator/soak/callers.py
+++ b/src/tamaracktray_emulator/soak/callers.py
@@ -1,5 +1,6 @@
 """Callers that reuse connections and check the answers they receive."""
 
+import math
 import random
 import time
 
@@ -63,6 +64,7 @@
         self._socket: curio.io.Socket | None = None
         self._state = h11.Connection(h11.CLIENT)
         self.calls = 0
+        self.written_at = math.inf
 
     @property
     def is_usable(self) -> bool:
@@ -83,12 +85,14 @@
                 self._address.host, self._address.port
             )
         self.calls += 1
+        self.written_at = math.inf
         framing = [("host", HOST), ("content-length", str(len(body)))]
         request = h11.Request(
             method=method, target=target, headers=[*headers, *framing]
         )
         data = self._state.send(request) + self._state.send(h11.Data(data=body))
         await self._socket.sendall(data + self._state.send(h11.EndOfMessage()))
+        self.written_at = time.monotonic()
         return await self._read()
 
     async def _read(self) -> Answer | None:
@@ -197,10 +201,12 @@
             return False
         except (OSError, h11.ProtocolError):
             self._record_end(call)
+            call.written_at = connection.written_at - self._started
             call.cut_by = connection.entry
             return False
         self._record_end(call)
         if answer is None:
+            call.written_at = connection.written_at - self._started
             call.cut_by = connection.entry
             return False
         call.status = answer.status
--- a/src/tamaracktray_emulator/soak/endpoints.py
+++ b/src/tamaracktray_emulator/soak/endpoints.py
@@ -64,6 +64,8 @@
             self.record.arrivals.append(
                 Arrival(now, call_id, self.id, self.zone, is_addressed)
             )
+            if self.crashed_at:
+                self.record.dropped_ids.add(call_id)
         await super().answer(request, responder)
 
     def note_arrival(self, request: Request) -> None:
--- a/src/tamaracktray_emulator/soak/operations.py
+++ b/src/tamaracktray_emulator/soak/operations.py
@@ -235,10 +235,9 @@
             if call.entry != entry or not start <= call.ended_at <= end + 0.1:
                 continue
             has_run = bool(self._record.runs_by_id.get(call.id))
-            is_broken = call.id in self._record.broken_ids
-            if promise != STOP_PROMISE:
-                is_broken |= call.id in self._record.crashed_ids
-            is_cut = bool(call.cut_by) and has_run and not is_broken
+            is_cut = has_run and self._record.is_cut(
+                call, excuses_crash=promise != STOP_PROMISE
+            )
             self._record.check(promise, not is_cut, start, call.id)
 
     async def _reload(self) -> None:
--- a/src/tamaracktray_emulator/soak/record.py
+++ b/src/tamaracktray_emulator/soak/record.py
@@ -1,5 +1,6 @@
 """Record of the calls and runs of a soak, with checks of the promises."""
 
+import math
 from collections import Counter
 from enum import Enum
 
@@ -49,8 +50,9 @@
 class SoakCall(msgspec.Struct):
     """One request of a caller; ``status`` is 0 without a complete answer.
 
-    ``cut_by`` is the entry that closed the connection before the answer was complete.
-    ``parts`` are the shared parts of its prompt.
+    Its last byte was sent at ``written_at``. ``cut_by`` is the entry that closed the
+    connection before the answer was complete. ``parts`` are the shared parts of its
+    prompt.
     """
 
     id: str
@@ -64,14 +66,15 @@
     status: int = 0
     cut_by: str = ""
     parts: tuple[str, ...] = ()
+    written_at: float = math.inf
 
 
 class SoakRecord:
     """Calls, runs and check results of a soak.
 
     ``broken_ids`` are the calls whose answer an endpoint may break off, ``crashed_ids``
-    those whose last run was at an endpoint as it crashed. A call may reach
-    ``max_attempts`` endpoints.
+    those whose last run was at an endpoint as it crashed, ``dropped_ids`` those that
+    reached one after its crash. A call may reach ``max_attempts`` endpoints.
     """
 
     def __init__(self, max_attempts: int = 2) -> None:
@@ -81,6 +84,7 @@
         self.runs_by_id: dict[str, list[Run]] = {}
         self.broken_ids: set[str] = set()
         self.crashed_ids: set[str] = set()
+        self.dropped_ids: set[str] = set()
         self.check_counts: Counter[str] = Counter()
         self.violations: list[Violation] = []
 
@@ -112,6 +116,13 @@
             detail = f"{call.id}: {call.status} after a run"
             self.check("not run is true", not has_run, call.ended_at, detail)
 
+    def is_cut(self, call: SoakCall, *, excuses_crash: bool) -> bool:
+        """Return whether an entry cut an answer that no endpoint broke off."""
+        is_broken = call.id in self.broken_ids
+        if excuses_crash:
+            is_broken |= call.id in self.crashed_ids
+        return bool(call.cut_by) and not is_broken
+
     def check(self, promise: str, holds: bool, at: float, detail: str) -> None:
         """Count a check and record a violation if the promise does not hold."""
         self.check_counts[promise] += 1
--- a/src/tamaracktray_emulator/soak/run.py
+++ b/src/tamaracktray_emulator/soak/run.py
@@ -5,11 +5,13 @@
 
 import curio
 
+from tamaracktray_emulator.soak.answer_checks import AnswerChecker
 from tamaracktray_emulator.soak.binding_checks import BindingChecker
 from tamaracktray_emulator.soak.broken_answers import BrokenAnswerInjector
 from tamaracktray_emulator.soak.callers import Callers
 from tamaracktray_emulator.soak.configuration_injector import (
     ATTEMPTS,
+    MIN_TIMEOUT_S,
     ConfigurationInjector,
 )
 from tamaracktray_emulator.soak.fatal_parts import FatalPartInjector
@@ -118,6 +120,8 @@
             await task.cancel()
     finally:
         await fleet.stop()
+    timeout_s = MIN_TIMEOUT_S if plan.has_silences else plan.deadline_s
+    AnswerChecker(record, fault_log, fleet.binding_log, timeout_s).check()
     BindingChecker(record, fault_log, fleet.binding_log, REGION_BY_ZONE).check()
     return _build_report(plan, record, fault_log)
 
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -18,6 +18,8 @@
     WorkerStandIn,
 )
 from tamaracktray_emulator.soak import scale_out
+from tamaracktray_emulator.soak.answer_checks import PROMISE, AnswerChecker
+from tamaracktray_emulator.soak.binding_checks import BindingLog
 from tamaracktray_emulator.soak.callers import Callers
 from tamaracktray_emulator.soak.endpoints import SoakEngine, SoakWorker
 from tamaracktray_emulator.soak.fault_injector import FaultInjector
@@ -25,8 +27,14 @@
 from tamaracktray_emulator.soak.fleet import ENGINES, ORDERS, ZONES, SoakFleet
 from tamaracktray_emulator.soak.notice_checks import DRAIN_S, NoticeChecker
 from tamaracktray_emulator.soak.operations import STOP_PROMISE, Operations
-from tamaracktray_emulator.soak.plan import SoakPlan
-from tamaracktray_emulator.soak.record import CallKind, Run, SoakCall, SoakRecord
+from tamaracktray_emulator.soak.plan import SIZES_WITH_SILENCES, SoakPlan
+from tamaracktray_emulator.soak.record import (
+    Arrival,
+    CallKind,
+    Run,
+    SoakCall,
+    SoakRecord,
+)
 from tamaracktray_emulator.soak.run import run_soak
 
 # Promises that every soak must check at least once.
@@ -186,6 +194,58 @@
         assert not record.crashed_ids
 
 
+class TestAnswerCheck:
+    """The soak's own check that accepted requests get answers."""
+
+    def broken(
+        self,
+        *faults: str,
+        took_s: float = 1.0,
+        is_passed_on: bool = True,
+        started_at: float = 0.0,
+    ) -> list[str]:
+        """Return the promises broken by a call of entry-0 that was cut at w-0."""
+        record, log, bindings = SoakRecord(), FaultLog(), BindingLog()
+        bindings.note_start("entry-0", started_at)
+        call = SoakCall("1", CallKind.STREAM, "entry-0", "/", b"", "team", 9.0)
+        call.ended_at, call.cut_by = 9.0 + took_s, "entry-0"
+        call.written_at = 9.0
+        record.calls_by_id["1"] = call
+        if is_passed_on:
+            record.arrivals.append(Arrival(9.01, "1", "w-0.1", ZONES[0]))
+        for fault in faults:
+            log.begin(fault, 9.0)
+        AnswerChecker(record, log, bindings, 3.0).check()
+        assert record.check_counts[PROMISE] == 1
+        return [item.promise for item in record.violations]
+
+    @pytest.mark.parametrize("faults", [(), ("hanging w-1",), ("kill entry-1",)])
+    def test_cut_of_a_call_at_a_sound_endpoint_is_a_violation(self, faults):
+        assert self.broken(*faults) == [PROMISE]
+
+    @pytest.mark.parametrize(
+        "fault",
+        [
+            "hanging w-0.1",
+            "reset path path to w-0",
+            "pause entry-0",
+            "reset path callers of entry-0",
+            "silent store",
+        ],
+    )
+    def test_fault_on_the_way_excuses(self, fault):
+        assert self.broken(fault) == []
+
+    def test_request_that_was_read_counts_though_not_passed_on(self):
+        assert self.broken(took_s=0.3, is_passed_on=False) == [PROMISE]
+        assert self.broken(took_s=0.1, is_passed_on=False) == []
+
+    def test_end_of_its_time_and_start_of_its_entry_excuse(self):
+        assert self.broken(took_s=2.0) == [PROMISE]
+        assert self.broken(took_s=2.2) == []
+        assert self.broken(started_at=7.0) == []
+
+
 class TestStandIns:
     @pytest.mark.parametrize(
         ("kind", "length"), [(WorkerStandIn, 1), (EngineStandIn, 6)]
@@ -309,6 +369,14 @@
         assert report.violations == []
         assert all(report.checked_by_promise.get(name) for name in PLANNED_PROMISES)
 
+    def test_silence_beside_changes_leaves_no_accepted_request_unanswered(
+        self, tmp_path
+    ):
+        plan = SoakPlan(9201, is_calm=True, has_silences=True, **SIZES_WITH_SILENCES)
+        report = run_soak(plan, tmp_path)
+        assert report.violations == []
+        assert report.checked_by_promise[PROMISE] > 1_000
+
 
 class TestFailedSeeds:
     @pytest.mark.parametrize("seed", FAILED_SEEDS)
