Bound the bodies of requests that an entry holds

A request beyond that gets 503, not run, with Retry-After, and only bytes that have arrived count, so an announced length blocks nothing.

Evidence: test_memory_is_bounded_beside_many_long_bodies failed before, by a growth of 255 MB where 200 MiB are allowed, and passes now.

--- a/src/tamaracktray/entry_process.py
+++ b/src/tamaracktray/entry_process.py
@@ -12,6 +12,7 @@
 from tamaracktray.answer_sending import AnswerSender
 from tamaracktray.attempt_relay import CallRelay
 from tamaracktray.beacons import Beacon
+from tamaracktray.body_budget import MAX_HELD_BYTES
 from tamaracktray.byte_rates import build_upload_bucket
 from tamaracktray.call_answering import CallAnswering
 from tamaracktray.call_building import build_call, refuse_unconfigured
@@ -124,6 +125,7 @@
             self.handle_caller,
             cancel_on_disconnect=True,
             max_connections=count_caller_connections(read_descriptor_limit()),
+            max_held_bytes=MAX_HELD_BYTES,
         )
         self.add_performer(AbandonAttempt, self._answering.abandon_attempt)
         self.add_performer(LeaveAttempt, self._answering.leave_attempt)
--- a/src/tamaracktray/http.py
+++ b/src/tamaracktray/http.py
@@ -12,9 +12,9 @@
 
 import curio
 import h11
-import msgspec
 import structlog
 
+from tamaracktray.body_budget import BodyBudget
 from tamaracktray.http_messages import (
     READ_BYTES,
     HttpLimits,
@@ -22,6 +22,7 @@
     RequestRejectedError,
 )
 from tamaracktray.lingering import linger
+from tamaracktray.messages import encode_refusal
 from tamaracktray.request_reading import receive_request
 from tamaracktray.responders import ConnectionResponder, Responder
 from tamaracktray.task_yields import TaskYield
@@ -57,12 +58,14 @@
     connection. ``limits`` may be replaced at any time and applies to later requests.
     With ``max_connections`` open, one that only waits for its client to close is closed
     for a new one, then the one that has been idle for longest; if there is none, new
-    ones wait to be accepted.
+    ones wait to be accepted. Requests whose bodies would take more than
+    ``max_held_bytes`` in all are refused with 503.
     """
 
     __slots__ = (
         "_accept_log_deadline",
         "_active_requests",
+        "_bodies",
         "_cancel_on_disconnect",
         "_handler",
         "_idle_sockets_by_task",
@@ -83,6 +86,7 @@
         *,
         cancel_on_disconnect: bool = False,
         max_connections: int = sys.maxsize,
+        max_held_bytes: int = sys.maxsize,
     ) -> None:
         self.address = address
         self.limits = limits or HttpLimits()
@@ -91,6 +95,7 @@
         self._listener: curio.io.Socket | None = None
         self._is_closed = False
         self._max_connections = max_connections
+        self._bodies = BodyBudget(max_held_bytes)
         self._accept_log_deadline = 0.0
         self._active_requests = 0
         self._tasks: set[curio.Task] = set()
@@ -243,24 +248,26 @@
                 header_limit = limits.max_header_bytes
                 connection = _renew_connection(connection, header_limit)
             responder = ConnectionResponder(connection, client, limits.send_timeout_s)
-            try:
-                request = await receive_request(connection, client, limits)
-            except RequestRejectedError as error:
-                await _reject(responder, connection, error)
-                return connection.our_state is h11.MUST_CLOSE
-            if request is None:
-                return False
-            responder.sends_body = request.method != "HEAD"
-            is_last = connection.their_state is h11.MUST_CLOSE
-            if self._cancel_on_disconnect:
-                if peek(client) == b"":
-                    # After a stall of this process, the client may have disconnected.
+            with self._bodies.open_share() as share:
+                try:
+                    request = await receive_request(connection, client, limits, share)
+                except RequestRejectedError as error:
+                    await _reject(responder, connection, error)
+                    return connection.our_state is h11.MUST_CLOSE
+                if request is None:
                     return False
-                await self._handle_until_disconnect(
-                    request, responder, connection, client
-                )
-            else:
-                await self._handle(request, responder)
+                responder.sends_body = request.method != "HEAD"
+                is_last = connection.their_state is h11.MUST_CLOSE
+                if self._cancel_on_disconnect:
+                    if peek(client) == b"":
+                        # After a stall of this process, the client may have left.
+                        return False
+                    await self._handle_until_disconnect(
+                        request, responder, connection, client
+                    )
+                else:
+                    await self._handle(request, responder)
+                request = None
             if responder.is_aborted:
                 return False
             if connection.our_state is h11.MUST_CLOSE:
@@ -377,6 +384,6 @@
     """Answer a rejected request; the connection is closed afterwards."""
     if connection.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
         return
-    body = msgspec.json.encode({"error": error.refusal})
-    headers = [("content-type", "application/json"), ("connection", "close")]
+    headers, body = encode_refusal(error.refusal)
+    headers.append(("connection", "close"))
     await responder.respond(error.refusal.status, headers, body)
--- a/src/tamaracktray/http_messages.py
+++ b/src/tamaracktray/http_messages.py
@@ -56,16 +56,19 @@
 class RequestRejectedError(Exception):
     """A request that the server rejects before it calls a handler."""
 
-    def __init__(self, status: int, message: str) -> None:
+    def __init__(
+        self, status: int, message: str, retry_after_s: float | None = None
+    ) -> None:
         super().__init__(message)
         code = _CODE_BY_STATUS.get(status, ErrorCode.BAD_REQUEST)
-        self.refusal = Refusal(code, message, RunState.NOT_RUN, status)
+        self.refusal = Refusal(code, message, RunState.NOT_RUN, status, retry_after_s)
 
 
 _CODE_BY_STATUS = {
     HTTPStatus.REQUEST_TIMEOUT: ErrorCode.TIMED_OUT,
     HTTPStatus.REQUEST_ENTITY_TOO_LARGE: ErrorCode.TOO_LARGE,
     HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE: ErrorCode.TOO_LARGE,
+    HTTPStatus.SERVICE_UNAVAILABLE: ErrorCode.OVERLOADED,
 }
 
 
--- a/src/tamaracktray/request_reading.py
+++ b/src/tamaracktray/request_reading.py
@@ -6,6 +6,7 @@
 import curio
 import h11
 
+from tamaracktray.body_budget import BodyShare
 from tamaracktray.http_messages import (
     READ_BYTES,
     HttpLimits,
@@ -19,11 +20,20 @@
 # than they are parsed.
 YIELD_AFTER_EVENTS = 64
 
+# Retry delay of a request for whose body there is no memory, in seconds.
+BUSY_RETRY_S = 1.0
+
 
 async def receive_request(
-    connection: h11.Connection, client: curio.io.Socket, limits: HttpLimits
+    connection: h11.Connection,
+    client: curio.io.Socket,
+    limits: HttpLimits,
+    share: BodyShare,
 ) -> Request | None:
-    """Read one complete request; return ``None`` if the client has closed."""
+    """Read one complete request; return ``None`` if the client has closed.
+
+    Its body is charged to ``share``.
+    """
     try:
         first = await curio.timeout_after(
             limits.receive_timeout_s, next_event(connection, client)
@@ -31,7 +41,7 @@
         if not isinstance(first, h11.Request):
             return None
         body = await curio.timeout_after(
-            limits.receive_timeout_s, _receive_body(connection, client, limits)
+            limits.receive_timeout_s, _receive_body(connection, client, limits, share)
         )
     except curio.TaskTimeout as error:
         if connection.their_state is h11.IDLE and not connection.trailing_data[0]:
@@ -45,7 +55,10 @@
 
 
 async def _receive_body(
-    connection: h11.Connection, client: curio.io.Socket, limits: HttpLimits
+    connection: h11.Connection,
+    client: curio.io.Socket,
+    limits: HttpLimits,
+    share: BodyShare,
 ) -> bytes:
     """Read the body of a request, rejecting one above the size limit."""
     if connection.they_are_waiting_for_100_continue:
@@ -66,6 +79,12 @@
                 HTTPStatus.REQUEST_ENTITY_TOO_LARGE,
                 f"the body exceeds {limits.max_body_bytes} bytes",
             )
+        if not share.take(len(event.data)):
+            raise RequestRejectedError(
+                HTTPStatus.SERVICE_UNAVAILABLE,
+                "too many bytes of requests are held",
+                BUSY_RETRY_S,
+            )
 
 
 def _build_request(event: h11.Request, body: bytes) -> Request:
