Test limits that are lowered within a request

A body that arrives in pieces, and a connection that waits for its next request, keep the limits under which they began. By reading this was so; the test shows it: two requests are answered beside lowered sizes and timeouts. It guards the present behaviour and didn't fail before.

--- a/tests/test_http.py
+++ b/tests/test_http.py
@@ -137,6 +137,41 @@
         answer = serve(echo, lambda server: client(server.address, server))
         assert answer.startswith(b"HTTP/1.1 200")
 
+    def test_lowered_limits_cut_neither_a_body_in_pieces_nor_an_idle_wait(self):
+        """A caller keeps to the limits that were in force when it began."""
+        lowered = HttpLimits(
+            max_header_bytes=256,
+            max_body_bytes=100,
+            idle_timeout_s=0.05,
+            receive_timeout_s=0.05,
+        )
+        raised = msgspec.structs.replace(LIMITS, receive_timeout_s=1.0)
+        head = b"POST /x HTTP/1.1\r\nhost: h\r\ncontent-length: 3000\r\n\r\n"
+
+        async def client(server: HttpServer) -> bytes:
+            server.limits = raised
+            address = server.address
+            connection = await curio.open_connection(address.host, address.port)
+            async with connection:
+                await connection.sendall(head + b"y" * 1_000)
+                await curio.sleep(0.05)
+                server.limits = lowered
+                for _ in range(2):
+                    await curio.sleep(0.1)
+                    await connection.sendall(b"y" * 1_000)
+                received = await connection.recv(4_096)
+                server.limits = raised
+                await curio.sleep(0.15)
+                server.limits = lowered
+                await curio.sleep(0.1)
+                request = b"GET /x HTTP/1.1\r\nhost: h\r\nconnection: close\r\n\r\n"
+                await connection.sendall(request)
+                while piece := await connection.recv(65_536):
+                    received += piece
+                return received
+
+        assert serve(echo, client).count(b"HTTP/1.1 200") == 2
+
     @pytest.mark.parametrize("is_header_large", [True, False])
     def test_raised_size_limits_apply_to_open_connections(self, is_header_large):
         """A caller sends the sizes that the limits in force allow."""
