Don't abandon an attempt whose answer has just arrived

Callers saw a stream cut after its first event, or a 502: an attempt that has not begun is abandoned once its endpoint's version becomes too old, or a part of its prompt is quarantined. Its answer may arrive between that decision and the moment in which it is carried out; the data was then read as the begin of an answer whose rest had been given up.

Whether data has arrived is now asked in the step that would end the attempt; if so, the decision is taken back, like a move whose answer is being sent.

Evidence: the three cases of TestAbandonedAttempts failed before (an incomplete stream, 502 for a safe and an unsafe call) and pass now.

--- a/src/tamaracktray/call_answering.py
+++ b/src/tamaracktray/call_answering.py
@@ -184,12 +184,16 @@
             await open_call.put(effect)
 
     async def abandon_attempt(self, effect: AbandonAttempt) -> None:
-        """End the attempt in flight of a call."""
+        """End the attempt in flight of a call, unless its answer is just arriving."""
         open_call = self.open_by_id.get(effect.call_id)
-        if open_call is None:
+        attempt = None if open_call is None else open_call.find_current()
+        if open_call is None or attempt is None:
+            return
+        if attempt.exchange is not None and attempt.exchange.has_unread_data:
+            await self._stay(attempt)
             return
         self._call_log.note_abandoned(open_call.call, effect.reason)
-        await open_call.abandon()
+        await attempt.abandon()
 
     async def leave_attempt(self, effect: LeaveAttempt) -> None:
         """Park the attempt in flight of a call, unless its end is already queued.
@@ -201,16 +205,18 @@
         attempt = None if open_call is None else open_call.find_current()
         if open_call is None or attempt is None:
             return
-        decision = attempt.decision
         if open_call.is_sending:
-            event = AttemptResumed(
-                time.monotonic(), decision.call_id, decision.endpoint_id
-            )
-            await self._dispatch(event)
+            await self._stay(attempt)
             return
         self._call_log.note_abandoned(open_call.call, effect.reason)
         attempt.is_parked = True
-        await open_call.put(build_parked_end(decision, open_call.last_event_id))
+        await open_call.put(build_parked_end(attempt.decision, open_call.last_event_id))
+
+    async def _stay(self, attempt: Attempt) -> None:
+        """Take back a decision to leave or abandon an attempt."""
+        decision = attempt.decision
+        event = AttemptResumed(time.monotonic(), decision.call_id, decision.endpoint_id)
+        await self._dispatch(event)
 
     async def resume_attempt(self, effect: ResumeAttempt) -> None:
         """Go back to a parked attempt; if it has just ended, its end is queued."""
--- a/src/tamaracktray/calls.py
+++ b/src/tamaracktray/calls.py
@@ -84,7 +84,10 @@
 
 
 class AttemptResumed(Event, frozen=True):
-    """A parked attempt went on before another endpoint began to answer."""
+    """An attempt that its call had decided to leave goes on.
+
+    If it was parked already, no other endpoint has begun to answer.
+    """
 
     call_id: str
     endpoint_id: str
--- a/src/tamaracktray/connections.py
+++ b/src/tamaracktray/connections.py
@@ -106,3 +106,16 @@
 def _set_linger(socket: curio.io.Socket, value: bytes) -> None:
     with contextlib.suppress(OSError):
         socket.setsockopt(socket_module.SOL_SOCKET, socket_module.SO_LINGER, value)
+
+
+def peek(socket: curio.io.Socket) -> bytes | None:
+    """Return the next unread byte without consuming it, ``None`` if there is none.
+
+    The result is empty if the peer has closed or the connection is lost.
+    """
+    try:
+        return socket._socket.recv(1, socket_module.MSG_PEEK)
+    except BlockingIOError:
+        return None
+    except OSError:
+        return b""
--- a/src/tamaracktray/exchange.py
+++ b/src/tamaracktray/exchange.py
@@ -14,7 +14,7 @@
 from returns.result import Failure, Result, Success
 
 from tamaracktray.answer_ends import AnswerEnd
-from tamaracktray.connections import connect, reset_on_close
+from tamaracktray.connections import connect, peek, reset_on_close
 from tamaracktray.exceptions import AnswerTooLargeError, TransportError
 from tamaracktray.http_messages import (
     READ_BYTES,
@@ -227,6 +227,11 @@
                 message = f"answer exceeds {max_bytes} bytes"
                 return Failure(TransportError(message, sent=True))
 
+    @property
+    def has_unread_data(self) -> bool:
+        """Whether data of the answer has arrived and waits to be read."""
+        return bool(peek(self._socket))
+
     async def abandon(self) -> None:
         """Shut down reading; the task that reads sees the end and closes the socket."""
         self.is_abandoned = True
--- a/src/tamaracktray/http.py
+++ b/src/tamaracktray/http.py
@@ -15,6 +15,7 @@
 import structlog
 
 from tamaracktray.body_budget import BodyBudget
+from tamaracktray.connections import peek
 from tamaracktray.http_messages import (
     READ_BYTES,
     HttpLimits,
@@ -346,19 +347,6 @@
     return renewed
 
 
-def peek(socket: curio.io.Socket) -> bytes | None:
-    """Return the next unread byte without consuming it, ``None`` if there is none.
-
-    The result is empty if the peer has closed or the connection is lost.
-    """
-    try:
-        return socket._socket.recv(1, socket_module.MSG_PEEK)
-    except BlockingIOError:
-        return None
-    except OSError:
-        return b""
-
-
 async def _watch_client(
     connection: h11.Connection, client: curio.io.Socket, handler: curio.Task
 ) -> None:
--- a/src/tamaracktray/parked_attempts.py
+++ b/src/tamaracktray/parked_attempts.py
@@ -32,7 +32,10 @@
 
 
 def take_resumed(context: GatewayContext, event: AttemptResumed) -> None:
-    """Take a parked attempt that went on by itself for the only one of its call."""
+    """Keep to an attempt that went on by itself although its call had left it.
+
+    A parked one becomes the only one of its call.
+    """
     state = context.state
     pending = state.pending_by_id.get(event.call_id)
     if pending is None or not may_resume(context, event.call_id, event.endpoint_id):
@@ -44,9 +47,9 @@
         if load is not None:
             load.note_ended()
         pending.resume(event.endpoint_id)
+        state.drop_parked(pending)
     pending.is_abandoned = False
     pending.left_id = ""
-    state.drop_parked(pending)
 
 
 def may_resume(context: GatewayContext, call_id: str, endpoint_id: str) -> bool:
--- a/src/tamaracktray/persistent_client.py
+++ b/src/tamaracktray/persistent_client.py
@@ -4,10 +4,9 @@
 import h11
 from returns.result import Failure, Result, Success
 
-from tamaracktray.connections import connect, limit_silence, reset_on_close
+from tamaracktray.connections import connect, limit_silence, peek, reset_on_close
 from tamaracktray.exceptions import TransportError
 from tamaracktray.exchange import Exchange
-from tamaracktray.http import peek
 from tamaracktray.http_messages import Headers, Reply
 from tamaracktray.types import Address
 
--- a/tests/test_moves_beside_changes.py
+++ b/tests/test_moves_beside_changes.py
@@ -284,3 +284,41 @@
 
         run_fleet(scenario, repeat_ratio=0.0, repeat_reserve=RESERVE_OF_ONE)
         assert moves
+
+
+class TestAbandonedAttempts:
+    """Attempts that are abandoned before their answers begin."""
+
+    @pytest.mark.parametrize("path", ["/talk/1", "/look/1", "/order/1"])
+    def test_answer_that_has_arrived_by_then_is_whole(self, path):
+        is_abandoned = curio.Event()
+        answers: list[RawAnswer] = []
+
+        async def answer_early(answer: RawAnswer) -> None:
+            answers.append(answer)
+            await is_abandoned.wait()
+            await curio.sleep(0.1)
+            await answer.send(build_events(FIRST_EVENTS))
+            await answer.finish()
+
+        async def scenario(fleet: PlatformFleet) -> None:
+            fleet.routes[0] = build_route("talk", "stream", ENGINES, resumable=False)
+            await fleet.start()
+            service = ENGINES if path == "/talk/1" else ORDERS
+            await list_endpoint(fleet, "a", service, answer_early)
+            await fleet.until_listed(1)
+            entry = fleet.entries[0]
+            calling = await curio.spawn(partial(fleet.call, path, wait_ms=4_000))
+            await fleet.until(lambda: answers)
+            (call_id,) = entry.state.gateway.pending_by_id
+            entry.state.gateway.pending_by_id[call_id].is_abandoned = True
+            (answer,) = answers
+            await answer.begin(Framing.CHUNKS)
+            await answer.send(build_events(1, 1))
+            abandon = AbandonAttempt(call_id, "version is too old")
+            await entry._performers[AbandonAttempt](abandon)
+            await is_abandoned.set()
+            reply = await calling.join()
+            assert (reply.status, reply.body) == (200, build_events(1))
+
+        run_fleet(scenario)
