Tell peers of suspicions that their endpoint has refuted

Cause: a refutation stayed with the entry that got the data. Beacons now report the time of that data for as long as a suspicion is reported. It refutes only suspicions that are older by the time for which data may be in flight, and only at entries that got none themselves: an endpoint that then disappears from the list has crashed all the same, since a peer that was held up may have read data from before the crash. As refutations now reach all entries, a later crash of the same endpoint by the same request is a new suspicion; before, it was ignored.

--- a/src/tamaracktray/beacons.py
+++ b/src/tamaracktray/beacons.py
@@ -107,7 +107,9 @@
     if any(count < 0 for count in beacon.in_flight_by_endpoint.values()):
         return False
     if not all(
-        _is_duration(item.age_s) and _is_duration(item.run_s)
+        _is_duration(item.age_s)
+        and _is_duration(item.run_s)
+        and _is_duration(item.answered_age_s or 0.0)
         for item in beacon.crash_reports + beacon.part_reports
     ):
         return False
--- a/src/tamaracktray/crash_watch.py
+++ b/src/tamaracktray/crash_watch.py
@@ -94,7 +94,7 @@
         if self._is_cleared(now, fingerprint, now):
             return []
         known = self._by_fingerprint.get(fingerprint, {}).get(endpoint)
-        if known is not None:
+        if known is not None and not known.is_refuted_before(now):
             known.is_local = True
             if known.is_silent and not is_silent:
                 known.is_silent = False
@@ -117,7 +117,12 @@
                 continue
             suspicions = self._by_fingerprint.get(report.fingerprint, {})
             suspicion = suspicions.get(report.endpoint)
-            if suspicion is None:
+            if report.answered_age_s is not None:
+                answered_at = now - report.answered_age_s
+                if suspicion is not None and _note_answer(suspicion, answered_at):
+                    notes.append(suspicion.describe(now, Finding.ANSWERED, "told"))
+                continue
+            if suspicion is None or suspicion.is_refuted_before(seen_at):
                 suspicion = self._add(
                     report.fingerprint,
                     report.endpoint,
@@ -205,7 +210,8 @@
             return self._check_answering(now, suspicion, responsive_ids)
         if listed is not None:
             return self._confirm(now, suspicion, "started again")
-        if suspicion.is_leaving or suspicion.is_answering:
+        # A peer that was held up may have read data from before the crash.
+        if suspicion.is_leaving or suspicion.is_answer_local:
             reason = "left" if suspicion.is_leaving else "answered later"
             return suspicion.describe(now, Finding.DROPPED, reason)
         # The endpoint may be missing only because this list lags behind a peer's.
@@ -216,14 +222,12 @@
     def _check_answering(
         self, now: float, suspicion: Suspicion, responsive_ids: frozenset[str]
     ) -> LogFinding | None:
-        if (
-            suspicion.is_answering
-            or suspicion.endpoint.endpoint_id not in responsive_ids
-        ):
+        if suspicion.endpoint.endpoint_id not in responsive_ids:
             return None
-        if now - suspicion.seen_at < IN_FLIGHT_DATA_S:
+        is_first = _note_answer(suspicion, now)
+        suspicion.is_answer_local = suspicion.is_answering
+        if not is_first:
             return None
-        suspicion.is_answering = True
         return suspicion.describe(now, Finding.ANSWERED)
 
     def _confirm(self, now: float, suspicion: Suspicion, reason: str) -> LogFinding:
@@ -285,7 +289,8 @@
         """Return the reports for peers.
 
         Suspicions that quarantine a request come first. Of the others, only recent
-        local ones are reported, newest first, as there may be many in the fleet.
+        local ones are reported, newest first, as there may be many in the fleet, and
+        then those that were refuted by data of their endpoint.
         """
         if self.is_empty:
             return []
@@ -298,9 +303,17 @@
             if item.is_active and item.is_local and now - item.seen_at < REPORT_TTL_S
         ]
         local_suspicions.sort(key=lambda item: -item.seen_at)
-        selected = [
+        refuted = [
+            item
+            for suspicions in self._by_fingerprint.values()
+            for item in suspicions.values()
+            if item.is_answer_local and not item.is_confirmed
+            if now - item.seen_at < REPORT_TTL_S
+        ]
+        quarantining = [
             item for suspicions in quarantined.values() for item in suspicions
-        ] + local_suspicions
+        ]
+        selected = quarantining + local_suspicions + refuted
         return [
             CrashReport(
                 item.fingerprint,
@@ -310,6 +323,7 @@
                 item.seen_at - item.sent_at,
                 item.is_beside_sound,
                 item.is_silent,
+                item.measure_answer_age(now),
             )
             for item in selected[:MAX_REPORTS]
         ]
@@ -353,3 +367,12 @@
             ),
         )
         del self._by_fingerprint[oldest]
+
+
+def _note_answer(suspicion: Suspicion, answered_at: float) -> bool:
+    """Record that the endpoint sent data; return whether that refutes it first."""
+    is_late = answered_at - suspicion.seen_at >= IN_FLIGHT_DATA_S
+    if suspicion.is_answering or not is_late:
+        return False
+    suspicion.answered_at = answered_at
+    return True
--- a/src/tamaracktray/suspicions.py
+++ b/src/tamaracktray/suspicions.py
@@ -31,7 +31,8 @@
 
     ``age_s`` is its age and ``run_s`` how long the call had been at the endpoint, both
     in seconds. ``is_beside_sound`` is set for a part of a prompt with another part that
-    had been answered before, and ``is_silent`` as in ``Suspicion``.
+    had been answered before, and ``is_silent`` as in ``Suspicion``. If the endpoint
+    sent data later, ``answered_age_s`` is the time since then in seconds.
     """
 
     fingerprint: str
@@ -41,6 +42,7 @@
     run_s: float = 0.0
     is_beside_sound: bool = False
     is_silent: bool = False
+    answered_age_s: float | None = None
 
 
 class Finding(str, Enum):
@@ -74,19 +76,21 @@
 class Suspicion:
     """A call, sent at ``sent_at``, that broke off or stalled at ``seen_at``.
 
-    ``is_local`` is set if this process observed it and ``is_answering`` if the endpoint
-    sent data later. ``is_silent`` is set if the endpoint merely sent no data, as a
-    sound one may for a while. ``is_beside_sound`` is as in ``CrashReport``.
+    ``is_local`` is set if this process observed it. ``answered_at`` is when the
+    endpoint sent data again, ``None`` if it didn't, and ``is_answer_local`` is set if
+    it did so to this process. ``is_silent`` is set if the endpoint merely sent no data,
+    as a sound one may for a while. ``is_beside_sound`` is as in ``CrashReport``.
     ``was_listed`` and ``is_leaving`` are taken from the endpoint list. An up-to-date
     list shows a crash by ``verdict_deadline``. ``is_overdue`` is set if the endpoint
     was still listed then; a delayed list may still confirm the crash.
     """
 
     __slots__ = (
+        "answered_at",
         "endpoint",
+        "is_answer_local",
         "fingerprint",
         "quarantine_deadline",
-        "is_answering",
         "is_beside_sound",
         "is_confirmed",
         "is_leaving",
@@ -119,13 +123,31 @@
         self.quarantine_deadline = quarantine_deadline
         self.is_local = is_local
         self.is_silent = is_silent
-        self.is_answering = False
+        self.answered_at: float | None = None
+        self.is_answer_local = False
         self.is_beside_sound = False
         self.is_confirmed = False
         self.is_leaving = False
         self.is_overdue = False
         self.was_listed = is_local
 
+    @property
+    def is_answering(self) -> bool:
+        """Whether the endpoint sent data later."""
+        return self.answered_at is not None
+
+    def is_refuted_before(self, seen_at: float) -> bool:
+        """Return whether the endpoint was sound before it was lost at ``seen_at``."""
+        if self.answered_at is None or self.is_confirmed:
+            return False
+        return self.answered_at < seen_at
+
+    def measure_answer_age(self, now: float) -> float | None:
+        """Return the seconds since data refuted it, ``None`` if none has."""
+        if self.answered_at is None or self.is_confirmed:
+            return None
+        return max(now - self.answered_at, 0.0)
+
     @property
     def is_active(self) -> bool:
         """Whether the suspicion still stands."""
--- a/tests/test_false_suspicions.py
+++ b/tests/test_false_suspicions.py
@@ -9,6 +9,7 @@
 import pytest
 
 from gateways import Gateway, build_call, build_route, engine, sent
+from tamaracktray.beacons import Beacon, decode_beacon, encode_beacon
 from tamaracktray.calls import (
     AbandonAttempt,
     AbortAnswer,
@@ -21,8 +22,14 @@
 from tamaracktray.effects import Effect
 from tamaracktray.gateway import handle_call_started
 from tamaracktray.outcomes import AttemptPhase
+from tamaracktray.part_watch import PartWatch
 from tamaracktray.routes import RepeatKind
-from tamaracktray.suspicions import SILENCES_TO_COUNT, Incarnation, ListedEndpoint
+from tamaracktray.suspicions import (
+    SILENCES_TO_COUNT,
+    CrashReport,
+    Incarnation,
+    ListedEndpoint,
+)
 
 SILENCE_S = 0.8
 SHARED = "part-shared"
@@ -180,6 +187,76 @@
         assert len(gateway.state.waiting)
 
 
+class TestRefutations:
+    """An endpoint goes on, which only one of the entries sees."""
+
+    ENDPOINTS = tuple(Incarnation(f"e-{number}", 1) for number in range(3))
+
+    def build_pair(self, kind: type[CrashWatch]) -> tuple[CrashWatch, CrashWatch]:
+        """Return two watches with the suspicions of all endpoints."""
+        first, second = kind(300.0, 1.2), kind(300.0, 1.2)
+        for number, endpoint in enumerate(self.ENDPOINTS):
+            first.suspect(float(number), "f", endpoint, 0.5)
+        second.merge(2.0, first.list_reports(2.0))
+        return first, second
+
+    def answer(self, watch: CrashWatch, now: float, *names: str) -> None:
+        listed = {item.endpoint_id: ListedEndpoint(1) for item in self.ENDPOINTS}
+        watch.evaluate(now, listed, frozenset(names), 0.0)
+
+    def exchange(self, now: float, watch: CrashWatch, peer: CrashWatch) -> None:
+        """Send the reports of a beacon, in which invalid times are rejected."""
+        beacon = Beacon("a", 1, 1, {}, {}, crash_reports=watch.list_reports(now))
+        received = decode_beacon(encode_beacon(beacon)).unwrap()
+        peer.merge(now, received.crash_reports)
+
+    @pytest.mark.parametrize("kind", [CrashWatch, PartWatch])
+    def test_peer_that_got_no_data_is_told(self, kind):
+        """Soak seed 516: a part that all prompts share was blamed at one entry."""
+        first, second = self.build_pair(kind)
+        assert second.find_quarantine_end(2.0, "f") is not None
+        self.answer(first, 3.0, "e-0", "e-1")
+        self.exchange(3.1, first, second)
+        assert second.find_quarantine_end(3.1, "f") is None
+        assert second.list_avoided("f") == {self.ENDPOINTS[2]}
+
+    def test_data_before_a_crash_refutes_nothing_at_a_peer(self):
+        first, second = CrashWatch(300.0, 1.2), CrashWatch(300.0, 1.2)
+        for endpoint in self.ENDPOINTS[:2]:
+            first.suspect(0.0, "f", endpoint)
+            second.suspect(4.0, "f", endpoint)
+        self.answer(first, 1.0, "e-0", "e-1")
+        self.exchange(4.1, first, second)
+        assert second.find_quarantine_end(4.1, "f") is not None
+
+    def test_endpoint_that_is_gone_has_crashed_whatever_a_peer_told(self):
+        first, second = self.build_pair(CrashWatch)
+        self.answer(second, 2.5)
+        self.answer(first, 3.0, "e-0", "e-1", "e-2")
+        self.exchange(3.1, first, second)
+        assert second.find_quarantine_end(3.1, "f") is None
+        second.evaluate(4.0, {}, frozenset(), 0.0)
+        assert second.find_quarantine_end(4.0, "f") == 301.0
+        first.merge(4.1, second.list_reports(4.1))
+        assert first.find_quarantine_end(4.1, "f") == 301.0
+
+    def test_crash_after_a_refutation_counts(self):
+        first, second = self.build_pair(CrashWatch)
+        self.answer(first, 3.0, "e-0", "e-1", "e-2")
+        self.exchange(3.1, first, second)
+        for endpoint in self.ENDPOINTS:
+            first.suspect(4.0, "f", endpoint)
+        assert first.find_quarantine_end(4.0, "f") is not None
+        self.exchange(4.1, first, second)
+        assert second.find_quarantine_end(4.1, "f") is not None
+
+    def test_beacon_with_an_invalid_time_of_data_is_rejected(self):
+        for age_s in (float("nan"), float("inf"), -1.0):
+            report = CrashReport("f", self.ENDPOINTS[0], 1.0, answered_age_s=age_s)
+            beacon = Beacon("a", 1, 1, {}, {}, crash_reports=[report])
+            assert decode_beacon(encode_beacon(beacon)).value_or(None) is None
+
+
 class TestCrashesWithoutReset:
     """Requests and parts that crash endpoints which then only fall silent."""
 
