Count from when an entry was sent a request in the check of lost ones

The check takes the time from the last byte that the proxy sent on to the entry, as the target says, and leaves out stalls of the soak. Requests that were passed on count as before.

--- a/src/tamaracktray_emulator/soak/answer_checks.py
+++ b/src/tamaracktray_emulator/soak/answer_checks.py
@@ -60,8 +60,13 @@
             self._record.check(PROMISE, holds, call.ended_at, detail)
 
     def _is_accepted(self, call: SoakCall) -> bool:
-        is_read = call.ended_at - call.written_at > READ_S
-        return is_read or call.id in self._endpoints_by_id
+        if call.id in self._endpoints_by_id:
+            return True
+        stalled_s = sum(
+            max(min(end, call.ended_at) - max(start, call.written_at), 0.0)
+            for start, end in self._record.stalls
+        )
+        return call.ended_at - call.written_at - stalled_s > READ_S
 
     def _is_excused(self, call: SoakCall) -> bool:
         is_late = call.ended_at - call.sent_at >= self._late_s
--- a/src/tamaracktray_emulator/soak/callers.py
+++ b/src/tamaracktray_emulator/soak/callers.py
@@ -1,6 +1,5 @@
 """Callers that reuse connections and check the answers they receive."""
 
-import math
 import random
 import time
 
@@ -18,6 +17,7 @@
 )
 from tamaracktray_emulator.soak.endpoints import compute_answer_bytes
 from tamaracktray_emulator.soak.notice_checks import NoticeChecker
+from tamaracktray_emulator.soak.proxy import FaultProxy
 from tamaracktray_emulator.soak.record import CallKind, SoakCall, SoakRecord
 
 HOST = "studio.example"
@@ -64,7 +64,7 @@
         self._socket: curio.io.Socket | None = None
         self._state = h11.Connection(h11.CLIENT)
         self.calls = 0
-        self.written_at = math.inf
+        self.port = 0
 
     @property
     def is_usable(self) -> bool:
@@ -84,15 +84,14 @@
             self._socket = await curio.open_connection(
                 self._address.host, self._address.port
             )
+            self.port = self._socket.getsockname()[1]
         self.calls += 1
-        self.written_at = math.inf
         framing = [("host", HOST), ("content-length", str(len(body)))]
         request = h11.Request(
             method=method, target=target, headers=[*headers, *framing]
         )
         data = self._state.send(request) + self._state.send(h11.Data(data=body))
         await self._socket.sendall(data + self._state.send(h11.EndOfMessage()))
-        self.written_at = time.monotonic()
         return await self._read()
 
     async def _read(self) -> Answer | None:
@@ -122,8 +121,8 @@
 class Callers:
     """All callers of one soak.
 
-    ``addresses_by_entry`` maps each entry to the address that callers connect to. They
-    wait for a complete answer for ``deadline_s`` seconds.
+    ``addresses_by_entry`` maps each entry to the address that callers connect to, that
+    of its proxy. They wait for a complete answer for ``deadline_s`` seconds.
     """
 
     def __init__(
@@ -136,6 +135,7 @@
     ) -> None:
         self.record = record
         self.addresses_by_entry: dict[str, Address] = {}
+        self.proxies_by_entry: dict[str, FaultProxy] = {}
         self.notice_checker: NoticeChecker | None = None
         self.key = ""
         self.team = ""
@@ -200,14 +200,11 @@
         except curio.TaskTimeout:
             return False
         except (OSError, h11.ProtocolError):
-            self._record_end(call)
-            call.written_at = connection.written_at - self._started
-            call.cut_by = connection.entry
+            self._record_cut(call, connection)
             return False
         self._record_end(call)
         if answer is None:
-            call.written_at = connection.written_at - self._started
-            call.cut_by = connection.entry
+            self._record_cut(call, connection)
             return False
         call.status = answer.status
         signer = answer.headers.get(SIGNATURE, "").removeprefix("sig.")
@@ -256,6 +253,14 @@
     def _record_end(self, call: SoakCall) -> None:
         call.ended_at = time.monotonic() - self._started
 
+    def _record_cut(self, call: SoakCall, connection: CallerConnection) -> None:
+        self._record_end(call)
+        call.cut_by = connection.entry
+        proxy = self.proxies_by_entry[connection.entry]
+        forwarded_at = proxy.forwarded_at_by_port.get(connection.port, 0.0)
+        if forwarded_at - self._started >= call.sent_at:
+            call.written_at = forwarded_at - self._started
+
     def _check_success(self, call: SoakCall, answer: Answer, signer: str) -> None:
         """Check that a successful answer is complete and belongs to this call."""
         runners = {run.endpoint for run in self.record.runs_by_id.get(call.id, [])}
--- a/src/tamaracktray_emulator/soak/proxy.py
+++ b/src/tamaracktray_emulator/soak/proxy.py
@@ -2,6 +2,7 @@
 
 import socket as socket_module
 import struct
+import time
 from enum import Enum
 
 import curio
@@ -33,13 +34,18 @@
 
 
 class FaultProxy:
-    """Forwards connections from ``address`` to ``target``."""
+    """Forwards connections from ``address`` to ``target``.
+
+    ``forwarded_at_by_port`` holds when the target was last sent data of the client with
+    a port, on the monotonic clock.
+    """
 
     def __init__(self, address: Address, target: Address) -> None:
         self.address = address
         self.target = target
         self.fault = ProxyFault.NONE
         self.delay_s = 0.0
+        self.forwarded_at_by_port: dict[int, float] = {}
         self._sockets: set[curio.io.Socket] = set()
         self._reset_sockets: set[curio.io.Socket] = set()
 
@@ -55,7 +61,7 @@
         for socket in list(self._sockets):
             await _reset(socket)
 
-    async def _forward(self, client: curio.io.Socket, address: object) -> None:
+    async def _forward(self, client: curio.io.Socket, address: tuple[str, int]) -> None:
         if self.fault is ProxyFault.RESET:
             await _reset(client)
             return
@@ -69,7 +75,9 @@
         self._sockets.update((client, server))
         try:
             async with curio.TaskGroup(wait=any) as group:
-                await group.spawn(self._pump, client, server, ProxyFault.BLOCK_REQUESTS)
+                await group.spawn(
+                    self._pump, client, server, ProxyFault.BLOCK_REQUESTS, address[1]
+                )
                 await group.spawn(self._pump, server, client, ProxyFault.BLOCK_ANSWERS)
         finally:
             self._sockets.difference_update((client, server))
@@ -81,6 +89,7 @@
         source: curio.io.Socket,
         sink: curio.io.Socket,
         direction_block: ProxyFault,
+        client_port: int = 0,
     ) -> None:
         """Copy one direction until it ends, delaying or blocking it during a fault."""
         try:
@@ -90,6 +99,8 @@
                 while self.fault in (direction_block, ProxyFault.BLOCK_BOTH):
                     await curio.sleep(BLOCK_POLL_S)
                 await sink.sendall(data)
+                if client_port:
+                    self.forwarded_at_by_port[client_port] = time.monotonic()
             if source not in self._reset_sockets:
                 await sink.shutdown(socket_module.SHUT_WR)
         except OSError:
--- a/src/tamaracktray_emulator/soak/record.py
+++ b/src/tamaracktray_emulator/soak/record.py
@@ -50,9 +50,9 @@
 class SoakCall(msgspec.Struct):
     """One request of a caller; ``status`` is 0 without a complete answer.
 
-    Its last byte was sent at ``written_at``. ``cut_by`` is the entry that closed the
-    connection before the answer was complete. ``parts`` are the shared parts of its
-    prompt.
+    ``cut_by`` is the entry that closed the connection before the answer was complete;
+    the last byte of the request was sent to it at ``written_at``. ``parts`` are the
+    shared parts of its prompt.
     """
 
     id: str
@@ -74,7 +74,8 @@
 
     ``broken_ids`` are the calls whose answer an endpoint may break off, ``crashed_ids``
     those whose last run was at an endpoint as it crashed, ``dropped_ids`` those that
-    reached one after its crash. A call may reach ``max_attempts`` endpoints.
+    reached one after its crash. A call may reach ``max_attempts`` endpoints. During
+    each of ``stalls``, from one time to another, the soak itself was held up.
     """
 
     def __init__(self, max_attempts: int = 2) -> None:
@@ -85,6 +86,7 @@
         self.broken_ids: set[str] = set()
         self.crashed_ids: set[str] = set()
         self.dropped_ids: set[str] = set()
+        self.stalls: list[tuple[float, float]] = []
         self.check_counts: Counter[str] = Counter()
         self.violations: list[Violation] = []
 
--- a/src/tamaracktray_emulator/soak/run.py
+++ b/src/tamaracktray_emulator/soak/run.py
@@ -45,6 +45,10 @@
 FINAL_WINDOW_S = 3.0
 FINAL_SERVED_SHARE = 0.9
 
+# Interval between checks for a stall of the soak, and the shortest stall, in seconds.
+STALL_INTERVAL_S = 0.02
+MIN_STALL_S = 0.03
+
 # Interval between checks for processes that exited unexpectedly, in seconds.
 WATCH_INTERVAL_S = 0.2
 
@@ -67,6 +71,7 @@
     callers = Callers(record, plan.seed, fleet.started, wait_s, plan.deadline_s)
     callers.notice_checker = notice_checker
     callers.key, callers.team = fleet.keys[0], TEAM
+    callers.proxies_by_entry = fleet.entry_proxies
     callers.addresses_by_entry = {
         name: proxy.address for name, proxy in fleet.entry_proxies.items()
     }
@@ -74,6 +79,7 @@
     try:
         tasks = [await curio.spawn(callers.run_caller) for _ in range(plan.callers)]
         tasks.append(await curio.spawn(_watch_crashes, fleet, record))
+        tasks.append(await curio.spawn(_watch_stalls, fleet, record))
         operations = Operations(fleet, fault_log, callers, record)
         probe_checker = ProbeChecker(fleet, fault_log, record)
         tasks.append(await curio.spawn(probe_checker.run))
@@ -145,6 +151,14 @@
         record.check("ends only when told to", True, fleet.now, "")
 
 
+async def _watch_stalls(fleet: SoakFleet, record: SoakRecord) -> None:
+    while True:
+        due_at = fleet.now + STALL_INTERVAL_S
+        await curio.sleep(STALL_INTERVAL_S)
+        if fleet.now - due_at > MIN_STALL_S:
+            record.stalls.append((due_at, fleet.now))
+
+
 def _check_recovery(record: SoakRecord, start: float, end: float) -> None:
     """Check that callers are served after the recovery time."""
     calls = [
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -202,6 +202,7 @@
         *faults: str,
         took_s: float = 1.0,
         is_passed_on: bool = True,
+        stall_s: float = 0.0,
         started_at: float = 0.0,
     ) -> list[str]:
         """Return the promises broken by a call of entry-0 that was cut at w-0."""
@@ -210,6 +211,7 @@
         call = SoakCall("1", CallKind.STREAM, "entry-0", "/", b"", "team", 9.0)
         call.ended_at, call.cut_by = 9.0 + took_s, "entry-0"
         call.written_at = 9.0
+        record.stalls.append((9.01, 9.01 + stall_s))
         record.calls_by_id["1"] = call
         if is_passed_on:
             record.arrivals.append(Arrival(9.01, "1", "w-0.1", ZONES[0]))
@@ -239,6 +241,7 @@
     def test_request_that_was_read_counts_though_not_passed_on(self):
         assert self.broken(took_s=0.3, is_passed_on=False) == [PROMISE]
         assert self.broken(took_s=0.1, is_passed_on=False) == []
+        assert self.broken(took_s=0.3, is_passed_on=False, stall_s=0.15) == []
 
     def test_end_of_its_time_and_start_of_its_entry_excuse(self):
         assert self.broken(took_s=2.0) == [PROMISE]
