Don't take the end of a parked attempt for that of the answer

Callers saw a stream cut, or an event twice, though its endpoint went on.

Cause: the end of a parked attempt that was queued just as another attempt began to answer was reduced behind that begin. The call had no parked attempt any more, so the end counted as that of the answer in flight.

The end of an attempt that another one supersedes is dropped now, and the reducer ignores ends at endpoints at which the call has no attempt.

--- a/src/tamaracktray/call_answering.py
+++ b/src/tamaracktray/call_answering.py
@@ -111,16 +111,13 @@
         try:
             ended = await self.relay.attempt(open_call, attempt)
         except Exception as error:
-            if not attempt.is_superseded:
-                await open_call.put(AttemptError(error))
-            return
-        finally:
-            open_call.remove_attempt(attempt)
-        if attempt.is_superseded:
+            attempt.is_ended = True
+            await open_call.put(AttemptError(error), attempt)
             return
+        attempt.is_ended = True
         if ended.phase is AttemptPhase.ANSWERED:
             open_call.answered = ended
-        await open_call.put(ended)
+        await open_call.put(ended, attempt)
 
     async def note_start(self, event: CallStarted) -> None:
         """Handle the start of an endpoint's answer."""
--- a/src/tamaracktray/gateway.py
+++ b/src/tamaracktray/gateway.py
@@ -111,6 +111,9 @@
     if pending is not None and event.endpoint_id in pending.parked_by_id:
         note_parked_end(context, pending, event)
         return send_queued_calls(context, event.now)
+    if pending is not None and event.endpoint_id != pending.endpoint_id:
+        # The attempt was parked until another endpoint began to answer.
+        return []
     if pending is not None and event.is_parked:
         pending.park()
     elif load is not None:
--- a/src/tamaracktray/open_calls.py
+++ b/src/tamaracktray/open_calls.py
@@ -32,9 +32,10 @@
     """One attempt of a call and the task that carries it out.
 
     ``exchange`` is set once it is open; ``is_abandoned`` may be set before that.
-    ``buffer`` keeps the position in a stream. ``is_leading`` is set while the caller's
-    answer comes from this attempt, ``is_parked`` while the call has left it but may go
-    back, and ``is_superseded`` once another attempt has taken its place.
+    ``buffer`` keeps the position in a stream. ``is_ended`` is set once its task has
+    queued its end. ``is_leading`` is set while the caller's answer comes from this
+    attempt, ``is_parked`` while the call has left it but may go back, and
+    ``is_superseded`` once another attempt has taken its place.
     """
 
     __slots__ = (
@@ -42,6 +43,7 @@
         "decision",
         "exchange",
         "is_abandoned",
+        "is_ended",
         "is_leading",
         "is_parked",
         "is_superseded",
@@ -53,6 +55,7 @@
         self.buffer = buffer
         self.exchange: Exchange | None = None
         self.is_abandoned = False
+        self.is_ended = False
         self.is_leading = False
         self.is_parked = False
         self.is_superseded = False
@@ -73,8 +76,8 @@
 class OpenCall:
     """A call in progress and the connection to its caller.
 
-    ``attempts`` are those whose tasks run: one that is current and those that are
-    parked. ``buffer`` is that of the attempt which led last. ``failure`` is the last
+    ``attempts`` are one that is current and those that are parked, each until its end
+    is taken. ``buffer`` is that of the attempt which led last. ``failure`` is the last
     complete error answer of an endpoint. ``status`` and ``media_type`` are those of the
     head that was sent to the caller. ``is_sending`` is set while a part of the answer
     is being sent, and ``answered`` is the end of the attempt that answered the call.
@@ -116,14 +119,22 @@
         """The last event sent to the caller, ``None`` before the head was sent."""
         return self.buffer.last_event_id if self.is_head_sent else None
 
-    async def put(self, item: Effect | CallAttemptEnded | AttemptError) -> None:
+    async def put(
+        self,
+        item: Effect | CallAttemptEnded | AttemptError,
+        attempt: Attempt | None = None,
+    ) -> None:
         """Queue a decision on the call, or the end of one of its attempts."""
-        await self._items.put((self._epoch, item))
+        await self._items.put((self._epoch, item, attempt))
 
     async def take(self) -> Effect | CallAttemptEnded | AttemptError:
         """Return the next queued item that is still valid."""
         while True:
-            epoch, item = await self._items.get()
+            epoch, item, attempt = await self._items.get()
+            if attempt is not None:
+                if attempt.is_superseded:
+                    continue
+                self.attempts.remove(attempt)
             if epoch == self._epoch or isinstance(item, AttemptError):
                 return item
 
@@ -136,7 +147,7 @@
     def find_current(self) -> Attempt | None:
         """Return the attempt that the call has not left."""
         for attempt in self.attempts:
-            if not attempt.is_parked:
+            if not attempt.is_parked and not attempt.is_ended:
                 return attempt
         return None
 
@@ -147,11 +158,6 @@
                 return attempt
         return None
 
-    def remove_attempt(self, attempt: Attempt) -> None:
-        """Remove an attempt whose task ends."""
-        if attempt in self.attempts:
-            self.attempts.remove(attempt)
-
     async def let_lead(self, attempt: Attempt) -> None:
         """Let the caller's answer come from an attempt and end the others.
 
--- a/tests/raw_endpoints.py
+++ b/tests/raw_endpoints.py
@@ -110,6 +110,10 @@
             await self.send(body)
         await self.finish()
 
+    def shut_down(self) -> None:
+        """End the connection at once, without a switch of tasks."""
+        self._client._socket.shutdown(socket.SHUT_RDWR)
+
     async def wait_closed(self) -> None:
         """Wait until the entry closes or resets the connection."""
         try:
--- /dev/null
+++ b/tests/test_parked_attempts.py
@@ -0,0 +1,102 @@
+"""Attempts that calls have left for their silence, and what ends beside them.
+
+Guards against an end that is taken for that of another attempt, and against moves that
+are decided again and again.
+"""
+
+import curio
+import pytest
+
+from gateways import Gateway, build_call, build_route, engine, sent
+from platforms import ENGINES, PlatformFleet, run_fleet
+from raw_endpoints import (
+    HANG_S,
+    CallerProtocol,
+    Framing,
+    RawAnswer,
+    RawCaller,
+    build_events,
+    list_endpoint,
+)
+from tamaracktray.calls import CallStarted, LeaveAttempt
+from tamaracktray.gateway import handle_call_started
+from tamaracktray.outcomes import AttemptPhase
+from tamaracktray.routes import RepeatKind
+
+SILENT_S = 0.8
+
+# Of this reserve an entry without peers uses one retry.
+RESERVE_OF_ONE = 4.0
+
+STREAM = build_route(RepeatKind.STREAM, ENGINES, max_attempts=3)
+
+
+def leave_stream(gateway: Gateway) -> tuple:
+    """Let a begun stream be left for its silence; return its call and endpoints."""
+    call = build_call("1", STREAM)
+    (first,) = sent(gateway.arrive(call))
+    started = CallStarted(gateway.now, call.id, first, has_event_id=True)
+    handle_call_started(gateway.context, started)
+    effects = gateway.tick(SILENT_S)
+    assert any(isinstance(item, LeaveAttempt) for item in effects)
+    phase, fields = AttemptPhase.CUT, {"last_event_id": "2", "is_parked": True}
+    (second,) = sent(gateway.end(call, first, phase, **fields))
+    return call, first, second
+
+
+class TestEndsOfParkedAttempts:
+    def test_late_end_of_a_parked_attempt_is_not_that_of_the_answer(self):
+        gateway = Gateway(engine("a"), engine("bb"), engine("ccc"))
+        call, first, second = leave_stream(gateway)
+        started = CallStarted(gateway.now, call.id, second, has_event_id=True)
+        handle_call_started(gateway.context, started)
+        effects = gateway.end(call, first, AttemptPhase.CUT, last_event_id="2")
+        assert effects == []
+        assert gateway.state.pending_by_id[call.id].endpoint_id == second
+        assert gateway.load(second).in_flight == 1
+
+    def test_late_end_of_a_parked_attempt_leaves_other_calls_counted(self):
+        gateway = Gateway(engine("a"), engine("bb"))
+        call, first, second = leave_stream(gateway)
+        started = CallStarted(gateway.now, call.id, second, has_event_id=True)
+        handle_call_started(gateway.context, started)
+        gateway.load(first).note_sent(gateway.now)
+        gateway.end(call, first, AttemptPhase.CUT, last_event_id="2")
+        assert gateway.load(first).in_flight == 1
+
+    @pytest.mark.parametrize("reserve", [RESERVE_OF_ONE, 100.0])
+    def test_stream_goes_on_though_its_first_endpoint_breaks_off_then(self, reserve):
+        answers = []
+        begun: list[RawAnswer] = []
+
+        async def play(answer: RawAnswer) -> None:
+            await answer.begin(Framing.CHUNKS)
+            begun.append(answer)
+            if len(begun) == 1:
+                await answer.send(build_events(1, 2))
+                await curio.sleep(HANG_S)
+            if len(begun) == 2:
+                await curio.sleep(0.1)
+                # Both reach the entry at once.
+                begun[0].shut_down()
+                await answer.send(build_events(3, 3))
+                await curio.sleep(0.3)
+                await answer.send(build_events(4))
+                await answer.finish()
+                return
+            await answer.send(build_events(answer.last_event_id + 1))
+            await answer.finish()
+
+        async def scenario(fleet: PlatformFleet) -> None:
+            await fleet.start()
+            for name in ("a", "b"):
+                await list_endpoint(fleet, name, ENGINES, play)
+            await fleet.until_listed(2)
+            caller = RawCaller(fleet, CallerProtocol.HTTP_1_1_CLOSE)
+            answers.append(await caller.call("/talk/1", "id-1"))
+            await caller.close()
+
+        run_fleet(scenario, repeat_ratio=0.0, repeat_reserve=reserve)
+        (answer,) = answers
+        assert (answer.body, answer.is_complete) == (build_events(1), True)
+        assert len(begun) == 2
