Stop moving a call that has had its failed connections

A call at a silent endpoint moved to 8 of 12 unreachable endpoints, and paid for a retry each time, which other callers lacked. Cause: a call that has used up its failed connections goes back to its parked attempt, and the next tick found it movable again.

--- a/src/tamaracktray/attempt_abandonment.py
+++ b/src/tamaracktray/attempt_abandonment.py
@@ -32,6 +32,9 @@
 START_TIMEOUT_OBJECTIVES = 4.0
 MIN_START_TIMEOUT_S = 1.0
 
+# Failed connections allowed per call; they do not count as attempts.
+MAX_FAILED_CONNECTIONS = 3
+
 # Calls of the same services that find no place, after which no further ones are tried
 # at a tick: each try looks at all endpoints.
 MAX_FAILED_MOVES = 4
@@ -161,6 +164,8 @@
     route = pending.call.route
     if pending.is_started and not pending.has_event_id:
         return False
+    if pending.failed_connections > MAX_FAILED_CONNECTIONS:
+        return False
     return route.is_idempotent and pending.attempts < route.max_attempts
 
 
--- a/src/tamaracktray/gateway.py
+++ b/src/tamaracktray/gateway.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 
 from tamaracktray.attempt_abandonment import (
+    MAX_FAILED_CONNECTIONS,
     abandon_outdated_attempts,
     abandon_quarantined_attempts,
     abandon_silent_attempts,
@@ -44,9 +45,6 @@
 from tamaracktray.refusals import refuse_leaving
 from tamaracktray.routes import RepeatKind
 
-# Failed connections allowed per call; they do not count as attempts.
-MAX_FAILED_CONNECTIONS = 3
-
 
 def handle_call(context: GatewayContext, event: CallArrived) -> list[Effect]:
     """Send a call, queue it until an endpoint has capacity, or refuse it."""
--- a/tests/test_parked_attempts.py
+++ b/tests/test_parked_attempts.py
@@ -8,8 +8,9 @@
 import pytest
 
 from gateways import Gateway, build_call, build_route, engine, sent
-from platforms import ENGINES, PlatformFleet, run_fleet
+from platforms import ENGINES, HOST, KEY, PlatformFleet, run_fleet
 from raw_endpoints import (
+    EVENT,
     HANG_S,
     CallerProtocol,
     Framing,
@@ -18,10 +19,13 @@
     build_events,
     list_endpoint,
 )
-from tamaracktray.calls import CallStarted, LeaveAttempt
+from tamaracktray.calls import AbandonAttempt, CallStarted, LeaveAttempt
+from tamaracktray.effects import Effect
+from tamaracktray.events import Event
 from tamaracktray.gateway import handle_call_started
 from tamaracktray.outcomes import AttemptPhase
 from tamaracktray.routes import RepeatKind
+from tamaracktray.types import Address
 
 SILENT_S = 0.8
 
@@ -100,3 +104,70 @@
         (answer,) = answers
         assert (answer.body, answer.is_complete) == (build_events(1), True)
         assert len(begun) == 2
+
+
+class TestMovesThatFail:
+    def test_slow_caller_uses_up_no_retries(self):
+        moves: list[AbandonAttempt] = []
+
+        async def play(answer: RawAnswer) -> None:
+            await answer.begin(Framing.CHUNKS)
+            for number in range(1, 200):
+                filler = b": " + b"x" * 100_000 + b"\n"
+                await answer.send(filler + EVENT % (number, number))
+
+        async def scenario(fleet: PlatformFleet) -> None:
+            await fleet.start()
+            for name in ("a", "b"):
+                await list_endpoint(fleet, name, ENGINES, play)
+            await fleet.until_listed(2)
+            entry = fleet.entries[0]
+            reduce = entry.reduce
+
+            def reduce_and_count(event: Event) -> list[Effect]:
+                effects = reduce(event)
+                moves.extend(
+                    item for item in effects if isinstance(item, AbandonAttempt)
+                )
+                return effects
+
+            entry.reduce = reduce_and_count
+            address = Address.parse(entry.settings.listen.callers)
+            client = await curio.open_connection(address.host, address.port)
+            lines = [
+                "POST /talk/1 HTTP/1.1",
+                f"host: {HOST}",
+                "x-tamaracktray-request-id: id-1",
+                "x-tamaracktray-deadline-ms: 6000",
+                "x-tamaracktray-model: kiln-1",
+                "x-tamaracktray-token-usage: 100,20",
+                f"authorization: Token {KEY}",
+                "content-length: 0",
+            ]
+            await client.sendall("\r\n".join([*lines, "", ""]).encode())
+            await curio.sleep(3.0)
+            await client.close()
+
+        run_fleet(scenario)
+        assert len(moves) <= 1
+
+    def test_calls_give_up_moving_to_unreachable_endpoints(self):
+        names = ["a" * length for length in range(1, 13)]
+        gateway = Gateway(*(engine(name) for name in names))
+        call = build_call("1", STREAM)
+        (current,) = sent(gateway.arrive(call))
+        started = CallStarted(gateway.now, call.id, current, has_event_id=True)
+        handle_call_started(gateway.context, started)
+        first, moves = current, 0
+        for _ in range(60):
+            effects = gateway.tick(0.05)
+            if not any(isinstance(item, LeaveAttempt) for item in effects):
+                continue
+            moves += 1
+            effects = gateway.end(
+                call, first, AttemptPhase.CUT, last_event_id="2", is_parked=True
+            )
+            while sent(effects):
+                (current,) = sent(effects)
+                effects = gateway.end(call, current, AttemptPhase.NOT_SENT)
+        assert moves <= 2
