Wait for no endpoint that has started again, and relay a known failure

The failure is relayed at the deadline now, and an attempt, parked or not, ends once its endpoint is known to have started again and has sent nothing for half a second. An attempt that this process ends doesn't replace a known failure.

--- a/src/tamaracktray/attempt_abandonment.py
+++ b/src/tamaracktray/attempt_abandonment.py
@@ -13,7 +13,7 @@
 from tamaracktray.endpoint_loads import EndpointLoad
 from tamaracktray.gateway_crashes import suspect_endpoint
 from tamaracktray.gateway_fleet import choose, is_barred
-from tamaracktray.gateway_state import GatewayContext
+from tamaracktray.gateway_state import GatewayContext, GatewayState
 from tamaracktray.parked_attempts import end_parked_attempts
 from tamaracktray.pending_calls import ParkedAttempt, PendingCall
 from tamaracktray.placement import count_open_slots, is_available
@@ -23,6 +23,9 @@
 SILENCE_TIMEOUT_S = 0.5
 STREAM_SILENCE_TIMEOUT_S = 0.7
 
+# Reason for ending a silent attempt that nothing can complete any more.
+RESTARTED = "endpoint has started again"
+
 # Time without a complete event after which a stream is resumed elsewhere although its
 # endpoint sends other data, in seconds.
 STALL_S = 1.0
@@ -50,7 +53,14 @@
     effects: list[Effect] = []
     failed_by_services: Counter[tuple[str, ...]] = Counter()
     for pending in state.pending_by_id.values():
-        if not pending.endpoint_id or pending.is_abandoned or not _is_movable(pending):
+        effects.extend(_end_restarted(context, pending))
+        if not pending.endpoint_id or pending.is_abandoned:
+            continue
+        if not _is_movable(pending):
+            is_silent = now - pending.silent_since > SILENCE_TIMEOUT_S
+            if is_silent and _has_restarted(state, pending):
+                pending.is_abandoned = True
+                effects.append(AbandonAttempt(pending.call.id, RESTARTED))
             continue
         reason = _find_silence(context, now, pending)
         if not reason:
@@ -66,6 +76,25 @@
     return effects
 
 
+def _end_restarted(context: GatewayContext, pending: PendingCall) -> list[Effect]:
+    """End parked attempts that nothing can complete any more."""
+    if not pending.parked_by_id:
+        return []
+    state = context.state
+    return end_parked_attempts(
+        context, pending, RESTARTED, lambda item: _has_restarted(state, item)
+    )
+
+
+def _has_restarted(state: GatewayState, attempt: PendingCall | ParkedAttempt) -> bool:
+    """Return whether an endpoint has started again since an attempt was sent to it."""
+    load = state.loads_by_id.get(attempt.endpoint_id)
+    if load is None:
+        return False
+    start_time_ms = max(load.record.start_time_ms, load.reported_start_ms)
+    return start_time_ms > attempt.start_time_ms > 0
+
+
 def _find_silence(context: GatewayContext, now: float, pending: PendingCall) -> str:
     """Return why an attempt counts as silent, or an empty text if it doesn't."""
     timeout_s = STREAM_SILENCE_TIMEOUT_S if pending.is_started else SILENCE_TIMEOUT_S
@@ -176,15 +205,7 @@
     reason = "version is too old"
     for pending in state.pending_by_id.values():
         model = pending.call.model
-        if pending.parked_by_id:
-            effects.extend(
-                end_parked_attempts(
-                    context,
-                    pending,
-                    reason,
-                    lambda item, model=model: _is_outdated(context, model, item),
-                )
-            )
+        effects.extend(_end_outdated(context, pending, reason))
         if not pending.endpoint_id or pending.is_answer_started or pending.is_abandoned:
             continue
         if not _is_outdated(context, model, pending):
@@ -207,7 +228,9 @@
         if end is None:
             continue
         effects.extend(
-            end_parked_attempts(context, pending, reason, lambda parked: True)
+            end_parked_attempts(
+                context, pending, reason, lambda item: not item.is_answer_started
+            )
         )
         if not pending.endpoint_id or pending.is_answer_started or pending.is_abandoned:
             continue
@@ -236,6 +259,20 @@
     return is_available(now, pending.call, load, placement_context)
 
 
+def _end_outdated(
+    context: GatewayContext, pending: PendingCall, reason: str
+) -> list[Effect]:
+    """End parked attempts that have not begun and must not begin any more."""
+    if not pending.parked_by_id:
+        return []
+    model = pending.call.model
+
+    def must_end(parked: ParkedAttempt) -> bool:
+        return not parked.is_answer_started and _is_outdated(context, model, parked)
+
+    return end_parked_attempts(context, pending, reason, must_end)
+
+
 def _is_outdated(
     context: GatewayContext, model: str, attempt: PendingCall | ParkedAttempt
 ) -> bool:
--- a/src/tamaracktray/call_answering.py
+++ b/src/tamaracktray/call_answering.py
@@ -168,6 +168,9 @@
             self._call_log.note_deadline_passed(call, None)
             await open_call.responder.abort()
             return
+        if open_call.failure is not None:
+            await self._finish(open_call, RelayFailure(call.id))
+            return
         refusal = refuse_deadline_passed(self._state.gateway.may_have_run(call.id))
         self._call_log.note_deadline_passed(call, refusal)
         await self.send_refusal(open_call.responder, refusal)
--- a/src/tamaracktray/gateway.py
+++ b/src/tamaracktray/gateway.py
@@ -372,7 +372,10 @@
         if event.endpoint_id != pending.left_id:
             pending.left_id = ""
         pending.may_have_run = True
-        pending.has_failed_answer = event.phase is AttemptPhase.FAILED
+        # An attempt that this process has ended says nothing new.
+        keeps_failure = pending.has_failed_answer and pending.is_abandoned
+        is_failed = event.phase is AttemptPhase.FAILED
+        pending.has_failed_answer = is_failed or keeps_failure
         if event.is_reset:
             effects = suspect_on_disconnect(context, now, pending, event.endpoint_id)
     # Resuming a broken stream needs the id of the last event.
--- a/src/tamaracktray/parked_attempts.py
+++ b/src/tamaracktray/parked_attempts.py
@@ -78,10 +78,10 @@
     reason: str,
     must_end: Callable[[ParkedAttempt], bool],
 ) -> list[Effect]:
-    """End the parked attempts of a call that have not begun and must not begin."""
+    """End those parked attempts of a call that must not go on, or can't."""
     effects: list[Effect] = []
     for parked in list(pending.parked_by_id.values()):
-        if parked.is_answer_started or not must_end(parked):
+        if not must_end(parked):
             continue
         del pending.parked_by_id[parked.endpoint_id]
         load = context.state.loads_by_id.get(parked.endpoint_id)
--- a/tests/test_parked_attempts.py
+++ b/tests/test_parked_attempts.py
@@ -4,6 +4,9 @@
 are decided again and again.
 """
 
+import time
+from functools import partial
+
 import curio
 import pytest
 
@@ -26,6 +29,7 @@
 from tamaracktray.outcomes import AttemptPhase
 from tamaracktray.routes import RepeatKind
 from tamaracktray.types import Address
+from tamaracktray_emulator.platform.worker import Mode
 
 SILENT_S = 0.8
 
@@ -171,3 +175,42 @@
                 (current,) = sent(effects)
                 effects = gateway.end(call, current, AttemptPhase.NOT_SENT)
         assert moves <= 2
+
+
+class TestCallsThatGoBack:
+    """The first endpoint hangs, and the second one, with the last attempt, fails."""
+
+    def run_call(self, *, restarts: bool) -> tuple[int, float]:
+        outcomes: list[tuple[int, float]] = []
+
+        async def scenario(fleet: PlatformFleet) -> None:
+            await fleet.start()
+            workers = [await fleet.add_worker(name) for name in ("a", "b")]
+            await fleet.until_listed(2)
+            for worker in workers:
+                worker.mode = Mode.HANGING
+            began_at = time.monotonic()
+            calling = await curio.spawn(partial(fleet.call, "/look/1", wait_ms=2_500))
+            await fleet.until(lambda: any(worker.runs for worker in workers))
+            (first,) = [worker for worker in workers if worker.runs]
+            for worker in workers:
+                if worker is not first:
+                    worker.mode = Mode.FAILING
+            await fleet.until(lambda: all(worker.runs for worker in workers))
+            if restarts:
+                first.start_time_ms += 1_000
+                fleet.list_worker(first)
+            reply = await calling.join()
+            outcomes.append((reply.status, time.monotonic() - began_at))
+
+        run_fleet(scenario)
+        return outcomes[0]
+
+    def test_failure_of_an_endpoint_is_relayed_at_the_deadline(self):
+        status, _ = self.run_call(restarts=False)
+        assert status == 500
+
+    def test_call_waits_for_no_endpoint_that_has_started_again(self):
+        status, took_s = self.run_call(restarts=True)
+        assert status == 500
+        assert took_s < 1.5
