End a call that waits after a move with the process

A call that had left its endpoint and waited for another one got no answer before the process exited, as it still counted as being abandoned. A call is removed from the state before its attempts are cancelled, as its caller may leave meanwhile.

--- a/src/tamaracktray/call_answering.py
+++ b/src/tamaracktray/call_answering.py
@@ -75,9 +75,9 @@
             self._call_log.note_caller_disconnected(call)
             raise
         finally:
-            await open_call.end_attempts()
             self.open_by_id.pop(call.id, None)
             await self._dispatch(CallEnded(time.monotonic(), call.id))
+            await open_call.end_attempts()
 
     async def _follow_decisions(self, open_call: OpenCall) -> None:
         while True:
--- a/src/tamaracktray/gateway.py
+++ b/src/tamaracktray/gateway.py
@@ -16,7 +16,6 @@
     estimate_call_start,
 )
 from tamaracktray.calls import (
-    AbandonAttempt,
     AttemptResumed,
     CallArrived,
     CallAttemptEnded,
@@ -40,7 +39,11 @@
 from tamaracktray.gateway_refusals import refuse, refuse_if_quarantined
 from tamaracktray.gateway_state import GatewayContext, PendingCall
 from tamaracktray.outcomes import AttemptPhase
-from tamaracktray.parked_attempts import note_parked_end, resume_parked, take_resumed
+from tamaracktray.parked_attempts import (
+    note_parked_end,
+    resume_parked,
+    take_resumed,
+)
 from tamaracktray.placement import is_eligible, list_with_capacity
 from tamaracktray.refusals import refuse_leaving
 from tamaracktray.routes import RepeatKind
@@ -119,9 +122,12 @@
     if pending is None:
         return send_queued_calls(context, event.now)
     pending.endpoint_id = ""
+    was_abandoned, pending.is_abandoned = pending.is_abandoned, False
     is_paid = state.release(pending)
     pending.last_event_id = event.last_event_id or pending.last_event_id
-    effects = _continue_call(context, event, pending, is_paid=is_paid)
+    effects = _continue_call(
+        context, event, pending, is_paid=is_paid, was_abandoned=was_abandoned
+    )
     effects.extend(move_noted_attempts(context, event.now))
     return effects + send_queued_calls(context, event.now)
 
@@ -232,22 +238,6 @@
     return effects
 
 
-def end_unanswered_calls(context: GatewayContext, now: float) -> list[Effect]:
-    """End the calls whose callers have got nothing, once the process is ending."""
-    if not context.is_ending:
-        return []
-    effects: list[Effect] = []
-    for pending in list(context.state.pending_by_id.values()):
-        if pending.is_started or pending.is_abandoned:
-            continue
-        if not pending.endpoint_id:
-            effects.extend(refuse(context, now, pending))
-            continue
-        pending.is_abandoned = True
-        effects.append(AbandonAttempt(pending.call.id, "the process is ending"))
-    return effects
-
-
 def _place_call(
     context: GatewayContext, now: float, pending: PendingCall
 ) -> list[Effect]:
@@ -344,8 +334,13 @@
     pending: PendingCall,
     *,
     is_paid: bool,
+    was_abandoned: bool,
 ) -> list[Effect]:
-    """Return how a call goes on; ``is_paid`` is set if its retry has been paid for."""
+    """Return how a call goes on.
+
+    ``is_paid`` is set if its retry has been paid for, and ``was_abandoned`` if this
+    process ended the attempt.
+    """
     now = event.now
     if event.phase is AttemptPhase.ANSWERED:
         context.state.remove(event.call_id)
@@ -373,7 +368,7 @@
             pending.left_id = ""
         pending.may_have_run = True
         # An attempt that this process has ended says nothing new.
-        keeps_failure = pending.has_failed_answer and pending.is_abandoned
+        keeps_failure = pending.has_failed_answer and was_abandoned
         is_failed = event.phase is AttemptPhase.FAILED
         pending.has_failed_answer = is_failed or keeps_failure
         if event.is_reset:
--- a/src/tamaracktray/shutdown.py
+++ b/src/tamaracktray/shutdown.py
@@ -8,7 +8,7 @@
 from tamaracktray.call_context import build_gateway_context
 from tamaracktray.effects import Effect, Exit
 from tamaracktray.events import ShutdownRequested, Tick
-from tamaracktray.gateway import end_unanswered_calls
+from tamaracktray.last_answers import end_unanswered_calls
 from tamaracktray.node_events import CloseIdleConnections
 from tamaracktray.node_state import NodeState
 
--- a/tests/test_parked_attempts.py
+++ b/tests/test_parked_attempts.py
@@ -22,10 +22,11 @@
     build_events,
     list_endpoint,
 )
-from tamaracktray.calls import AbandonAttempt, CallStarted, LeaveAttempt
+from tamaracktray.calls import AbandonAttempt, CallStarted, LeaveAttempt, RefuseCall
 from tamaracktray.effects import Effect
 from tamaracktray.events import Event
 from tamaracktray.gateway import handle_call_started
+from tamaracktray.last_answers import end_unanswered_calls
 from tamaracktray.outcomes import AttemptPhase
 from tamaracktray.routes import RepeatKind
 from tamaracktray.types import Address
@@ -176,6 +177,21 @@
                 effects = gateway.end(call, current, AttemptPhase.NOT_SENT)
         assert moves <= 2
 
+    def test_call_that_waits_after_a_move_is_ended_with_the_process(self):
+        gateway = Gateway(engine("a"), engine("bb"))
+        route = build_route(RepeatKind.STREAM, ENGINES, target_latency_s=8.0)
+        call = build_call("1", route)
+        (first,) = sent(gateway.arrive(call))
+        gateway.tick(SILENT_S)
+        for name in {"a", "bb"} - {first}:
+            gateway.load(name).note_full(gateway.now)
+        gateway.end(call, first, AttemptPhase.SENT, is_parked=True)
+        assert len(gateway.state.waiting) == 1
+        context = gateway.context
+        context.is_ending = True
+        (ended,) = end_unanswered_calls(context, gateway.now)
+        assert isinstance(ended, RefuseCall)
+
 
 class TestCallsThatGoBack:
     """The first endpoint hangs, and the second one, with the last attempt, fails."""
