Pass over superseded attempts when looking for that at an endpoint

A call may go back to an endpoint with a new attempt while the task of the old one still ends; what concerns the new one would have been done to the old. By reading; no run has shown it.

--- a/src/tamaracktray/open_calls.py
+++ b/src/tamaracktray/open_calls.py
@@ -154,6 +154,8 @@
     def find_attempt(self, endpoint_id: str) -> Attempt | None:
         """Return the attempt at an endpoint."""
         for attempt in self.attempts:
+            if attempt.is_superseded:
+                continue
             if attempt.decision.endpoint_id == endpoint_id:
                 return attempt
         return None
