Ask for quarantined parts only for calls that have not begun

Asking is costly and was done at each tick for all calls once attempts could be parked, while any part is suspected. By reading; not measured.

--- a/src/tamaracktray/attempt_abandonment.py
+++ b/src/tamaracktray/attempt_abandonment.py
@@ -222,7 +222,8 @@
     effects: list[Effect] = []
     reason = "prompt part is quarantined"
     for pending in context.state.pending_by_id.values():
-        if pending.is_trial or not (pending.endpoint_id or pending.parked_by_id):
+        is_unbegun = bool(pending.endpoint_id) and not pending.is_answer_started
+        if pending.is_trial or not (is_unbegun or pending.parked_by_id):
             continue
         end = context.part_crashes.find_prompt_quarantine_end(now, pending.call.parts)
         if end is None:
@@ -232,7 +233,7 @@
                 context, pending, reason, lambda item: not item.is_answer_started
             )
         )
-        if not pending.endpoint_id or pending.is_answer_started or pending.is_abandoned:
+        if not is_unbegun or pending.is_abandoned:
             continue
         pending.is_abandoned = True
         effects.append(AbandonAttempt(pending.call.id, reason))
