Forget the progress of an attempt with its end

Progress that was noted before a tick counted for the attempt that its call had gone back to by then, which was taken for younger than it is. Seen while tracing a test; callers' attempts were left up to a tick's data later.

--- a/src/tamaracktray/attempt_relay.py
+++ b/src/tamaracktray/attempt_relay.py
@@ -144,6 +144,8 @@
             return await self._read_answer(open_call, attempt, exchange, started_at)
         finally:
             attempt.exchange = None
+            # It says nothing about another attempt of the call.
+            self._progress_at_by_call.pop(open_call.call.id, None)
             await exchange.close()
 
     def _build_headers(self, open_call: OpenCall, attempt: Attempt) -> RawHeaders:
