End no call that arrives at its endpoint as that starts

Callers saw a stream cut, "endpoint has started again", while the new start was answering it.

Cause: an endpoint that starts again under its id may get a call that was sent by its earlier start. Once it then fell silent for half a second, the later start in the list was taken for proof that nobody would answer.

A start ends an attempt only if the attempt had brought nothing in the second before it, by the clocks of both.

Evidence: both cases of test_call_that_arrives_at_a_starting_endpoint_is_not_ended failed before and pass now.

--- a/src/tamaracktray/attempt_abandonment.py
+++ b/src/tamaracktray/attempt_abandonment.py
@@ -13,7 +13,7 @@
 from tamaracktray.endpoint_loads import EndpointLoad
 from tamaracktray.gateway_crashes import suspect_endpoint
 from tamaracktray.gateway_fleet import choose, is_barred
-from tamaracktray.gateway_state import GatewayContext, GatewayState
+from tamaracktray.gateway_state import GatewayContext
 from tamaracktray.parked_attempts import end_parked_attempts
 from tamaracktray.pending_calls import ParkedAttempt, PendingCall
 from tamaracktray.placement import count_open_slots, is_available
@@ -26,6 +26,11 @@
 # Reason for ending a silent attempt that nothing can complete any more.
 RESTARTED = "endpoint has started again"
 
+# Least time between the last data of an attempt and a start of its endpoint that has
+# ended it, in seconds: clocks of instances differ, and a start takes longer.
+RESTART_MARGIN_S = 1.0
+MS_PER_S = 1_000.0
+
 # Time without a complete event after which a stream is resumed elsewhere although its
 # endpoint sends other data, in seconds.
 STALL_S = 1.0
@@ -58,7 +63,7 @@
             continue
         if not _is_movable(pending):
             is_silent = now - pending.silent_since > SILENCE_TIMEOUT_S
-            if is_silent and _has_restarted(state, pending):
+            if is_silent and _has_restarted(context, pending):
                 pending.is_abandoned = True
                 effects.append(AbandonAttempt(pending.call.id, RESTARTED))
             continue
@@ -80,19 +85,27 @@
     """End parked attempts that nothing can complete any more."""
     if not pending.parked_by_id:
         return []
-    state = context.state
     return end_parked_attempts(
-        context, pending, RESTARTED, lambda item: _has_restarted(state, item)
+        context, pending, RESTARTED, lambda item: _has_restarted(context, item)
     )
 
 
-def _has_restarted(state: GatewayState, attempt: PendingCall | ParkedAttempt) -> bool:
-    """Return whether an endpoint has started again since an attempt was sent to it."""
-    load = state.loads_by_id.get(attempt.endpoint_id)
+def _has_restarted(
+    context: GatewayContext, attempt: PendingCall | ParkedAttempt
+) -> bool:
+    """Return whether an endpoint has started again since it last sent data.
+
+    One that starts as a call arrives may answer it, although it was listed with its
+    earlier start when the call was sent.
+    """
+    load = context.state.loads_by_id.get(attempt.endpoint_id)
     if load is None:
         return False
     start_time_ms = max(load.record.start_time_ms, load.reported_start_ms)
-    return start_time_ms > attempt.start_time_ms > 0
+    if not start_time_ms > attempt.start_time_ms > 0:
+        return False
+    started_at = start_time_ms / MS_PER_S - context.unix_offset_s
+    return attempt.silent_since < started_at - RESTART_MARGIN_S
 
 
 def _find_silence(context: GatewayContext, now: float, pending: PendingCall) -> str:
