Weight an engine's slots and cost by the pace that it reports

Cause: an engine's report names its pace, but agents did not pass it on, so entries filled an engine that turned slow like any other. Change: the status in agents' beacons has the engine's pace, requests and memory, with defaults for agents of earlier releases; only the pace is filled in so far. Agents send it at once when the pace crosses 1.5 upwards or 1.25 downwards. Entries divide a slow engine's slots by its pace, keep one for trial, and multiply its cost by the pace until the report expires. Engines below these thresholds are placed on as before.

--- a/src/tamaracktray/agent_process.py
+++ b/src/tamaracktray/agent_process.py
@@ -21,6 +21,8 @@
 from tamaracktray.clocks import measure_suspension, read_elapsed
 from tamaracktray.deployment import Deployment
 from tamaracktray.effects import Effect
+from tamaracktray.endpoint_pace.levels import read_pace
+from tamaracktray.endpoint_pace.status_changes import StatusChanges
 from tamaracktray.engines import EngineReport, OrderOutcome
 from tamaracktray.events import Event
 from tamaracktray.exceptions import (
@@ -94,7 +96,7 @@
         self.state.engine_service = settings.engine.service
         self._chunk_by_digest: dict[str, bytes] = {}
         self._entry_choice = EntryChoice()
-        self._sent_summary: tuple = ()
+        self._status_changes = StatusChanges()
         address = settings.engine.address
         self._engine = None
         if address:
@@ -173,6 +175,7 @@
             versions,
             swap_in_s,
             staging.report.start_time_ms,
+            read_pace(staging.report),
         )
 
     async def _run_reports(self) -> None:
@@ -198,15 +201,15 @@
     async def _send_changed_status(self) -> None:
         """Send a beacon to entries if the engine's state has changed."""
         status = self._build_status()
-        summary = (status and (status.is_swapping, status.version_by_model),)
-        if summary == self._sent_summary:
+        if not self._status_changes.take(status):
             return
-        self._sent_summary = summary
         self.log.info(
             "engine",
             step=self.state.staging.step.value,
             is_swapping=status is not None and status.is_swapping,
             versions=None if status is None else status.version_by_model,
+            pace=None if status is None else status.pace,
+            is_slow=self._status_changes.is_slow,
         )
         await self.broadcast_beacon()
 
--- a/src/tamaracktray/beacons.py
+++ b/src/tamaracktray/beacons.py
@@ -16,6 +16,7 @@
 
 from tamaracktray.decoding import UNREADABLE
 from tamaracktray.endpoint_limits import is_valid_limit
+from tamaracktray.endpoint_pace.levels import is_valid_pace
 from tamaracktray.exceptions import ProtocolError
 from tamaracktray.part_watch import SoundAnswer
 from tamaracktray.positions import Position
@@ -30,7 +31,9 @@
 
     ``swap_in_s`` is the time in seconds until the engine is ordered to load another
     version, ``None`` if no swap is planned. ``start_time_ms`` is the start time of the
-    engine as Unix time in milliseconds.
+    engine as Unix time in milliseconds. ``pace`` is above 1 on a slow engine.
+    ``running`` and ``queued`` count the engine's requests, and ``kv_used_share`` is the
+    used share of its memory for tokens. Agents of earlier releases don't send these.
     """
 
     address: str
@@ -38,6 +41,10 @@
     version_by_model: dict[str, int]
     swap_in_s: float | None = None
     start_time_ms: int = 0
+    pace: float = 1.0
+    running: int = 0
+    queued: int = 0
+    kv_used_share: float = 0.0
 
 
 class Beacon(msgspec.Struct, frozen=True, array_like=True):
@@ -102,7 +109,7 @@
 def _is_valid(beacon: Beacon) -> bool:
     """Return whether all times are finite and all ages and counts non-negative."""
     status = beacon.status
-    if status is not None and not math.isfinite(status.swap_in_s or 0.0):
+    if status is not None and not _is_valid_status(status):
         return False
     if any(count < 0 for count in beacon.in_flight_by_endpoint.values()):
         return False
@@ -123,6 +130,15 @@
     )
 
 
+def _is_valid_status(status: EndpointStatus) -> bool:
+    """Return whether all numbers are finite and the engine's load is not negative."""
+    if not math.isfinite(status.swap_in_s or 0.0) or not is_valid_pace(status.pace):
+        return False
+    if status.running < 0 or status.queued < 0:
+        return False
+    return math.isfinite(status.kv_used_share) and status.kv_used_share >= 0
+
+
 def _is_duration(value_s: float) -> bool:
     return math.isfinite(value_s) and value_s >= 0
 
--- a/src/tamaracktray/endpoint_loads.py
+++ b/src/tamaracktray/endpoint_loads.py
@@ -5,6 +5,8 @@
 
 from tamaracktray.budgets import PermitBucket
 from tamaracktray.endpoint_limits import RECENT_S, EndpointLimit
+from tamaracktray.endpoint_pace.levels import USUAL_PACE
+from tamaracktray.endpoint_pace.weights import EndpointPace
 from tamaracktray.hashing import HASH_RANGE, hash_text
 from tamaracktray.roster import EndpointRecord
 
@@ -78,6 +80,7 @@
         "is_superseded",
         "is_swapping",
         "stale_deadline",
+        "pace",
         "pause_deadline",
         "record",
         "reported_start_ms",
@@ -107,6 +110,7 @@
         self.pause_deadline = 0.0
         self.borrow_penalty = 0.0
         self.limit: EndpointLimit | None = None
+        self.pace = EndpointPace()
         self._sent_at: deque[float] = deque(maxlen=MAX_RECENT)
         self._version_by_model: dict[str, int] | None = None
         self._peer_counts: dict[str, tuple[int, float]] = {}
@@ -120,6 +124,7 @@
         version_by_model: dict[str, int],
         swap_in_s: float | None = None,
         start_time_ms: int = 0,
+        pace: float = USUAL_PACE,
     ) -> None:
         """Apply an agent's status report on the endpoint.
 
@@ -138,6 +143,7 @@
         self.swap_at = None if swap_in_s is None else now + swap_in_s
         self.status_deadline = now + STATUS_VALID_S
         self._version_by_model = version_by_model
+        self.pace.note_report(now, self.status_deadline, pace)
 
     def expire_status(self, now: float) -> None:
         """Fall back to the endpoint list once the agent's report has expired."""
--- /dev/null
+++ b/src/tamaracktray/endpoint_pace/__init__.py
@@ -0,0 +1,1 @@
+"""Placement of calls on endpoints that are slower than others."""
--- /dev/null
+++ b/src/tamaracktray/endpoint_pace/levels.py
@@ -0,0 +1,43 @@
+"""Decision whether an engine counts as slow, with hysteresis."""
+
+import math
+
+from tamaracktray.engines import EngineReport
+
+# Pace from which an engine counts as slow. Its streams then take half as long again,
+# which no longer fits into the usual reserve of a call's objective.
+SLOW_PACE = 1.5
+
+# Pace below which a slow engine counts as normal again. The distance to ``SLOW_PACE``
+# keeps a pace that varies by a tenth from changing the weights with every report.
+NORMAL_PACE = 1.25
+
+# Pace of an engine that reports none, or an invalid one.
+USUAL_PACE = 1.0
+
+
+def is_valid_pace(pace: float) -> bool:
+    """Return whether a reported pace is finite and not negative."""
+    return math.isfinite(pace) and pace >= 0
+
+
+def read_pace(report: EngineReport) -> float:
+    """Return the pace in an engine's report, the usual one if it is invalid.
+
+    Entries reject a beacon with an invalid pace, and with it the engine's versions.
+    """
+    return report.pace if is_valid_pace(report.pace) else USUAL_PACE
+
+
+class PaceLevel:
+    """Whether an engine counts as slow, by its latest reports."""
+
+    __slots__ = ("is_slow",)
+
+    def __init__(self) -> None:
+        self.is_slow = False
+
+    def update(self, pace: float) -> bool:
+        """Take a new pace into account and return whether the engine is slow."""
+        self.is_slow = pace >= (NORMAL_PACE if self.is_slow else SLOW_PACE)
+        return self.is_slow
--- a/src/tamaracktray/gateway_state.py
+++ b/src/tamaracktray/gateway_state.py
@@ -133,6 +133,7 @@
                 status.version_by_model,
                 status.swap_in_s,
                 status.start_time_ms,
+                status.pace,
             )
 
     def estimate_prior_wait(self, call: Call) -> float:
--- a/src/tamaracktray/placement.py
+++ b/src/tamaracktray/placement.py
@@ -113,7 +113,7 @@
         return 0
     if not load.has_cold_permit(now) or not load.has_limit_permit(now):
         return 0
-    slots = load.record.max_batch
+    slots = load.pace.weight_slots(now, load.record.max_batch)
     if not load.is_owned:
         slots -= min(BORROW_MARGIN, int(slots * BORROW_MARGIN_SHARE))
     return max(slots - load.count_running(now), 0)
@@ -135,8 +135,9 @@
 
     Endpoints that are silent cost most, then those whose planned swap the call would
     delay; equal ones are compared by running calls plus the penalties for distance and
-    borrowing. Endpoints of the service selected for the call come first; the route's
-    other services are used only if the selected one has no available endpoint.
+    borrowing, weighted by pace. Endpoints of the service selected for the call come
+    first; the route's other services are used only if the selected one has no available
+    endpoint.
     """
     available = [
         load
@@ -169,7 +170,8 @@
         overrun = int(
             _measure_overrun(now, call, load, placement_context) / OVERRUN_STEP_S
         )
-        cost = (is_silent, overrun, load.count_running(now) + distance)
+        running = load.count_running(now) + distance
+        cost = (is_silent, overrun, load.pace.weight_cost(now, running))
         if best is None or cost < best_cost:
             best, best_cost = load, cost
     return best
