Send nothing new to engines whose queue or memory is full

Cause: an engine's report names its queue and its memory, but entries kept sending calls to an engine that had a queue or hardly any memory left for the answers. Change: agents pass on the requests that run and wait and the used share of memory, and leave out invalid values, so that entries keep the rest of the beacon. An entry sends nothing new to an engine that queues a quarter of its batch, or whose memory is used to 0.92 while requests run, until the next report or its expiry. An idle engine with full memory gets calls, because nothing that ends would free it. The log line of a refusal counts slow and saturated endpoints.

--- a/src/tamaracktray/agent_process.py
+++ b/src/tamaracktray/agent_process.py
@@ -21,7 +21,7 @@
 from tamaracktray.clocks import measure_suspension, read_elapsed
 from tamaracktray.deployment import Deployment
 from tamaracktray.effects import Effect
-from tamaracktray.endpoint_pace.levels import read_pace
+from tamaracktray.endpoint_pace.reports import read_engine_load
 from tamaracktray.endpoint_pace.status_changes import StatusChanges
 from tamaracktray.engines import EngineReport, OrderOutcome
 from tamaracktray.events import Event
@@ -169,13 +169,17 @@
         versions = {model.name: model.version for model in staging.report.models}
         address = str(self.state.own_engine)
         swap_in_s = estimate_swap_delay(staging, time.monotonic())
+        engine_load = read_engine_load(staging.report)
         return EndpointStatus(
             address,
             staging.is_swapping,
             versions,
             swap_in_s,
             staging.report.start_time_ms,
-            read_pace(staging.report),
+            engine_load.pace,
+            engine_load.running,
+            engine_load.queued,
+            engine_load.kv_used_share,
         )
 
     async def _run_reports(self) -> None:
--- a/src/tamaracktray/calls.py
+++ b/src/tamaracktray/calls.py
@@ -118,8 +118,10 @@
     ``listed`` counts the endpoints of the call's services and ``eligible`` those that
     may run it. Of the eligible ones, ``blocked`` count those that recently failed or
     were full, ``paused`` those that asked for a pause, ``swapping`` those that load a
-    new version, and ``running`` all their calls. ``waiting`` counts the calls queued in
-    this process. ``version_floor`` is the oldest version that may answer.
+    new version, ``slow`` those with fewer slots for their pace, ``saturated`` those
+    whose queue or memory is full, and ``running`` all their calls. ``waiting`` counts
+    the calls queued in this process. ``version_floor`` is the oldest version that may
+    answer.
     """
 
     listed: int = 0
@@ -130,6 +132,8 @@
     running: int = 0
     waiting: int = 0
     version_floor: int = 0
+    slow: int = 0
+    saturated: int = 0
 
 
 class SendCall(Effect, frozen=True):
--- a/src/tamaracktray/endpoint_loads.py
+++ b/src/tamaracktray/endpoint_loads.py
@@ -5,7 +5,7 @@
 
 from tamaracktray.budgets import PermitBucket
 from tamaracktray.endpoint_limits import RECENT_S, EndpointLimit
-from tamaracktray.endpoint_pace.levels import USUAL_PACE
+from tamaracktray.endpoint_pace.reports import EngineLoad
 from tamaracktray.endpoint_pace.weights import EndpointPace
 from tamaracktray.hashing import HASH_RANGE, hash_text
 from tamaracktray.roster import EndpointRecord
@@ -124,7 +124,7 @@
         version_by_model: dict[str, int],
         swap_in_s: float | None = None,
         start_time_ms: int = 0,
-        pace: float = USUAL_PACE,
+        engine_load: EngineLoad | None = None,
     ) -> None:
         """Apply an agent's status report on the endpoint.
 
@@ -143,7 +143,7 @@
         self.swap_at = None if swap_in_s is None else now + swap_in_s
         self.status_deadline = now + STATUS_VALID_S
         self._version_by_model = version_by_model
-        self.pace.note_report(now, self.status_deadline, pace)
+        self.pace.note_report(now, self.status_deadline, engine_load or EngineLoad())
 
     def expire_status(self, now: float) -> None:
         """Fall back to the endpoint list once the agent's report has expired."""
--- a/src/tamaracktray/endpoint_pace/levels.py
+++ b/src/tamaracktray/endpoint_pace/levels.py
@@ -2,8 +2,6 @@
 
 import math
 
-from tamaracktray.engines import EngineReport
-
 # Pace from which an engine counts as slow. Its streams then take half as long again,
 # which no longer fits into the usual reserve of a call's objective.
 SLOW_PACE = 1.5
@@ -21,14 +19,6 @@
     return math.isfinite(pace) and pace >= 0
 
 
-def read_pace(report: EngineReport) -> float:
-    """Return the pace in an engine's report, the usual one if it is invalid.
-
-    Entries reject a beacon with an invalid pace, and with it the engine's versions.
-    """
-    return report.pace if is_valid_pace(report.pace) else USUAL_PACE
-
-
 class PaceLevel:
     """Whether an engine counts as slow, by its latest reports."""
 
--- a/src/tamaracktray/engines.py
+++ b/src/tamaracktray/engines.py
@@ -52,7 +52,7 @@
     ``is_busy`` is set while a load order is executed; ``sequence`` counts the started
     orders. ``queued`` and ``running`` count requests. ``start_time_ms`` is the start
     time of the engine as Unix time in milliseconds. ``pace`` is above 1 on a slow
-    engine.
+    engine. ``kv_used_share`` is the used share of its memory for tokens.
     """
 
     models: tuple[LoadedModel, ...] = ()
@@ -62,6 +62,7 @@
     running: int = 0
     start_time_ms: int = 0
     pace: float = 1.0
+    kv_used_share: float = 0.0
 
     def find_model(self, name: str) -> LoadedModel | None:
         """Return the loaded version of a model, ``None`` if there is none."""
--- a/src/tamaracktray/gateway_fleet.py
+++ b/src/tamaracktray/gateway_fleet.py
@@ -3,6 +3,7 @@
 from tamaracktray.budgets import PermitBucket
 from tamaracktray.calls import Call, FleetView
 from tamaracktray.endpoint_loads import EndpointLoad
+from tamaracktray.endpoint_pace.levels import USUAL_PACE
 from tamaracktray.gateway_crashes import is_quarantined, list_avoided, note_leaving
 from tamaracktray.gateway_state import (
     USABLE_LIMIT_SHARE,
@@ -176,7 +177,7 @@
 def view_fleet(context: GatewayContext, now: float, pending: PendingCall) -> FleetView:
     """Return the counts on which the decision on a call is based, for the log."""
     call = pending.call
-    listed = eligible = blocked = paused = swapping = running = 0
+    listed = eligible = blocked = paused = swapping = running = slow = saturated = 0
     for load in context.state.loads_by_id.values():
         if load.record.service not in call.services:
             continue
@@ -187,9 +188,20 @@
         blocked += load.blocked_deadline > now
         paused += load.is_paused(now)
         swapping += load.is_swapping
+        slow += load.pace.measure(now) > USUAL_PACE
+        saturated += load.pace.is_saturated(now, load.record.max_batch)
         running += load.count_running(now)
     floor = context.placement_context.version_floor_by_model.get(call.model, 0)
     waiting = len(context.state.waiting)
     return FleetView(
-        listed, eligible, blocked, paused, swapping, running, waiting, floor
+        listed,
+        eligible,
+        blocked,
+        paused,
+        swapping,
+        running,
+        waiting,
+        floor,
+        slow,
+        saturated,
     )
--- a/src/tamaracktray/gateway_state.py
+++ b/src/tamaracktray/gateway_state.py
@@ -9,6 +9,7 @@
 from tamaracktray.calls import Call
 from tamaracktray.crash_watch import CrashWatch
 from tamaracktray.endpoint_loads import EndpointLoad
+from tamaracktray.endpoint_pace.reports import read_status_load
 from tamaracktray.fairness import ServedRate, SizeBands
 from tamaracktray.notices import EndpointNotices
 from tamaracktray.ownership import FleetNode
@@ -133,7 +134,7 @@
                 status.version_by_model,
                 status.swap_in_s,
                 status.start_time_ms,
-                status.pace,
+                read_status_load(status),
             )
 
     def estimate_prior_wait(self, call: Call) -> float:
--- a/src/tamaracktray/platform/documents.py
+++ b/src/tamaracktray/platform/documents.py
@@ -9,6 +9,7 @@
 
 import msgspec
 
+from tamaracktray.endpoint_pace.reports import measure_share
 from tamaracktray.engines import EngineReport, VersionTarget
 from tamaracktray.roster import EndpointRecord, LoadedModel
 from tamaracktray.routes import (
@@ -317,6 +318,7 @@
         running=document.active,
         start_time_ms=document.born,
         pace=document.pace,
+        kv_used_share=measure_share(document.kv_used, document.kv_total),
     )
 
 
--- a/tests/test_endpoint_pace.py
+++ b/tests/test_endpoint_pace.py
@@ -11,15 +11,18 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from gateways import MODEL, Gateway, build_call, engine
+from gateways import MODEL, Gateway, build_call, engine, sent
 from tamaracktray.beacons import Beacon, EndpointStatus, decode_beacon, encode_beacon
+from tamaracktray.calls import RefuseCall
 from tamaracktray.endpoint_loads import STATUS_VALID_S
-from tamaracktray.endpoint_pace.levels import PaceLevel, read_pace
+from tamaracktray.endpoint_pace.levels import PaceLevel
+from tamaracktray.endpoint_pace.reports import EngineLoad, read_engine_load
 from tamaracktray.endpoint_pace.status_changes import StatusChanges
 from tamaracktray.endpoint_pace.weights import EndpointPace
 from tamaracktray.engines import EngineReport
 from tamaracktray.outcomes import AttemptPhase
 from tamaracktray.placement import count_free_slots
+from tamaracktray.platform.documents import read_report
 
 SLOTS = 12
 
@@ -89,7 +92,7 @@
 
     def test_endpoint_without_slots_gets_none_for_trial(self):
         pace = EndpointPace()
-        pace.note_report(0.0, 1.0, 4.0)
+        pace.note_report(0.0, 1.0, EngineLoad(4.0))
         assert pace.weight_slots(0.5, 0) == 0
 
 
@@ -121,6 +124,55 @@
             assert reported.place() == unreported.place()
 
 
+class TestSaturation:
+    @pytest.mark.parametrize(
+        ("fields", "slots"),
+        [
+            ({"queued": 2}, SLOTS),
+            ({"queued": 3}, 0),
+            ({"running": 9, "kv_used_share": 0.91}, SLOTS),
+            ({"running": 9, "kv_used_share": 0.92}, 0),
+            ({"pace": 4.0, "queued": 3}, 0),
+        ],
+    )
+    def test_engine_with_a_queue_or_full_memory_gets_nothing_new(self, fields, slots):
+        gateway = PacedGateway("a")
+        gateway.report("a", **fields)
+        assert gateway.count_placed(2 * SLOTS, "a") == slots
+
+    def test_idle_engine_with_full_memory_gets_calls(self):
+        """Guards against an engine that counts cached tokens and is never used."""
+        gateway = PacedGateway("a")
+        gateway.report("a", kv_used_share=1.0)
+        assert gateway.place() == "a"
+
+    def test_calls_wait_and_are_sent_after_the_next_report(self):
+        """Guards against refusals while the only engine is full for a moment."""
+        gateway = PacedGateway("a")
+        gateway.report("a", queued=3)
+        assert gateway.place() == ""
+        assert gateway.tick(0.05) == []
+        gateway.report("a", queued=0)
+        assert sent(gateway.tick(0.05)) == ["a"]
+
+    def test_expired_report_does_not_keep_calls_away(self):
+        gateway = PacedGateway("a")
+        gateway.report("a", queued=SLOTS)
+        gateway.now += STATUS_VALID_S
+        assert gateway.place() == "a"
+
+    def test_refusal_shows_slow_and_saturated_endpoints(self):
+        gateway = PacedGateway("a", "bb", "ccc")
+        gateway.report("a", pace=12.0)
+        gateway.report("bb", queued=3)
+        gateway.report("ccc", queued=3, pace=2.0)
+        assert [gateway.place(), gateway.place()] == ["a", ""]
+        (refusal,) = (
+            effect for effect in gateway.tick(0.2) if isinstance(effect, RefuseCall)
+        )
+        assert (refusal.view.slow, refusal.view.saturated) == (2, 2)
+
+
 class TestExpiry:
     def test_expired_report_leaves_all_slots(self):
         """Guards against a weight that outlives the agent."""
@@ -189,7 +241,21 @@
     @pytest.mark.parametrize("pace", [math.nan, math.inf, -math.inf, -1.0])
     def test_invalid_pace_of_an_engine_is_not_reported(self, pace):
         """Guards against a beacon that entries reject with the engine's versions."""
-        assert read_pace(EngineReport(pace=pace)) == 1.0
+        assert read_engine_load(EngineReport(pace=pace)).pace == 1.0
+
+    def test_invalid_counts_and_memory_of_an_engine_are_not_reported(self):
+        """Guards against a beacon that entries reject with the engine's versions."""
+        report = EngineReport(running=-1, queued=-2, kv_used_share=-0.5)
+        assert read_engine_load(report) == EngineLoad()
+        report = EngineReport(running=3, queued=2, kv_used_share=math.nan)
+        assert read_engine_load(report) == EngineLoad(1.0, 3, 2, 0.0)
+
+    @pytest.mark.parametrize(
+        ("used", "total", "share"), [(45, 90, 0.5), (90, 0, 0.0), (5, -1, 0.0)]
+    )
+    def test_used_share_of_memory(self, used, total, share):
+        body = msgspec.json.encode({"kvUsed": used, "kvTotal": total})
+        assert read_report(body).kv_used_share == share
 
     @pytest.mark.parametrize(
         "fields",
