Test that an engine's load reaches entries within a second

Cause: the path from an engine's report over its agent's beacon to an entry was only tested in parts, and the stand-in of the engine reported a fixed load. Change: the stand-in reports the pace, requests and memory that a test sets. Three tests with an entry, an agent and engines on loopback follow a pace of 4 and back, a queue and full memory.

--- a/src/tamaracktray_emulator/platform/worker.py
+++ b/src/tamaracktray_emulator/platform/worker.py
@@ -31,6 +31,9 @@
 LIMIT = "server-limit"
 PROMPT_PARTS = "x-tamaracktray-prefix-hash"
 
+# Size of the memory for tokens in an engine's report, in tokens times layers.
+KV_TOTAL = 90_000
+
 EVENTS = 6
 EVENT_S = 0.01
 WORK_S = 0.01
@@ -229,7 +232,8 @@
 
     An event takes ``event_s`` seconds. A stream pauses for ``pause_s`` seconds after
     event ``pause_after``. A request whose prompt holds one of the ``fatal_parts``
-    crashes the engine at ``crash_point``.
+    crashes the engine at ``crash_point``. Its report names ``pace``, ``queued``,
+    ``running`` and ``kv_used`` (of ``KV_TOTAL``), whatever requests it runs.
     """
 
     def __init__(self, address: Address, endpoint_id: str, service: str) -> None:
@@ -244,6 +248,10 @@
         self.event_s = EVENT_S
         self.pause_after = 0
         self.pause_s = 0.0
+        self.pace = 1.0
+        self.queued = 0
+        self.running = 0
+        self.kv_used = 0
         self.fatal_parts: frozenset[str] = frozenset()
         self.crash_point = CrashPoint.BEFORE_HEAD
 
@@ -295,13 +303,13 @@
             "layers": self.list_layers(),
             "busy": self.is_busy,
             "seq": self.sequence,
-            "queued": 0,
-            "active": 0,
-            "kvUsed": 0,
-            "kvTotal": 90000,
+            "queued": self.queued,
+            "active": self.running,
+            "kvUsed": self.kv_used,
+            "kvTotal": KV_TOTAL,
             "handles": 0,
             "born": self.start_time_ms,
-            "pace": 1.0,
+            "pace": self.pace,
         }
 
     async def _handle_stage(self, request: Request, responder: Responder) -> None:
--- a/tests/test_endpoint_pace.py
+++ b/tests/test_endpoint_pace.py
@@ -5,6 +5,7 @@
 """
 
 import math
+import time
 
 import msgspec
 import pytest
@@ -12,6 +13,7 @@
 from hypothesis import strategies as st
 
 from gateways import MODEL, Gateway, build_call, engine, sent
+from platforms import PlatformFleet, run_fleet
 from tamaracktray.beacons import Beacon, EndpointStatus, decode_beacon, encode_beacon
 from tamaracktray.calls import RefuseCall
 from tamaracktray.endpoint_loads import STATUS_VALID_S
@@ -23,6 +25,7 @@
 from tamaracktray.outcomes import AttemptPhase
 from tamaracktray.placement import count_free_slots
 from tamaracktray.platform.documents import read_report
+from tamaracktray_emulator.platform.worker import KV_TOTAL
 
 SLOTS = 12
 
@@ -237,6 +240,58 @@
         assert not changes.take(None)
 
 
+class TestReportsOfEngines:
+    """The path from an engine's report over its agent's beacon to an entry."""
+
+    # An endpoint that turned slow loses new work within a second.
+    BOUND_S = 1.0
+
+    def test_entry_learns_of_a_slow_engine_and_of_its_recovery(self):
+        """Guards against reports that reach entries late or not at all."""
+
+        async def scenario(fleet: PlatformFleet) -> None:
+            await fleet.start()
+            slow = await fleet.add_engine("slow")
+            await fleet.add_engine("sound")
+            await fleet.add_agent(slow)
+            await fleet.until_listed(2)
+            loads = fleet.entries[0].state.gateway.loads_by_id
+            await fleet.until(lambda: loads["slow"].status_deadline)
+            for pace in (4.0, 1.0):
+                slow.pace = pace
+                await fleet.until(
+                    lambda pace=pace: (
+                        loads["slow"].pace.measure(time.monotonic()) == pace
+                    ),
+                    self.BOUND_S,
+                )
+            assert loads["sound"].pace.measure(time.monotonic()) == 1.0
+
+        run_fleet(scenario)
+
+    @pytest.mark.parametrize(
+        "fields", [{"queued": 50}, {"running": 1, "kv_used": KV_TOTAL}]
+    )
+    def test_entry_learns_of_an_engine_without_room(self, fields):
+        """Guards against a queue or a memory size that is lost on its way."""
+
+        async def scenario(fleet: PlatformFleet) -> None:
+            await fleet.start()
+            full = await fleet.add_engine("full")
+            await fleet.add_agent(full)
+            await fleet.until_listed(1)
+            load = fleet.entries[0].state.gateway.loads_by_id["full"]
+            await fleet.until(lambda: load.status_deadline)
+            assert count_free_slots(load, time.monotonic())
+            for name, value in fields.items():
+                setattr(full, name, value)
+            await fleet.until(
+                lambda: not count_free_slots(load, time.monotonic()), self.BOUND_S
+            )
+
+        run_fleet(scenario)
+
+
 class TestReportedValues:
     @pytest.mark.parametrize("pace", [math.nan, math.inf, -math.inf, -1.0])
     def test_invalid_pace_of_an_engine_is_not_reported(self, pace):
