State the reason of the threshold for slow engines

Cause: the comment named a reserve in the objectives that nothing measures. Change: it names the estimates that a slow engine exceeds; no code changes. Result: test_endpoint_pace: 51 passed.

--- a/src/tamaracktray/endpoint_pace/levels.py
+++ b/src/tamaracktray/endpoint_pace/levels.py
@@ -2,8 +2,8 @@
 
 import math
 
-# Pace from which an engine counts as slow. Its streams then take half as long again,
-# which no longer fits into the usual reserve of a call's objective.
+# Pace from which an engine counts as slow. Its requests then take half as long again as
+# the service's performance model says, on which the estimates of calls are based.
 SLOW_PACE = 1.5
 
 # Pace below which a slow engine counts as normal again. The distance to ``SLOW_PACE``
