Order the queue by rank: team priority, then route priority

Cause: a team's priority replaced the route's, so all of a team's calls were equally urgent and the queue served its routes by cost alone. Change: Call has route_priority and rank, and the queue sorts by rank.

--- a/src/tamaracktray/call_binding.py
+++ b/src/tamaracktray/call_binding.py
@@ -57,7 +57,7 @@
 def rebind_call(call: Call, index: RouteIndex) -> Result[Call, Refusal]:
     """Return a call as another table has it, or the refusal if that forbids it.
 
-    The deadline and the priority stay as they were at its arrival.
+    The deadline and the priorities stay as they were at its arrival.
     """
     found = find_binding(index, call.host, call.path, call.key)
     if isinstance(found, Failure):
--- a/src/tamaracktray/call_building.py
+++ b/src/tamaracktray/call_building.py
@@ -80,6 +80,7 @@
         routing_version=index.table.version,
         team=binding.team_name,
         priority=priority,
+        route_priority=route.priority,
         regions=binding.regions,
         model=fields.model,
         prompt_tokens=fields.prompt_tokens,
--- a/src/tamaracktray/calls.py
+++ b/src/tamaracktray/calls.py
@@ -12,6 +12,9 @@
 # Weight of an output token in the size of a call, relative to a prompt token.
 OUTPUT_SIZE = 10.0
 
+# Urgency of a call: its team's priority, then its route's.
+Rank = tuple[int, int]
+
 
 class Call(msgspec.Struct, frozen=True):
     """One request of a caller on a route.
@@ -21,11 +24,12 @@
     monotonic time at which the caller, or the route, gives up. ``host``, ``path`` and
     ``key`` are the caller's; ``route``, ``services``, ``team`` and ``regions`` follow
     from them by the routing table of version ``routing_version``. An empty ``regions``
-    allows all. Token counts are 0 for calls without a prompt; ``output_tokens`` is the
-    estimated length of the output and ``max_output`` its limit. ``wait_s`` is the time
-    that the caller says it still waits, in seconds, 0 if unknown. ``fingerprint`` is
-    equal for equal requests of one caller. ``parts`` are digests of the prompt parts
-    that other requests may share.
+    allows all. ``priority`` is the team's, or the route's if the team has none, and
+    ``route_priority`` is always the route's; lower is more urgent. Token counts are 0
+    for calls without a prompt; ``output_tokens`` is the estimated length of the output
+    and ``max_output`` its limit. ``wait_s`` is the time that the caller says it still
+    waits, in seconds, 0 if unknown. ``fingerprint`` is equal for equal requests of one
+    caller. ``parts`` are digests of the prompt parts that other requests may share.
     """
 
     id: str
@@ -40,6 +44,7 @@
     routing_version: int = 0
     team: str = ""
     priority: int = 0
+    route_priority: int = 0
     regions: frozenset[str] = frozenset()
     model: str = ""
     prompt_tokens: int = 0
@@ -51,6 +56,11 @@
     last_event_id: str = ""
     parts: tuple[str, ...] = ()
 
+    @property
+    def rank(self) -> Rank:
+        """Return the urgency among calls of a service; lower is more urgent."""
+        return (self.priority, self.route_priority)
+
     @property
     def size(self) -> float:
         """Return the size by which operators compare calls of a route."""
--- a/src/tamaracktray/wait_queue.py
+++ b/src/tamaracktray/wait_queue.py
@@ -4,7 +4,7 @@
 would take capacity from a call that could still start in time.
 """
 
-from tamaracktray.calls import Call
+from tamaracktray.calls import Call, Rank
 
 # Longest wait as a share of the latency objective, and in seconds for routes without
 # an objective.
@@ -25,7 +25,7 @@
     __slots__ = ("call", "deadline", "sort_key")
 
     def __init__(
-        self, call: Call, deadline: float, sort_key: tuple[bool, int, bool, float]
+        self, call: Call, deadline: float, sort_key: tuple[bool, Rank, bool, float]
     ) -> None:
         self.call = call
         self.deadline = deadline
@@ -35,8 +35,8 @@
 class WaitQueue:
     """Priority queue of the calls in one process that wait for capacity.
 
-    The order is: broken streams, priority, calls of an underserved size, and lowest
-    cost in endpoint time. Under overload, cheap calls first means that most callers are
+    The order is: broken streams, rank, calls of an underserved size, and lowest cost in
+    endpoint time. Under overload, cheap calls first means that most callers are
     served in time.
     """
 
@@ -78,7 +78,7 @@
         deadline = min(wait_end, call.deadline)
         if deadline <= now:
             return False
-        sort_key = (not is_resumed, call.priority, not is_underserved, cost)
+        sort_key = (not is_resumed, call.rank, not is_underserved, cost)
         self._by_id[call.id] = QueuedCall(call, deadline, sort_key)
         return True
 
