Shed calls on arrival by rank while slots are short

Cause: in a shortage, calls were refused without regard to the route's urgency, and the order of the queue alone starves small, less urgent ranks. Change: an entry measures the engine time offered and started by service and rank over 2 s. While calls were refused for lack of slots, it admits of each rank the share that fits, most urgent first, with a floor of 0.35 of the overall share; ranks below their floor go first in the queue. Services without an engine and those with one rank are served as before. Shed calls are counted by calls_shed.

--- a/src/tamaracktray/call_log.py
+++ b/src/tamaracktray/call_log.py
@@ -136,6 +136,9 @@
         refusal = decision.refusal
         snapshots = self._snapshot_cache.by_collection
         self._metrics.count("calls_refused", code=refusal.code.value)
+        if decision.is_shed:
+            rank = "-".join(str(priority) for priority in call.rank)
+            self._metrics.count("calls_shed", rank=rank)
         self._write(
             "refused",
             call.request_id,
@@ -145,6 +148,8 @@
             retry_after_s=refusal.retry_after_s,
             waited_s=round(time.monotonic() - call.arrived, TIME_DECIMALS),
             route=call.route.name,
+            rank=call.rank,
+            is_shed=decision.is_shed,
             fingerprint=call.fingerprint[:FINGERPRINT_DIGITS],
             routing=routing,
             endpoints_revision=snapshots[Collection.ENDPOINTS].revision,
--- a/src/tamaracktray/calls.py
+++ b/src/tamaracktray/calls.py
@@ -174,11 +174,15 @@
 
 
 class RefuseCall(Effect, frozen=True):
-    """Answer a call with a final error."""
+    """Answer a call with a final error.
+
+    ``is_shed`` is set if admission control refused the call on its arrival.
+    """
 
     call_id: str
     refusal: Refusal
     view: FleetView = FleetView()
+    is_shed: bool = False
 
 
 class AbandonAttempt(Effect, frozen=True):
--- a/src/tamaracktray/endpoint_loads.py
+++ b/src/tamaracktray/endpoint_loads.py
@@ -6,6 +6,7 @@
 from tamaracktray.budgets import PermitBucket
 from tamaracktray.endpoint_limits import RECENT_S, EndpointLimit
 from tamaracktray.hashing import HASH_RANGE, hash_text
+from tamaracktray.outcomes import AttemptPhase
 from tamaracktray.roster import EndpointRecord
 
 # Backoff of an unreachable or failing endpoint, in seconds; doubles with every
@@ -241,6 +242,21 @@
         """Avoid an endpoint that answered that it is not the listed one."""
         self._mark_record_stale(now)
 
+    def note_attempt_end(self, now: float, phase: AttemptPhase) -> None:
+        """Record how an attempt ended."""
+        if phase is AttemptPhase.ANSWERED:
+            self.note_success()
+        elif phase is AttemptPhase.NOT_SENT:
+            self.note_unreachable(now)
+        elif phase is AttemptPhase.WITHDRAWN:
+            return
+        elif phase is AttemptPhase.MISDIRECTED:
+            self.note_misdirected(now)
+        elif phase is AttemptPhase.REFUSED:
+            self.note_full(now)
+        else:
+            self.note_failure(now)
+
     def _mark_record_stale(self, now: float) -> None:
         self.is_record_stale = True
         self.stale_deadline = now + MISDIRECTED_BLOCK_S
--- a/src/tamaracktray/gateway.py
+++ b/src/tamaracktray/gateway.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable
 
+from tamaracktray.admission_control.gate import may_enter, note_sent
 from tamaracktray.attempt_abandonment import (
     MAX_FAILED_CONNECTIONS,
     abandon_outdated_attempts,
@@ -67,6 +68,8 @@
     pending.is_trial = is_trial
     pending.prior_wait_s = state.estimate_prior_wait(call)
     state.pending_by_id[call.id] = pending
+    if not may_enter(context, event.now, pending):
+        return refuse(context, event.now, pending, is_shed=True)
     return _place_call(context, event.now, pending)
 
 
@@ -108,7 +111,7 @@
     pending = state.pending_by_id.get(event.call_id)
     load = state.loads_by_id.get(event.endpoint_id)
     if load is not None:
-        _record_attempt_result(load, event)
+        load.note_attempt_end(event.now, event.phase)
     if pending is not None and event.endpoint_id in pending.parked_by_id:
         note_parked_end(context, pending, event)
         return send_queued_calls(context, event.now)
@@ -257,6 +260,7 @@
         start_s=estimate_call_start(context, call),
         prior_wait_s=pending.prior_wait_s,
         is_underserved=call.size > 0 and bands.is_underserved(call.size),
+        is_below_floor=context.state.admission.is_below_floor(now, call),
         is_resumed=pending.is_started,
     )
     if not is_waiting:
@@ -282,6 +286,7 @@
     held_version = load.find_version(pending.call.model)
     floor = context.placement_context.version_floor_by_model.get(pending.call.model, 0)
     pending.attempts += 1
+    note_sent(context, now, pending)
     pending.endpoint_id = load.record.id
     pending.start_time_ms = load.record.start_time_ms
     pending.is_endpoint_leaving = False
@@ -313,21 +318,6 @@
     return [send] if load.is_owned else [send, SendLoadBeacon()]
 
 
-def _record_attempt_result(load: EndpointLoad, event: CallAttemptEnded) -> None:
-    if event.phase is AttemptPhase.ANSWERED:
-        load.note_success()
-    elif event.phase is AttemptPhase.NOT_SENT:
-        load.note_unreachable(event.now)
-    elif event.phase is AttemptPhase.WITHDRAWN:
-        return
-    elif event.phase is AttemptPhase.MISDIRECTED:
-        load.note_misdirected(event.now)
-    elif event.phase is AttemptPhase.REFUSED:
-        load.note_full(event.now)
-    else:
-        load.note_failure(event.now)
-
-
 def _continue_call(
     context: GatewayContext,
     event: CallAttemptEnded,
--- a/src/tamaracktray/gateway_refusals.py
+++ b/src/tamaracktray/gateway_refusals.py
@@ -38,8 +38,17 @@
 SCARCE_SERVED_SHARE = 0.5
 
 
-def refuse(context: GatewayContext, now: float, pending: PendingCall) -> list[Effect]:
-    """End a call with an error; say "not run" only if no endpoint may have run it."""
+def refuse(
+    context: GatewayContext,
+    now: float,
+    pending: PendingCall,
+    *,
+    is_shed: bool = False,
+) -> list[Effect]:
+    """End a call with an error; say "not run" only if no endpoint may have run it.
+
+    ``is_shed`` is set if admission control refused the call on its arrival.
+    """
     call = pending.call
     is_untouched = not pending.is_started and not pending.may_have_run
     if pending.revocation is not None and is_untouched:
@@ -71,7 +80,9 @@
         )
         return [RefuseCall(call.id, refuse_no_endpoint(retry_after_s), view)]
     retry_after_s = _choose_retry_delay(context, now, call)
-    return [RefuseCall(call.id, refuse_busy(retry_after_s), view)]
+    if not is_shed:
+        context.state.admission.note_refused(now, call)
+    return [RefuseCall(call.id, refuse_busy(retry_after_s), view, is_shed)]
 
 
 def refuse_if_quarantined(
--- a/src/tamaracktray/gateway_state.py
+++ b/src/tamaracktray/gateway_state.py
@@ -4,6 +4,7 @@
 
 import msgspec
 
+from tamaracktray.admission_control import AdmissionControl
 from tamaracktray.beacons import EndpointStatus
 from tamaracktray.budgets import RetryBudget
 from tamaracktray.calls import Call
@@ -51,6 +52,7 @@
     """
 
     __slots__ = (
+        "admission",
         "bands_by_route",
         "bounds",
         "budget_by_service",
@@ -85,6 +87,7 @@
         self.pending_by_id: dict[str, PendingCall] = {}
         self.move_reason_by_id: dict[str, str] = {}
         self.waiting = WaitQueue()
+        self.admission = AdmissionControl()
         self.budget_by_service: dict[str, RetryBudget] = {}
         self.bands_by_route: dict[str, SizeBands] = {}
         self.longest_wait_by_route: dict[str, float] = {}
--- a/src/tamaracktray/wait_queue.py
+++ b/src/tamaracktray/wait_queue.py
@@ -18,15 +18,15 @@
 # Queue limit of one process; each call takes a few kilobytes and an open connection.
 MAX_WAITING = 200
 
+SortKey = tuple[bool, bool, Rank, bool, float]
+
 
 class QueuedCall:
     """A queued call with the deadline of its wait and its sort key."""
 
     __slots__ = ("call", "deadline", "sort_key")
 
-    def __init__(
-        self, call: Call, deadline: float, sort_key: tuple[bool, Rank, bool, float]
-    ) -> None:
+    def __init__(self, call: Call, deadline: float, sort_key: SortKey) -> None:
         self.call = call
         self.deadline = deadline
         self.sort_key = sort_key
@@ -35,9 +35,9 @@
 class WaitQueue:
     """Priority queue of the calls in one process that wait for capacity.
 
-    The order is: broken streams, rank, calls of an underserved size, and lowest cost in
-    endpoint time. Under overload, cheap calls first means that most callers are
-    served in time.
+    The order is: broken streams, ranks below their floor, rank, calls of an underserved
+    size, and lowest cost in endpoint time. Under overload, cheap calls first means that
+    most callers are served in time.
     """
 
     __slots__ = ("_by_id",)
@@ -60,6 +60,7 @@
         start_s: float = 0.0,
         prior_wait_s: float = 0.0,
         is_underserved: bool = False,
+        is_below_floor: bool = False,
         is_resumed: bool = False,
     ) -> bool:
         """Add a call; return whether it was accepted.
@@ -78,7 +79,13 @@
         deadline = min(wait_end, call.deadline)
         if deadline <= now:
             return False
-        sort_key = (not is_resumed, call.rank, not is_underserved, cost)
+        sort_key = (
+            not is_resumed,
+            not is_below_floor,
+            call.rank,
+            not is_underserved,
+            cost,
+        )
         self._by_id[call.id] = QueuedCall(call, deadline, sort_key)
         return True
 
--- a/src/tamaracktray_emulator/admission.py
+++ b/src/tamaracktray_emulator/admission.py
@@ -203,6 +203,7 @@
         start_s: float = 0.0,
         prior_wait_s: float = 0.0,
         is_underserved: bool = False,
+        is_below_floor: bool = False,
         is_resumed: bool = False,
     ) -> bool:
         return super().push(
@@ -223,6 +224,7 @@
         start_s: float = 0.0,
         prior_wait_s: float = 0.0,
         is_underserved: bool = False,
+        is_below_floor: bool = False,
         is_resumed: bool = False,
     ) -> bool:
         return False
--- a/tests/test_admission_control.py
+++ b/tests/test_admission_control.py
@@ -1,11 +1,20 @@
 """Admission by urgency: ranks, the order of the queue, shedding and displacement."""
 
+import itertools
+from collections import Counter
+
+import msgspec
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
 
-from gateways import SAFE, Gateway, build_call, worker
+from gateways import SAFE, STREAM, Gateway, build_call, worker
+from rank_loads import SLOTS, RankLoad
+from tamaracktray.admission_control import AdmissionControl
+from tamaracktray.admission_control.shares import FLOOR_SHARE, compute_shares
+from tamaracktray.admission_control.windows import WINDOW_S
 from tamaracktray.call_building import build_call as build_from_request
+from tamaracktray.calls import Rank
 from tamaracktray.http_messages import Request
 from tamaracktray.outcomes import AttemptPhase
 from tamaracktray.protocol import CallerFields
@@ -17,6 +26,7 @@
     RoutingTable,
     Team,
 )
+from tamaracktray.types import ErrorCode, RunState
 from tamaracktray.wait_queue import WaitQueue
 
 
@@ -85,3 +95,179 @@
         assert [call.id for call in with_routes.list_ordered()] == [
             call.id for call in without.list_ordered()
         ]
+
+
+URGENT, MIDDLE, LEAST = (1, 0), (1, 1), (1, 2)
+EQUAL_MIX = {URGENT: 1.0, MIDDLE: 1.0, LEAST: 1.0}
+
+
+def play_shortage(mix: dict[Rank, float], seed: int, load: float = 2.0) -> RankLoad:
+    """Return counts of 20 s of a load, after the first 4 s of it."""
+    played = RankLoad(seed, mix, load)
+    played.play(4.0)
+    played.forget()
+    played.play(20.0)
+    return played
+
+
+class TestShortage:
+    """Guards against refusing urgent calls as often as others, and against starvation.
+
+    The load is twice the capacity of the only endpoint.
+    """
+
+    @pytest.mark.parametrize("seed", range(5))
+    def test_refused_share_falls_with_urgency(self, seed):
+        played = play_shortage(EQUAL_MIX, seed)
+        assert played.served(URGENT) > played.served(MIDDLE) > played.served(LEAST)
+        assert played.served(URGENT) >= 1.4 * played.served_overall
+        assert played.shed[LEAST] > played.shed[URGENT]
+
+    @pytest.mark.parametrize("seed", range(5))
+    @pytest.mark.parametrize("load", [2.0, 3.0])
+    @pytest.mark.parametrize(
+        "mix", [EQUAL_MIX, {URGENT: 4, LEAST: 1}, {URGENT: 10, MIDDLE: 1, LEAST: 1}]
+    )
+    def test_no_rank_starves(self, mix, load, seed):
+        played = play_shortage(mix, seed, load)
+        for rank in mix:
+            assert played.served(rank) >= 0.25 * played.served_overall
+
+    def test_rank_below_its_floor_goes_first(self):
+        control = AdmissionControl()
+        urgent = build_call("u", route_priority=0)
+        least = build_call("l", route_priority=1)
+        for call in (urgent, least):
+            control.admit(0.0, call, 1.0)
+        control.note_started(0.0, urgent, 1.0)
+        assert not control.is_below_floor(0.0, least)
+        control.note_refused(0.0, least)
+        assert control.is_below_floor(0.0, least)
+        assert not control.is_below_floor(0.0, urgent)
+        queue = WaitQueue()
+        queue.push(0.0, urgent, cost=1.0)
+        queue.push(0.0, least, cost=1.0, is_below_floor=True)
+        assert [call.id for call in queue.list_ordered()] == ["l", "u"]
+
+    def test_slots_stay_in_use(self):
+        """Guards against a spiral of fewer starts and more refusals."""
+        played = play_shortage(EQUAL_MIX, 1)
+        started_s = sum(played.started_s.values())
+        assert started_s >= 0.9 * SLOTS * 20.0
+
+    def test_refusal_is_the_one_for_lack_of_capacity(self):
+        played = play_shortage(EQUAL_MIX, 1)
+        assert {item.refusal.code for item in played.shed_effects} == {
+            ErrorCode.OVERLOADED
+        }
+        assert {item.refusal.run for item in played.shed_effects} == {RunState.NOT_RUN}
+
+    def test_shedding_ends_with_the_shortage(self):
+        played = play_shortage(EQUAL_MIX, 1)
+        played.load = 0.5
+        played.play(WINDOW_S + 1.0)
+        played.forget()
+        played.play(5.0)
+        assert not played.shed.total()
+
+
+class TestWithoutShortage:
+    """Guards against refusing calls on arrival where today's order suffices."""
+
+    @pytest.mark.parametrize("seed", range(3))
+    def test_nothing_is_shed_in_calm(self, seed):
+        played = RankLoad(seed, EQUAL_MIX, 0.4)
+        played.play(20.0)
+        assert not played.refused.total()
+
+    @pytest.mark.parametrize("load", [0.9, 2.0])
+    def test_one_rank_is_served_as_before(self, load, monkeypatch):
+        played = RankLoad(1, {MIDDLE: 1.0}, load)
+        played.play(10.0)
+        monkeypatch.setattr(AdmissionControl, "admit", lambda *args, **options: True)
+        before = RankLoad(1, {MIDDLE: 1.0}, load)
+        before.play(10.0)
+        assert played.decisions == before.decisions
+        assert not played.shed.total()
+
+    def test_service_without_an_engine_is_not_shed(self):
+        control = AdmissionControl()
+        call = build_call("1", SAFE)
+        assert all(control.admit(0.0, call, 0.0) for _ in range(9))
+
+
+class TestAdmissionControl:
+    """Guards against stale measurements and against shares that favour a route."""
+
+    def build_short(self, now: float = 0.0) -> AdmissionControl:
+        """Return a control in a shortage that takes a tenth of what is offered."""
+        control = AdmissionControl()
+        for number in range(20):
+            rank = number % 2
+            control.admit(now, build_call("x", route_priority=rank), 1.0)
+        control.note_started(now, build_call("x"), 1.0)
+        control.note_started(now, build_call("x"), 1.0)
+        control.note_refused(now, build_call("x"))
+        return control
+
+    def count_admitted(self, control: AdmissionControl, now: float, **fields) -> int:
+        calls = [build_call("x", route_priority=1, **fields) for _ in range(20)]
+        return sum(control.admit(now, call, 1.0) for call in calls)
+
+    def test_shortage_is_shed(self):
+        assert self.count_admitted(self.build_short(), 0.0) <= 3
+
+    @pytest.mark.parametrize("now", [100.0 + WINDOW_S, 1_000.0, 99.0])
+    def test_stalled_process_or_jumped_clock_admits_everything(self, now):
+        control = self.build_short(100.0)
+        assert self.count_admitted(control, now) == 20
+
+    def test_everything_is_admitted_without_starts(self):
+        control = AdmissionControl()
+        for rank in (0, 1):
+            control.admit(0.0, build_call("x", route_priority=rank), 1.0)
+        control.note_refused(0.0, build_call("x"))
+        assert self.count_admitted(control, 0.0) == 20
+
+    def test_routes_whose_calls_alternate_get_the_same_share(self):
+        control = self.build_short()
+        admitted = Counter()
+        for _ in range(60):
+            for name in ("a", "b"):
+                route = msgspec.structs.replace(STREAM, name=name)
+                call = build_call("x", route, route_priority=0)
+                admitted[name] += control.admit(0.0, call, 1.0)
+        assert admitted["a"] == admitted["b"] > 0
+
+    def test_underserved_size_takes_the_credit_of_the_next_call(self):
+        control = self.build_short()
+        call = build_call("x", route_priority=1)
+        while control.admit(0.0, call, 1.0):
+            pass
+        assert control.admit(0.0, call, 1.0, is_underserved=True)
+        assert not control.admit(0.0, call, 1.0, is_underserved=True)
+
+
+class TestShares:
+    """Guards against shares beyond the capacity and below the floor."""
+
+    @given(
+        st.dictionaries(
+            st.tuples(st.integers(0, 3), st.integers(0, 3)),
+            st.floats(0.01, 100.0),
+            min_size=1,
+        ),
+        st.floats(0.01, 500.0),
+    )
+    def test_shares_fit_and_fall_with_urgency(self, offered_s_by_rank, capacity_s):
+        share_by_rank = compute_shares(offered_s_by_rank, capacity_s)
+        offered_s = sum(offered_s_by_rank.values())
+        admitted_s = sum(
+            share * offered_s_by_rank[rank] for rank, share in share_by_rank.items()
+        )
+        overall = min(capacity_s / offered_s, 1.0)
+        assert admitted_s == pytest.approx(overall * offered_s)
+        shares = [share_by_rank[rank] for rank in sorted(share_by_rank)]
+        assert all(share >= later - 1e-9 for share, later in itertools.pairwise(shares))
+        assert shares[-1] >= FLOOR_SHARE * overall - 1e-9
+        assert shares[0] <= 1.0 + 1e-9
