Displace the least urgent call of a full queue by a more urgent one

Cause: a call that arrived at a full queue was refused, however urgent. A call could also take a slot that became free without an event (the end of a pause after a full endpoint's refusal) while a more urgent one waited for it; hypothesis found that. Change: the last of the less urgent calls that wait for the same service is refused at once with the refusal for lack of capacity. Broken streams and calls below their rank's floor stay. Before a call is placed, more urgent ones that wait for its service are sent where slots are free.

--- a/src/tamaracktray/gateway.py
+++ b/src/tamaracktray/gateway.py
@@ -68,9 +68,13 @@
     pending.is_trial = is_trial
     pending.prior_wait_s = state.estimate_prior_wait(call)
     state.pending_by_id[call.id] = pending
+    effects: list[Effect] = []
+    if state.waiting.has_more_urgent(call):
+        # A slot that became free without an event is theirs.
+        effects = send_queued_calls(context, event.now)
     if not may_enter(context, event.now, pending):
-        return refuse(context, event.now, pending, is_shed=True)
-    return _place_call(context, event.now, pending)
+        return effects + refuse(context, event.now, pending, is_shed=True)
+    return effects + _place_call(context, event.now, pending)
 
 
 def handle_call_started(context: GatewayContext, event: CallStarted) -> list[Effect]:
@@ -265,7 +269,10 @@
     )
     if not is_waiting:
         return give_up(context, now, pending)
-    return []
+    displaced = context.state.waiting.take_displaced()
+    if displaced is None or displaced.id not in context.state.pending_by_id:
+        return []
+    return give_up(context, now, context.state.pending_by_id[displaced.id])
 
 
 def give_up(context: GatewayContext, now: float, pending: PendingCall) -> list[Effect]:
--- a/src/tamaracktray/wait_queue.py
+++ b/src/tamaracktray/wait_queue.py
@@ -40,10 +40,11 @@
     most callers are served in time.
     """
 
-    __slots__ = ("_by_id",)
+    __slots__ = ("_by_id", "_displaced")
 
     def __init__(self) -> None:
         self._by_id: dict[str, QueuedCall] = {}
+        self._displaced: Call | None = None
 
     def __len__(self) -> int:
         return len(self._by_id)
@@ -67,10 +68,9 @@
 
         ``start_s`` is the expected time from sending the call to the start of its
         answer, and ``prior_wait_s`` the time that the caller waited in earlier tries,
-        both in seconds.
+        both in seconds. In a full queue the call displaces a less urgent one, if there
+        is one; see ``take_displaced``.
         """
-        if len(self._by_id) >= MAX_WAITING:
-            return False
         wait_end = (
             now + RESUME_WAIT_S
             if is_resumed
@@ -79,6 +79,8 @@
         deadline = min(wait_end, call.deadline)
         if deadline <= now:
             return False
+        if len(self._by_id) >= MAX_WAITING and not self._displace_for(call):
+            return False
         sort_key = (
             not is_resumed,
             not is_below_floor,
@@ -89,6 +91,30 @@
         self._by_id[call.id] = QueuedCall(call, deadline, sort_key)
         return True
 
+    def _displace_for(self, call: Call) -> bool:
+        """Remove the last of the less urgent calls that wait for the same service.
+
+        Broken streams and calls below their rank's floor keep their places.
+        """
+        candidates = [
+            queued
+            for queued in self._by_id.values()
+            if queued.call.services[0] == call.services[0]
+            and queued.call.rank > call.rank
+            and queued.sort_key[:2] == (True, True)
+        ]
+        if not candidates:
+            return False
+        last = max(candidates, key=_get_position)
+        del self._by_id[last.call.id]
+        self._displaced = last.call
+        return True
+
+    def take_displaced(self) -> Call | None:
+        """Return the call that the last one added has displaced, and forget it."""
+        displaced, self._displaced = self._displaced, None
+        return displaced
+
     def replace(self, call: Call) -> None:
         """Replace a call if it is queued; its place and its deadline stay."""
         queued = self._by_id.get(call.id)
@@ -99,12 +125,16 @@
         """Remove a call if it is queued."""
         self._by_id.pop(call_id, None)
 
+    def has_more_urgent(self, call: Call) -> bool:
+        """Return whether a more urgent call waits for the same service."""
+        return any(
+            queued.call.rank < call.rank and queued.call.services[0] == call.services[0]
+            for queued in self._by_id.values()
+        )
+
     def list_ordered(self) -> list[Call]:
         """Return the queued calls in the order of service."""
-        ordered = sorted(
-            self._by_id.values(),
-            key=lambda waiting: (waiting.sort_key, waiting.call.arrived),
-        )
+        ordered = sorted(self._by_id.values(), key=_get_position)
         return [waiting.call for waiting in ordered]
 
     def remove_expired(self, now: float) -> list[Call]:
@@ -115,6 +145,10 @@
         return expired
 
 
+def _get_position(queued: QueuedCall) -> tuple[SortKey, float]:
+    return (queued.sort_key, queued.call.arrived)
+
+
 def _find_latest_start(call: Call, start_s: float, prior_wait_s: float) -> float:
     """Return the latest time to send a call that can still meet its objective."""
     objective_s = call.route.target_latency_s
--- a/tests/test_admission_control.py
+++ b/tests/test_admission_control.py
@@ -5,19 +5,24 @@
 
 import msgspec
 import pytest
-from hypothesis import given
+from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from gateways import SAFE, STREAM, Gateway, build_call, worker
+from gateways import SAFE, STREAM, Gateway, build_call, engine, sent, worker
 from rank_loads import SLOTS, RankLoad
+from tamaracktray import wait_queue
 from tamaracktray.admission_control import AdmissionControl
 from tamaracktray.admission_control.shares import FLOOR_SHARE, compute_shares
 from tamaracktray.admission_control.windows import WINDOW_S
 from tamaracktray.call_building import build_call as build_from_request
-from tamaracktray.calls import Rank
+from tamaracktray.call_log import CallLog
+from tamaracktray.calls import Call, Rank, RefuseCall, SendCall
+from tamaracktray.effects import Effect
 from tamaracktray.http_messages import Request
+from tamaracktray.metrics import NullMetrics
 from tamaracktray.outcomes import AttemptPhase
 from tamaracktray.protocol import CallerFields
+from tamaracktray.refusals import refuse_busy
 from tamaracktray.routes import (
     Backend,
     RepeatKind,
@@ -26,6 +31,7 @@
     RoutingTable,
     Team,
 )
+from tamaracktray.snapshots import SnapshotCache
 from tamaracktray.types import ErrorCode, RunState
 from tamaracktray.wait_queue import WaitQueue
 
@@ -271,3 +277,181 @@
         assert all(share >= later - 1e-9 for share, later in itertools.pairwise(shares))
         assert shares[-1] >= FLOOR_SHARE * overall - 1e-9
         assert shares[0] <= 1.0 + 1e-9
+
+
+class TestDisplacement:
+    """Guards against a full queue of less urgent calls that blocks urgent ones."""
+
+    @pytest.fixture(autouse=True)
+    def small_queue(self, monkeypatch):
+        monkeypatch.setattr(wait_queue, "MAX_WAITING", 2)
+
+    def fill(self, *ranks: int, **fields) -> Gateway:
+        """Return a gateway without free slots, with waiting calls of these ranks."""
+        gateway = Gateway(worker("w", max_batch=1))
+        gateway.arrive(build_call("running", SAFE))
+        for number, rank in enumerate(ranks):
+            name = f"{number}-{rank}"
+            assert not gateway.arrive(
+                build_call(name, SAFE, route_priority=rank, **fields)
+            )
+        return gateway
+
+    def list_refused(self, effects: list[Effect]) -> list[str]:
+        return [item.call_id for item in effects if isinstance(item, RefuseCall)]
+
+    def test_least_urgent_call_is_displaced_and_refused_at_once(self):
+        gateway = self.fill(2, 1)
+        effects = gateway.arrive(build_call("urgent", SAFE, route_priority=0))
+        assert self.list_refused(effects) == ["0-2"]
+        (refused,) = effects
+        assert refused.refusal.code is ErrorCode.OVERLOADED
+        assert refused.refusal.run is RunState.NOT_RUN
+        assert "urgent" in gateway.state.waiting
+        assert "0-2" not in gateway.state.pending_by_id
+
+    def test_latest_of_equal_calls_is_displaced(self):
+        gateway = Gateway(worker("w", max_batch=1))
+        gateway.arrive(build_call("running", SAFE))
+        for name in ("first", "second"):
+            gateway.now += 0.01
+            call = build_call(name, SAFE, now=gateway.now, route_priority=1)
+            gateway.arrive(call)
+        effects = gateway.arrive(build_call("urgent", SAFE, now=gateway.now))
+        assert self.list_refused(effects) == ["second"]
+
+    @pytest.mark.parametrize("rank", [1, 2])
+    def test_no_more_urgent_call_is_refused_as_before(self, rank):
+        gateway = self.fill(1, 1)
+        effects = gateway.arrive(build_call("new", SAFE, route_priority=rank))
+        assert self.list_refused(effects) == ["new"]
+
+    def test_calls_of_other_services_are_not_displaced(self):
+        gateway = Gateway(worker("w", max_batch=1), engine("e", max_batch=1))
+        for name, route in (("running", SAFE), ("streaming", STREAM)):
+            gateway.arrive(build_call(name, route))
+        for name in ("1", "2"):
+            gateway.arrive(build_call(name, SAFE, route_priority=2))
+        effects = gateway.arrive(build_call("urgent", STREAM, route_priority=0))
+        assert self.list_refused(effects) == ["urgent"]
+
+    def test_call_that_can_not_wait_displaces_nothing(self):
+        gateway = self.fill(2, 2)
+        late = build_call("late", SAFE, now=-5.0, route_priority=0)
+        assert self.list_refused(gateway.arrive(late)) == ["late"]
+
+    @pytest.mark.parametrize("option", ["is_resumed", "is_below_floor"])
+    def test_broken_streams_and_calls_below_their_floor_stay(self, option):
+        queue = WaitQueue()
+        for name in ("1", "2"):
+            call = build_call(name, route_priority=2)
+            assert queue.push(0.0, call, cost=1.0, **{option: True})
+        assert not queue.push(0.0, build_call("urgent"), cost=1.0)
+        assert queue.take_displaced() is None
+
+
+class TestEventOrders:
+    """Guards against a call that is refused in favour of a less urgent, later one."""
+
+    STEPS = st.lists(
+        st.tuples(
+            st.sampled_from(("arrive", "arrive", "answer", "full", "tick")),
+            st.integers(0, 3),
+            st.sampled_from((0.0, 0.01, 0.03, 0.06)),
+        ),
+        max_size=60,
+    )
+
+    @settings(max_examples=400)
+    @given(STEPS)
+    def test_no_waiting_call_is_passed_by_a_less_urgent_later_one(self, steps):
+        # Floors are the exception to this rule; TestShortage checks them.
+        with pytest.MonkeyPatch.context() as patch:
+            patch.setattr(wait_queue, "MAX_WAITING", 3)
+            patch.setattr(AdmissionControl, "is_below_floor", lambda *args: False)
+            self.play(steps)
+
+    def test_slot_that_is_free_again_after_a_pause_goes_to_the_urgent_call(self):
+        gateway = Gateway(engine("e-0", max_batch=1), engine("e-1", max_batch=2))
+        calls = [build_call(str(number)) for number in range(4)]
+        endpoint_ids = [sent(gateway.arrive(call)) for call in calls]
+        (endpoint_id,) = endpoint_ids[0]
+        gateway.end(calls[0], endpoint_id, AttemptPhase.REFUSED)
+        gateway.now += 0.06
+        later = build_call("later", now=gateway.now, route_priority=1)
+        effects = gateway.arrive(later)
+        assert [item.call_id for item in effects] == ["3"]
+
+    def play(self, steps: list[tuple[str, int, float]]) -> None:
+        gateway = Gateway(
+            engine("e-0", max_batch=1, cold_s=9.0), engine("e-1", max_batch=2)
+        )
+        calls_by_id: dict[str, Call] = {}
+        endpoint_by_running: dict[str, str] = {}
+        waiting: dict[str, Call] = {}
+        for number, (what, choice, seconds) in enumerate(steps):
+            gateway.now += seconds
+            if what == "arrive":
+                call = build_call(str(number), now=gateway.now, route_priority=choice)
+                calls_by_id[call.id] = call
+                waiting[call.id] = call
+                effects = gateway.arrive(call)
+            elif what == "tick":
+                effects = gateway.tick(0.0, "e-0", "e-1")
+            elif not endpoint_by_running:
+                continue
+            else:
+                name = list(endpoint_by_running)[choice % len(endpoint_by_running)]
+                phase = AttemptPhase.ANSWERED if what == "answer" else None
+                effects = gateway.end(
+                    calls_by_id[name],
+                    endpoint_by_running.pop(name),
+                    phase or AttemptPhase.REFUSED,
+                    status=200,
+                )
+            for effect in effects:
+                if isinstance(effect, SendCall):
+                    endpoint_by_running[effect.call_id] = effect.endpoint_id
+                    sent_call = waiting.pop(effect.call_id, None)
+                    if sent_call is not None:
+                        self.check_not_passed(sent_call, waiting)
+                elif isinstance(effect, RefuseCall):
+                    refused = waiting.pop(effect.call_id, None)
+                    is_removed_for_another = what == "arrive" and not effect.is_shed
+                    if refused is not None and is_removed_for_another:
+                        self.check_last(refused, waiting)
+                    endpoint_by_running.pop(effect.call_id, None)
+
+    def check_not_passed(self, sent_call: Call, waiting: dict[str, Call]) -> None:
+        """Check that no more urgent call that came earlier still waits."""
+        for call in waiting.values():
+            assert call.rank >= sent_call.rank or call.arrived > sent_call.arrived
+
+    def check_last(self, refused: Call, waiting: dict[str, Call]) -> None:
+        """Check that no less urgent call that came later keeps its place."""
+        for call in waiting.values():
+            assert call.rank <= refused.rank or call.arrived < refused.arrived
+
+
+class CountingMetrics(NullMetrics):
+    """Keeps counters by name and label values."""
+
+    def __init__(self) -> None:
+        self.counts: Counter[tuple[str, ...]] = Counter()
+
+    def count(self, name: str, amount: int = 1, **labels: str) -> None:
+        self.counts[(name, *labels.values())] += amount
+
+
+class TestMetric:
+    """Guards against shed calls that operators can't tell from other refusals."""
+
+    @pytest.mark.parametrize("is_shed", [True, False])
+    def test_shed_calls_are_counted_by_rank(self, is_shed):
+        metrics = CountingMetrics()
+        log = CallLog(SnapshotCache(), metrics)
+        call = build_call("1", priority=1, route_priority=2)
+        decision = RefuseCall("1", refuse_busy(0.1), is_shed=is_shed)
+        log.note_refused(call, decision, 1)
+        assert metrics.counts["calls_shed", "1-2"] == is_shed
+        assert metrics.counts["calls_refused", "overloaded"] == 1
