Bound the memory that clients make a process hold

Cause: only the bodies of requests had a bound. The watch for a caller's disconnect counted what it buffered from zero for each request, so a connection that sent on added to its buffer without end; a complete body was held twice but charged once; heads, unread answers, buffered answers and connections were not charged; the peer ports had no bound at all. A body announced beyond the limit was read up to the limit. Cancelled tasks and expired timeouts stayed in reference cycles with the requests and answers in their frames until the garbage collector ran.

Change: MemoryBudget (which replaces BodyBudget) is charged with connections, heads, bodies (twice once complete), data beyond a request's end, and buffered and unread answers. Without room, connections wait, new requests get 503 (not run), successes are relayed as they arrive instead of being buffered, and a connection whose answer isn't read is closed. An eighth is kept for small requests. PipelinedData bounds a connection's buffer over all its requests. An announced length over the limit is refused with 413 at once. Large answers are sent without a copy. Peers have a budget of their own, so callers can't keep the fleet from communicating. The section [callers] sets the bounds.

tests/test_hostile_clients.py starts processes of their own; bounds are 32 MiB of growth and 400 descriptors with 40 to 500 connections.

The late body of test_lingering_close announced more than the limit, which now is 413; both that and a late body within the limit (408) are checked. The sizes of test_body_budget fit the new charges.

--- a/src/tamaracktray/attempt_relay.py
+++ b/src/tamaracktray/attempt_relay.py
@@ -222,7 +222,7 @@
         exchange: Exchange,
         fields: AnswerFields,
     ) -> CallAttemptEnded:
-        """Relay an answer once it is complete, or as it arrives if it is large."""
+        """Relay an answer once complete, or as it arrives if it can't be buffered."""
         body = bytearray()
         decision = attempt.decision
         while len(body) <= MAX_BUFFERED_ANSWER_BYTES:
@@ -239,6 +239,9 @@
                 )
                 return await self._relay_buffered(open_call, attempt, answer, data)
             body += data
+            is_held = open_call.responder.may_buffer(len(body))
+            if not is_held and exchange.status < 400:
+                break
         if exchange.status in NOT_RUN_STATUSES:
             return build_unmarked_end(decision, exchange.status)
         if exchange.status >= 500:
--- a/src/tamaracktray/call_answering.py
+++ b/src/tamaracktray/call_answering.py
@@ -32,6 +32,7 @@
 from tamaracktray.outcomes import AttemptPhase
 from tamaracktray.refusals import refuse_deadline_passed, refuse_unanswered
 from tamaracktray.responders import Responder
+from tamaracktray.tracebacks import drop_traceback, run_releasing
 from tamaracktray.types import Refusal
 
 
@@ -68,7 +69,8 @@
         try:
             await self._dispatch(CallArrived(time.monotonic(), call))
             await curio.timeout_after(remaining_s, self._follow_decisions(open_call))
-        except curio.TaskTimeout:
+        except curio.TaskTimeout as error:
+            drop_traceback(error)
             await open_call.end_attempts()
             await self._end_expired(open_call)
         except curio.CancelledError:
@@ -83,7 +85,12 @@
         while True:
             item = await open_call.take()
             if isinstance(item, AttemptError):
-                raise item.error
+                try:
+                    raise item.error
+                finally:
+                    # The traceback refers to this frame, so the error would keep the
+                    # call in memory until the next garbage collection.
+                    del item
             if isinstance(item, SendCall):
                 await self._begin_attempt(open_call, item)
                 continue
@@ -103,7 +110,7 @@
         self._call_log.note_attempt(open_call.call, decision, version)
         attempt = open_call.begin_attempt(decision)
         attempt.task = await curio.spawn(
-            self._run_attempt, open_call, attempt, daemon=True
+            run_releasing, self._run_attempt, open_call, attempt, daemon=True
         )
 
     async def _run_attempt(self, open_call: OpenCall, attempt: Attempt) -> None:
@@ -111,6 +118,9 @@
         try:
             ended = await self.relay.attempt(open_call, attempt)
         except Exception as error:
+            if isinstance(error, OSError):
+                # The caller is lost; the traceback would keep the answer in memory.
+                drop_traceback(error)
             attempt.is_ended = True
             await open_call.put(AttemptError(error), attempt)
             return
--- a/src/tamaracktray/chunk_relay.py
+++ b/src/tamaracktray/chunk_relay.py
@@ -123,6 +123,7 @@
         if isinstance(encoded, Failure):
             await responder.respond(503, [])
             return
+        responder.is_body_shared = True
         await self._upload.take(len(encoded.unwrap()))
         await responder.respond(200, [], encoded.unwrap())
 
--- a/src/tamaracktray/entry_process.py
+++ b/src/tamaracktray/entry_process.py
@@ -12,7 +12,6 @@
 from tamaracktray.answer_sending import AnswerSender
 from tamaracktray.attempt_relay import CallRelay
 from tamaracktray.beacons import Beacon
-from tamaracktray.body_budget import MAX_HELD_BYTES
 from tamaracktray.byte_rates import build_upload_bucket
 from tamaracktray.call_answering import CallAnswering
 from tamaracktray.call_building import build_call, refuse_unconfigured
@@ -31,7 +30,6 @@
 )
 from tamaracktray.chunk_relay import ChunkRelay
 from tamaracktray.deployment import Deployment
-from tamaracktray.descriptors import count_caller_connections, read_descriptor_limit
 from tamaracktray.effects import Effect
 from tamaracktray.endpoint_limits import LogLimit
 from tamaracktray.events import Event, Tick
@@ -48,6 +46,7 @@
     RegisterMember,
 )
 from tamaracktray.node_process import SERVICES_PATH, NodeProcess
+from tamaracktray.node_servers import build_caller_server, build_polled_server
 from tamaracktray.node_settings import NodeProcessSettings
 from tamaracktray.notices import LogNotice
 from tamaracktray.objects import StoredObject
@@ -120,12 +119,10 @@
         )
         self._loads_changed = curio.Event()
         self._open_by_id = self._answering.open_by_id
-        self._caller_server = HttpServer(
+        self._caller_server = build_caller_server(
             Address.parse(settings.listen.callers),
             self.handle_caller,
-            cancel_on_disconnect=True,
-            max_connections=count_caller_connections(read_descriptor_limit()),
-            max_held_bytes=MAX_HELD_BYTES,
+            settings.callers,
         )
         self.add_performer(AbandonAttempt, self._answering.abandon_attempt)
         self.add_performer(LeaveAttempt, self._answering.leave_attempt)
@@ -147,7 +144,7 @@
 
     @override
     def build_servers(self) -> list[HttpServer]:
-        readiness = HttpServer(
+        readiness = build_polled_server(
             Address.parse(self.settings.listen.readiness), self.handle_readiness
         )
         return [self._caller_server, readiness, *super().build_servers()]
@@ -234,6 +231,7 @@
             limits.max_body_bytes,
             limits.idle_timeout_s,
             limits.header_timeout_s,
+            max_pipelined_bytes=self.settings.callers.pipelined_bytes,
         )
 
     async def handle_readiness(self, request: Request, responder: Responder) -> None:
--- a/src/tamaracktray/http.py
+++ b/src/tamaracktray/http.py
@@ -14,19 +14,25 @@
 import h11
 import structlog
 
-from tamaracktray.body_budget import BodyBudget
 from tamaracktray.connections import peek
 from tamaracktray.http_messages import (
-    READ_BYTES,
+    HEAD_READ_BYTES,
     HttpLimits,
     Request,
     RequestRejectedError,
 )
 from tamaracktray.lingering import linger
+from tamaracktray.memory_budget import (
+    CONNECTION_BYTES,
+    MemoryBudget,
+    MemoryShare,
+)
 from tamaracktray.messages import encode_refusal
+from tamaracktray.pipelined_data import PipelinedData
 from tamaracktray.request_reading import receive_request
 from tamaracktray.responders import ConnectionResponder, Responder
 from tamaracktray.task_yields import TaskYield
+from tamaracktray.tracebacks import run_releasing
 from tamaracktray.types import Address
 
 LISTEN_BACKLOG = 512
@@ -59,14 +65,15 @@
     connection. ``limits`` may be replaced at any time and applies to later requests.
     With ``max_connections`` open, one that only waits for its client to close is closed
     for a new one, then the one that has been idle for longest; if there is none, new
-    ones wait to be accepted. Requests whose bodies would take more than
-    ``max_held_bytes`` in all are refused with 503.
+    ones wait to be accepted. All that clients make the server hold is charged to
+    ``budget``: without room, connections wait to be accepted, requests are refused with
+    503 and connections whose answers are not read are closed.
     """
 
     __slots__ = (
         "_accept_log_deadline",
         "_active_requests",
-        "_bodies",
+        "_budget",
         "_cancel_on_disconnect",
         "_handler",
         "_idle_sockets_by_task",
@@ -87,7 +94,7 @@
         *,
         cancel_on_disconnect: bool = False,
         max_connections: int = sys.maxsize,
-        max_held_bytes: int = sys.maxsize,
+        budget: MemoryBudget | None = None,
     ) -> None:
         self.address = address
         self.limits = limits or HttpLimits()
@@ -96,7 +103,7 @@
         self._listener: curio.io.Socket | None = None
         self._is_closed = False
         self._max_connections = max_connections
-        self._bodies = BodyBudget(max_held_bytes)
+        self._budget = budget or MemoryBudget(sys.maxsize)
         self._accept_log_deadline = 0.0
         self._active_requests = 0
         self._tasks: set[curio.Task] = set()
@@ -153,13 +160,17 @@
                     # This task still runs until its next wait.
                     await client.close()
                     continue
-                task = await curio.spawn(self._run_connection, client, daemon=True)
+                task = await curio.spawn(
+                    run_releasing, self._run_connection, client, daemon=True
+                )
                 self._tasks.add(task)
 
     async def _wait_for_room(self) -> None:
         """Wait until one more connection may be open."""
         while len(self._tasks) >= self._max_connections:
             await self._pause_accepting("too many connections", is_shortage=True)
+        while not self._budget.has_room(CONNECTION_BYTES, CONNECTION_BYTES):
+            await self._pause_accepting("too many bytes are held", is_shortage=True)
 
     async def _pause_accepting(self, reason: str, *, is_shortage: bool) -> None:
         """Wait a moment, or close an idle connection if there is a shortage."""
@@ -220,8 +231,11 @@
                 client.setsockopt(
                     socket_module.IPPROTO_TCP, socket_module.TCP_NODELAY, 1
                 )
-                if await self._serve_connection(client):
-                    await self._linger(client)
+                with self._budget.open_share() as share:
+                    share.force(CONNECTION_BYTES)
+                    if await self._serve_connection(client, share):
+                        share.force(CONNECTION_BYTES)
+                        await self._linger(client)
         except OSError:
             return
         finally:
@@ -235,7 +249,9 @@
         finally:
             self._lingering_tasks.pop(task, None)
 
-    async def _serve_connection(self, client: curio.io.Socket) -> bool:
+    async def _serve_connection(
+        self, client: curio.io.Socket, connection_share: MemoryShare
+    ) -> bool:
         """Answer requests; return whether the client may still be sending."""
         connection = h11.Connection(h11.SERVER)
         header_limit = 0
@@ -248,8 +264,10 @@
             if limits.max_header_bytes != header_limit:
                 header_limit = limits.max_header_bytes
                 connection = _renew_connection(connection, header_limit)
-            responder = ConnectionResponder(connection, client, limits.send_timeout_s)
-            with self._bodies.open_share() as share:
+            with self._budget.open_share() as share:
+                responder = ConnectionResponder(
+                    connection, client, limits.send_timeout_s, share
+                )
                 try:
                     request = await receive_request(connection, client, limits, share)
                 except RequestRejectedError as error:
@@ -257,6 +275,7 @@
                     return connection.our_state is h11.MUST_CLOSE
                 if request is None:
                     return False
+                buffered = PipelinedData(connection, connection_share, limits)
                 responder.sends_body = request.method != "HEAD"
                 is_last = connection.their_state is h11.MUST_CLOSE
                 if self._cancel_on_disconnect:
@@ -264,7 +283,7 @@
                         # After a stall of this process, the client may have left.
                         return False
                     await self._handle_until_disconnect(
-                        request, responder, connection, client
+                        request, responder, buffered, client
                     )
                 else:
                     await self._handle(request, responder)
@@ -296,7 +315,7 @@
                 if remaining_s <= 0 and not peek(client):
                     return False
                 data = await curio.ignore_after(
-                    max(remaining_s, MIN_IDLE_READ_S), client.recv(READ_BYTES)
+                    max(remaining_s, MIN_IDLE_READ_S), client.recv(HEAD_READ_BYTES)
                 )
         finally:
             self._idle_sockets_by_task.pop(task, None)
@@ -309,12 +328,14 @@
         self,
         request: Request,
         responder: ConnectionResponder,
-        connection: h11.Connection,
+        buffered: PipelinedData,
         client: curio.io.Socket,
     ) -> None:
         """Run the handler until it ends or the client closes the connection."""
-        handler = await curio.spawn(self._handle, request, responder)
-        watcher = await curio.spawn(_watch_client, connection, client, handler)
+        handler = await curio.spawn(run_releasing, self._handle, request, responder)
+        watcher = await curio.spawn(
+            run_releasing, _watch_client, buffered, client, handler
+        )
         responder.watcher = watcher
         try:
             await handler.wait()
@@ -348,20 +369,21 @@
 
 
 async def _watch_client(
-    connection: h11.Connection, client: curio.io.Socket, handler: curio.Task
+    buffered: PipelinedData, client: curio.io.Socket, handler: curio.Task
 ) -> None:
-    """Cancel the handler if the client closes; buffer data received meanwhile."""
-    buffered_bytes = 0
-    while buffered_bytes < READ_BYTES:
+    """Cancel the handler if the client closes; buffer data received meanwhile.
+
+    Ends when no more may be buffered; more data then stays in the socket buffers.
+    """
+    while (free_bytes := buffered.free_bytes) > 0:
         try:
-            data = await client.recv(READ_BYTES)
+            data = await client.recv(min(HEAD_READ_BYTES, free_bytes))
         except OSError:
             data = b""
         if not data:
             await handler.cancel(blocking=False)
             return
-        buffered_bytes += len(data)
-        connection.receive_data(data)
+        buffered.append(data)
 
 
 async def _reject(
--- a/src/tamaracktray/http_messages.py
+++ b/src/tamaracktray/http_messages.py
@@ -9,6 +9,10 @@
 
 READ_BYTES = 65_536
 
+# Most bytes read at once while a request's head is expected. What arrives beyond its
+# end is buffered, so this is less than for bodies.
+HEAD_READ_BYTES = 16_384
+
 Headers = list[tuple[str, str]]
 RawHeaders = list[tuple[bytes, bytes]]
 
@@ -19,7 +23,8 @@
     Sizes are in bytes, timeouts in seconds. ``idle_timeout_s`` applies to the wait for
     the next request on a connection, ``receive_timeout_s`` to the head and to the body
     of a request and ``send_timeout_s`` to times in which a client reads nothing of its
-    answer.
+    answer. No more is read while ``max_pipelined_bytes`` beyond a request's end are
+    buffered.
     """
 
     max_header_bytes: int = 16_384
@@ -27,6 +32,7 @@
     idle_timeout_s: float = 30.0
     receive_timeout_s: float = 10.0
     send_timeout_s: float = 10.0
+    max_pipelined_bytes: int = 32_768
 
 
 class Request(msgspec.Struct, frozen=True):
--- a/src/tamaracktray/node_process.py
+++ b/src/tamaracktray/node_process.py
@@ -36,6 +36,7 @@
     SnapshotsReceived,
 )
 from tamaracktray.node_reducer import reduce_node
+from tamaracktray.node_servers import build_peer_server, build_polled_server
 from tamaracktray.node_settings import NodeProcessSettings, load_node_settings
 from tamaracktray.node_state import NodeState
 from tamaracktray.peer_pulls import reads_store
@@ -149,11 +150,13 @@
 
     @override
     def build_servers(self) -> list[HttpServer]:
-        servers = [HttpServer(self.own_address, self.handle_peer)]
+        servers = [
+            build_peer_server(self.own_address, self.handle_peer, self.settings.callers)
+        ]
         port = self.settings.listen.metrics_port
         if port:
             address = Address(self.own_address.host, port)
-            servers.append(HttpServer(address, self.handle_metrics))
+            servers.append(build_polled_server(address, self.handle_metrics))
         return servers
 
     @override
--- a/src/tamaracktray/node_settings.py
+++ b/src/tamaracktray/node_settings.py
@@ -144,6 +144,40 @@
     ] = 300.0
 
 
+class CallerSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Bounds of what clients make a process hold; peers have bounds of their own."""
+
+    held_bytes: Annotated[
+        int,
+        meta("Memory for callers' requests and answers.", "bytes", ge=2**20, le=2**40),
+    ] = 50_331_648
+    connections: Annotated[
+        int,
+        count_meta(
+            "Callers' connections; 0 for as many as descriptors allow.",
+            "connections",
+            0,
+            1_000_000,
+        ),
+    ] = 0
+    pipelined_bytes: Annotated[
+        int,
+        meta(
+            "Data that is read of a connection beyond the end of its request.",
+            "bytes",
+            ge=0,
+            le=2**30,
+        ),
+    ] = 32_768
+    peer_held_bytes: Annotated[
+        int,
+        meta("Memory for peers' requests and answers.", "bytes", ge=2**20, le=2**40),
+    ] = 33_554_432
+    peer_connections: Annotated[
+        int, count_meta("Peers' connections.", "connections", 8, 1_000_000)
+    ] = 200
+
+
 class NodeLogSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """Logging."""
 
@@ -162,6 +196,7 @@
     engine: EngineSettings
     bounds: BoundSettings
     logs: NodeLogSettings
+    callers: CallerSettings = CallerSettings()
 
     @property
     def region_by_zone(self) -> dict[str, str]:
@@ -198,6 +233,7 @@
     "engine": EngineSettings,
     "bounds": BoundSettings,
     "logs": NodeLogSettings,
+    "callers": CallerSettings,
 }
 
 
--- a/src/tamaracktray/responders.py
+++ b/src/tamaracktray/responders.py
@@ -16,11 +16,16 @@
     send_nonblocking,
 )
 from tamaracktray.http_messages import Headers, RawHeaders
+from tamaracktray.memory_budget import MemoryShare
+from tamaracktray.tracebacks import drop_traceback
 from tamaracktray.types import ErrorCode, Refusal, RunState
 
 # Older clients see the end of a body without length by the end of the connection.
 CHUNKED_SINCE = b"1.1"
 
+# Largest answer that is copied to be sent at once, in bytes.
+MAX_JOINED_BYTES = 65_536
+
 # Answer to a request whose handler failed: it may have been passed on.
 HANDLER_FAILED = Refusal(
     ErrorCode.OUTCOME_UNKNOWN, "the request failed here", RunState.UNKNOWN, 500
@@ -28,7 +33,16 @@
 
 
 class Responder(ABC):
-    """Sends one answer; implemented by the server's connections and by tests."""
+    """Sends one answer; implemented by the server's connections and by tests.
+
+    Set ``is_body_shared`` for a body that is in memory anyway, such as a cached one.
+    """
+
+    is_body_shared = False
+
+    def may_buffer(self, length: int) -> bool:
+        """Return whether ``length`` bytes of the answer may be held in memory."""
+        return True
 
     @abstractmethod
     async def acknowledge(self) -> None:
@@ -61,13 +75,16 @@
     """Answers one request on a server connection.
 
     A client that reads nothing for two spans of ``timeout_s`` seconds loses the
-    connection, however long the whole answer takes. Unset
+    connection, however long the whole answer takes. What it doesn't read at once is
+    charged to ``share``; without room there, it loses the connection too. Unset
     ``sends_body`` for a request whose answer has none.
     """
 
     __slots__ = (
+        "_buffered_bytes",
         "_connection",
         "_resets_on_close",
+        "_share",
         "_socket",
         "_timeout_s",
         "_unsent",
@@ -77,25 +94,57 @@
     )
 
     def __init__(
-        self, connection: h11.Connection, socket: curio.io.Socket, timeout_s: float
+        self,
+        connection: h11.Connection,
+        socket: curio.io.Socket,
+        timeout_s: float,
+        share: MemoryShare,
     ) -> None:
         self._connection = connection
         self._socket = socket
         self._timeout_s = timeout_s
+        self._share = share
+        self._buffered_bytes = 0
         self._unsent = memoryview(b"")
         self._resets_on_close = False
         self.is_aborted = False
         self.sends_body = True
         self.watcher: curio.Task | None = None
 
+    @override
+    def may_buffer(self, length: int) -> bool:
+        held_bytes = self._share.held_bytes + length - self._buffered_bytes
+        if not self._share.resize(held_bytes):
+            return False
+        self._buffered_bytes = length
+        return True
+
     async def _send(self, *events: h11.Event) -> None:
-        data = b"".join(self._connection.send(event) or b"" for event in events)
-        self._unsent = memoryview(data)[send_nonblocking(self._socket, data) :]
+        parts: list[bytes] = []
+        for event in events:
+            parts += self._connection.send_with_data_passthrough(event) or ()
+        length = sum(map(len, parts))
+        if length <= MAX_JOINED_BYTES:
+            parts = [b"".join(parts)]
+        held_bytes = self._share.held_bytes
+        charge = 0 if self.is_body_shared else max(length - self._buffered_bytes, 0)
+        try:
+            for part in parts:
+                self._unsent = memoryview(part)[send_nonblocking(self._socket, part) :]
+                if self._unsent:
+                    if not self._share.resize(held_bytes + charge):
+                        raise ConnectionError("too many bytes of answers are held")
+                    await self._send_unsent()
+        finally:
+            self._share.force(held_bytes)
+
+    async def _send_unsent(self) -> None:
         while self._unsent:
             remaining_bytes = self._count_remaining()
             try:
                 await curio.timeout_after(self._timeout_s, self._send_rest())
             except curio.TaskTimeout as error:
+                drop_traceback(error)
                 if self._count_remaining() >= remaining_bytes:
                     message = "client does not read the answer"
                     raise ConnectionError(message) from error
