Count no pause in the soak that was answered on a closed connection

Cause: a silent endpoint that goes on answers requests whose connections the entry has closed since, as another endpoint answered first. The check took a pause in such an answer as asked for, though the entry could not read it. Change: ConnectionResponder tells whether its client has closed the connection, and the soak's endpoints register a pause only if not. No bound changes. Result: the new test fails before the change and passes with it; a pause on an open connection still binds (test).

--- a/src/tamaracktray/responders.py
+++ b/src/tamaracktray/responders.py
@@ -12,6 +12,7 @@
 from tamaracktray.connections import (
     close_in_order,
     count_unacknowledged,
+    peek,
     reset_on_close,
     send_nonblocking,
 )
@@ -88,6 +89,11 @@
         self.sends_body = True
         self.watcher: curio.Task | None = None
 
+    @property
+    def is_disconnected(self) -> bool:
+        """Whether the client has closed the connection, unless this side has."""
+        return not self.is_aborted and peek(self._socket) == b""
+
     async def _send(self, *events: h11.Event) -> None:
         data = b"".join(self._connection.send(event) or b"" for event in events)
         self._unsent = memoryview(data)[send_nonblocking(self._socket, data) :]
--- a/src/tamaracktray_emulator/platform/worker.py
+++ b/src/tamaracktray_emulator/platform/worker.py
@@ -151,7 +151,7 @@
         if self.pause or self.mode is Mode.FULL:
             await self.wait_out_silence()
         if self.pause:
-            self.note_pause(request, float(self.pause))
+            self.note_pause(request, responder, float(self.pause))
             marks = [(NOT_RUN, "1")] if self.is_pause_marked else []
             await responder.respond(503, [*notices, *marks, (PAUSE, self.pause)])
             return
@@ -176,7 +176,9 @@
     def note_arrival(self, request: Request) -> None:
         """Handle the arrival of a request addressed to this worker."""
 
-    def note_pause(self, request: Request, pause_s: float) -> None:
+    def note_pause(
+        self, request: Request, responder: Responder, pause_s: float
+    ) -> None:
         """Handle the refusal of a request with a pause notice."""
 
     def _build_headers(self, request_id: str) -> Headers:
--- a/src/tamaracktray_emulator/soak/endpoints.py
+++ b/src/tamaracktray_emulator/soak/endpoints.py
@@ -76,9 +76,14 @@
                 call_id, self.id, time.monotonic() - self.started
             )
 
-    def note_pause(self, request: Request, pause_s: float) -> None:
-        """Register the requested pause, to check that entries respect it."""
-        if self.notice_checker is not None:
+    def note_pause(
+        self, request: Request, responder: Responder, pause_s: float
+    ) -> None:
+        """Register the requested pause, to check that entries respect it.
+
+        An entry that has closed the connection can't read the answer with the pause.
+        """
+        if self.notice_checker is not None and not responder.is_disconnected:
             call_id = request.headers.get(REQUEST_ID, "")
             now = time.monotonic() - self.started
             self.notice_checker.note_pause(call_id, self.id, now, pause_s)
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -4,6 +4,7 @@
 """
 
 import time
+from functools import partial
 
 import curio
 import msgspec
@@ -130,6 +131,51 @@
         assert record.violations == []
 
 
+class TestPauseCheck:
+    """The soak's own check that entries respect the pauses that endpoints ask for."""
+
+    async def refuse(self, checker: NoticeChecker, *, is_left: bool) -> None:
+        """Let a silent worker ask for a pause, on a connection that may be closed."""
+        worker = SoakWorker(Address("127.0.0.1", 0), "w-0", ORDERS)
+        worker.prepare(checker._record, ZONES[0], time.monotonic())
+        worker.notice_checker = checker
+        worker.pause = "3.0"
+        worker.silent_until = time.monotonic() + 0.2
+        await worker.server.open()
+        serving = await curio.spawn(worker.serve)
+        address = worker.server.address
+        client = await curio.open_connection(address.host, address.port)
+        fields = b"host: a.example\r\nx-tamaracktray-request-id: 1\r\n\r\n"
+        await client.sendall(b"GET /look/1 HTTP/1.1\r\n" + fields)
+        while not worker.arrivals:
+            await curio.sleep(0.01)
+        if is_left:
+            await client.close()
+        while worker.server.active_requests:
+            await curio.sleep(0.01)
+        await client.close()
+        await serving.cancel()
+
+    def broken(self, *, is_left: bool) -> list[str]:
+        """Return the calls that broke a pause by arriving in it."""
+        record = SoakRecord()
+        checker = NoticeChecker(record, FaultLog())
+        for name in ("1", "2", "3", "4"):
+            call = SoakCall(name, CallKind.SAFE, "entry-0", "/", b"", "team", 0.0)
+            record.calls_by_id[name] = call
+        curio.run(partial(self.refuse, checker, is_left=is_left))
+        for name in ("2", "3", "4"):
+            checker.note_arrival(name, "w-0", 1.5)
+        return [item.detail for item in record.violations]
+
+    def test_third_request_during_a_pause_is_a_violation(self):
+        assert self.broken(is_left=False) == ["4"]
+
+    def test_pause_on_a_connection_that_the_entry_has_closed_does_not_bind(self):
+        """Seeds 9402 and 9418: the answer came after another endpoint's, unread."""
+        assert self.broken(is_left=True) == []
+
+
 class TestFaultLog:
     def test_fault_excuses_only_its_own_subject(self):
         """Pauses of entry-10 had excused entry-1."""
