Excuse cut answers in the soak if the endpoint gone back to crashed

Cause: a call that leaves a silent engine and goes back to it as that goes on loses its answer if that engine crashes then, and no attempt is left. The check excused a crash only at the endpoint of the last run, which the call had left. Change: the record keeps the answer of each run and whether the entry has closed its connection. A crash also excuses a call whose later runs the entry has all left while that at the crashed endpoint is open. An answer elsewhere that is still open or was complete excuses nothing. No bound changes.

--- a/src/tamaracktray_emulator/soak/endpoints.py
+++ b/src/tamaracktray_emulator/soak/endpoints.py
@@ -1,6 +1,8 @@
 """Endpoint stand-ins that record the requests they run."""
 
+import contextlib
 import time
+from collections.abc import Generator
 from typing import Any
 
 from typing_extensions import override
@@ -24,7 +26,7 @@
     send_faulty_stream,
 )
 from tamaracktray_emulator.soak.notice_checks import NoticeChecker
-from tamaracktray_emulator.soak.record import Arrival, Run, SoakRecord
+from tamaracktray_emulator.soak.record import Arrival, Run, SentAnswer, SoakRecord
 
 TEAM_HEADER = "x-tamaracktray-tenant"
 REQUEST_ID = "x-tamaracktray-request-id"
@@ -102,16 +104,26 @@
         )
         self.record.note_run(headers.get(REQUEST_ID, ""), run)
 
+    @contextlib.contextmanager
+    def record_answer(
+        self, request: Request, responder: Responder
+    ) -> Generator[None, None, None]:
+        """Record the answer that is sent inside this context."""
+        call_id = request.headers.get(REQUEST_ID, "")
+        answer = SentAnswer(self.id, lambda: responder.is_disconnected)
+        self.record.answers_by_id.setdefault(call_id, []).append(answer)
+        try:
+            yield
+        finally:
+            answer.end()
+
     def record_fault(self, request: Request) -> None:
         """Record that the answer may break off through no fault of an entry."""
         if self.answer_fault is not AnswerFault.WHOLE:
             self.record.broken_ids.add(request.headers.get(REQUEST_ID, ""))
 
     async def _drop_request(self, responder: Responder) -> None:
-        for call_id, runs in self.record.runs_by_id.items():
-            call = self.record.calls_by_id.get(call_id)
-            if runs[-1].endpoint == self.id and call is not None and not call.ended_at:
-                self.record.crashed_ids.add(call_id)
+        self.record.note_crash(self.id)
         await super()._drop_request(responder)
 
     def prepare(self, record: SoakRecord, zone: str, started: float) -> None:
@@ -128,12 +140,13 @@
         self, request: Request, responder: Responder, headers: Headers
     ) -> None:
         self.record_run(request)
-        if self.answer_fault is None or self.mode is not Mode.GOOD:
-            await super().run(request, responder, headers)
-            return
-        self.record_fault(request)
-        body = build_body(self.id, self.compute_answer_bytes(request))
-        await send_faulty_body(self.answer_fault, responder, headers, body)
+        with self.record_answer(request, responder):
+            if self.answer_fault is None or self.mode is not Mode.GOOD:
+                await super().run(request, responder, headers)
+                return
+            self.record_fault(request)
+            body = build_body(self.id, self.compute_answer_bytes(request))
+            await send_faulty_body(self.answer_fault, responder, headers, body)
 
     @override
     def compute_answer_bytes(self, request: Request) -> int:
@@ -153,12 +166,13 @@
     ) -> None:
         self.record_run(request, self.version)
         is_usual = self.answer_fault is None or self.mode is not Mode.GOOD
-        if is_usual or self.is_fatal(request):
-            await super().run(request, responder, headers)
-            return
-        self.record_fault(request)
-        headers = [*headers, (VERSION, str(self.version)), STREAM_TYPE]
-        await send_faulty_stream(self.answer_fault, request, responder, headers)
+        with self.record_answer(request, responder):
+            if is_usual or self.is_fatal(request):
+                await super().run(request, responder, headers)
+                return
+            self.record_fault(request)
+            headers = [*headers, (VERSION, str(self.version)), STREAM_TYPE]
+            await send_faulty_stream(self.answer_fault, request, responder, headers)
 
     @override
     async def _load(self, version: int) -> None:
--- a/src/tamaracktray_emulator/soak/record.py
+++ b/src/tamaracktray_emulator/soak/record.py
@@ -2,6 +2,7 @@
 
 import math
 from collections import Counter
+from collections.abc import Callable
 from enum import Enum
 
 import msgspec
@@ -69,13 +70,45 @@
     written_at: float = math.inf
 
 
+class SentAnswer:
+    """The answer of one run, as seen by its endpoint.
+
+    ``is_disconnected`` tells whether the entry has closed the connection.
+    """
+
+    __slots__ = ("_is_disconnected", "_is_left_at_end", "endpoint")
+
+    def __init__(self, endpoint: str, is_disconnected: Callable[[], bool]) -> None:
+        self.endpoint = endpoint
+        self._is_disconnected: Callable[[], bool] | None = is_disconnected
+        self._is_left_at_end = False
+
+    @property
+    def is_open(self) -> bool:
+        """Whether the endpoint is still answering and the entry still connected."""
+        return self._is_disconnected is not None and not self._is_disconnected()
+
+    @property
+    def is_left(self) -> bool:
+        """Whether the entry closed the connection before the answer was complete."""
+        if self._is_disconnected is None:
+            return self._is_left_at_end
+        return self._is_disconnected()
+
+    def end(self) -> None:
+        """Record that the endpoint has ended its answer."""
+        self._is_left_at_end = self.is_left
+        self._is_disconnected = None
+
+
 class SoakRecord:
     """Calls, runs and check results of a soak.
 
     ``broken_ids`` are the calls whose answer an endpoint may break off, ``crashed_ids``
-    those whose last run was at an endpoint as it crashed, ``dropped_ids`` those that
-    reached one after its crash. A call may reach ``max_attempts`` endpoints. During
-    each of ``stalls``, from one time to another, the soak itself was held up.
+    those that had their last run at an endpoint as it crashed, or had gone back to it,
+    ``dropped_ids`` those that reached one after its crash. A call may reach
+    ``max_attempts`` endpoints. During each of ``stalls``, from one time to another, the
+    soak itself was held up. ``answers_by_id`` are in the order of their runs.
     """
 
     def __init__(self, max_attempts: int = 2) -> None:
@@ -83,6 +116,7 @@
         self.calls_by_id: dict[str, SoakCall] = {}
         self.arrivals: list[Arrival] = []
         self.runs_by_id: dict[str, list[Run]] = {}
+        self.answers_by_id: dict[str, list[SentAnswer]] = {}
         self.broken_ids: set[str] = set()
         self.crashed_ids: set[str] = set()
         self.dropped_ids: set[str] = set()
@@ -111,6 +145,28 @@
         is_bounded = len(endpoints) <= self.max_attempts
         self.check("attempts are bounded", is_bounded, run.at, call_id)
 
+    def note_crash(self, endpoint: str) -> None:
+        """Record the calls that lose their answer by the crash of an endpoint."""
+        for call_id, runs in self.runs_by_id.items():
+            call = self.calls_by_id.get(call_id)
+            if call is None or call.ended_at:
+                continue
+            is_last = runs[-1].endpoint == endpoint
+            if is_last or self._has_gone_back(call_id, endpoint):
+                self.crashed_ids.add(call_id)
+
+    def _has_gone_back(self, call_id: str, endpoint: str) -> bool:
+        """Return whether a call has left all later endpoints for an earlier one.
+
+        An entry that goes back to an answer closes the connections of the others.
+        """
+        for answer in reversed(self.answers_by_id.get(call_id, [])):
+            if answer.is_open:
+                return answer.endpoint == endpoint
+            if not answer.is_left:
+                return False
+        return False
+
     def note_answer(self, call: SoakCall) -> None:
         """Check that a request answered as not run has no run so far."""
         if call.status in NOT_RUN_STATUSES:
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -72,6 +72,13 @@
 }
 
 
+class ClosingResponder:
+    """A responder of an endpoint that crashes."""
+
+    async def abort(self) -> None:
+        pass
+
+
 class TestNoticeCheck:
     """The soak's own check that leaving endpoints get no more requests."""
 
@@ -219,10 +226,6 @@
         assert self.broken(tmp_path, STOP_PROMISE, crashed=True) == [STOP_PROMISE]
 
     def test_calls_at_an_endpoint_as_it_crashes_are_recorded(self, tmp_path):
-        class ClosingResponder:
-            async def abort(self) -> None:
-                pass
-
         record = SoakRecord()
         fleet = SoakFleet(SoakPlan(1), tmp_path, record)
         worker = SoakWorker(fleet.store.server.address, "w-0", ORDERS)
@@ -240,6 +243,80 @@
         assert not record.crashed_ids
 
 
+class TestCrashAfterGoingBack:
+    """Calls that went back to an endpoint lose their answer as that crashes.
+
+    Seed 9426: the check excused crashes only where the call had been sent last.
+    """
+
+    def excuses(self, *, leaves: tuple[str, ...], ends_first: bool = False) -> bool:
+        """Return whether a crash of e-0 excuses the cut of a stream at two engines.
+
+        The stream was sent to e-0 and then to e-1. The entry has closed its connections
+        to the engines that it leaves. If ``ends_first`` is set, e-1 ends its answer
+        before the crash.
+        """
+        record = SoakRecord()
+        call = SoakCall("1", CallKind.STREAM, "entry-0", "/", b"", "team", 1.0)
+        call.cut_by = "entry-0"
+        record.calls_by_id["1"] = call
+
+        async def run() -> None:
+            engines = [
+                await self.start(record, "e-0", silence_s=30.0),
+                await self.start(record, "e-1", silence_s=0.5 if ends_first else 30.0),
+            ]
+            clients = [await self.send(record, engine) for engine in engines]
+            for engine, client in zip(engines, clients, strict=True):
+                if engine.id in leaves:
+                    await client.close()
+            while ends_first and engines[1].server.active_requests:
+                await curio.sleep(0.01)
+            await curio.sleep(0.05)
+            await engines[0]._drop_request(ClosingResponder())
+            for client in clients:
+                await client.close()
+
+        curio.run(run)
+        return not record.is_cut(call, excuses_crash=True)
+
+    async def start(
+        self, record: SoakRecord, name: str, silence_s: float
+    ) -> SoakEngine:
+        """Start an engine that is silent for some time."""
+        engine = SoakEngine(Address("127.0.0.1", 0), name, ENGINES)
+        engine.prepare(record, ZONES[0], time.monotonic())
+        engine.silent_until = time.monotonic() + silence_s
+        await engine.server.open()
+        await curio.spawn(engine.serve, daemon=True)
+        return engine
+
+    async def send(self, record: SoakRecord, engine: SoakEngine) -> curio.io.Socket:
+        """Send the stream to an engine and wait until that runs it."""
+        address = engine.server.address
+        client = await curio.open_connection(address.host, address.port)
+        fields = b"host: a.example\r\nx-tamaracktray-request-id: 1\r\n\r\n"
+        await client.sendall(b"GET / HTTP/1.1\r\n" + fields)
+        while not engine.runs:
+            await curio.sleep(0.01)
+        return client
+
+    def test_crash_excuses_a_call_that_has_left_the_other_endpoint(self):
+        assert self.excuses(leaves=("e-1",))
+
+    def test_crash_excuses_though_the_other_endpoint_has_noticed_it(self):
+        assert self.excuses(leaves=("e-1",), ends_first=True)
+
+    def test_crash_does_not_excuse_while_the_other_endpoint_may_answer(self):
+        assert not self.excuses(leaves=())
+
+    def test_crash_does_not_excuse_if_the_other_endpoint_has_answered(self):
+        assert not self.excuses(leaves=(), ends_first=True)
+
+    def test_crash_of_an_endpoint_that_was_left_does_not_excuse(self):
+        assert not self.excuses(leaves=("e-0", "e-1"))
+
+
 class TestAnswerCheck:
     """The soak's own check that accepted requests get answers."""
 
