Check a routing configuration before it is sent

Cause: routes that another one shadows, routes without a service, teams without keys and limits that exclude each other were seen only once in force. Change: tamaractl check FILE [--against FILE] [--json] lists errors, entries that never match, contradictory limits and the differences from another version, and exits with 0, 1 with findings or 2 if a file is unreadable. Deployments decode the document (read_configuration); the command finds the deployment by name, as only platform/ may import its documents. Keys are not shown.

--- a/src/tamaracktray/cli.py
+++ b/src/tamaracktray/cli.py
@@ -16,6 +16,7 @@
     ChangeConflictError,
     NotFoundError,
 )
+from tamaracktray.configuration_check.command import check
 from tamaracktray.console import (
     EXIT_CONFLICT,
     EXIT_FAILED,
@@ -59,6 +60,7 @@
 requests_app = typer.Typer(
     no_args_is_help=True, help="List and settle requests of unknown outcome."
 )
+app.command()(check)
 app.add_typer(zone_app, name="zone")
 app.add_typer(rollout_app, name="rollout")
 app.add_typer(requests_app, name="requests")
--- /dev/null
+++ b/src/tamaracktray/configuration_check/__init__.py
@@ -0,0 +1,1 @@
+"""Checks a routing configuration before it is sent."""
--- a/src/tamaracktray/deployment.py
+++ b/src/tamaracktray/deployment.py
@@ -2,10 +2,12 @@
 
 from abc import ABC, abstractmethod
 from collections.abc import Mapping
+from typing import Any
 
 from tamaracktray.engines import StagingEngine, VersionOrigin
 from tamaracktray.objects import ObjectStore
 from tamaracktray.protocol import RequestProtocol
+from tamaracktray.routes import RoutingTable
 from tamaracktray.types import Address
 
 
@@ -33,3 +35,10 @@
 
         It refuses a manifest with another number of chunks than its model's.
         """
+
+    @abstractmethod
+    def read_configuration(self, document: Any) -> RoutingTable:
+        """Return the routing table of a configuration document.
+
+        Raises one of ``decoding.UNREADABLE`` if the document is no configuration.
+        """
--- a/src/tamaracktray/platform/deployment.py
+++ b/src/tamaracktray/platform/deployment.py
@@ -1,16 +1,19 @@
 """Opens the store, engines and origin of the platform."""
 
 from collections.abc import Mapping
+from typing import Any
 
 from typing_extensions import override
 
 from tamaracktray.deployment import Deployment
 from tamaracktray.engines import StagingEngine, VersionOrigin
 from tamaracktray.objects import ObjectStore
+from tamaracktray.platform.documents import read_configuration
 from tamaracktray.platform.engine import PlatformEngine, PlatformOrigin
 from tamaracktray.platform.protocol import PlatformProtocol
 from tamaracktray.platform.store import PlatformStore
 from tamaracktray.protocol import RequestProtocol
+from tamaracktray.routes import RoutingTable
 from tamaracktray.types import Address
 
 
@@ -38,3 +41,7 @@
         self, address: Address, chunks_by_model: Mapping[str, int]
     ) -> VersionOrigin:
         return PlatformOrigin(address, chunks_by_model)
+
+    @override
+    def read_configuration(self, document: Any) -> RoutingTable:
+        return read_configuration("", document)
