--- a/src/tamaracktray/responders.py
+++ b/src/tamaracktray/responders.py
@@ -12,6 +12,7 @@
 from tamaracktray.connections import (
     close_in_order,
     count_unacknowledged,
+    peek,
     reset_on_close,
     send_nonblocking,
 )
@@ -119,6 +120,11 @@
         self._buffered_bytes = length
         return True
 
+    @property
+    def is_disconnected(self) -> bool:
+        """Whether the client has closed the connection, unless this side has."""
+        return not self.is_aborted and peek(self._socket) == b""
+
     async def _send(self, *events: h11.Event) -> None:
         parts: list[bytes] = []
         for event in events:
