Promise places to refused callers and let them queue when they retry

Cause: a retry was refused at once, because its objective has passed, so that almost every caller refused in a shortage was refused twice.

Change: an entry counts its starts of the last 2 s by service and promises a share of them to refused callers, at a time 1.2 to 1.5 s later. Callers that come back at that time may queue for 1 s: behind new callers in the first half, then first in their rank, with at most a quarter of the starts. All others are told a later time. This takes effect for services with an engine while capacity is scarce and no engine swaps.

--- a/src/tamaracktray/calls.py
+++ b/src/tamaracktray/calls.py
@@ -119,7 +119,8 @@
     may run it. Of the eligible ones, ``blocked`` count those that recently failed or
     were full, ``paused`` those that asked for a pause, ``swapping`` those that load a
     new version, and ``running`` all their calls. ``waiting`` counts the calls queued in
-    this process. ``version_floor`` is the oldest version that may answer.
+    this process and ``promised`` the places promised to refused callers.
+    ``version_floor`` is the oldest version that may answer.
     """
 
     listed: int = 0
@@ -130,6 +131,7 @@
     running: int = 0
     waiting: int = 0
     version_floor: int = 0
+    promised: int = 0
 
 
 class SendCall(Effect, frozen=True):
--- a/src/tamaracktray/gateway.py
+++ b/src/tamaracktray/gateway.py
@@ -45,6 +45,7 @@
     take_resumed,
 )
 from tamaracktray.placement import is_eligible, list_with_capacity
+from tamaracktray.reentry.service_order import order_by_places
 from tamaracktray.refusals import refuse_leaving
 from tamaracktray.routes import RepeatKind
 
@@ -63,10 +64,8 @@
     refusal = refuse_if_quarantined(context, event.now, call, is_trial=is_trial)
     if refusal is not None:
         return [RefuseCall(call.id, refusal)]
-    pending = PendingCall(call)
+    pending = state.add_call(event.now, call)
     pending.is_trial = is_trial
-    pending.prior_wait_s = state.estimate_prior_wait(call)
-    state.pending_by_id[call.id] = pending
     return _place_call(context, event.now, pending)
 
 
@@ -220,7 +219,8 @@
     with_capacity = list_with_capacity(state.loads_by_id.values(), now)
     if not with_capacity:
         return effects
-    for call in state.waiting.list_ordered():
+    queued = state.waiting.list_ordered()
+    for call in order_by_places(state.reentry, now, queued, state.pending_by_id):
         pending = state.pending_by_id.get(call.id)
         if pending is None:
             state.waiting.remove(call.id)
@@ -258,6 +258,7 @@
         prior_wait_s=pending.prior_wait_s,
         is_underserved=call.size > 0 and bands.is_underserved(call.size),
         is_resumed=pending.is_started,
+        is_returning=pending.is_returning,
     )
     if not is_waiting:
         return give_up(context, now, pending)
@@ -279,6 +280,7 @@
 def _send(
     context: GatewayContext, now: float, pending: PendingCall, load: EndpointLoad
 ) -> list[Effect]:
+    context.state.note_start(now, pending)
     held_version = load.find_version(pending.call.model)
     floor = context.placement_context.version_floor_by_model.get(pending.call.model, 0)
     pending.attempts += 1
--- a/src/tamaracktray/gateway_fleet.py
+++ b/src/tamaracktray/gateway_fleet.py
@@ -190,6 +190,7 @@
         running += load.count_running(now)
     floor = context.placement_context.version_floor_by_model.get(call.model, 0)
     waiting = len(context.state.waiting)
+    promised = context.state.reentry.count_promised(now, call.services[0])
     return FleetView(
-        listed, eligible, blocked, paused, swapping, running, waiting, floor
+        listed, eligible, blocked, paused, swapping, running, waiting, floor, promised
     )
--- a/src/tamaracktray/gateway_refusals.py
+++ b/src/tamaracktray/gateway_refusals.py
@@ -70,7 +70,7 @@
             now, call, NO_ENDPOINT_RETRY_S, NO_ENDPOINT_SPREAD_S
         )
         return [RefuseCall(call.id, refuse_no_endpoint(retry_after_s), view)]
-    retry_after_s = _choose_retry_delay(context, now, call)
+    retry_after_s = _choose_retry_delay(context, now, pending)
     return [RefuseCall(call.id, refuse_busy(retry_after_s), view)]
 
 
@@ -87,9 +87,31 @@
     )
 
 
-def _choose_retry_delay(context: GatewayContext, now: float, call: Call) -> float:
+def _choose_retry_delay(
+    context: GatewayContext, now: float, pending: PendingCall
+) -> float:
     """Return the retry delay for a caller refused for lack of capacity, in seconds."""
+    call = pending.call
     served_rate = context.state.served_rate_by_service.get(call.services[0])
     if served_rate is None or served_rate.value >= SCARCE_SERVED_SHARE:
         return BUSY_RETRY_S
+    if _can_predict_room(context, call.services[0]):
+        rank = (call.priority, call.route.priority)
+        return context.state.reentry.choose_retry_delay(
+            now, call, rank, pending.prior_wait_s
+        )
     return spread_retry_delay(now, call, SCARCE_RETRY_S, SCARCE_SPREAD_S)
+
+
+def _can_predict_room(context: GatewayContext, service_name: str) -> bool:
+    """Return whether a service's recent starts predict its next ones.
+
+    They don't while an engine loads a new version: its slots return within seconds.
+    """
+    service = context.placement_context.services_by_name.get(service_name)
+    if service is None or service.engine is None:
+        return False
+    return not any(
+        load.is_swapping and load.record.service == service_name
+        for load in context.state.loads_by_id.values()
+    )
--- a/src/tamaracktray/gateway_state.py
+++ b/src/tamaracktray/gateway_state.py
@@ -15,6 +15,7 @@
 from tamaracktray.part_watch import PartWatch
 from tamaracktray.pending_calls import PendingCall
 from tamaracktray.placement import PlacementContext
+from tamaracktray.reentry.reentry import Reentry
 from tamaracktray.routes import RouteIndex
 from tamaracktray.wait_queue import WaitQueue
 
@@ -65,6 +66,7 @@
         "notices",
         "peer_count",
         "pending_by_id",
+        "reentry",
         "served_rate_by_service",
         "start_delay_by_service",
         "reported_by_peer",
@@ -85,6 +87,7 @@
         self.pending_by_id: dict[str, PendingCall] = {}
         self.move_reason_by_id: dict[str, str] = {}
         self.waiting = WaitQueue()
+        self.reentry = Reentry()
         self.budget_by_service: dict[str, RetryBudget] = {}
         self.bands_by_route: dict[str, SizeBands] = {}
         self.longest_wait_by_route: dict[str, float] = {}
@@ -135,6 +138,20 @@
                 status.start_time_ms,
             )
 
+    def add_call(self, now: float, call: Call) -> PendingCall:
+        """Add a call that arrived."""
+        pending = PendingCall(call)
+        pending.prior_wait_s = self.estimate_prior_wait(call)
+        pending.is_returning = self.reentry.may_queue(now, call, pending.prior_wait_s)
+        self.pending_by_id[call.id] = pending
+        return pending
+
+    def note_start(self, now: float, pending: PendingCall) -> None:
+        """Record that a call is sent, unless it was sent to another endpoint before."""
+        if pending.tried or pending.is_started:
+            return
+        self.reentry.note_started(now, pending.call, is_returning=pending.is_returning)
+
     def estimate_prior_wait(self, call: Call) -> float:
         """Estimate how long the caller has waited in earlier tries, in seconds.
 
--- a/src/tamaracktray/pending_calls.py
+++ b/src/tamaracktray/pending_calls.py
@@ -53,7 +53,8 @@
     ``revocation`` is the refusal of the call by the routing table in force, ``None``
     while that allows it; a refused call gets no further attempt. ``is_trial`` is set
     while the call tests quarantined parts of its prompt.
-    ``prior_wait_s`` is the time that the caller waited in earlier tries, in seconds.
+    ``prior_wait_s`` is the time that the caller waited in earlier tries, in seconds;
+    if it ``is_returning``, it may queue although its objective has passed.
     ``version`` is the version of the weights that began a stream.
     """
 
@@ -70,6 +71,7 @@
         "is_abandoned",
         "left_id",
         "is_endpoint_leaving",
+        "is_returning",
         "is_sound",
         "is_started",
         "is_trial",
@@ -114,6 +116,7 @@
         self.is_abandoned = False
         self.sent_at = 0.0
         self.prior_wait_s = 0.0
+        self.is_returning = False
         self.last_event_id = call.last_event_id
         self.version = 0
         self.tried: set[str] = set()
--- /dev/null
+++ b/src/tamaracktray/reentry/__init__.py
@@ -0,0 +1,1 @@
+"""Retries of callers that were refused for lack of capacity."""
--- a/src/tamaracktray/wait_queue.py
+++ b/src/tamaracktray/wait_queue.py
@@ -15,6 +15,10 @@
 # on a stream after two seconds without data.
 RESUME_WAIT_S = 0.7
 
+# Longest wait of a retrying caller that may queue after its objective, in seconds; long
+# enough for the next places to come up if several callers retry at the same time.
+RETURN_WAIT_S = 1.0
+
 # Queue limit of one process; each call takes a few kilobytes and an open connection.
 MAX_WAITING = 200
 
@@ -25,7 +29,10 @@
     __slots__ = ("call", "deadline", "sort_key")
 
     def __init__(
-        self, call: Call, deadline: float, sort_key: tuple[bool, int, bool, float]
+        self,
+        call: Call,
+        deadline: float,
+        sort_key: tuple[bool, int, bool, bool, float],
     ) -> None:
         self.call = call
         self.deadline = deadline
@@ -35,9 +42,9 @@
 class WaitQueue:
     """Priority queue of the calls in one process that wait for capacity.
 
-    The order is: broken streams, priority, calls of an underserved size, and lowest
-    cost in endpoint time. Under overload, cheap calls first means that most callers are
-    served in time.
+    The order is: broken streams, priority, retrying callers by their total waiting
+    time, calls of an underserved size, and lowest cost in endpoint time. Under
+    overload, cheap calls first means that most callers are served in time.
     """
 
     __slots__ = ("_by_id",)
@@ -61,24 +68,35 @@
         prior_wait_s: float = 0.0,
         is_underserved: bool = False,
         is_resumed: bool = False,
+        is_returning: bool = False,
     ) -> bool:
         """Add a call; return whether it was accepted.
 
         ``start_s`` is the expected time from sending the call to the start of its
         answer, and ``prior_wait_s`` the time that the caller waited in earlier tries,
-        both in seconds.
+        both in seconds. A call that ``is_returning`` may wait although its objective
+        has passed.
         """
         if len(self._by_id) >= MAX_WAITING:
             return False
-        wait_end = (
-            now + RESUME_WAIT_S
-            if is_resumed
-            else _find_latest_start(call, start_s, prior_wait_s)
-        )
+        order = cost
+        if is_resumed:
+            wait_end = now + RESUME_WAIT_S
+        elif is_returning:
+            wait_end = call.arrived + RETURN_WAIT_S
+            order = call.arrived - prior_wait_s
+        else:
+            wait_end = _find_latest_start(call, start_s, prior_wait_s)
         deadline = min(wait_end, call.deadline)
         if deadline <= now:
             return False
-        sort_key = (not is_resumed, call.priority, not is_underserved, cost)
+        sort_key = (
+            not is_resumed,
+            call.priority,
+            is_resumed or not is_returning,
+            not is_underserved,
+            order,
+        )
         self._by_id[call.id] = QueuedCall(call, deadline, sort_key)
         return True
 
--- a/src/tamaracktray_emulator/admission.py
+++ b/src/tamaracktray_emulator/admission.py
@@ -204,6 +204,7 @@
         prior_wait_s: float = 0.0,
         is_underserved: bool = False,
         is_resumed: bool = False,
+        is_returning: bool = False,
     ) -> bool:
         return super().push(
             now, call, cost=0.0, start_s=start_s, prior_wait_s=prior_wait_s
@@ -224,6 +225,7 @@
         prior_wait_s: float = 0.0,
         is_underserved: bool = False,
         is_resumed: bool = False,
+        is_returning: bool = False,
     ) -> bool:
         return False
 
