--- a/src/tamaracktray/reentry/reentry.py
+++ b/src/tamaracktray/reentry/reentry.py
@@ -49,9 +49,9 @@
 # round the time that they still wait.
 EARLY_TOLERANCE_S = 0.01
 
-# Time after the last retry delay that was given for a shortage in which retrying
-# callers may queue, in seconds: the longest promised delay, and as long again as the
-# tolerance and the longest wait in the queue.
+# Time after the last retry delay given for a shortage in which retrying callers may
+# queue, in seconds: the longest promised delay with its tolerance, and the longest wait
+# in the queue.
 ACTIVE_S = 2.75
 
 # Delay before which no room is expected for a caller without a promise, in seconds: the
--- a/tests/test_reentry.py
+++ b/tests/test_reentry.py
@@ -11,6 +11,7 @@
 
 from hypothesis import given, settings
 from hypothesis import strategies as st
+from typing_extensions import override
 
 from gateways import ENGINES, MODEL, ORDERS, SAFE, Gateway, build_call, engine, worker
 from tamaracktray.calls import Call, CallStarted, RefuseCall, SendCall
@@ -36,6 +37,12 @@
 )
 from tamaracktray.types import RunState
 from tamaracktray.wait_queue import RETURN_WAIT_S, WaitQueue
+from tamaracktray_emulator.admission import (
+    SERVICE_NAME,
+    AdmissionExperiment,
+    AdmissionPlan,
+    CallerRecord,
+)
 
 WAIT_S = 6.0
 TICK_S = 0.025
@@ -181,6 +188,40 @@
         assert measure_served(hasty) <= usual + 0.02
 
 
+class SeveralEntries(AdmissionExperiment):
+    """Overload of several entries, whose callers retry at random ones."""
+
+    def __init__(self, plan: AdmissionPlan) -> None:
+        super().__init__(plan)
+        self.promised: dict[int, CallerRecord] = {}
+
+    @override
+    def _handle_refusal(self, effect: RefuseCall) -> None:
+        caller = self._caller_by_call[effect.call_id]
+        reentry = self._entries[caller.entry].reentry
+        delay_s = effect.refusal.retry_after_s
+        if (
+            caller.submissions == 1
+            and MIN_PROMISED_DELAY_S - 0.1 <= delay_s <= MAX_PROMISED_DELAY_S
+            and reentry.count_promised(self._now, SERVICE_NAME)
+        ):
+            self.promised[id(caller)] = caller
+        super()._handle_refusal(effect)
+
+
+class TestSeveralEntries:
+    def test_promises_are_kept_at_other_entries(self):
+        """Guards against entries that don't recognise the callers of others."""
+        rate = 2.0 * 8 * 11.5
+        plan = AdmissionPlan(rate=rate, engines=8, duration_s=12.0)
+        experiment = SeveralEntries(plan)
+        experiment.run()
+        promised = experiment.promised.values()
+        assert len(promised) >= 50
+        served = sum(caller.is_completed for caller in promised)
+        assert served >= 0.9 * len(promised)
+
+
 def build_retry(name: str, now: float, prior_wait_s: float, **fields) -> Call:
     return build_call(name, now=now, wait_s=WAIT_S - prior_wait_s, **fields)
 
