--- a/src/tamaracktray/reentry/reentry.py
+++ b/src/tamaracktray/reentry/reentry.py
@@ -59,7 +59,7 @@
 UNPROMISED_DELAY_S = 2.0
 
 # Least share of the promised places with which a rank reckons if more urgent ranks ask
-# for all of them. Such a shortage seldom lasts longer than the resulting delay.
+# for all of them; it keeps the delays of that rank finite.
 MIN_LEFT_SHARE = 0.1
 
 
