--- a/src/tamaracktray/calls.py
+++ b/src/tamaracktray/calls.py
@@ -130,8 +130,8 @@
     were full, ``paused`` those that asked for a pause, ``swapping`` those that load a
     new version, ``slow`` those with fewer slots for their pace, ``saturated`` those
     whose queue or memory is full, and ``running`` all their calls. ``waiting`` counts
-    the calls queued in this process. ``version_floor`` is the oldest version that may
-    answer.
+    the calls queued in this process and ``promised`` the places promised to refused
+    callers. ``version_floor`` is the oldest version that may answer.
     """
 
     listed: int = 0
@@ -144,6 +144,7 @@
     version_floor: int = 0
     slow: int = 0
     saturated: int = 0
+    promised: int = 0
 
 
 class SendCall(Effect, frozen=True):
--- a/src/tamaracktray/wait_queue.py
+++ b/src/tamaracktray/wait_queue.py
@@ -15,10 +15,14 @@
 # on a stream after two seconds without data.
 RESUME_WAIT_S = 0.7
 
+# Longest wait of a retrying caller that may queue after its objective, in seconds; long
+# enough for the next places to come up if several callers retry at the same time.
+RETURN_WAIT_S = 1.0
+
 # Queue limit of one process; each call takes a few kilobytes and an open connection.
 MAX_WAITING = 200
 
-SortKey = tuple[bool, bool, Rank, bool, float]
+SortKey = tuple[bool, bool, Rank, bool, bool, float]
 
 
 class QueuedCall:
@@ -35,9 +39,9 @@
 class WaitQueue:
     """Priority queue of the calls in one process that wait for capacity.
 
-    The order is: broken streams, ranks below their floor, rank, calls of an underserved
-    size, and lowest cost in endpoint time. Under overload, cheap calls first means that
-    most callers are served in time.
+    The order is: broken streams, ranks below their floor, rank, retrying callers by
+    their total waiting time, calls of an underserved size, and lowest cost in endpoint
+    time. Under overload, cheap calls first means that most callers are served in time.
     """
 
     __slots__ = ("_by_id", "_displaced")
@@ -63,19 +67,24 @@
         is_underserved: bool = False,
         is_below_floor: bool = False,
         is_resumed: bool = False,
+        is_returning: bool = False,
     ) -> bool:
         """Add a call; return whether it was accepted.
 
         ``start_s`` is the expected time from sending the call to the start of its
         answer, and ``prior_wait_s`` the time that the caller waited in earlier tries,
-        both in seconds. In a full queue the call displaces a less urgent one, if there
-        is one; see ``take_displaced``.
+        both in seconds. A call that ``is_returning`` may wait although its objective
+        has passed. In a full queue the call displaces a less urgent one, if there is one;
+        see ``take_displaced``.
         """
-        wait_end = (
-            now + RESUME_WAIT_S
-            if is_resumed
-            else _find_latest_start(call, start_s, prior_wait_s)
-        )
+        order = cost
+        if is_resumed:
+            wait_end = now + RESUME_WAIT_S
+        elif is_returning:
+            wait_end = call.arrived + RETURN_WAIT_S
+            order = call.arrived - prior_wait_s
+        else:
+            wait_end = _find_latest_start(call, start_s, prior_wait_s)
         deadline = min(wait_end, call.deadline)
         if deadline <= now:
             return False
@@ -85,8 +94,9 @@
             not is_resumed,
             not is_below_floor,
             call.rank,
+            is_resumed or not is_returning,
             not is_underserved,
-            cost,
+            order,
         )
         self._by_id[call.id] = QueuedCall(call, deadline, sort_key)
         return True
--- a/src/tamaracktray_emulator/admission.py
+++ b/src/tamaracktray_emulator/admission.py
@@ -205,6 +205,7 @@
         is_underserved: bool = False,
         is_below_floor: bool = False,
         is_resumed: bool = False,
+        is_returning: bool = False,
     ) -> bool:
         return super().push(
             now, call, cost=0.0, start_s=start_s, prior_wait_s=prior_wait_s
@@ -226,6 +227,7 @@
         is_underserved: bool = False,
         is_below_floor: bool = False,
         is_resumed: bool = False,
+        is_returning: bool = False,
     ) -> bool:
         return False
 
