Bound what one call's stated token counts weigh in admission

Cause: callers state token counts themselves, so one call could count as 1,750,000 s of engine time and shrink the shares of all ranks; and costs below the rounding threshold raised KeyError when they expired. Change: a call counts for at most the time of its route, and a rank that is already gone from the window is ignored.

--- a/src/tamaracktray/admission_control/gate.py
+++ b/src/tamaracktray/admission_control/gate.py
@@ -1,6 +1,7 @@
 """Admission control as the gateway calls it: what arrives, and what is sent."""
 
 from tamaracktray.call_estimates import estimate_call_cost
+from tamaracktray.calls import Call
 from tamaracktray.gateway_fleet import choose
 from tamaracktray.gateway_state import GatewayContext, PendingCall
 from tamaracktray.placement import count_free_slots
@@ -23,7 +24,7 @@
     is_admitted = context.state.admission.admit(
         now,
         call,
-        estimate_call_cost(context, call),
+        _measure_cost(context, call),
         is_underserved=call.size > 0 and bands.is_underserved(call.size),
     )
     if is_admitted:
@@ -38,5 +39,13 @@
 def note_sent(context: GatewayContext, now: float, pending: PendingCall) -> None:
     """Record the first attempt of a call as started."""
     if pending.attempts == 1:
-        cost_s = estimate_call_cost(context, pending.call)
+        cost_s = _measure_cost(context, pending.call)
         context.state.admission.note_started(now, pending.call, cost_s)
+
+
+def _measure_cost(context: GatewayContext, call: Call) -> float:
+    """Return the engine time of a call, in seconds, at most the time of its route.
+
+    Callers state token counts themselves, and the shares of all ranks depend on them.
+    """
+    return min(estimate_call_cost(context, call), call.route.timeout_s)
--- a/src/tamaracktray/admission_control/windows.py
+++ b/src/tamaracktray/admission_control/windows.py
@@ -11,6 +11,10 @@
 # Time after which a part of the window expires, in seconds.
 BUCKET_S = 0.1
 
+# Engine time that counts as none, in seconds: what rounding leaves of a rank whose
+# calls have all expired. Any call takes far more.
+ROUNDING_S = 1e-9
+
 
 class Bucket:
     """Engine time offered and started, in seconds, and refusals, from ``begin`` on."""
@@ -97,9 +101,8 @@
     amount_by_rank: dict[Rank, float], expired_by_rank: dict[Rank, float]
 ) -> None:
     for rank, amount in expired_by_rank.items():
-        remaining = amount_by_rank[rank] - amount
-        # Rounding leaves a tiny rest of a rank whose calls have all expired.
-        if remaining < 1e-9:
-            del amount_by_rank[rank]
+        remaining = amount_by_rank.get(rank, 0.0) - amount
+        if remaining < ROUNDING_S:
+            amount_by_rank.pop(rank, None)
             continue
         amount_by_rank[rank] = remaining
--- a/tests/test_admission_control.py
+++ b/tests/test_admission_control.py
@@ -228,6 +228,31 @@
         control = self.build_short(100.0)
         assert self.count_admitted(control, now) == 20
 
+    @pytest.mark.parametrize("cost_s", [1e-12, 1e9])
+    def test_costs_of_any_scale_expire(self, cost_s):
+        control = AdmissionControl()
+        for number in range(100):
+            call = build_call("x", route_priority=number % 2)
+            control.admit(number * 0.2, call, cost_s)
+            control.note_started(number * 0.2, call, cost_s)
+            control.note_refused(number * 0.2, call)
+        assert self.count_admitted(control, 30.0) == 20
+
+    def test_stated_token_counts_are_bounded_by_the_time_of_the_route(
+        self, monkeypatch
+    ):
+        """Guards against one caller whose counts shrink the shares of all ranks."""
+        costs_s = []
+        monkeypatch.setattr(
+            AdmissionControl,
+            "admit",
+            lambda self, now, call, cost_s, **options: costs_s.append(cost_s) or True,
+        )
+        gateway = Gateway(engine("e", max_batch=1))
+        gateway.arrive(build_call("1", output_tokens=10**9))
+        gateway.arrive(build_call("2", prompt_tokens=10**9))
+        assert costs_s == [STREAM.timeout_s] * 2
+
     def test_everything_is_admitted_without_starts(self):
         control = AdmissionControl()
         for rank in (0, 1):
