--- a/src/tamaracktray/wait_queue.py
+++ b/src/tamaracktray/wait_queue.py
@@ -74,8 +74,8 @@
         ``start_s`` is the expected time from sending the call to the start of its
         answer, and ``prior_wait_s`` the time that the caller waited in earlier tries,
         both in seconds. A call that ``is_returning`` may wait although its objective
-        has passed. In a full queue the call displaces a less urgent one, if there is one;
-        see ``take_displaced``.
+        has passed. In a full queue the call displaces a less urgent one, if there is
+        one; see ``take_displaced``.
         """
         order = cost
         if is_resumed:
