Let calls leave their region only when it has no room for them

Cause: calls to engines went to another region once the own endpoints had 5 more running calls, although traffic between regions is the largest cost. Full regions, on the other hand, competed by running calls only.

Change: spillover/ holds a policy that orders the zones for a call. Calls to services with an engine in deployments of several regions stay in their region until it has no free slot. A running share leaves earlier while under 1/12 of the slots are free, until 1/4 are. Zones without a load report of the last second and without slots of this entry don't count. Other services keep the distances.

test_near_endpoint_is_preferred_until_its_load_outweighs_distance stated the old rule for engines. It now states it for plain services, where it still holds; test_spillover states the new rule for engines.

--- a/src/tamaracktray/call_log.py
+++ b/src/tamaracktray/call_log.py
@@ -16,6 +16,7 @@
 from tamaracktray.notices import LogNotice
 from tamaracktray.quarantine_records import RecordQuarantine
 from tamaracktray.snapshots import Collection, SnapshotCache
+from tamaracktray.spillover.policy import LogSpillover
 from tamaracktray.suspicions import LogFinding
 from tamaracktray.types import Refusal
 
@@ -61,6 +62,8 @@
         self._metrics.count("attempts", number=str(decision.attempt))
         if decision.is_trial:
             self._metrics.count("trials")
+        if decision.is_spilled:
+            self._metrics.count("calls_spilled")
         self._metrics.time("call_wait", now - call.arrived)
         snapshots = self._snapshot_cache.by_collection
         self._write(
@@ -201,6 +204,21 @@
             request_line=True,
         )
 
+    def note_spillover(self, effect: LogSpillover) -> None:
+        """Log that calls begin to leave the region early, or no longer do."""
+        self._log.info(
+            "spill-over changed",
+            service=effect.service,
+            model=effect.model,
+            is_spilling=effect.is_spilling,
+            slots=effect.slots,
+            free_slots=effect.free_slots,
+            share_by_zone={
+                zone: round(share, TIME_DECIMALS)
+                for zone, share in effect.share_by_zone.items()
+            },
+        )
+
     def note_finding(self, note: LogFinding) -> None:
         """Log a change in a suspicion that a request crashed an endpoint."""
         self._metrics.count("crash_findings", finding=note.finding.value)
--- a/src/tamaracktray/calls.py
+++ b/src/tamaracktray/calls.py
@@ -141,7 +141,8 @@
     endpoint before this one, ``held_version`` is the version that it was expected to
     hold and ``version_floor`` the oldest one allowed. ``is_trial`` is set if the call
     tests quarantined parts of its prompt. ``start_time_ms`` is the endpoint's start
-    time in Unix milliseconds.
+    time in Unix milliseconds. ``is_spilled`` is set if the endpoint is in another
+    region, because the own one has too little room.
     """
 
     call_id: str
@@ -157,6 +158,7 @@
     version_floor: int = 0
     is_trial: bool = False
     start_time_ms: int = 0
+    is_spilled: bool = False
 
 
 class SendLoadBeacon(Effect, frozen=True):
--- a/src/tamaracktray/entry_process.py
+++ b/src/tamaracktray/entry_process.py
@@ -59,6 +59,7 @@
 from tamaracktray.responders import Responder
 from tamaracktray.snapshot_codec import encode_snapshots
 from tamaracktray.snapshots import Collection
+from tamaracktray.spillover.policy import LogSpillover
 from tamaracktray.store_readers import list_local
 from tamaracktray.suspicions import LogFinding
 from tamaracktray.types import Address
@@ -138,6 +139,7 @@
         self.add_performer(RegisterMember, self._registration.request)
         self.add_performer(SendLoadBeacon, self._schedule_load_beacon)
         self.add_performer(LogFinding, self._log_finding)
+        self.add_performer(LogSpillover, self._log_spillover)
         writer = RecordWriter(self.store, self._call_log, self.spawn, self.dispatch)
         self.add_performer(RecordAnnouncements, writer.record_announcements)
         self.add_performer(RecordQuarantine, writer.record_quarantine)
@@ -287,6 +289,9 @@
     async def _log_finding(self, effect: LogFinding) -> None:
         self._call_log.note_finding(effect)
 
+    async def _log_spillover(self, effect: LogSpillover) -> None:
+        self._call_log.note_spillover(effect)
+
     async def _schedule_load_beacon(self, effect: SendLoadBeacon) -> None:
         await self._loads_changed.set()
 
--- a/src/tamaracktray/gateway.py
+++ b/src/tamaracktray/gateway.py
@@ -97,7 +97,7 @@
     call = pending.call
     prefill_s = estimate_call_prefill(context, call)
     delay_s = max(now - pending.sent_at - prefill_s, 0.0)
-    context.state.record_start_delay(call.services[0], delay_s)
+    context.state.record_start_delay(now, pending, delay_s)
 
 
 def handle_attempt_ended(
@@ -167,7 +167,8 @@
         load.expire_status(now)
         if endpoint_id in responsive_ids:
             load.last_contact_at = now
-    effects = evaluate_suspicions(context, now, responsive_ids)
+    effects: list[Effect] = [*state.spillover.take_changes()]
+    effects.extend(evaluate_suspicions(context, now, responsive_ids))
     effects.extend(abandon_silent_attempts(context, now))
     effects.extend(abandon_outdated_attempts(context))
     effects.extend(abandon_quarantined_attempts(context, now))
@@ -294,6 +295,7 @@
     pending.is_abandoned = False
     running = load.count_running(now)
     load.note_sent(now)
+    is_spilled = context.state.spillover.note_sent(pending.call, load.record.zone)
     send = SendCall(
         pending.call.id,
         pending.attempts,
@@ -308,6 +310,7 @@
         held_version=held_version,
         version_floor=floor,
         is_trial=pending.is_trial,
+        is_spilled=is_spilled,
         start_time_ms=load.record.start_time_ms,
     )
     return [send] if load.is_owned else [send, SendLoadBeacon()]
--- a/src/tamaracktray/gateway_fleet.py
+++ b/src/tamaracktray/gateway_fleet.py
@@ -59,6 +59,7 @@
     if ownership_inputs == state.ownership_inputs:
         return
     state.ownership_inputs = ownership_inputs
+    state.spillover.update_entries(state.entries)
     if state.entries:
         owned: set[str] = set()
         for usable in usable_by_service.values():
@@ -129,9 +130,10 @@
     return choose_endpoint(
         now,
         pending.call,
-        context.state.loads_by_id.values(),
+        context.state.loads_by_zone,
         context.placement_context,
         list_avoided(context, pending) | {excluded_id},
+        context.state.spillover,
     )
 
 
--- a/src/tamaracktray/gateway_state.py
+++ b/src/tamaracktray/gateway_state.py
@@ -16,6 +16,8 @@
 from tamaracktray.pending_calls import PendingCall
 from tamaracktray.placement import PlacementContext
 from tamaracktray.routes import RouteIndex
+from tamaracktray.spillover.demand import DemandSpillover
+from tamaracktray.spillover.policy import SpilloverPolicy
 from tamaracktray.wait_queue import WaitQueue
 
 # Weight of a new measurement in the moving average of the start delay; about the last
@@ -59,6 +61,7 @@
         "owned_ids",
         "ids_by_address",
         "loads_by_id",
+        "loads_by_zone",
         "longest_wait_by_route",
         "move_reason_by_id",
         "name",
@@ -66,6 +69,7 @@
         "peer_count",
         "pending_by_id",
         "served_rate_by_service",
+        "spillover",
         "start_delay_by_service",
         "reported_by_peer",
         "waiting",
@@ -82,6 +86,8 @@
         self.ids_by_address: dict[str, list[str]] = {}
         self.reported_by_peer: dict[str, frozenset[str]] = {}
         self.loads_by_id: dict[str, EndpointLoad] = {}
+        self.loads_by_zone: dict[str, list[EndpointLoad]] = {}
+        self.spillover: SpilloverPolicy = DemandSpillover(name)
         self.pending_by_id: dict[str, PendingCall] = {}
         self.move_reason_by_id: dict[str, str] = {}
         self.waiting = WaitQueue()
@@ -92,11 +98,13 @@
         self.start_delay_by_service: dict[str, float] = {}
 
     def replace_loads(self, loads_by_id: dict[str, EndpointLoad]) -> None:
-        """Replace the endpoint loads and index them by address."""
+        """Replace the endpoint loads and index them by address and by zone."""
         self.loads_by_id = loads_by_id
+        self.loads_by_zone = {}
         self.ownership_inputs = None
         self.ids_by_address = {}
         for endpoint_id, load in loads_by_id.items():
+            self.loads_by_zone.setdefault(load.record.zone, []).append(load)
             address = str(load.record.address)
             self.ids_by_address.setdefault(address, []).append(endpoint_id)
         for endpoint_ids in self.ids_by_address.values():
@@ -112,6 +120,7 @@
 
         Only endpoints in this report or in the peer's last one are updated.
         """
+        self.spillover.note_report(now, peer)
         reported_ids = frozenset(counts)
         for endpoint_id in self.reported_by_peer.get(peer, frozenset()) | reported_ids:
             load = self.loads_by_id.get(endpoint_id)
@@ -147,8 +156,14 @@
         self.longest_wait_by_route[call.route.name] = longest
         return longest - call.wait_s
 
-    def record_start_delay(self, service: str, delay_s: float) -> None:
+    def record_start_delay(
+        self, now: float, pending: PendingCall, delay_s: float
+    ) -> None:
         """Record the time until an answer began, excluding prefill, in seconds."""
+        service = pending.call.services[0]
+        load = self.loads_by_id.get(pending.endpoint_id)
+        if load is not None:
+            self.spillover.note_start_delay(now, service, load.record.zone, delay_s)
         known = self.start_delay_by_service.get(service, delay_s)
         known += START_DELAY_WEIGHT * (delay_s - known)
         self.start_delay_by_service[service] = known
--- a/src/tamaracktray/placement.py
+++ b/src/tamaracktray/placement.py
@@ -13,6 +13,7 @@
 from tamaracktray.costs import estimate_duration
 from tamaracktray.endpoint_loads import EndpointLoad
 from tamaracktray.routes import Service
+from tamaracktray.spillover.policy import LoadsByZone, SpilloverPolicy
 
 # Time without data from an endpoint with calls in flight after which others are
 # preferred, in seconds. A healthy engine sends data at least every fifth of a second,
@@ -113,10 +114,15 @@
         return 0
     if not load.has_cold_permit(now) or not load.has_limit_permit(now):
         return 0
+    return max(count_usable_slots(load) - load.count_running(now), 0)
+
+
+def count_usable_slots(load: EndpointLoad) -> int:
+    """Return the slots of an endpoint, without the margin left to another owner."""
     slots = load.record.max_batch
     if not load.is_owned:
         slots -= min(BORROW_MARGIN, int(slots * BORROW_MARGIN_SHARE))
-    return max(slots - load.count_running(now), 0)
+    return slots
 
 
 def list_with_capacity(loads: Iterable[EndpointLoad], now: float) -> list[EndpointLoad]:
@@ -127,28 +133,55 @@
 def choose_endpoint(
     now: float,
     call: Call,
-    loads: Iterable[EndpointLoad],
+    loads_by_zone: LoadsByZone,
     placement_context: PlacementContext,
     tried: frozenset[str],
+    spillover: SpilloverPolicy,
 ) -> EndpointLoad | None:
     """Return the endpoint with the lowest cost that has a free slot, or ``None``.
 
+    ``spillover`` chooses the zones. Endpoints of a later group of zones are used only
+    if all those of earlier groups are full, or silent or about to be swapped.
     Endpoints that are silent cost most, then those whose planned swap the call would
     delay; equal ones are compared by running calls plus the penalties for distance and
     borrowing. Endpoints of the service selected for the call come first; the route's
     other services are used only if the selected one has no available endpoint.
     """
-    available = [
-        load
-        for load in loads
-        if load.record.id not in tried
-        and is_available(now, call, load, placement_context)
-    ]
+    groups = spillover.choose(now, call, loads_by_zone, placement_context)
+    available_by_group: list[list[EndpointLoad]] = []
+    impaired: list[EndpointLoad] = []
     for service in call.services:
-        candidates = [load for load in available if load.record.service == service]
-        if candidates:
-            return _choose_cheapest(now, call, candidates, placement_context)
-    return None
+        has_candidates = False
+        for number, zones in enumerate(groups):
+            if number == len(available_by_group):
+                available_by_group.append(
+                    [
+                        load
+                        for zone in zones
+                        for load in loads_by_zone.get(zone, ())
+                        if load.record.id not in tried
+                        and is_available(now, call, load, placement_context)
+                    ]
+                )
+            candidates = [
+                load
+                for load in available_by_group[number]
+                if load.record.service == service
+            ]
+            has_candidates = has_candidates or bool(candidates)
+            best = _choose_cheapest(now, call, candidates, placement_context)
+            if best is None:
+                continue
+            if not any(_measure_impairment(now, call, best, placement_context)):
+                return best
+            impaired.append(best)
+        if has_candidates:
+            break
+    return min(
+        impaired,
+        key=lambda load: _measure_impairment(now, call, load, placement_context),
+        default=None,
+    )
 
 
 def _choose_cheapest(
@@ -165,16 +198,22 @@
         distance = (
             placement_context.measure_distance(load.record.zone) + load.borrow_penalty
         )
-        is_silent = load.measure_silence(now) > SILENCE_THRESHOLD_S
-        overrun = int(
-            _measure_overrun(now, call, load, placement_context) / OVERRUN_STEP_S
-        )
+        is_silent, overrun = _measure_impairment(now, call, load, placement_context)
         cost = (is_silent, overrun, load.count_running(now) + distance)
         if best is None or cost < best_cost:
             best, best_cost = load, cost
     return best
 
 
+def _measure_impairment(
+    now: float, call: Call, load: EndpointLoad, placement_context: PlacementContext
+) -> tuple[bool, int]:
+    """Return whether an endpoint is silent, and the overrun of its swap in steps."""
+    overrun_s = _measure_overrun(now, call, load, placement_context)
+    is_silent = load.measure_silence(now) > SILENCE_THRESHOLD_S
+    return is_silent, int(overrun_s / OVERRUN_STEP_S)
+
+
 def _measure_overrun(
     now: float, call: Call, load: EndpointLoad, placement_context: PlacementContext
 ) -> float:
--- /dev/null
+++ b/src/tamaracktray/spillover/demand.py
@@ -0,0 +1,284 @@
+"""Spill-over by demand: calls leave their region when it has no room for them."""
+
+import math
+from collections.abc import Iterable, Sequence
+
+import msgspec
+from typing_extensions import override
+
+from tamaracktray.calls import Call
+from tamaracktray.costs import estimate_prefill
+from tamaracktray.hashing import hash_text
+from tamaracktray.ownership import FleetNode
+from tamaracktray.placement import PlacementContext
+from tamaracktray.routes import EngineSpec
+from tamaracktray.spillover.policy import LoadsByZone, LogSpillover, SpilloverPolicy
+from tamaracktray.spillover.start_delays import ZoneDelays
+from tamaracktray.spillover.zone_figures import (
+    ZoneFigures,
+    compute_shares,
+    measure_zone,
+    update_spilling,
+)
+
+# Age at which the figures of the zones are measured again, in seconds. Placement itself
+# checks the slots of the endpoints that it chooses from, so that the age only affects
+# the order and the shares of the zones.
+FIGURES_INTERVAL_S = 0.05
+
+# Age from which a peer's load report doesn't show room any more, in seconds; peers
+# report at least twice a second.
+REPORT_VALID_S = 1.0
+
+# Bound of a target's credit in calls, so that a target that was full for long doesn't
+# get a burst of calls afterwards.
+MAX_CREDIT = 2.0
+
+# Kinds of calls (service and model) of which the state is kept.
+MAX_KINDS = 64
+
+
+class KindState:
+    """Figures, shares and credits for the calls of one service and model.
+
+    ``targets`` are the zones of other regions whose room counts, and ``share_by_zone``
+    the shares of the calls that they get early. ``early_credit`` is the running sum of
+    these shares less the calls that left. ``credit_by_zone`` spreads calls that leave
+    over the targets in proportion to ``weight_by_zone``.
+    """
+
+    __slots__ = (
+        "credit_by_zone",
+        "early_credit",
+        "home",
+        "home_zones",
+        "is_spilling",
+        "measured_at",
+        "other_zones",
+        "owned_zones",
+        "share_by_zone",
+        "targets",
+        "weight_by_zone",
+    )
+
+    def __init__(self) -> None:
+        self.measured_at = -math.inf
+        self.home = ZoneFigures()
+        self.home_zones: tuple[str, ...] = ()
+        self.other_zones: tuple[str, ...] = ()
+        self.owned_zones: frozenset[str] = frozenset()
+        self.targets: tuple[str, ...] = ()
+        self.weight_by_zone: dict[str, float] = {}
+        self.share_by_zone: dict[str, float] = {}
+        self.credit_by_zone: dict[str, float] = {}
+        self.is_spilling = False
+        self.early_credit = 0.0
+
+    def note_sent(self, zone: str) -> bool:
+        """Record the zone that a call is sent to; return whether the call spilled."""
+        if self.is_spilling:
+            self.early_credit += sum(self.share_by_zone.values())
+            self.early_credit = min(self.early_credit, MAX_CREDIT)
+        if zone in self.home_zones:
+            return False
+        self.early_credit = max(self.early_credit - 1.0, 0.0)
+        total = sum(self.weight_by_zone.values())
+        for target, weight in self.weight_by_zone.items():
+            if total:
+                self._add_credit(target, weight / total)
+        self._add_credit(zone, -1.0)
+        return True
+
+    def _add_credit(self, zone: str, amount: float) -> None:
+        credit = self.credit_by_zone.get(zone, 0.0) + amount
+        self.credit_by_zone[zone] = min(max(credit, -MAX_CREDIT), MAX_CREDIT)
+
+    def reset_credits(self, first_target: str) -> None:
+        """Start anew with the target that gets the first call."""
+        self.early_credit = 0.0
+        self.credit_by_zone = {first_target: 1.0} if first_target else {}
+
+
+class DemandSpillover(SpilloverPolicy):
+    """Lets calls leave their region when it has no room for them.
+
+    Applies to services with an engine in deployments of several regions; otherwise all
+    zones compete as they do by ``ZonePreference``. ``entry`` is the name of this entry.
+    """
+
+    __slots__ = ("_changes", "_delays", "_entry", "_names_by_region", "_reported_at")
+    __slots__ += ("_state_by_kind",)
+
+    def __init__(self, entry: str) -> None:
+        self._entry = entry
+        self._delays = ZoneDelays()
+        self._names_by_region: dict[str, list[str]] = {}
+        self._reported_at: dict[str, float] = {}
+        self._state_by_kind: dict[tuple[str, str], KindState] = {}
+        self._changes: list[LogSpillover] = []
+
+    @override
+    def choose(
+        self,
+        now: float,
+        call: Call,
+        loads_by_zone: LoadsByZone,
+        placement_context: PlacementContext,
+    ) -> Sequence[tuple[str, ...]]:
+        service = placement_context.services_by_name.get(call.services[0])
+        regions = set(placement_context.region_by_zone.values())
+        if service is None or service.engine is None or len(regions) < 2:
+            return (tuple(loads_by_zone),)
+        state = self._find_state(now, call, loads_by_zone, placement_context)
+        targets = self._order_targets(now, call, state, service.engine)
+        groups = [(zone,) for zone in targets]
+        if state.home.slots:
+            is_early = state.is_spilling and state.early_credit >= 1.0
+            groups.insert(1 if is_early and groups else 0, state.home_zones)
+            return groups
+        # Without an endpoint in the own region, zones without figures are better than
+        # a refusal.
+        rest = tuple(zone for zone in state.other_zones if zone not in targets)
+        return [state.home_zones, *groups, rest]
+
+    @override
+    def note_sent(self, call: Call, zone: str) -> bool:
+        state = self._state_by_kind.get((call.services[0], call.model))
+        return state is not None and state.note_sent(zone)
+
+    @override
+    def note_report(self, now: float, peer: str) -> None:
+        self._reported_at[peer] = now
+
+    @override
+    def note_start_delay(
+        self, now: float, service: str, zone: str, delay_s: float
+    ) -> None:
+        self._delays.record(now, service, zone, delay_s)
+
+    @override
+    def update_entries(self, entries: Iterable[FleetNode]) -> None:
+        self._names_by_region = {}
+        for entry in entries:
+            if entry.name != self._entry:
+                self._names_by_region.setdefault(entry.region, []).append(entry.name)
+        known = {name for names in self._names_by_region.values() for name in names}
+        self._reported_at = {
+            name: at for name, at in self._reported_at.items() if name in known
+        }
+
+    @override
+    def take_changes(self) -> list[LogSpillover]:
+        changes, self._changes = self._changes, []
+        return changes
+
+    def _order_targets(
+        self, now: float, call: Call, state: KindState, engine: EngineSpec
+    ) -> list[str]:
+        """Return the targets for a call, those with slots that this entry owns first.
+
+        Targets where the call would start after its objective come last.
+        """
+        service = call.services[0]
+        objective_s = call.route.target_latency_s or math.inf
+        left_s = objective_s - (now - call.arrived) - estimate_prefill(call, engine)
+
+        def rank(zone: str) -> tuple[bool, bool, float]:
+            is_late = self._delays.find_recent(now, service, zone) > left_s
+            credit = state.credit_by_zone.get(zone, 0.0)
+            return is_late, zone not in state.owned_zones, -credit
+
+        return sorted(state.targets, key=rank)
+
+    def _find_state(
+        self,
+        now: float,
+        call: Call,
+        loads_by_zone: LoadsByZone,
+        placement_context: PlacementContext,
+    ) -> KindState:
+        kind = (call.services[0], call.model)
+        state = self._state_by_kind.get(kind)
+        if state is None:
+            if len(self._state_by_kind) >= MAX_KINDS:
+                self._state_by_kind.clear()
+            state = self._state_by_kind[kind] = KindState()
+        if now - state.measured_at >= FIGURES_INTERVAL_S:
+            self._measure(now, call, state, loads_by_zone, placement_context)
+        return state
+
+    def _measure(
+        self,
+        now: float,
+        call: Call,
+        state: KindState,
+        loads_by_zone: LoadsByZone,
+        placement_context: PlacementContext,
+    ) -> None:
+        """Measure the zones' figures and derive the shares of the targets."""
+        # The figures are for all calls of the kind, whatever regions they may run in.
+        probe = msgspec.structs.replace(call, regions=frozenset())
+        region_by_zone = placement_context.region_by_zone
+        home, home_zones, other_zones = ZoneFigures(), [], []
+        owned_zones, weight_by_zone = [], {}
+        for zone, loads in loads_by_zone.items():
+            figures = measure_zone(now, probe, loads, placement_context)
+            region = region_by_zone.get(zone, "")
+            if region == placement_context.region:
+                home_zones.append(zone)
+                home.add(figures)
+                continue
+            other_zones.append(zone)
+            if not figures.slots or not self._has_figures(now, region, figures):
+                continue
+            if figures.owned_free_slots:
+                owned_zones.append(zone)
+            weight = figures.free_share
+            if self._delays.is_slowed(now, call.services[0], zone):
+                weight /= 2
+            weight_by_zone[zone] = weight
+        state.measured_at = now
+        state.home, state.home_zones = home, tuple(home_zones)
+        state.other_zones, state.owned_zones = (
+            tuple(other_zones),
+            frozenset(owned_zones),
+        )
+        state.weight_by_zone = weight_by_zone
+        state.targets = tuple(sorted(weight_by_zone, key=self._hash_zone))
+        state.share_by_zone = compute_shares(home, weight_by_zone)
+        is_spilling = bool(weight_by_zone) and update_spilling(state.is_spilling, home)
+        if is_spilling != state.is_spilling:
+            state.is_spilling = is_spilling
+            self._note_change(call, state)
+        if not is_spilling:
+            state.reset_credits(state.targets[0] if state.targets else "")
+
+    def _has_figures(self, now: float, region: str, figures: ZoneFigures) -> bool:
+        """Return whether the free slots of a zone in another region are known.
+
+        They are if all reachable entries of the region have reported lately. Where none
+        is reachable, the region's endpoints belong to entries elsewhere, and only an
+        owner of some counts on them.
+        """
+        names = self._names_by_region.get(region)
+        if not names:
+            return figures.owned_free_slots > 0
+        return all(
+            now - self._reported_at.get(name, -math.inf) <= REPORT_VALID_S
+            for name in names
+        )
+
+    def _note_change(self, call: Call, state: KindState) -> None:
+        self._changes.append(
+            LogSpillover(
+                call.services[0],
+                call.model,
+                state.is_spilling,
+                state.home.slots,
+                state.home.free_slots,
+                dict(state.share_by_zone),
+            )
+        )
+
+    def _hash_zone(self, zone: str) -> int:
+        return hash_text(f"{self._entry}\n{zone}")
