Test shares, delays and old figures of spill-over; store the figures' deadline

Cause: the first target's credit was not set when a region was full from the start, and zones whose entries are unreachable were used by owners only, although live entries report the calls at such endpoints.

Change: credits start whenever there are none. Zones without reachable entries are targets. Figures have a deadline, so that rounding doesn't skip a measurement.

--- a/src/tamaracktray/spillover/demand.py
+++ b/src/tamaracktray/spillover/demand.py
@@ -50,10 +50,10 @@
     __slots__ = (
         "credit_by_zone",
         "early_credit",
+        "figures_deadline",
         "home",
         "home_zones",
         "is_spilling",
-        "measured_at",
         "other_zones",
         "owned_zones",
         "share_by_zone",
@@ -62,7 +62,7 @@
     )
 
     def __init__(self) -> None:
-        self.measured_at = -math.inf
+        self.figures_deadline = -math.inf
         self.home = ZoneFigures()
         self.home_zones: tuple[str, ...] = ()
         self.other_zones: tuple[str, ...] = ()
@@ -203,7 +203,7 @@
             if len(self._state_by_kind) >= MAX_KINDS:
                 self._state_by_kind.clear()
             state = self._state_by_kind[kind] = KindState()
-        if now - state.measured_at >= FIGURES_INTERVAL_S:
+        if now >= state.figures_deadline:
             self._measure(now, call, state, loads_by_zone, placement_context)
         return state
 
@@ -229,7 +229,7 @@
                 home.add(figures)
                 continue
             other_zones.append(zone)
-            if not figures.slots or not self._has_figures(now, region, figures):
+            if not figures.slots or not self._has_figures(now, region):
                 continue
             if figures.owned_free_slots:
                 owned_zones.append(zone)
@@ -237,7 +237,7 @@
             if self._delays.is_slowed(now, call.services[0], zone):
                 weight /= 2
             weight_by_zone[zone] = weight
-        state.measured_at = now
+        state.figures_deadline = now + FIGURES_INTERVAL_S
         state.home, state.home_zones = home, tuple(home_zones)
         state.other_zones, state.owned_zones = (
             tuple(other_zones),
@@ -250,22 +250,17 @@
         if is_spilling != state.is_spilling:
             state.is_spilling = is_spilling
             self._note_change(call, state)
-        if not is_spilling:
+        if not is_spilling or not state.credit_by_zone:
             state.reset_credits(state.targets[0] if state.targets else "")
 
-    def _has_figures(self, now: float, region: str, figures: ZoneFigures) -> bool:
-        """Return whether the free slots of a zone in another region are known.
+    def _has_figures(self, now: float, region: str) -> bool:
+        """Return whether all reachable entries of a region have reported lately.
 
-        They are if all reachable entries of the region have reported lately. Where none
-        is reachable, the region's endpoints belong to entries elsewhere, and only an
-        owner of some counts on them.
+        Where none is reachable, the region's endpoints are owned by entries elsewhere.
         """
-        names = self._names_by_region.get(region)
-        if not names:
-            return figures.owned_free_slots > 0
         return all(
             now - self._reported_at.get(name, -math.inf) <= REPORT_VALID_S
-            for name in names
+            for name in self._names_by_region.get(region, ())
         )
 
     def _note_change(self, call: Call, state: KindState) -> None:
--- a/tests/test_spillover.py
+++ b/tests/test_spillover.py
@@ -4,10 +4,30 @@
 region has room, and against entries that all move to the same target.
 """
 
-from gateways import Gateway, build_call, engine, sent
+from collections import Counter
+
+from gateways import (
+    ENGINES,
+    SERVICES,
+    STREAM,
+    Gateway,
+    build_call,
+    build_route,
+    engine,
+    sent,
+)
 from tamaracktray.calls import RefuseCall, SendCall
+from tamaracktray.endpoint_loads import EndpointLoad
 from tamaracktray.ownership import FleetNode
-from tamaracktray.spillover.demand import FIGURES_INTERVAL_S, REPORT_VALID_S
+from tamaracktray.placement import PlacementContext
+from tamaracktray.routes import RepeatKind
+from tamaracktray.spillover.demand import (
+    FIGURES_INTERVAL_S,
+    REPORT_VALID_S,
+    DemandSpillover,
+)
+from tamaracktray.spillover.policy import LogSpillover
+from tamaracktray.spillover.start_delays import RECENT_VALID_S, ZoneDelay
 
 FAR = "zone-c"
 PEER = "peer-c"
@@ -104,3 +124,177 @@
         """Guards against a change for deployments of one region."""
         gateway = Gateway(engine("home"), engine("near", "zone-b"))
         assert send_calls(gateway, 4) == ["home", "home", "near", "home"]
+
+
+class Zones:
+    """Zones of one region each with one endpoint, and the policy of one entry."""
+
+    def __init__(self, *slots: int, entry: str = "entry-0") -> None:
+        self.names = [f"zone-{number}" for number in range(len(slots))]
+        self.loads = {
+            zone: EndpointLoad(engine(f"e-{zone}", zone, max_batch=count))
+            for zone, count in zip(self.names, slots, strict=True)
+        }
+        self.now = 0.0
+        self.sent: list[str] = []
+        self.policy = DemandSpillover(entry)
+        for zone in self.names[1:]:
+            self.loads[zone].set_owned(entry, is_owned=False)
+        self.context = PlacementContext(
+            self.names[0],
+            {zone: f"region-{zone}" for zone in self.names},
+            frozenset(),
+            SERVICES,
+            {},
+        )
+
+    def set_running(self, *counts: int) -> None:
+        """Set the calls at each zone, and let the figures be measured again."""
+        for zone, count in zip(self.names, counts, strict=True):
+            self.loads[zone].in_flight = count
+        self.now += FIGURES_INTERVAL_S
+
+    def choose(self, **fields) -> list[str]:
+        call = build_call("c", now=self.now, **fields)
+        loads_by_zone = {zone: [load] for zone, load in self.loads.items()}
+        groups = self.policy.choose(self.now, call, loads_by_zone, self.context)
+        return [zone for zones in groups for zone in zones]
+
+    def send(self, count: int) -> Counter:
+        """Send calls to their first zones; return the calls of each zone."""
+        zones: list[str] = []
+        for _ in range(count):
+            zones.append(self.choose()[0])
+            self.policy.note_sent(build_call("c"), zones[-1])
+        return Counter(zones)
+
+    def spill(self, count: int) -> Counter:
+        """Send calls to their first targets; return the calls of each target."""
+        zones: list[str] = []
+        for _ in range(count):
+            targets = [zone for zone in self.choose() if zone != self.names[0]]
+            zones.append(targets[0])
+            self.policy.note_sent(build_call("c"), zones[-1])
+        return Counter(zones)
+
+
+class TestShares:
+    def test_early_share_has_hysteresis(self):
+        """Guards against a share that is switched on and off by each call."""
+        zones = Zones(24, 24)
+        zones.set_running(22, 0)
+        assert zones.send(20) == {"zone-0": 20}
+        zones.set_running(23, 0)
+        assert zones.send(20)["zone-1"] > 0
+        zones.set_running(19, 0)
+        assert zones.send(100)["zone-1"] > 0
+        zones.set_running(17, 0)
+        assert zones.send(100) == {"zone-0": 100}
+        zones.set_running(19, 0)
+        assert zones.send(100) == {"zone-0": 100}
+
+    def test_share_rises_with_the_shortage(self):
+        zones = Zones(24, 24)
+        zones.set_running(23, 0)
+        nearly_full = zones.send(100)["zone-1"]
+        zones.set_running(21, 0)
+        assert 0 < zones.send(100)["zone-1"] < nearly_full < 100
+
+    def test_share_falls_with_the_free_slots_of_the_target(self):
+        zones = Zones(24, 24)
+        zones.set_running(23, 0)
+        empty_target = zones.send(100)["zone-1"]
+        zones.set_running(23, 14)
+        assert 0 < zones.send(100)["zone-1"] < empty_target
+
+    def test_calls_that_leave_are_spread_by_free_slots(self):
+        zones = Zones(24, 24, 24)
+        zones.set_running(24, 0, 14)
+        spread = zones.spill(100)
+        assert spread["zone-1"] > 2 * spread["zone-2"] > 0
+
+    def test_entries_of_one_zone_start_at_different_targets(self):
+        """Guards against all entries moving to the freest target at once."""
+        first_targets: Counter = Counter()
+        for number in range(12):
+            zones = Zones(24, 24, 24, 24, entry=f"entry-{number}")
+            zones.set_running(24, 0, 2, 4)
+            first_targets += zones.spill(1)
+        assert len(first_targets) == 3
+        assert max(first_targets.values()) <= 7
+
+
+class TestDelays:
+    def test_share_of_a_slowed_link_is_halved(self):
+        zones = Zones(24, 24, 24)
+        for _ in range(50):
+            zones.policy.note_start_delay(0.0, ENGINES, "zone-1", 0.05)
+        for _ in range(10):
+            zones.policy.note_start_delay(0.1, ENGINES, "zone-1", 0.4)
+        zones.now = 0.2
+        zones.set_running(24, 0, 0)
+        spread = zones.spill(90)
+        assert abs(spread["zone-1"] - 30) <= 2
+
+    def test_slowed_link_is_tried_again(self):
+        """Guards against a link that stays unused since it is never measured."""
+        delay = ZoneDelay(0.05)
+        for _ in range(10):
+            delay.record(0.1, 0.4)
+        assert delay.is_slowed(0.2)
+        assert not delay.is_slowed(0.1 + RECENT_VALID_S)
+
+    def test_target_where_the_call_starts_too_late_comes_last(self):
+        zones = Zones(24, 24, 24)
+        zones.set_running(24, 0, 0)
+        late = zones.choose()[1]
+        zones.policy.note_start_delay(
+            zones.now, ENGINES, late, STREAM.target_latency_s + 0.1
+        )
+        zones.set_running(24, 0, 0)
+        order = zones.choose()
+        assert order[0] == "zone-0"
+        assert order[-1] == late
+
+
+class TestFigures:
+    def test_region_without_reachable_entries_is_a_target(self):
+        """Guards against idle endpoints after the loss of a region's entries."""
+        gateway = build_gateway(engine("home"), engine("far", FAR), peers=())
+        assert send_calls(gateway, 5) == ["home"] * 4 + ["far"]
+
+    def test_old_figures_are_better_than_no_endpoint(self):
+        gateway = build_gateway(engine("far", FAR), owned=())
+        gateway.now = REPORT_VALID_S + 0.1
+        assert send_calls(gateway, 1) == ["far"]
+
+    def test_zones_are_not_measured_for_every_call(self, monkeypatch):
+        """Guards against work for every call that grows with the fleet."""
+        zones = Zones(24, 24, 24)
+        zones.set_running(0, 0, 0)
+        zones.choose()
+        monkeypatch.setattr(
+            "tamaracktray.spillover.demand.measure_zone", lambda *args: 1 / 0
+        )
+        assert zones.send(50) == {"zone-0": 50}
+
+    def test_changes_are_logged_once(self):
+        zones = Zones(24, 24)
+        for _ in range(5):
+            zones.set_running(24, 0)
+            zones.choose()
+        (change,) = zones.policy.take_changes()
+        assert isinstance(change, LogSpillover)
+        assert change.is_spilling
+        assert (change.slots, change.free_slots) == (24, 0)
+        assert list(change.share_by_zone) == ["zone-1"]
+        zones.set_running(0, 0)
+        zones.choose()
+        assert [item.is_spilling for item in zones.policy.take_changes()] == [False]
+        assert zones.policy.take_changes() == []
+
+    def test_route_falls_back_to_its_other_service(self):
+        """Guards against zones of the first service that hide those of the second."""
+        gateway = build_gateway(engine("far", FAR), owned=("far",))
+        route = build_route(RepeatKind.STREAM, "missing", ENGINES)
+        assert sent(gateway.arrive(build_call("1", route))) == ["far"]
