--- a/src/tamaracktray/placement.py
+++ b/src/tamaracktray/placement.py
@@ -148,25 +148,17 @@
     other services are used only if the selected one has no available endpoint.
     """
     groups = spillover.choose(now, call, loads_by_zone, placement_context)
-    available_by_group: list[list[EndpointLoad]] = []
     impaired: list[EndpointLoad] = []
     for service in call.services:
         has_candidates = False
-        for number, zones in enumerate(groups):
-            if number == len(available_by_group):
-                available_by_group.append(
-                    [
-                        load
-                        for zone in zones
-                        for load in loads_by_zone.get(zone, ())
-                        if load.record.id not in tried
-                        and is_available(now, call, load, placement_context)
-                    ]
-                )
+        for zones in groups:
             candidates = [
                 load
-                for load in available_by_group[number]
+                for zone in zones
+                for load in loads_by_zone.get(zone, ())
                 if load.record.service == service
+                and load.record.id not in tried
+                and is_available(now, call, load, placement_context)
             ]
             has_candidates = has_candidates or bool(candidates)
             best = _choose_cheapest(now, call, candidates, placement_context)
