Send calls that are bound to another region there without fresh figures

Cause: a call that may not run in the own region was refused while the load reports of its region were older than a second, and counted as spilled.

Change: such calls are treated like those without an endpoint in the own region, and are not counted. Targets outside a call's regions are left out.

--- a/src/tamaracktray/spillover/demand.py
+++ b/src/tamaracktray/spillover/demand.py
@@ -106,11 +106,12 @@
     zones compete as they do by ``ZonePreference``. ``entry`` is the name of this entry.
     """
 
-    __slots__ = ("_changes", "_delays", "_entry", "_names_by_region", "_reported_at")
-    __slots__ += ("_state_by_kind",)
+    __slots__ = ("_changes", "_delays", "_entry", "_names_by_region", "_region")
+    __slots__ += ("_reported_at", "_state_by_kind")
 
     def __init__(self, entry: str) -> None:
         self._entry = entry
+        self._region = ""
         self._delays = ZoneDelays()
         self._names_by_region: dict[str, list[str]] = {}
         self._reported_at: dict[str, float] = {}
@@ -131,20 +132,27 @@
             return (tuple(loads_by_zone),)
         state = self._find_state(now, call, loads_by_zone, placement_context)
         targets = self._order_targets(now, call, state, service.engine)
-        groups = [(zone,) for zone in targets]
-        if state.home.slots:
+        region_by_zone = placement_context.region_by_zone
+        groups = [
+            (zone,)
+            for zone in targets
+            if not call.regions or region_by_zone.get(zone) in call.regions
+        ]
+        if state.home.slots and self._is_allowed_at_home(call):
             is_early = state.is_spilling and state.early_credit >= 1.0
             groups.insert(1 if is_early and groups else 0, state.home_zones)
             return groups
-        # Without an endpoint in the own region, zones without figures are better than
-        # a refusal.
+        # For a call without an endpoint in the own region, zones without figures are
+        # better than a refusal.
         rest = tuple(zone for zone in state.other_zones if zone not in targets)
         return [state.home_zones, *groups, rest]
 
     @override
     def note_sent(self, call: Call, zone: str) -> bool:
         state = self._state_by_kind.get((call.services[0], call.model))
-        return state is not None and state.note_sent(zone)
+        if state is None or not self._is_allowed_at_home(call):
+            return False
+        return state.note_sent(zone)
 
     @override
     def note_report(self, now: float, peer: str) -> None:
@@ -172,6 +180,9 @@
         changes, self._changes = self._changes, []
         return changes
 
+    def _is_allowed_at_home(self, call: Call) -> bool:
+        return not call.regions or self._region in call.regions
+
     def _order_targets(
         self, now: float, call: Call, state: KindState, engine: EngineSpec
     ) -> list[str]:
@@ -219,12 +230,13 @@
         # The figures are for all calls of the kind, whatever regions they may run in.
         probe = msgspec.structs.replace(call, regions=frozenset())
         region_by_zone = placement_context.region_by_zone
+        self._region = placement_context.region
         home, home_zones, other_zones = ZoneFigures(), [], []
         owned_zones, weight_by_zone = [], {}
         for zone, loads in loads_by_zone.items():
             figures = measure_zone(now, probe, loads, placement_context)
             region = region_by_zone.get(zone, "")
-            if region == placement_context.region:
+            if region == self._region:
                 home_zones.append(zone)
                 home.add(figures)
                 continue
--- a/tests/test_spillover.py
+++ b/tests/test_spillover.py
@@ -280,6 +280,15 @@
         gateway.now = REPORT_VALID_S + 0.1
         assert send_calls(gateway, 1) == ["far"]
 
+    def test_call_bound_to_another_region_needs_no_figures(self):
+        """Guards against refusing calls that may run in no other region."""
+        gateway = build_gateway(engine("home"), engine("far", FAR))
+        gateway.now = REPORT_VALID_S + 0.1
+        call = build_call("1", regions=frozenset({"region-c"}))
+        (send,) = gateway.arrive(call)[:1]
+        assert send.endpoint_id == "far"
+        assert not send.is_spilled
+
     def test_zones_are_not_measured_for_every_call(self, monkeypatch):
         """Guards against work for every call that grows with the fleet."""
         zones = Zones(24, 24, 24)
