Let no call leave early to a zone where it starts after its objective

Cause: the early share ignored the start delay of the target, so a call could miss its objective although its own region had room.

Change: a target where the call would start too late is used only when the own region has no free slot.

The new test sends calls to the late target without the check.

--- a/src/tamaracktray/spillover/demand.py
+++ b/src/tamaracktray/spillover/demand.py
@@ -131,7 +131,8 @@
         if service is None or service.engine is None or len(regions) < 2:
             return (tuple(loads_by_zone),)
         state = self._find_state(now, call, loads_by_zone, placement_context)
-        targets = self._order_targets(now, call, state, service.engine)
+        left_s = _measure_time_left(now, call, service.engine)
+        targets = self._order_targets(now, call, state, left_s)
         region_by_zone = placement_context.region_by_zone
         groups = [
             (zone,)
@@ -139,8 +140,13 @@
             if not call.regions or region_by_zone.get(zone) in call.regions
         ]
         if state.home.slots and self._is_allowed_at_home(call):
-            is_early = state.is_spilling and state.early_credit >= 1.0
-            groups.insert(1 if is_early and groups else 0, state.home_zones)
+            is_early = (
+                state.is_spilling
+                and state.early_credit >= 1.0
+                and bool(groups)
+                and not self._is_late(now, call, groups[0][0], left_s)
+            )
+            groups.insert(1 if is_early else 0, state.home_zones)
             return groups
         # For a call without an endpoint in the own region, zones without figures are
         # better than a refusal.
@@ -184,23 +190,23 @@
         return not call.regions or self._region in call.regions
 
     def _order_targets(
-        self, now: float, call: Call, state: KindState, engine: EngineSpec
+        self, now: float, call: Call, state: KindState, left_s: float
     ) -> list[str]:
         """Return the targets for a call, those with slots that this entry owns first.
 
         Targets where the call would start after its objective come last.
         """
-        service = call.services[0]
-        objective_s = call.route.target_latency_s or math.inf
-        left_s = objective_s - (now - call.arrived) - estimate_prefill(call, engine)
 
         def rank(zone: str) -> tuple[bool, bool, float]:
-            is_late = self._delays.find_recent(now, service, zone) > left_s
+            is_late = self._is_late(now, call, zone, left_s)
             credit = state.credit_by_zone.get(zone, 0.0)
             return is_late, zone not in state.owned_zones, -credit
 
         return sorted(state.targets, key=rank)
 
+    def _is_late(self, now: float, call: Call, zone: str, left_s: float) -> bool:
+        return self._delays.find_recent(now, call.services[0], zone) > left_s
+
     def _find_state(
         self,
         now: float,
@@ -289,3 +295,9 @@
 
     def _hash_zone(self, zone: str) -> int:
         return hash_text(f"{self._entry}\n{zone}")
+
+
+def _measure_time_left(now: float, call: Call, engine: EngineSpec) -> float:
+    """Return the time until the call's objective, without prefill, in seconds."""
+    objective_s = call.route.target_latency_s or math.inf
+    return objective_s - (now - call.arrived) - estimate_prefill(call, engine)
--- a/tests/test_spillover.py
+++ b/tests/test_spillover.py
@@ -268,6 +268,15 @@
         assert order[0] == "zone-0"
         assert order[-1] == late
 
+    def test_no_call_leaves_early_to_start_after_its_objective(self):
+        """Guards against late answers while the own region has room."""
+        zones = Zones(24, 24)
+        zones.policy.note_start_delay(
+            0.0, ENGINES, "zone-1", STREAM.target_latency_s + 0.1
+        )
+        zones.set_running(23, 0)
+        assert zones.send(100) == {"zone-0": 100}
+
 
 class TestFigures:
     def test_region_without_reachable_entries_is_a_target(self):
