Test the metric and the log line of spill-over

Cause: nothing checked that calls_spilled is counted and that a change is logged with its inputs.

Change: a test passes the gateway's effects to the call log.

--- a/tests/test_spillover.py
+++ b/tests/test_spillover.py
@@ -6,6 +6,8 @@
 
 from collections import Counter
 
+import structlog
+
 from gateways import (
     ENGINES,
     REGION_BY_ZONE,
@@ -17,6 +19,7 @@
     engine,
     sent,
 )
+from tamaracktray.call_log import CallLog
 from tamaracktray.calls import CallArrived, CallAttemptEnded, RefuseCall, SendCall
 from tamaracktray.crash_watch import CrashWatch
 from tamaracktray.effects import Effect
@@ -28,11 +31,13 @@
 )
 from tamaracktray.gateway_fleet import apply_roster
 from tamaracktray.gateway_state import GatewayBounds, GatewayContext, GatewayState
+from tamaracktray.metrics import ExposedMetrics
 from tamaracktray.outcomes import AttemptPhase
 from tamaracktray.ownership import FleetNode
 from tamaracktray.part_watch import PartWatch
 from tamaracktray.placement import PlacementContext
 from tamaracktray.routes import RepeatKind
+from tamaracktray.snapshots import Collection, SnapshotCache
 from tamaracktray.spillover.demand import (
     FIGURES_INTERVAL_S,
     REPORT_VALID_S,
@@ -330,6 +335,29 @@
         assert sent(gateway.arrive(build_call("1", route))) == ["far"]
 
 
+class TestSignals:
+    def test_calls_that_leave_are_counted_and_changes_logged(self):
+        """Guards against spill-over that an operator can't see."""
+        gateway = build_gateway(engine("home", max_batch=1), engine("far", FAR))
+        effects = [e for n in range(2) for e in gateway.arrive(build_call(str(n)))]
+        gateway.now += FIGURES_INTERVAL_S
+        gateway.arrive(build_call("2"))
+        effects += gateway.tick(0.0)
+        metrics = ExposedMetrics()
+        with structlog.testing.capture_logs() as lines:
+            call_log = CallLog(SnapshotCache(tuple(Collection), ()), metrics)
+            for effect in effects:
+                if isinstance(effect, SendCall):
+                    call_log.note_attempt(build_call("c"), effect, 1)
+                if isinstance(effect, LogSpillover):
+                    call_log.note_spillover(effect)
+        assert b"tamaracktray_calls_spilled_total 1.0" in metrics.render()
+        (line,) = [line for line in lines if line["event"] == "spill-over changed"]
+        assert line["is_spilling"]
+        assert (line["slots"], line["free_slots"]) == (1, 0)
+        assert list(line["share_by_zone"]) == [FAR]
+
+
 class TestEntries:
     """Several entries of two regions that learn of each other's calls by reports."""
 
