--- a/src/tamaracktray/placement.py
+++ b/src/tamaracktray/placement.py
@@ -13,6 +13,7 @@
 from tamaracktray.costs import estimate_duration
 from tamaracktray.endpoint_loads import EndpointLoad
 from tamaracktray.routes import Service
+from tamaracktray.spillover.policy import LoadsByZone, SpilloverPolicy
 
 # Time without data from an endpoint with calls in flight after which others are
 # preferred, in seconds. A healthy engine sends data at least every fifth of a second,
@@ -113,10 +114,15 @@
         return 0
     if not load.has_cold_permit(now) or not load.has_limit_permit(now):
         return 0
+    return max(count_usable_slots(load, now) - load.count_running(now), 0)
+
+
+def count_usable_slots(load: EndpointLoad, now: float) -> int:
+    """Return the slots of an endpoint, weighted by pace and less an owner's margin."""
     slots = load.pace.weight_slots(now, load.record.max_batch)
     if not load.is_owned:
         slots -= min(BORROW_MARGIN, int(slots * BORROW_MARGIN_SHARE))
-    return max(slots - load.count_running(now), 0)
+    return slots
 
 
 def list_with_capacity(loads: Iterable[EndpointLoad], now: float) -> list[EndpointLoad]:
@@ -127,29 +133,48 @@
 def choose_endpoint(
     now: float,
     call: Call,
-    loads: Iterable[EndpointLoad],
+    loads_by_zone: LoadsByZone,
     placement_context: PlacementContext,
     tried: frozenset[str],
+    spillover: SpilloverPolicy,
 ) -> EndpointLoad | None:
     """Return the endpoint with the lowest cost that has a free slot, or ``None``.
 
+    ``spillover`` chooses the zones. Endpoints of a later group of zones are used only
+    if all those of earlier groups are full, or silent or about to be swapped.
     Endpoints that are silent cost most, then those whose planned swap the call would
     delay; equal ones are compared by running calls plus the penalties for distance and
     borrowing, weighted by pace. Endpoints of the service selected for the call come
     first; the route's other services are used only if the selected one has no available
     endpoint.
     """
-    available = [
-        load
-        for load in loads
-        if load.record.id not in tried
-        and is_available(now, call, load, placement_context)
-    ]
+    groups = spillover.choose(now, call, loads_by_zone, placement_context)
+    impaired: list[EndpointLoad] = []
     for service in call.services:
-        candidates = [load for load in available if load.record.service == service]
-        if candidates:
-            return _choose_cheapest(now, call, candidates, placement_context)
-    return None
+        has_candidates = False
+        for zones in groups:
+            candidates = [
+                load
+                for zone in zones
+                for load in loads_by_zone.get(zone, ())
+                if load.record.service == service
+                and load.record.id not in tried
+                and is_available(now, call, load, placement_context)
+            ]
+            has_candidates = has_candidates or bool(candidates)
+            best = _choose_cheapest(now, call, candidates, placement_context)
+            if best is None:
+                continue
+            if not any(_measure_impairment(now, call, best, placement_context)):
+                return best
+            impaired.append(best)
+        if has_candidates:
+            break
+    return min(
+        impaired,
+        key=lambda load: _measure_impairment(now, call, load, placement_context),
+        default=None,
+    )
 
 
 def _choose_cheapest(
@@ -166,10 +191,7 @@
         distance = (
             placement_context.measure_distance(load.record.zone) + load.borrow_penalty
         )
-        is_silent = load.measure_silence(now) > SILENCE_THRESHOLD_S
-        overrun = int(
-            _measure_overrun(now, call, load, placement_context) / OVERRUN_STEP_S
-        )
+        is_silent, overrun = _measure_impairment(now, call, load, placement_context)
         running = load.count_running(now) + distance
         cost = (is_silent, overrun, load.pace.weight_cost(now, running))
         if best is None or cost < best_cost:
@@ -177,6 +199,15 @@
     return best
 
 
+def _measure_impairment(
+    now: float, call: Call, load: EndpointLoad, placement_context: PlacementContext
+) -> tuple[bool, int]:
+    """Return whether an endpoint is silent, and the overrun of its swap in steps."""
+    overrun_s = _measure_overrun(now, call, load, placement_context)
+    is_silent = load.measure_silence(now) > SILENCE_THRESHOLD_S
+    return is_silent, int(overrun_s / OVERRUN_STEP_S)
+
+
 def _measure_overrun(
     now: float, call: Call, load: EndpointLoad, placement_context: PlacementContext
 ) -> float:
