--- a/src/tamaracktray/cli.py
+++ b/src/tamaracktray/cli.py
@@ -11,11 +11,7 @@
 import typer
 from returns.result import Failure, Success
 
-from tamaracktray.client import (
-    ApiClient,
-    ChangeConflictError,
-    NotFoundError,
-)
+from tamaracktray.client import ApiClient, ChangeConflictError, NotFoundError
 from tamaracktray.configuration_check.command import check
 from tamaracktray.console import (
     EXIT_CONFLICT,
--- a/src/tamaracktray/platform/documents.py
+++ b/src/tamaracktray/platform/documents.py
@@ -110,9 +110,9 @@
 
 class _Tenant(_Document, frozen=True):
     name: str
-    api_keys: list[str] = []
+    api_keys: tuple[str, ...] = ()
     priority: Int64 | None = None
-    allowed_regions: list[str] = []
+    allowed_regions: tuple[str, ...] = ()
 
 
 class _Configuration(_Document, frozen=True):
@@ -186,7 +186,10 @@
         document.version,
         tuple(_read_route(route) for route in document.routes),
         {service.name: service for service in services},
-        tuple(_read_tenant(tenant) for tenant in document.tenants),
+        tuple(
+            Team(item.name, item.api_keys, item.priority, item.allowed_regions)
+            for item in document.tenants
+        ),
         CallerLimits(
             limits.max_header_bytes,
             limits.max_body_bytes,
@@ -251,15 +254,6 @@
     )
 
 
-def _read_tenant(tenant: _Tenant) -> Team:
-    return Team(
-        tenant.name,
-        tuple(tenant.api_keys),
-        tenant.priority,
-        tuple(tenant.allowed_regions),
-    )
-
-
 def read_endpoint(name: str, spec: Any) -> EndpointRecord:
     """Return the record of an endpoint, read from its entry in the store."""
     document = msgspec.convert(spec, _ServerEntry)
