Promise places only where the configuration ranks a service's routes

Change: RouteIndex tells the services whose routes differ in priority, and places are promised only there. A caller that retries when told to isn't shed on arrival.

--- a/src/tamaracktray/gateway.py
+++ b/src/tamaracktray/gateway.py
@@ -71,7 +71,9 @@
     if state.waiting.has_more_urgent(call):
         # A slot that became free without an event is theirs.
         effects = send_queued_calls(context, event.now)
-    if not may_enter(context, event.now, pending):
+    is_admitted = may_enter(context, event.now, pending)
+    # A caller that retries when it was told to is not refused again on arrival.
+    if not is_admitted and not pending.is_returning:
         return effects + refuse(context, event.now, pending, is_shed=True)
     return effects + _place_call(context, event.now, pending)
 
--- a/src/tamaracktray/gateway_refusals.py
+++ b/src/tamaracktray/gateway_refusals.py
@@ -106,7 +106,7 @@
     served_rate = context.state.served_rate_by_service.get(call.services[0])
     if served_rate is None or served_rate.value >= SCARCE_SERVED_SHARE:
         return BUSY_RETRY_S
-    if _can_predict_room(context, call.services[0]):
+    if _promises_places(context, call.services[0]):
         rank = (call.priority, call.route.priority)
         return context.state.reentry.choose_retry_delay(
             now, call, rank, pending.prior_wait_s
@@ -114,11 +114,16 @@
     return spread_retry_delay(now, call, SCARCE_RETRY_S, SCARCE_SPREAD_S)
 
 
-def _can_predict_room(context: GatewayContext, service_name: str) -> bool:
-    """Return whether a service's recent starts predict its next ones.
+def _promises_places(context: GatewayContext, service_name: str) -> bool:
+    """Return whether places are promised to callers of a service.
 
-    They don't while an engine loads a new version: its slots return within seconds.
+    They are only where the configuration ranks its routes: in other deployments, new
+    callers lose more answers in time than retrying ones gain. Nor are they while an
+    engine loads a new version, since its slots return within seconds.
     """
+    index = context.index
+    if index is not None and service_name not in index.ranked_services:
+        return False
     service = context.placement_context.services_by_name.get(service_name)
     if service is None or service.engine is None:
         return False
--- a/tests/test_reentry.py
+++ b/tests/test_reentry.py
@@ -9,11 +9,22 @@
 import itertools
 from collections import Counter
 
+import msgspec
 from hypothesis import given, settings
 from hypothesis import strategies as st
 from typing_extensions import override
 
-from gateways import ENGINES, MODEL, ORDERS, SAFE, Gateway, build_call, engine, worker
+from gateways import (
+    ENGINES,
+    MODEL,
+    ORDERS,
+    SAFE,
+    Gateway,
+    build_call,
+    build_route,
+    engine,
+    worker,
+)
 from tamaracktray.calls import Call, CallStarted, RefuseCall, SendCall
 from tamaracktray.gateway import handle_call_started
 from tamaracktray.gateway_refusals import SCARCE_SERVED_SHARE
@@ -35,6 +46,7 @@
     SCARCE_SPREAD_S,
     spread_retry_delay,
 )
+from tamaracktray.routes import RepeatKind, RouteIndex, RoutingTable
 from tamaracktray.types import RunState
 from tamaracktray.wait_queue import RETURN_WAIT_S, WaitQueue
 from tamaracktray_emulator.admission import (
@@ -530,3 +542,16 @@
             if not kind.is_not_run:
                 ran.add(name)
             take(gateway.end(calls_by_id[name], endpoint, kind, status=200))
+
+
+class TestRankedServices:
+    def test_places_are_promised_only_where_routes_differ_in_priority(self):
+        """Guards against new delays in deployments that rank none of their routes."""
+        urgent = build_route(RepeatKind.STREAM, ENGINES, priority=0)
+        normal = msgspec.structs.replace(urgent, path_prefix="/n/", priority=1)
+        other = build_route(RepeatKind.SAFE, ORDERS, priority=1)
+        other = msgspec.structs.replace(other, path_prefix="/o/")
+        ranked = RouteIndex(RoutingTable(1, (urgent, normal, other)))
+        equal = RouteIndex(RoutingTable(1, (normal, other)))
+        assert ranked.ranked_services == {ENGINES}
+        assert equal.ranked_services == frozenset()
