Don't take callers that state no wait for retrying ones

Cause: a caller without a stated wait has a remaining time of 0, which no promised delay exceeds, so its first try could wait in the queue and wasn't shed. Change: a caller must have waited for at least the shortest retry delay.

--- a/src/tamaracktray/reentry/reentry.py
+++ b/src/tamaracktray/reentry/reentry.py
@@ -156,11 +156,10 @@
         also retried before that.
         """
         places = self._find_places(call.services[0])
-        if now >= places.active_until:
+        if now >= places.active_until or prior_wait_s < BUSY_RETRY_S:
             return False
         if _is_early(call, prior_wait_s):
-            if prior_wait_s >= BUSY_RETRY_S:
-                self._early.note(now, call.fingerprint)
+            self._early.note(now, call.fingerprint)
             return False
         if _is_late(call, prior_wait_s) or self._early.is_known(now, call.fingerprint):
             return False
--- a/tests/test_reentry.py
+++ b/tests/test_reentry.py
@@ -555,3 +555,12 @@
         equal = RouteIndex(RoutingTable(1, (normal, other)))
         assert ranked.ranked_services == {ENGINES}
         assert equal.ranked_services == frozenset()
+
+    def test_caller_that_states_no_wait_is_not_taken_for_a_retrying_one(self):
+        """Guards against first tries that wait as if they were promised a place."""
+        reentry = Reentry()
+        call = build_call("1")
+        for number in range(100):
+            reentry.note_started(number * 0.02, call, is_returning=False)
+        reentry.choose_retry_delay(2.0, build_call("2", wait_s=6.0), (1, 0))
+        assert not reentry.may_queue(2.1, call, prior_wait_s=0.0)
