Shed calls and promise places only where routes differ in priority

Change: both take effect while calls of two route priorities make up the recent traffic of a service, each at least 0.02 of its engine time. Tests of promised places say that routes differ in priority.

--- a/src/tamaracktray/admission_control/control.py
+++ b/src/tamaracktray/admission_control/control.py
@@ -74,6 +74,14 @@
         started_share = window.started_s_by_rank.get(call.rank, 0.0) / offered_s
         return started_share < FLOOR_SHARE * window.started_s / window.offered_s
 
+    def has_ranked_routes(self, now: float, service: str) -> bool:
+        """Return whether a service's recent calls are of several route priorities."""
+        window = self._window_by_service.get(service)
+        if window is None:
+            return False
+        window.expire(now)
+        return window.has_ranked_routes
+
     def note_started(self, now: float, call: Call, cost_s: float) -> None:
         """Record a call that was sent to an endpoint for the first time."""
         window = self._window_by_service.get(call.services[0])
@@ -88,10 +96,10 @@
 
 
 def _is_short(window: ServiceWindow) -> bool:
-    """Return whether slots are short and there are ranks between which to choose.
+    """Return whether slots are short and there are routes between which to choose.
 
     Without starts there is no measured capacity to divide.
     """
     if not window.refused or window.started_s <= 0:
         return False
-    return len(window.offered_s_by_rank) > 1
+    return window.has_ranked_routes
--- a/src/tamaracktray/admission_control/windows.py
+++ b/src/tamaracktray/admission_control/windows.py
@@ -16,6 +16,11 @@
 ROUNDING_S = 1e-9
 
 
+# Least share of the engine time for which calls of a route priority count as traffic of
+# their own. Single requests that only probe a route don't.
+MIN_PRIORITY_SHARE = 0.02
+
+
 class Bucket:
     """Engine time offered and started, in seconds, and refusals, from ``begin`` on."""
 
@@ -57,6 +62,20 @@
         """Return the engine time of all calls that were started, in seconds."""
         return sum(self.started_s_by_rank.values())
 
+    @property
+    def has_ranked_routes(self) -> bool:
+        """Whether calls of two or more route priorities make up the traffic.
+
+        Priorities of teams alone don't count: few calls have urgent teams, for which
+        the order of the queue suffices.
+        """
+        offered_s_by_priority: dict[int, float] = {}
+        for (_, route_priority), offered_s in self.offered_s_by_rank.items():
+            known_s = offered_s_by_priority.get(route_priority, 0.0)
+            offered_s_by_priority[route_priority] = known_s + offered_s
+        least_s = MIN_PRIORITY_SHARE * self.offered_s
+        return sum(s > least_s for s in offered_s_by_priority.values()) > 1
+
     def expire(self, now: float) -> None:
         """Remove what is older than the window."""
         if self._buckets and now < self._buckets[-1].begin:
--- a/src/tamaracktray/gateway_refusals.py
+++ b/src/tamaracktray/gateway_refusals.py
@@ -106,7 +106,7 @@
     served_rate = context.state.served_rate_by_service.get(call.services[0])
     if served_rate is None or served_rate.value >= SCARCE_SERVED_SHARE:
         return BUSY_RETRY_S
-    if _promises_places(context, call.services[0]):
+    if _promises_places(context, now, call.services[0]):
         rank = (call.priority, call.route.priority)
         return context.state.reentry.choose_retry_delay(
             now, call, rank, pending.prior_wait_s
@@ -114,15 +114,14 @@
     return spread_retry_delay(now, call, SCARCE_RETRY_S, SCARCE_SPREAD_S)
 
 
-def _promises_places(context: GatewayContext, service_name: str) -> bool:
+def _promises_places(context: GatewayContext, now: float, service_name: str) -> bool:
     """Return whether places are promised to callers of a service.
 
-    They are only where the configuration ranks its routes: in other deployments, new
+    They are only where its routes differ in priority: in other deployments, new
     callers lose more answers in time than retrying ones gain. Nor are they while an
     engine loads a new version, since its slots return within seconds.
     """
-    index = context.index
-    if index is not None and service_name not in index.ranked_services:
+    if not context.state.admission.has_ranked_routes(now, service_name):
         return False
     service = context.placement_context.services_by_name.get(service_name)
     if service is None or service.engine is None:
--- a/src/tamaracktray/routes.py
+++ b/src/tamaracktray/routes.py
@@ -169,12 +169,9 @@
 
 
 class RouteIndex:
-    """Finds routes by host and path and teams by key.
+    """Finds routes by host and path and teams by key."""
 
-    ``ranked_services`` are the services whose routes differ in priority.
-    """
-
-    __slots__ = ("_routes_by_host", "_team_by_key", "ranked_services", "table")
+    __slots__ = ("_routes_by_host", "_team_by_key", "table")
 
     def __init__(self, table: RoutingTable) -> None:
         self.table = table
@@ -183,7 +180,6 @@
             routes_by_prefix = self._routes_by_host.setdefault(route.host, {})
             routes_by_prefix[route.path_prefix] = route
         self._team_by_key = {key: team for team in table.teams for key in team.keys}
-        self.ranked_services = _find_ranked_services(table)
 
     def find_route(self, host: str, path: str) -> Route | None:
         """Return the host's route with the longest prefix of ``path``, or ``None``."""
@@ -207,16 +203,3 @@
     def needs_keys(self) -> bool:
         """Whether requests to routes that are not public must carry a key."""
         return bool(self.table.teams)
-
-
-def _find_ranked_services(table: RoutingTable) -> frozenset[str]:
-    priorities_by_service: dict[str, set[int]] = {}
-    for route in table.routes:
-        for backend in route.backends:
-            priorities = priorities_by_service.setdefault(backend.service, set())
-            priorities.add(route.priority)
-    return frozenset(
-        service
-        for service, priorities in priorities_by_service.items()
-        if len(priorities) > 1
-    )
--- a/tests/test_reentry.py
+++ b/tests/test_reentry.py
@@ -9,7 +9,6 @@
 import itertools
 from collections import Counter
 
-import msgspec
 from hypothesis import given, settings
 from hypothesis import strategies as st
 from typing_extensions import override
@@ -21,10 +20,10 @@
     SAFE,
     Gateway,
     build_call,
-    build_route,
     engine,
     worker,
 )
+from tamaracktray.admission_control import AdmissionControl
 from tamaracktray.calls import Call, CallStarted, RefuseCall, SendCall
 from tamaracktray.gateway import handle_call_started
 from tamaracktray.gateway_refusals import SCARCE_SERVED_SHARE
@@ -46,7 +45,7 @@
     SCARCE_SPREAD_S,
     spread_retry_delay,
 )
-from tamaracktray.routes import RepeatKind, RouteIndex, RoutingTable
+from tamaracktray.roster import EndpointRecord
 from tamaracktray.types import RunState
 from tamaracktray.wait_queue import RETURN_WAIT_S, WaitQueue
 from tamaracktray_emulator.admission import (
@@ -63,6 +62,20 @@
 NEW_RATE = 40
 
 
+class RankedAdmission(AdmissionControl):
+    """Admission control of a service whose routes differ in priority."""
+
+    @override
+    def has_ranked_routes(self, now: float, service: str) -> bool:
+        return True
+
+
+def build_ranked_gateway(*records: EndpointRecord) -> Gateway:
+    gateway = Gateway(*records)
+    gateway.state.admission = RankedAdmission()
+    return gateway
+
+
 class Caller:
     """A caller with its tries and the result of the last one."""
 
@@ -90,7 +103,7 @@
     """
 
     def __init__(self, *, hasty_every: int = 0, duration_s: float = 20.0) -> None:
-        self.gateway = Gateway(engine("a"), engine("b"))
+        self.gateway = build_ranked_gateway(engine("a"), engine("b"))
         self.callers: list[Caller] = []
         self.call_ids: set[str] = set()
         self.queue: list = []
@@ -205,6 +218,8 @@
 
     def __init__(self, plan: AdmissionPlan) -> None:
         super().__init__(plan)
+        for entry in self._entries:
+            entry.admission = RankedAdmission()
         self.promised: dict[int, CallerRecord] = {}
 
     @override
@@ -400,7 +415,7 @@
         return delays
 
     def test_service_without_an_engine_keeps_the_usual_delays(self):
-        gateway = Gateway(worker("a", max_batch=1))
+        gateway = build_ranked_gateway(worker("a", max_batch=1))
         gateway.arrive(build_call("first", SAFE))
         starts = build_call("s", SAFE)
         for _ in range(100):
@@ -411,7 +426,7 @@
 
     def build_scarce(self) -> tuple[Gateway, Call]:
         """Return a gateway with scarce capacity and measured starts, and a call."""
-        gateway = Gateway(engine("a", max_batch=1))
+        gateway = build_ranked_gateway(engine("a", max_batch=1))
         gateway.state.reentry, gateway.now = build_reentry()
         gateway.arrive(build_call("first", now=gateway.now))
         call = build_call("c", now=gateway.now, wait_s=WAIT_S)
@@ -495,7 +510,9 @@
     )
     def test_no_call_that_ran_is_refused_as_not_run(self, steps):
         """Guards against a repeated run of a retrying call that waited."""
-        gateway = Gateway(engine("a", max_batch=2), engine("b", max_batch=2))
+        gateway = build_ranked_gateway(
+            engine("a", max_batch=2), engine("b", max_batch=2)
+        )
         gateway.state.reentry, gateway.now = build_reentry()
         choose_delay(gateway.state.reentry, gateway.now)
         gateway.arrive(build_call("first", now=gateway.now, wait_s=WAIT_S))
@@ -544,18 +561,7 @@
             take(gateway.end(calls_by_id[name], endpoint, kind, status=200))
 
 
-class TestRankedServices:
-    def test_places_are_promised_only_where_routes_differ_in_priority(self):
-        """Guards against new delays in deployments that rank none of their routes."""
-        urgent = build_route(RepeatKind.STREAM, ENGINES, priority=0)
-        normal = msgspec.structs.replace(urgent, path_prefix="/n/", priority=1)
-        other = build_route(RepeatKind.SAFE, ORDERS, priority=1)
-        other = msgspec.structs.replace(other, path_prefix="/o/")
-        ranked = RouteIndex(RoutingTable(1, (urgent, normal, other)))
-        equal = RouteIndex(RoutingTable(1, (normal, other)))
-        assert ranked.ranked_services == {ENGINES}
-        assert equal.ranked_services == frozenset()
-
+class TestFirstTry:
     def test_caller_that_states_no_wait_is_not_taken_for_a_retrying_one(self):
         """Guards against first tries that wait as if they were promised a place."""
         reentry = Reentry()
@@ -564,3 +570,37 @@
             reentry.note_started(number * 0.02, call, is_returning=False)
         reentry.choose_retry_delay(2.0, build_call("2", wait_s=6.0), (1, 0))
         assert not reentry.may_queue(2.1, call, prior_wait_s=0.0)
+
+
+class TestRankedRoutes:
+    """Guards against new delays where routes don't differ in priority."""
+
+    def count_promised(self, route_priorities: tuple[int, ...]) -> int:
+        gateway = Gateway(engine("e", max_batch=4))
+        call_by_id: dict[str, Call] = {}
+        running: list[str] = []
+        for number in range(400):
+            call = build_call(
+                f"c{number}",
+                now=gateway.now,
+                wait_s=WAIT_S,
+                output_tokens=100,
+                route_priority=route_priorities[number % len(route_priorities)],
+            )
+            call_by_id[call.id] = call
+            effects = gateway.arrive(call) + gateway.tick(0.02, "e")
+            if number % 5 == 0 and running:
+                ended = call_by_id[running.pop(0)]
+                phase = AttemptPhase.ANSWERED
+                effects += gateway.end(ended, "e", phase, status=200)
+            running += [item.call_id for item in effects if isinstance(item, SendCall)]
+        return gateway.state.reentry.count_promised(gateway.now, ENGINES)
+
+    def test_places_are_promised_if_routes_differ_in_priority(self):
+        assert self.count_promised((0, 1)) > 0
+
+    def test_no_places_are_promised_if_all_routes_are_equal(self):
+        assert self.count_promised((1, 1)) == 0
+
+    def test_single_requests_of_another_route_change_nothing(self):
+        assert self.count_promised((1,) * 99 + (0,)) == 0
