Keep the measurements of load when an event is reduced late

Cause: the end of an attempt carries the time of its task and may be reduced after a newer arrival; the window took that for a clock that was set back and emptied itself. Change: only a step back of more than 0.5 s empties the window.

--- a/src/tamaracktray/admission_control/windows.py
+++ b/src/tamaracktray/admission_control/windows.py
@@ -16,6 +16,10 @@
 ROUNDING_S = 1e-9
 
 
+# Longest time by which an event is reduced after newer ones, in seconds; an earlier one
+# shows that the clock was set back.
+MAX_EVENT_DELAY_S = 0.5
+
 # Least share of the engine time for which calls of a route priority count as traffic of
 # their own. Single requests that only probe a route don't.
 MIN_PRIORITY_SHARE = 0.02
@@ -37,6 +41,7 @@
     """Engine time offered and started, and refusals, of the last ``WINDOW_S``.
 
     A clock that jumps back empties the window, and one that jumps ahead lets it expire.
+    Events may be reduced a little later than others that are newer.
     """
 
     __slots__ = ("_buckets", "offered_s_by_rank", "refused", "started_s_by_rank")
@@ -78,7 +83,7 @@
 
     def expire(self, now: float) -> None:
         """Remove what is older than the window."""
-        if self._buckets and now < self._buckets[-1].begin:
+        if self._buckets and now < self._buckets[-1].begin - MAX_EVENT_DELAY_S:
             self.clear()
         while self._buckets and self._buckets[0].begin <= now - WINDOW_S:
             oldest = self._buckets.popleft()
--- a/tests/test_admission_control.py
+++ b/tests/test_admission_control.py
@@ -13,7 +13,7 @@
 from tamaracktray import wait_queue
 from tamaracktray.admission_control import AdmissionControl
 from tamaracktray.admission_control.shares import FLOOR_SHARE, compute_shares
-from tamaracktray.admission_control.windows import WINDOW_S
+from tamaracktray.admission_control.windows import WINDOW_S, ServiceWindow
 from tamaracktray.call_building import build_call as build_from_request
 from tamaracktray.call_log import CallLog
 from tamaracktray.calls import Call, Rank, RefuseCall, SendCall
@@ -480,3 +480,19 @@
         log.note_refused(call, decision, 1)
         assert metrics.counts["calls_shed", "1-2"] == is_shed
         assert metrics.counts["calls_refused", "overloaded"] == 1
+
+
+class TestWindowClock:
+    def test_event_that_is_reduced_late_keeps_the_measurements(self):
+        """Guards against shedding that stops at each attempt's end."""
+        window = ServiceWindow()
+        window.note_offered(1.0, URGENT, 0.5)
+        window.note_refused(1.1)
+        window.note_started(1.09, URGENT, 0.5)
+        assert (window.refused, window.offered_s, window.started_s) == (1, 0.5, 0.5)
+
+    def test_clock_that_jumps_back_empties_the_window(self):
+        window = ServiceWindow()
+        window.note_refused(100.0)
+        window.note_offered(1.0, URGENT, 0.5)
+        assert (window.refused, window.offered_s) == (0, 0.5)
