Don't cut a charged answer for its head, nor close idle connections in vain

Cause: the head of a buffered answer needed room beyond the reserve, so a client that reads lost the rest: 3.9 of 8.0 MB arrived. While bytes are short, each new connection closed all idle ones, though 8 KB each made no room. Change: the head of an answer whose body is charged always fits; idle connections are closed for bytes only if one of them is enough.

--- a/src/tamaracktray/http.py
+++ b/src/tamaracktray/http.py
@@ -170,7 +170,10 @@
         while len(self._tasks) >= self._max_connections:
             await self._pause_accepting("too many connections", is_shortage=True)
         while not self._budget.has_room(CONNECTION_BYTES, CONNECTION_BYTES):
-            await self._pause_accepting("too many bytes are held", is_shortage=True)
+            # Closing connections helps only if one of them makes enough room.
+            is_shortage = self._budget.has_room(0, CONNECTION_BYTES)
+            reason = "too many bytes are held"
+            await self._pause_accepting(reason, is_shortage=is_shortage)
 
     async def _pause_accepting(self, reason: str, *, is_shortage: bool) -> None:
         """Wait a moment, or close an idle connection if there is a shortage."""
--- a/src/tamaracktray/responders.py
+++ b/src/tamaracktray/responders.py
@@ -132,17 +132,27 @@
         length = sum(map(len, parts))
         if length <= MAX_JOINED_BYTES:
             parts = [b"".join(parts)]
-        held_bytes = self._share.held_bytes
-        charge = 0 if self.is_body_shared else max(length - self._buffered_bytes, 0)
+        charged_bytes = 0
         try:
             for part in parts:
                 self._unsent = memoryview(part)[send_nonblocking(self._socket, part) :]
                 if self._unsent:
-                    if not self._share.resize(held_bytes + charge):
-                        raise ConnectionError("too many bytes of answers are held")
+                    if not charged_bytes:
+                        charged_bytes = self._charge_unsent(length)
                     await self._send_unsent()
         finally:
+            self._share.force(self._share.held_bytes - charged_bytes)
+
+    def _charge_unsent(self, length: int) -> int:
+        """Charge an answer that the client doesn't read at once; return the charge."""
+        charge = 0 if self.is_body_shared else max(length - self._buffered_bytes, 0)
+        held_bytes = self._share.held_bytes + charge
+        if self._buffered_bytes and charge <= MAX_JOINED_BYTES:
+            # The body of a buffered answer is charged already; only its head is new.
             self._share.force(held_bytes)
+        elif not self._share.resize(held_bytes):
+            raise ConnectionError("too many bytes of answers are held")
+        return charge
 
     async def _send_unsent(self) -> None:
         while self._unsent:
--- a/tests/test_memory_budget.py
+++ b/tests/test_memory_budget.py
@@ -87,3 +87,52 @@
             await serving.cancel()
 
         curio.run(scenario)
+
+    def test_buffered_answer_is_not_cut_while_small_requests_use_the_reserve(self):
+        """Guards against a close for the head of an answer that is charged already."""
+        budget = MemoryBudget(64_000_000)
+        body = b"x" * 8_000_000
+
+        async def answer(request, responder):
+            assert responder.may_buffer(len(body))
+            with budget.open_share() as others:
+                # Less than the reserve is left for large shares.
+                others.force(64_000_000 - len(body) - 7_000_000)
+                await responder.respond(200, [], body)
+
+        async def scenario() -> None:
+            server = HttpServer(Address("127.0.0.1", 0), answer, budget=budget)
+            await server.open()
+            serving = await curio.spawn(server.serve, daemon=True)
+            reply = await fetch(server.address, "GET", "/", max_bytes=2 * len(body))
+            assert len(reply.unwrap().body) == len(body)
+            await serving.cancel()
+
+        curio.run(scenario)
+
+    def test_idle_connections_stay_open_if_closing_them_makes_no_room(self):
+        """Guards against callers that lose their connections to a crowd of others."""
+
+        async def answer(request, responder):
+            await responder.respond(200, [], b"")
+
+        async def scenario() -> None:
+            budget = MemoryBudget(BUDGET_BYTES)
+            server = HttpServer(Address("127.0.0.1", 0), answer, budget=budget)
+            await server.open()
+            serving = await curio.spawn(server.serve, daemon=True)
+            host, port = server.address.host, server.address.port
+            idle = [await curio.open_connection(host, port) for _ in range(10)]
+            for client in idle:
+                await client.sendall(REQUEST)
+                assert await client.recv(1_000)
+            with budget.open_share() as others:
+                others.force(2 * BUDGET_BYTES)
+                idle.append(await curio.open_connection(host, port))
+                await curio.sleep(0.3)
+                assert server.open_connections == 10
+            for client in idle:
+                await client.close()
+            await serving.cancel()
+
+        curio.run(scenario)
