Look at the queue on arrival only if a slot is free

Cause: an arrival less urgent than a queued call walked the queue against all endpoints with free slots, also of other services: 2.5 ms with 200 calls and 120 such endpoints. Change: it does so only if an endpoint that may run the arrival has a free slot. A bound of 0 for pipelined data is refused, since no lost caller would be noticed with it.

--- a/src/tamaracktray/gateway.py
+++ b/src/tamaracktray/gateway.py
@@ -36,7 +36,7 @@
     suspect_on_silence,
     take_trial,
 )
-from tamaracktray.gateway_fleet import choose, has_available
+from tamaracktray.gateway_fleet import choose, has_available, has_free_slot
 from tamaracktray.gateway_refusals import refuse, refuse_if_quarantined
 from tamaracktray.gateway_state import GatewayContext, PendingCall
 from tamaracktray.outcomes import AttemptPhase
@@ -68,7 +68,7 @@
     pending = state.add_call(event.now, call)
     pending.is_trial = is_trial
     effects: list[Effect] = []
-    if state.waiting.has_more_urgent(call):
+    if state.waiting.has_more_urgent(call) and has_free_slot(context, event.now, call):
         # A slot that became free without an event is theirs.
         effects = send_queued_calls(context, event.now)
     is_admitted = may_enter(context, event.now, pending)
--- a/src/tamaracktray/gateway_fleet.py
+++ b/src/tamaracktray/gateway_fleet.py
@@ -12,7 +12,12 @@
     PendingCall,
 )
 from tamaracktray.ownership import FleetNode, find_owned_endpoints
-from tamaracktray.placement import choose_endpoint, is_available, is_eligible
+from tamaracktray.placement import (
+    choose_endpoint,
+    is_available,
+    is_eligible,
+    list_with_capacity,
+)
 from tamaracktray.roster import EndpointRecord
 from tamaracktray.routes import Service
 
@@ -160,6 +165,14 @@
     )
 
 
+def has_free_slot(context: GatewayContext, now: float, call: Call) -> bool:
+    """Return whether an endpoint that may run a call has a free slot."""
+    return any(
+        is_eligible(call, load, context.placement_context)
+        for load in list_with_capacity(context.state.loads_by_id.values(), now)
+    )
+
+
 def find_pause_end(context: GatewayContext, now: float, call: Call) -> float | None:
     """Return when the first pause among the eligible endpoints ends.
 
--- a/src/tamaracktray/node_settings.py
+++ b/src/tamaracktray/node_settings.py
@@ -165,7 +165,7 @@
         meta(
             "Data that is read of a connection beyond the end of its request.",
             "bytes",
-            ge=0,
+            ge=1,
             le=2**30,
         ),
     ] = 32_768
