--- a/src/tamaracktray/http.py
+++ b/src/tamaracktray/http.py
@@ -22,11 +22,7 @@
     RequestRejectedError,
 )
 from tamaracktray.lingering import linger
-from tamaracktray.memory_budget import (
-    CONNECTION_BYTES,
-    MemoryBudget,
-    MemoryShare,
-)
+from tamaracktray.memory_budget import CONNECTION_BYTES, MemoryBudget, MemoryShare
 from tamaracktray.messages import encode_refusal
 from tamaracktray.pipelined_data import PipelinedData
 from tamaracktray.request_reading import receive_request
