Give reasons instead of trials in two comments

Cause: comments of PROMISED_FILL and MAX_EARLY_SHARE told how the values were tried. Result: no code changes.

--- a/src/tamaracktray/reentry/reentry.py
+++ b/src/tamaracktray/reentry/reentry.py
@@ -22,10 +22,8 @@
 # answered within their objective, which is worth more than a late answer.
 MAX_PROMISED_SHARE = 0.25
 
-# Share of these places that is promised. In the admission experiment at twice the
-# capacity, 0.8 lowered the share of callers answered in time from 0.56 to 0.47, and 0.4
-# to 0.51. The other places cover that the number of retries at an entry varies, since
-# callers retry at any entry.
+# Share of these places that is promised. The others cover that the number of retries
+# at an entry varies, since callers retry at any entry.
 PROMISED_FILL = 0.4
 
 # Promised delays, in seconds and as shares of the time that the caller still waits.
--- a/src/tamaracktray/spillover/zone_figures.py
+++ b/src/tamaracktray/spillover/zone_figures.py
@@ -18,8 +18,8 @@
 START_FREE_SHARE = 1 / 12
 STOP_FREE_SHARE = 1 / 4
 
-# Largest share of the calls that leaves while the own region still has free slots.
-# With no bound, 14 of 100 calls left a region with calls for 94% of its slots.
+# Largest share of the calls that leaves while the own region still has free slots. Each
+# of them costs traffic between regions, though it could have been served at home.
 MAX_EARLY_SHARE = 1 / 8
 
 
