Release answers that have been sent

An idle connection kept its last answer: the responder's view of the unsent rest was empty, but refers to the whole answer, which isn't charged any more. Change: the view is replaced when sending ends.

--- a/src/tamaracktray/responders.py
+++ b/src/tamaracktray/responders.py
@@ -141,6 +141,9 @@
                         charged_bytes = self._charge_unsent(length)
                     await self._send_unsent()
         finally:
+            # Even an empty view would keep the answer in memory while the connection
+            # waits for its next request.
+            self._unsent = memoryview(b"")
             self._share.force(self._share.held_bytes - charged_bytes)
 
     def _charge_unsent(self, length: int) -> int:
