Let three entries repeat the crash reports that all know

Change: suspicions known only from peers are repeated by three entries, chosen by rendezvous hash, and by all for 3 s after the set of reachable entries has changed; refutations are told for 3 s, six beacons. Observers report as before.

--- a/src/tamaracktray/crash_watch.py
+++ b/src/tamaracktray/crash_watch.py
@@ -9,7 +9,7 @@
 rest on silence alone quarantine it only if there are many.
 """
 
-from collections.abc import Iterable, Mapping
+from collections.abc import Callable, Iterable, Mapping
 
 from tamaracktray.suspicions import (
     CrashReport,
@@ -45,6 +45,14 @@
 # seconds. Peers remember it, so it needn't be repeated for longer.
 REPORT_TTL_S = 10.0
 
+# Time for which the refutation of a suspicion is reported to peers, in seconds: six
+# beacons. A peer that gets none of them drops the suspicion when its verdict is due.
+REFUTATION_TTL_S = 3.0
+
+
+def _is_always_repeater(fingerprint: str) -> bool:
+    return True
+
 
 class CrashWatch:
     """Suspicions by request fingerprint.
@@ -285,12 +293,15 @@
         has_news, self._has_news = self._has_news, False
         return has_news
 
-    def list_reports(self, now: float) -> list[CrashReport]:
+    def list_reports(
+        self, now: float, is_repeater: Callable[[str], bool] = _is_always_repeater
+    ) -> list[CrashReport]:
         """Return the reports for peers.
 
-        Suspicions that quarantine a request come first. Of the others, only recent
-        local ones are reported, newest first, as there may be many in the fleet, and
-        then those that were refuted by data of their endpoint.
+        Suspicions that quarantine a request come first; those known only from peers are
+        included if ``is_repeater`` holds for their fingerprint. Of the others, only
+        recent local ones are reported, newest first, as there may be many in the fleet,
+        and then those that were refuted lately by data of their endpoint.
         """
         if self.is_empty:
             return []
@@ -307,11 +318,13 @@
             item
             for suspicions in self._by_fingerprint.values()
             for item in suspicions.values()
-            if item.is_answer_local and not item.is_confirmed
-            if now - item.seen_at < REPORT_TTL_S
+            if item.is_answer_local and _is_refuted_lately(now, item)
         ]
         quarantining = [
-            item for suspicions in quarantined.values() for item in suspicions
+            item
+            for fingerprint, suspicions in quarantined.items()
+            for item in suspicions
+            if item.is_local or is_repeater(fingerprint)
         ]
         selected = quarantining + local_suspicions + refuted
         return [
@@ -369,6 +382,11 @@
         del self._by_fingerprint[oldest]
 
 
+def _is_refuted_lately(now: float, suspicion: Suspicion) -> bool:
+    answer_age_s = suspicion.measure_answer_age(now)
+    return answer_age_s is not None and answer_age_s < REFUTATION_TTL_S
+
+
 def _note_answer(suspicion: Suspicion, answered_at: float) -> bool:
     """Record that the endpoint sent data; return whether that refutes it first."""
     is_late = answered_at - suspicion.seen_at >= IN_FLIGHT_DATA_S
--- a/src/tamaracktray/entry_process.py
+++ b/src/tamaracktray/entry_process.py
@@ -165,13 +165,18 @@
     @override
     def build_beacon(self) -> Beacon:
         now = time.monotonic()
+        repeaters = self.state.gateway.repeaters
+
+        def is_repeater(fingerprint: str) -> bool:
+            return repeaters.is_repeater(now, fingerprint)
+
         return msgspec.structs.replace(
             super().build_beacon(),
             in_flight_by_endpoint=self.state.gateway.count_in_flight(),
             version_floor_by_model=self.state.announcements.list_floors(now),
             announcement_ages_by_model=self.state.announcements.list_ages(now),
-            crash_reports=self.state.crashes.list_reports(now),
-            part_reports=self.state.part_crashes.list_reports(now),
+            crash_reports=self.state.crashes.list_reports(now, is_repeater),
+            part_reports=self.state.part_crashes.list_reports(now, is_repeater),
             sound_answers=self.state.part_crashes.list_sound(now),
             limits_by_endpoint=list_limits(self.state.gateway, now),
         )
--- a/src/tamaracktray/gateway_state.py
+++ b/src/tamaracktray/gateway_state.py
@@ -18,6 +18,7 @@
 from tamaracktray.pending_calls import PendingCall
 from tamaracktray.placement import PlacementContext
 from tamaracktray.reentry.reentry import Reentry
+from tamaracktray.repeaters import Repeaters
 from tamaracktray.routes import RouteIndex
 from tamaracktray.spillover.demand import DemandSpillover
 from tamaracktray.spillover.policy import SpilloverPolicy
@@ -73,6 +74,7 @@
         "peer_count",
         "pending_by_id",
         "reentry",
+        "repeaters",
         "served_rate_by_service",
         "spillover",
         "start_delay_by_service",
@@ -98,12 +100,18 @@
         self.waiting = WaitQueue()
         self.admission = AdmissionControl()
         self.reentry = Reentry()
+        self.repeaters = Repeaters(name)
         self.budget_by_service: dict[str, RetryBudget] = {}
         self.bands_by_route: dict[str, SizeBands] = {}
         self.longest_wait_by_route: dict[str, float] = {}
         self.served_rate_by_service: dict[str, ServedRate] = {}
         self.start_delay_by_service: dict[str, float] = {}
 
+    def replace_entries(self, now: float, entries: tuple[FleetNode, ...]) -> None:
+        """Replace the reachable entries, of which the first is this one."""
+        self.entries = entries
+        self.repeaters.update(now, entries)
+
     def replace_loads(self, loads_by_id: dict[str, EndpointLoad]) -> None:
         """Replace the endpoint loads and index them by address and by zone."""
         self.loads_by_id = loads_by_id
--- a/src/tamaracktray/node_reducer.py
+++ b/src/tamaracktray/node_reducer.py
@@ -212,11 +212,9 @@
     if state.gateway is None:
         return []
     regions = state.region_by_zone
-    peers = state.peers.list_reachable(now)
-    state.gateway.entries = (
-        FleetNode(state.name, regions.get(state.zone, "")),
-        *(FleetNode(peer.name, regions.get(peer.zone, "")) for peer in peers),
-    )
+    entries = (state, *state.peers.list_reachable(now))
+    nodes = (FleetNode(item.name, regions.get(item.zone, "")) for item in entries)
+    state.gateway.replace_entries(now, tuple(nodes))
     context = build_gateway_context(state, now)
     apply_roster(context, now, state.roster.records_by_id)
     return send_queued_calls(context, now)
