Let three entries repeat the sound answers that all know

Change: an entry tells a sound answer for 3 s after a suspicion of its part arose or was dropped; later three entries repeat it, as they do crash reports.

--- a/src/tamaracktray/crash_watch.py
+++ b/src/tamaracktray/crash_watch.py
@@ -50,7 +50,8 @@
 REFUTATION_TTL_S = 3.0
 
 
-def _is_always_repeater(fingerprint: str) -> bool:
+def always_repeat(fingerprint: str) -> bool:
+    """Select this entry as a repeater of all reports."""
     return True
 
 
@@ -294,7 +295,7 @@
         return has_news
 
     def list_reports(
-        self, now: float, is_repeater: Callable[[str], bool] = _is_always_repeater
+        self, now: float, is_repeater: Callable[[str], bool] = always_repeat
     ) -> list[CrashReport]:
         """Return the reports for peers.
 
--- a/src/tamaracktray/entry_process.py
+++ b/src/tamaracktray/entry_process.py
@@ -177,7 +177,7 @@
             announcement_ages_by_model=self.state.announcements.list_ages(now),
             crash_reports=self.state.crashes.list_reports(now, is_repeater),
             part_reports=self.state.part_crashes.list_reports(now, is_repeater),
-            sound_answers=self.state.part_crashes.list_sound(now),
+            sound_answers=self.state.part_crashes.list_sound(now, is_repeater),
             limits_by_endpoint=list_limits(self.state.gateway, now),
         )
 
--- a/src/tamaracktray/part_watch.py
+++ b/src/tamaracktray/part_watch.py
@@ -14,7 +14,12 @@
 import msgspec
 from typing_extensions import override
 
-from tamaracktray.crash_watch import MAX_REPORTS, REPORT_TTL_S, CrashWatch
+from tamaracktray.crash_watch import (
+    MAX_REPORTS,
+    REPORT_TTL_S,
+    CrashWatch,
+    always_repeat,
+)
 from tamaracktray.part_blame import (
     PartQuarantine,
     count_needed,
@@ -42,6 +47,10 @@
 # Suspicions of a quarantined part that are reported and recorded.
 MAX_QUARANTINE_REPORTS = 8
 
+# Time for which every entry that knows a sound answer tells it after a suspicion of its
+# part arose or was dropped, in seconds: six beacons. Later only the repeaters do.
+SOUND_REPORT_S = 3.0
+
 # Interval between assessments while the evidence doesn't change, in seconds.
 REASSESSMENT_S = 0.25
 
@@ -60,7 +69,7 @@
     """Suspicions by prompt part, which takes the place of the request fingerprint."""
 
     __slots__ = (
-        "_disputed_parts",
+        "_dispute_deadline_by_part",
         "_quarantine_by_part",
         "_reassessment_deadline",
         "_sound_at_by_part",
@@ -70,7 +79,7 @@
     def __init__(self, quarantine_s: float, heartbeat_s: float) -> None:
         super().__init__(quarantine_s, heartbeat_s)
         self._sound_at_by_part: dict[str, float] = {}
-        self._disputed_parts: set[str] = set()
+        self._dispute_deadline_by_part: dict[str, float] = {}
         self._quarantine_by_part: dict[str, PartQuarantine] = {}
         self._reassessment_deadline = 0.0
         self._trials = PartTrials()
@@ -90,7 +99,7 @@
         if len(self._sound_at_by_part) > MAX_SOUND_PARTS:
             oldest = next(iter(self._sound_at_by_part))
             del self._sound_at_by_part[oldest]
-            self._disputed_parts.discard(oldest)
+            self._dispute_deadline_by_part.pop(oldest, None)
         suspicions = self._by_fingerprint.get(part, {})
         notes: list[LogFinding] = []
         for endpoint, suspicion in list(suspicions.items()):
@@ -104,7 +113,7 @@
             return []
         if not suspicions:
             del self._by_fingerprint[part]
-        self._disputed_parts.add(part)
+        self._dispute_deadline_by_part[part] = now + SOUND_REPORT_S
         self._reassessment_deadline = 0.0
         if is_local and part in self._quarantine_by_part:
             self._has_news = True
@@ -120,25 +129,40 @@
             notes.extend(self.record_sound(now, answer.part, began_at, is_local=False))
         return notes
 
-    def list_sound(self, now: float) -> list[SoundAnswer]:
+    def list_sound(
+        self, now: float, is_repeater: Callable[[str], bool] = always_repeat
+    ) -> list[SoundAnswer]:
         """Return the sound answers that peers need to know.
 
         Those are recent ones that refute suspicions, and any of parts suspected now.
+        After some time they are included only if ``is_repeater`` holds for their part.
         """
-        for part in list(self._disputed_parts):
+        disputed = self._dispute_deadline_by_part
+        for part in list(disputed):
             if now - self._sound_at_by_part[part] >= REPORT_TTL_S:
-                self._disputed_parts.discard(part)
+                del disputed[part]
         suspected = (
             part
             for part in self._by_fingerprint
-            if part in self._sound_at_by_part and part not in self._disputed_parts
+            if part in self._sound_at_by_part and part not in disputed
+        )
+        parts = (
+            part
+            for part in itertools.chain(disputed, suspected)
+            if self._is_news(now, part) or is_repeater(part)
         )
-        parts = itertools.chain(self._disputed_parts, suspected)
         return [
             SoundAnswer(part, max(now - self._sound_at_by_part[part], 0.0))
             for part in itertools.islice(parts, MAX_REPORTS)
         ]
 
+    def _is_news(self, now: float, part: str) -> bool:
+        """Return whether peers may not know yet that a part was answered."""
+        if now < self._dispute_deadline_by_part.get(part, -math.inf):
+            return True
+        suspicions = self._by_fingerprint.get(part, {}).values()
+        return any(now - item.seen_at < SOUND_REPORT_S for item in suspicions)
+
     def suspect_prompt(
         self,
         now: float,
@@ -254,7 +278,7 @@
     def _is_cleared(self, now: float, fingerprint: str, seen_at: float) -> bool:
         if seen_at > self._sound_at_by_part.get(fingerprint, -math.inf):
             return False
-        self._disputed_parts.add(fingerprint)
+        self._dispute_deadline_by_part[fingerprint] = now + SOUND_REPORT_S
         return True
 
     def _reassess(self, now: float) -> None:
--- a/tests/test_repeaters.py
+++ b/tests/test_repeaters.py
@@ -10,6 +10,7 @@
 
 from tamaracktray.crash_watch import REFUTATION_TTL_S, CrashWatch
 from tamaracktray.ownership import FleetNode
+from tamaracktray.part_watch import SOUND_REPORT_S, PartWatch
 from tamaracktray.repeaters import FULL_REPEAT_S, REPEATERS, Repeaters
 from tamaracktray.suspicions import Incarnation, ListedEndpoint
 
@@ -98,3 +99,22 @@
         (report,) = watch.list_reports(last - 0.1)
         assert report.answered_age_s is not None
         assert watch.list_reports(last) == []
+
+    def test_sound_answer_is_told_for_some_beacons_and_then_by_the_repeaters(self):
+        watch = PartWatch(quarantine_s=60.0, heartbeat_s=1.0)
+        watch.suspect(0.0, "part", A)
+        watch.record_sound(1.0, "part", 0.9)
+        last = 1.0 + SOUND_REPORT_S
+        assert watch.list_sound(last - 0.1, lambda part: False)
+        assert watch.list_sound(last, lambda part: False) == []
+        assert watch.list_sound(last, lambda part: True)
+
+    def test_sound_answer_is_told_when_its_part_is_suspected_again(self):
+        watch = PartWatch(quarantine_s=60.0, heartbeat_s=1.0)
+        watch.suspect(0.0, "part", A)
+        watch.record_sound(1.0, "part", 0.9)
+        watch.suspect(6.0, "part", B)
+        last = 6.0 + SOUND_REPORT_S
+        assert watch.list_sound(last - 0.1, lambda part: False)
+        assert watch.list_sound(last, lambda part: False) == []
+        assert watch.list_sound(last, lambda part: True)
