Bound and expire the waits that callers state

Cause: the longest wait that any caller stated on a route counted as the initial one until the entry restarted. After one caller that stated 30 s on a route of 6 s, all others counted as having waited 24 s: they were not queued and were promised no place.

Change: a stated wait counts as the route's timeout at most, in the table that is in force, and expires after 10 s (`reentry/stated_waits.py`). A route keeps at most 20 waits, 0.5 s apart, and a route that a new table doesn't have keeps none. A clock that is set back clears the waits of a route.

--- a/src/tamaracktray/gateway_routing.py
+++ b/src/tamaracktray/gateway_routing.py
@@ -1,4 +1,4 @@
-"""Applies another routing table to the open calls of an entry."""
+"""Applies another routing table to an entry: its open calls and stated waits."""
 
 import msgspec
 from returns.result import Failure
@@ -17,9 +17,11 @@
     """Bind the open calls to another routing table and end those that it forbids.
 
     An attempt in flight, or a parked one, ends by itself: it is withdrawn if it has not
-    been sent, and otherwise its answer is still relayed.
+    been sent, and otherwise its answer is still relayed. Waits stated on routes that
+    the table doesn't have are forgotten.
     """
     state = context.state
+    state.stated_waits.retain(route.name for route in index.table.routes)
     effects: list[Effect] = []
     for pending in list(state.pending_by_id.values()):
         bound = rebind_call(pending.call, index)
--- a/src/tamaracktray/gateway_state.py
+++ b/src/tamaracktray/gateway_state.py
@@ -18,6 +18,7 @@
 from tamaracktray.pending_calls import PendingCall
 from tamaracktray.placement import PlacementContext
 from tamaracktray.reentry.reentry import Reentry
+from tamaracktray.reentry.stated_waits import StatedWaits
 from tamaracktray.routes import RouteIndex
 from tamaracktray.spillover.demand import DemandSpillover
 from tamaracktray.spillover.policy import SpilloverPolicy
@@ -66,7 +67,6 @@
         "ids_by_address",
         "loads_by_id",
         "loads_by_zone",
-        "longest_wait_by_route",
         "move_reason_by_id",
         "name",
         "notices",
@@ -76,6 +76,7 @@
         "served_rate_by_service",
         "spillover",
         "start_delay_by_service",
+        "stated_waits",
         "reported_by_peer",
         "waiting",
     )
@@ -98,9 +99,9 @@
         self.waiting = WaitQueue()
         self.admission = AdmissionControl()
         self.reentry = Reentry()
+        self.stated_waits = StatedWaits()
         self.budget_by_service: dict[str, RetryBudget] = {}
         self.bands_by_route: dict[str, SizeBands] = {}
-        self.longest_wait_by_route: dict[str, float] = {}
         self.served_rate_by_service: dict[str, ServedRate] = {}
         self.start_delay_by_service: dict[str, float] = {}
 
@@ -155,7 +156,7 @@
     def add_call(self, now: float, call: Call) -> PendingCall:
         """Add a call that arrived."""
         pending = PendingCall(call)
-        pending.prior_wait_s = self.estimate_prior_wait(call)
+        pending.prior_wait_s = self.stated_waits.estimate_prior_wait(now, call)
         pending.is_returning = self.reentry.may_queue(now, call, pending.prior_wait_s)
         self.pending_by_id[call.id] = pending
         return pending
@@ -166,18 +167,6 @@
             return
         self.reentry.note_started(now, pending.call, is_returning=pending.is_returning)
 
-    def estimate_prior_wait(self, call: Call) -> float:
-        """Estimate how long the caller has waited in earlier tries, in seconds.
-
-        Callers send the time that they still wait. The longest such time on a route is
-        taken as the initial one, so a caller with less time left must be retrying.
-        """
-        if not call.wait_s:
-            return 0.0
-        longest = max(self.longest_wait_by_route.get(call.route.name, 0.0), call.wait_s)
-        self.longest_wait_by_route[call.route.name] = longest
-        return longest - call.wait_s
-
     def record_start_delay(
         self, now: float, pending: PendingCall, delay_s: float
     ) -> None:
