Bound stated waits in the delays of refused callers

Cause: callers without a promised place are told when room is expected, and each one moves that time for the next unless it will have given up by then. One that states a wait beyond the route's timeout moved it for everybody: after 200 refusals of calls that state 1,000,000 s on a route of 6 s, with 20 starts a second, a caller that states 6 s was told 106.2 s.

Change: here, too, a stated wait counts as the route's timeout at most. This concerns only services whose routes differ in priority, where places are promised.

--- a/src/tamaracktray/reentry/reentry.py
+++ b/src/tamaracktray/reentry/reentry.py
@@ -199,8 +199,13 @@
 
 
 def _measure_remaining(now: float, call: Call) -> float:
-    """Return the time that the caller still waits, in seconds."""
-    deadline = call.arrived + call.wait_s if call.wait_s else call.deadline
+    """Return the time that the caller still waits, in seconds.
+
+    A stated wait beyond the route's timeout counts as that timeout. Otherwise callers
+    that state any more would defer the time at which others are told to retry.
+    """
+    wait_s = min(call.wait_s, call.route.timeout_s)
+    deadline = call.arrived + wait_s if wait_s else call.deadline
     return max(deadline - now, 0.0)
 
 
--- a/tests/test_stated_waits.py
+++ b/tests/test_stated_waits.py
@@ -23,7 +23,11 @@
 from tamaracktray.node_events import CollectionListed
 from tamaracktray.node_reducer import reduce_node
 from tamaracktray.objects import StoredObject
-from tamaracktray.reentry.reentry import MAX_PROMISED_DELAY_S, MIN_PROMISED_DELAY_S
+from tamaracktray.reentry.reentry import (
+    MAX_PROMISED_DELAY_S,
+    MIN_PROMISED_DELAY_S,
+    Reentry,
+)
 from tamaracktray.reentry.stated_waits import (
     SPACING_S,
     VALID_S,
@@ -35,6 +39,10 @@
 
 WAIT_S = STREAM.timeout_s
 
+# Time between two callers for whom room is expected, in seconds: a tenth of the starts
+# is promised, and the tests have 20 starts a second.
+ROOM_INTERVAL_S = 0.5
+
 
 class RankedAdmission(AdmissionControl):
     """Admission control of a service whose routes differ in priority."""
@@ -88,6 +96,19 @@
         delay_s = refused.refusal.retry_after_s
         assert MIN_PROMISED_DELAY_S - 0.1 <= delay_s <= MAX_PROMISED_DELAY_S
 
+    def test_later_callers_are_told_no_later_time(self, stated_s):
+        """Guards against retry delays that grow with the wait of another caller."""
+        reentry, now = Reentry(), 2.0
+        for number in range(40):
+            started = build_call("s", now=number / 20)
+            reentry.note_started(number / 20, started, is_returning=False)
+        for _ in range(200):
+            odd = build_call("odd", now=now, wait_s=stated_s)
+            reentry.choose_retry_delay(now, odd, odd.rank)
+        usual = build_call("usual", now=now, wait_s=WAIT_S)
+        delay_s = reentry.choose_retry_delay(now, usual, usual.rank)
+        assert delay_s <= WAIT_S + ROOM_INTERVAL_S
+
 
 class TestWaitWithinTimeout:
     def test_retrying_caller_is_recognised(self):
