Recognise retries of callers that wait for longer than the timeout

Cause: stated waits were cut at the route's timeout. Change: waits beyond the timeout are compared apart from shorter ones, up to twice the timeout, so neither changes what the others count as.

--- a/src/tamaracktray/gateway_state.py
+++ b/src/tamaracktray/gateway_state.py
@@ -18,8 +18,8 @@
 from tamaracktray.pending_calls import PendingCall
 from tamaracktray.placement import PlacementContext
 from tamaracktray.reentry.reentry import Reentry
-from tamaracktray.repeaters import Repeaters
 from tamaracktray.reentry.stated_waits import StatedWaits
+from tamaracktray.repeaters import Repeaters
 from tamaracktray.routes import RouteIndex
 from tamaracktray.spillover.demand import DemandSpillover
 from tamaracktray.spillover.policy import SpilloverPolicy
--- a/src/tamaracktray/reentry/stated_waits.py
+++ b/src/tamaracktray/reentry/stated_waits.py
@@ -14,6 +14,10 @@
 # tolerance and the wait in the queue, so that the callers of a shortage are recognised.
 VALID_S = 10.0
 
+# Bound on a stated wait as a multiple of the timeout of its route, which applies to one
+# try: callers that try more than once may wait for longer.
+MAX_TIMEOUTS = 2.0
+
 # Least time between two waits that are kept, in seconds; it bounds the state of a route
 # whose callers state ever shorter ones.
 SPACING_S = 0.5
@@ -68,34 +72,40 @@
 
 
 class StatedWaits:
-    """Waits stated on the routes of one entry."""
+    """Waits stated on the routes of one entry.
+
+    Waits beyond the timeout of a route are kept apart, so that callers who state them
+    don't make those who keep to it count as retrying.
+    """
 
-    __slots__ = ("_waits_by_route",)
+    __slots__ = ("_waits_by_kind",)
 
     def __init__(self) -> None:
-        self._waits_by_route: dict[str, RouteWaits] = {}
+        self._waits_by_kind: dict[tuple[str, bool], RouteWaits] = {}
 
     def __len__(self) -> int:
-        return len(self._waits_by_route)
+        return len(self._waits_by_kind)
 
     def estimate_prior_wait(self, now: float, call: Call) -> float:
         """Record a call's stated wait; return the caller's wait in earlier tries.
 
-        Both are in seconds. A wait beyond the timeout of the route counts as that
-        timeout: callers choose what they state, and one that states more would make all
-        others on its route count as retrying.
+        Both are in seconds.
         """
         if not call.wait_s:
             return 0.0
         timeout_s = call.route.timeout_s
-        wait_s = min(call.wait_s, timeout_s)
-        waits = self._waits_by_route.setdefault(call.route.name, RouteWaits())
+        is_longer = call.wait_s > timeout_s
+        max_wait_s = timeout_s * MAX_TIMEOUTS if is_longer else timeout_s
+        wait_s = min(call.wait_s, max_wait_s)
+        kind = (call.route.name, is_longer)
+        waits = self._waits_by_kind.setdefault(kind, RouteWaits())
         waits.note(now, wait_s)
         # A table that came into force since may have shortened the timeout.
-        return min(waits.find_longest(now), timeout_s) - wait_s
+        return min(waits.find_longest(now), max_wait_s) - wait_s
 
     def retain(self, routes: Iterable[str]) -> None:
         """Forget the waits on all other routes than those with these names."""
         kept = set(routes)
-        for name in self._waits_by_route.keys() - kept:
-            del self._waits_by_route[name]
+        for kind in list(self._waits_by_kind):
+            if kind[0] not in kept:
+                del self._waits_by_kind[kind]
