Use regions without figures for calls with nothing else to try

Cause: spill-over names only the own region and targets with recent figures. A call whose first attempt was not sent at the only endpoint of the own region was queued and refused while another region, without a report for 1 s, had free slots.

Change: if no named zone has an available endpoint that the call has not tried, for any of its services, placement uses the zones that are not named. Calls wait for full endpoints that they have not tried, and keep silent or parked attempts, as before.

--- a/src/tamaracktray/gateway_fleet.py
+++ b/src/tamaracktray/gateway_fleet.py
@@ -130,9 +130,14 @@
 def choose(
     context: GatewayContext, now: float, pending: PendingCall, excluded_id: str = ""
 ) -> EndpointLoad | None:
-    """Return the endpoint for a call, ``None`` if none is available with capacity."""
+    """Return the endpoint for a call, ``None`` if none is available with capacity.
+
+    A call that can stay at an attempt is not refused if no endpoint takes it, so it is
+    not sent to zones outside those that spill-over names.
+    """
     if is_barred(context, now, pending):
         return None
+    has_attempt = bool(excluded_id or pending.parked_by_id)
     return choose_endpoint(
         now,
         pending.call,
@@ -140,6 +145,7 @@
         context.placement_context,
         list_avoided(context, pending) | {excluded_id},
         context.state.spillover,
+        uses_other_zones=not has_attempt,
     )
 
 
--- a/src/tamaracktray/placement.py
+++ b/src/tamaracktray/placement.py
@@ -5,7 +5,7 @@
 reordered, and waiting in it is what makes calls miss their latency objectives.
 """
 
-from collections.abc import Iterable, Mapping
+from collections.abc import Iterable, Mapping, Sequence
 
 import msgspec
 
@@ -137,6 +137,8 @@
     placement_context: PlacementContext,
     tried: frozenset[str],
     spillover: SpilloverPolicy,
+    *,
+    uses_other_zones: bool = True,
 ) -> EndpointLoad | None:
     """Return the endpoint with the lowest cost that has a free slot, or ``None``.
 
@@ -146,12 +148,35 @@
     delay; equal ones are compared by running calls plus the penalties for distance and
     borrowing, weighted by pace. Endpoints of the service selected for the call come
     first; the route's other services are used only if the selected one has no available
-    endpoint.
+    endpoint. If none of the services has one that is not in ``tried``, the zones in no
+    group are used, unless ``uses_other_zones`` is cleared.
     """
     groups = spillover.choose(now, call, loads_by_zone, placement_context)
+    load, has_candidates = _choose_in_groups(
+        now, call, loads_by_zone, groups, placement_context, tried
+    )
+    if has_candidates or not uses_other_zones:
+        return load
+    grouped = {zone for zones in groups for zone in zones}
+    others = tuple(zone for zone in loads_by_zone if zone not in grouped)
+    load, _ = _choose_in_groups(
+        now, call, loads_by_zone, (others,), placement_context, tried
+    )
+    return load
+
+
+def _choose_in_groups(
+    now: float,
+    call: Call,
+    loads_by_zone: LoadsByZone,
+    groups: Sequence[tuple[str, ...]],
+    placement_context: PlacementContext,
+    tried: frozenset[str],
+) -> tuple[EndpointLoad | None, bool]:
+    """Return the endpoint chosen in the groups, and whether any is available there."""
+    has_candidates = False
     impaired: list[EndpointLoad] = []
     for service in call.services:
-        has_candidates = False
         for zones in groups:
             candidates = [
                 load
@@ -166,15 +191,16 @@
             if best is None:
                 continue
             if not any(_measure_impairment(now, call, best, placement_context)):
-                return best
+                return best, True
             impaired.append(best)
         if has_candidates:
             break
-    return min(
+    best = min(
         impaired,
         key=lambda load: _measure_impairment(now, call, load, placement_context),
         default=None,
     )
+    return best, has_candidates
 
 
 def _choose_cheapest(
--- a/src/tamaracktray/spillover/policy.py
+++ b/src/tamaracktray/spillover/policy.py
@@ -45,7 +45,8 @@
     ) -> Sequence[tuple[str, ...]]:
         """Return the groups of zones that may serve a call, in the order of choice.
 
-        A group is used only if no earlier one has a free slot for the call.
+        A group is used only if no earlier one has a free slot for the call. Placement
+        uses zones in no group only for a call that has no other endpoint left to try.
         """
 
     def note_sent(self, call: Call, zone: str) -> bool:
--- a/tests/test_spillover.py
+++ b/tests/test_spillover.py
@@ -10,6 +10,7 @@
 
 from gateways import (
     ENGINES,
+    ORDERS,
     REGION_BY_ZONE,
     SERVICES,
     STREAM,
@@ -18,9 +19,18 @@
     build_route,
     engine,
     sent,
+    worker,
 )
 from tamaracktray.call_log import CallLog
-from tamaracktray.calls import CallArrived, CallAttemptEnded, RefuseCall, SendCall
+from tamaracktray.calls import (
+    Call,
+    CallArrived,
+    CallAttemptEnded,
+    LeaveAttempt,
+    RefuseCall,
+    ResumeAttempt,
+    SendCall,
+)
 from tamaracktray.crash_watch import CrashWatch
 from tamaracktray.effects import Effect
 from tamaracktray.endpoint_loads import EndpointLoad
@@ -35,7 +45,7 @@
 from tamaracktray.outcomes import AttemptPhase
 from tamaracktray.ownership import FleetNode
 from tamaracktray.part_watch import PartWatch
-from tamaracktray.placement import PlacementContext
+from tamaracktray.placement import PlacementContext, choose_endpoint
 from tamaracktray.routes import RepeatKind
 from tamaracktray.snapshots import Collection, SnapshotCache
 from tamaracktray.spillover.demand import (
@@ -195,6 +205,121 @@
         return Counter(zones)
 
 
+class TestTriedEndpoints:
+    """Calls whose attempts failed, beside regions with and without figures."""
+
+    def build_silent_gateway(self, *records, **fields) -> Gateway:
+        """Return an entry whose peer of region-c has not reported for too long."""
+        gateway = build_gateway(*records, **fields)
+        gateway.now = REPORT_VALID_S + 0.1
+        return gateway
+
+    def send_first(self, gateway: Gateway, **fields) -> Call:
+        """Return a call that was sent to the endpoint of the own zone."""
+        call = build_call("1", now=gateway.now, **fields)
+        assert sent(gateway.arrive(call)) == ["home"]
+        return call
+
+    def choose(
+        self,
+        zones: Zones,
+        *tried: str,
+        reporting: tuple[str, ...] = (),
+    ) -> str:
+        """Return the chosen zone; each other one has an entry, ``reporting`` report."""
+        names = [zone for zone in zones.names if zone != zones.names[0]]
+        zones.policy.update_entries(
+            FleetNode(f"peer-{zone}", f"region-{zone}") for zone in names
+        )
+        for zone in reporting:
+            zones.policy.note_report(zones.now, f"peer-{zone}")
+        load = choose_endpoint(
+            zones.now,
+            build_call("c", now=zones.now),
+            {zone: [load] for zone, load in zones.loads.items()},
+            zones.context,
+            frozenset(f"e-{zone}" for zone in tried),
+            zones.policy,
+        )
+        return "" if load is None else load.record.zone
+
+    def test_region_without_figures_takes_a_call_that_has_no_other_endpoint(self):
+        """Guards against a refusal while a region whose entry is silent has room."""
+        gateway = self.build_silent_gateway(engine("home"), engine("far", FAR))
+        call = self.send_first(gateway)
+        effects = gateway.end(call, "home", AttemptPhase.NOT_SENT)
+        (send,) = effects[:1]
+        assert send.endpoint_id == "far"
+        assert send.is_spilled
+
+    def test_region_that_the_call_may_not_use_stays_excluded(self):
+        """Guards against a last resort that ignores the regions of a call."""
+        gateway = self.build_silent_gateway(engine("home"), engine("far", FAR))
+        call = self.send_first(gateway, regions=frozenset({"region-a"}))
+        effects = gateway.end(call, "home", AttemptPhase.NOT_SENT)
+        assert sent(effects) == []
+        assert any(isinstance(effect, RefuseCall) for effect in effects)
+
+    def test_call_waits_for_an_endpoint_that_it_has_not_tried(self):
+        """Guards against calls that leave for a silent region by a failure alone."""
+        records = engine("home"), engine("next"), engine("far", FAR)
+        gateway = self.build_silent_gateway(*records, owned=("home", "next"))
+        call = self.send_first(gateway)
+        gateway.load("next").in_flight = 4
+        assert sent(gateway.end(call, "home", AttemptPhase.NOT_SENT)) == []
+        gateway.load("next").in_flight = 3
+        assert sent(gateway.tick(0.01)) == ["next"]
+
+    def test_regions_with_figures_come_first(self):
+        """Guards against a silent region that is used before one that reports."""
+        zones = Zones(4, 4, 4)
+        for reporting in ("zone-1", "zone-2"):
+            zones.set_running(0, 0, 0)
+            zones.now += 2 * REPORT_VALID_S
+            assert self.choose(zones, "zone-0", reporting=(reporting,)) == reporting
+
+    def test_call_waits_for_a_full_region_with_figures(self):
+        """Guards against taking expired counts of a silent entry for free slots."""
+        zones = Zones(4, 8, 8)
+        zones.set_running(0, 8, 0)
+        assert self.choose(zones, "zone-0", reporting=("zone-1",)) == ""
+        tried = ("zone-0", "zone-1")
+        assert self.choose(zones, *tried, reporting=("zone-1",)) == "zone-2"
+
+    def test_other_service_of_the_route_comes_before_regions_without_figures(self):
+        """Guards against leaving the region while another service has room there."""
+        gateway = self.build_silent_gateway(
+            engine("home"),
+            worker("spare", "zone-a"),
+            engine("far", FAR),
+            owned=("home", "spare"),
+        )
+        route = build_route(RepeatKind.STREAM, ENGINES, ORDERS)
+        call = self.send_first(gateway, route=route)
+        assert sent(gateway.end(call, "home", AttemptPhase.NOT_SENT)) == ["spare"]
+
+    def test_silent_attempt_is_not_moved_to_a_region_without_figures(self):
+        """Guards against leaving an endpoint that may go on, for an unknown one."""
+        gateway = self.build_silent_gateway(engine("home"), engine("far", FAR))
+        self.send_first(gateway)
+        effects = gateway.tick(1.0) + gateway.tick(0.5)
+        assert not any(isinstance(effect, LeaveAttempt) for effect in effects)
+
+    def test_call_with_a_parked_attempt_goes_back_to_it(self):
+        """Guards against a further run of a call that is not refused anyway."""
+        near = engine("near", "zone-b")
+        gateway = self.build_silent_gateway(engine("home"), near, engine("far", FAR))
+        call = self.send_first(gateway)
+        effects = gateway.tick(1.0)
+        assert any(isinstance(effect, LeaveAttempt) for effect in effects)
+        effects = gateway.end(call, "home", AttemptPhase.SENT, is_parked=True)
+        assert sent(effects) == ["near"]
+        effects = gateway.end(call, "near", AttemptPhase.NOT_SENT)
+        effects += gateway.tick(0.5) + gateway.tick(0.5)
+        assert sent(effects) == []
+        assert any(isinstance(effect, ResumeAttempt) for effect in effects)
+
+
 class TestShares:
     def test_early_share_has_hysteresis(self):
         """Guards against a share that is switched on and off by each call."""
