Keep spill-over state for known models only

Cause: clients choose the names of models, and the 65th kind of call cleared the spill-over state of all kinds. 64 made-up names, 20 times beside a known model, gave 20 log lines.

Change: a kind gets state only if the service names its model and an endpoint holds it, or if the call names no model. Other calls look at the own region first and then at all other zones. The 65th known kind evicts the least recently used one.

Result: the same calls give 1 line.

--- a/src/tamaracktray/spillover/demand.py
+++ b/src/tamaracktray/spillover/demand.py
@@ -1,6 +1,7 @@
 """Spill-over by demand: calls leave their region when it has no room for them."""
 
 import math
+from collections import OrderedDict
 from collections.abc import Iterable, Sequence
 
 import msgspec
@@ -34,7 +35,8 @@
 # get a burst of calls afterwards.
 MAX_CREDIT = 2.0
 
-# Kinds of calls (service and model) of which the state is kept.
+# Kinds of calls (service and model) of which the state is kept, the least recently used
+# one being evicted. Each has a few entries for each zone.
 MAX_KINDS = 64
 
 
@@ -104,6 +106,7 @@
 
     Applies to services with an engine in deployments of several regions; otherwise all
     zones compete as they do by ``ZonePreference``. ``entry`` is the name of this entry.
+    Kinds are ordered by their last use.
     """
 
     __slots__ = ("_changes", "_delays", "_entry", "_names_by_region", "_region")
@@ -115,7 +118,7 @@
         self._delays = ZoneDelays()
         self._names_by_region: dict[str, list[str]] = {}
         self._reported_at: dict[str, float] = {}
-        self._state_by_kind: dict[tuple[str, str], KindState] = {}
+        self._state_by_kind: OrderedDict[tuple[str, str], KindState] = OrderedDict()
         self._changes: list[LogSpillover] = []
 
     @override
@@ -130,7 +133,11 @@
         regions = set(placement_context.region_by_zone.values())
         if service is None or service.engine is None or len(regions) < 2:
             return (tuple(loads_by_zone),)
-        state = self._find_state(now, call, loads_by_zone, placement_context)
+        state = self._find_state(
+            now, call, service.engine, loads_by_zone, placement_context
+        )
+        if state is None:
+            return _group_by_region(loads_by_zone, placement_context)
         left_s = _measure_time_left(now, call, service.engine)
         targets = self._order_targets(now, call, state, left_s)
         region_by_zone = placement_context.region_by_zone
@@ -211,14 +218,23 @@
         self,
         now: float,
         call: Call,
+        engine: EngineSpec,
         loads_by_zone: LoadsByZone,
         placement_context: PlacementContext,
-    ) -> KindState:
+    ) -> KindState | None:
+        """Return the state of a call's kind, ``None`` if its model is unknown.
+
+        Callers choose the names of models, so that unknown ones get no state.
+        """
         kind = (call.services[0], call.model)
         state = self._state_by_kind.get(kind)
-        if state is None:
+        if state is not None:
+            self._state_by_kind.move_to_end(kind)
+        else:
+            if not _is_known(call, engine, loads_by_zone):
+                return None
             if len(self._state_by_kind) >= MAX_KINDS:
-                self._state_by_kind.clear()
+                self._state_by_kind.popitem(last=False)
             state = self._state_by_kind[kind] = KindState()
         if now >= state.figures_deadline:
             self._measure(now, call, state, loads_by_zone, placement_context)
@@ -301,3 +317,30 @@
     """Return the time until the call's objective, without prefill, in seconds."""
     objective_s = call.route.target_latency_s or math.inf
     return objective_s - (now - call.arrived) - estimate_prefill(call, engine)
+
+
+def _is_known(call: Call, engine: EngineSpec, loads_by_zone: LoadsByZone) -> bool:
+    """Return whether the service names a call's model and an endpoint serves it.
+
+    A call without a model can run at all endpoints of the service.
+    """
+    if call.model and all(model.name != call.model for model in engine.models):
+        return False
+    return any(
+        load.record.service == call.services[0]
+        and (not call.model or load.find_version(call.model) > 0)
+        for loads in loads_by_zone.values()
+        for load in loads
+    )
+
+
+def _group_by_region(
+    loads_by_zone: LoadsByZone, placement_context: PlacementContext
+) -> list[tuple[str, ...]]:
+    """Return the zones of the own region and then the other ones."""
+    home_zones, other_zones = [], []
+    for zone in loads_by_zone:
+        region = placement_context.region_by_zone.get(zone, "")
+        zones = home_zones if region == placement_context.region else other_zones
+        zones.append(zone)
+    return [tuple(home_zones), tuple(other_zones)]
--- a/tests/test_spillover.py
+++ b/tests/test_spillover.py
@@ -5,11 +5,15 @@
 """
 
 from collections import Counter
+from collections.abc import Iterable
 
+import msgspec
 import structlog
 
 from gateways import (
     ENGINES,
+    LAYERS,
+    MODEL,
     ORDERS,
     REGION_BY_ZONE,
     SERVICES,
@@ -46,10 +50,12 @@
 from tamaracktray.ownership import FleetNode
 from tamaracktray.part_watch import PartWatch
 from tamaracktray.placement import PlacementContext, choose_endpoint
-from tamaracktray.routes import RepeatKind
+from tamaracktray.roster import LoadedModel
+from tamaracktray.routes import ModelSpec, RepeatKind
 from tamaracktray.snapshots import Collection, SnapshotCache
 from tamaracktray.spillover.demand import (
     FIGURES_INTERVAL_S,
+    MAX_KINDS,
     REPORT_VALID_S,
     DemandSpillover,
 )
@@ -156,12 +162,29 @@
 class Zones:
     """Zones of one region each with one endpoint, and the policy of one entry."""
 
-    def __init__(self, *slots: int, entry: str = "entry-0") -> None:
+    def __init__(
+        self,
+        *slots: int,
+        entry: str = "entry-0",
+        named: tuple[str, ...] = (MODEL,),
+        served: tuple[str, ...] = (MODEL,),
+    ) -> None:
+        """Create the zones; ``named`` are the models of the service's configuration.
+
+        The endpoints hold those in ``served``.
+        """
         self.names = [f"zone-{number}" for number in range(len(slots))]
+        models = tuple(LoadedModel(model, 1, 0, LAYERS) for model in served)
         self.loads = {
-            zone: EndpointLoad(engine(f"e-{zone}", zone, max_batch=count))
+            zone: EndpointLoad(
+                engine(f"e-{zone}", zone, max_batch=count, models=models)
+            )
             for zone, count in zip(self.names, slots, strict=True)
         }
+        spec = msgspec.structs.replace(
+            SERVICES[ENGINES].engine, models=tuple(ModelSpec(name) for name in named)
+        )
+        service = msgspec.structs.replace(SERVICES[ENGINES], engine=spec)
         self.now = 0.0
         self.sent: list[str] = []
         self.policy = DemandSpillover(entry)
@@ -171,7 +194,7 @@
             self.names[0],
             {zone: f"region-{zone}" for zone in self.names},
             frozenset(),
-            SERVICES,
+            {**SERVICES, ENGINES: service},
             {},
         )
 
@@ -460,6 +483,97 @@
         assert sent(gateway.arrive(build_call("1", route))) == ["far"]
 
 
+class TestKinds:
+    """State by service and model; clients choose the names of the models."""
+
+    def name_models(self, count: int) -> tuple[str, ...]:
+        return tuple(f"model-{number}" for number in range(count))
+
+    def note_kinds(self, zones: Zones, models: Iterable[str]) -> list[str]:
+        """Place a call for each model; return those that begin to leave early."""
+        for model in models:
+            zones.choose(model=model)
+        changes = zones.policy.take_changes()
+        assert all(change.is_spilling for change in changes)
+        return [change.model for change in changes]
+
+    def repeat_beside(self, zones: Zones, models: tuple[str, ...]) -> list[str]:
+        """Place calls of the usual model beside those of others; return changes."""
+        changed: list[str] = []
+        for _ in range(20):
+            zones.set_running(24, 0)
+            changed += self.note_kinds(zones, (MODEL, *models))
+        return changed
+
+    def test_unknown_models_do_not_evict_known_ones(self):
+        """Guards against clients that clear the state with made-up names."""
+        models = self.name_models(MAX_KINDS)
+        assert self.repeat_beside(Zones(24, 24), models) == [MODEL]
+
+    def test_models_without_an_endpoint_do_not_evict_others(self):
+        """Guards against state for configured models that nothing serves."""
+        models = self.name_models(MAX_KINDS)
+        zones = Zones(24, 24, named=(MODEL, *models))
+        assert self.repeat_beside(zones, models) == [MODEL]
+
+    def test_models_that_the_service_does_not_name_do_not_evict_others(self):
+        """Guards against state for models that only endpoints name."""
+        models = self.name_models(MAX_KINDS)
+        zones = Zones(24, 24, served=(MODEL, *models))
+        assert self.repeat_beside(zones, models) == [MODEL]
+
+    def test_model_that_the_service_does_not_name_stays_in_its_region_first(self):
+        """Guards against calls without state that leave a region with room."""
+        zones = Zones(24, 24, 24, served=(MODEL, "extra"))
+        zones.set_running(20, 0, 0)
+        call = build_call("c", now=zones.now, model="extra")
+        loads_by_zone = {zone: [load] for zone, load in zones.loads.items()}
+
+        def choose() -> str:
+            load = choose_endpoint(
+                zones.now,
+                call,
+                loads_by_zone,
+                zones.context,
+                frozenset(),
+                zones.policy,
+            )
+            return load.record.zone
+
+        assert choose() == "zone-0"
+        zones.set_running(24, 12, 0)
+        assert choose() == "zone-2"
+
+    def test_call_without_a_model_keeps_its_state(self):
+        """Guards against calls that name no model being taken for unknown ones."""
+        zones = Zones(24, 24)
+        zones.set_running(24, 0)
+        assert self.note_kinds(zones, ("",)) == [""]
+        assert self.note_kinds(zones, ("",)) == []
+
+    def test_model_gets_its_state_once_an_endpoint_serves_it(self):
+        """Guards against a model that stays unknown after its first load."""
+        zones = Zones(24, 24, named=(MODEL, "late"))
+        zones.set_running(24, 0)
+        assert self.note_kinds(zones, ("late",)) == []
+        for load in zones.loads.values():
+            models = (*load.record.models, LoadedModel("late", 1, 0, LAYERS))
+            record = msgspec.structs.replace(load.record, models=models)
+            load.replace_record(record)
+        assert self.note_kinds(zones, ("late",)) == ["late"]
+
+    def test_least_recently_used_kind_is_evicted(self):
+        """Guards against one kind too many that clears the state of all others."""
+        models = self.name_models(MAX_KINDS + 1)
+        zones = Zones(24, 24, named=models, served=models)
+        zones.set_running(24, 0)
+        assert self.note_kinds(zones, models[:-1]) == list(models[:-1])
+        assert self.note_kinds(zones, models[:1]) == []
+        assert self.note_kinds(zones, models[-1:]) == [models[-1]]
+        assert self.note_kinds(zones, (models[0], *models[2:])) == []
+        assert self.note_kinds(zones, models[1:2]) == [models[1]]
+
+
 class TestSignals:
     def test_calls_that_leave_are_counted_and_changes_logged(self):
         """Guards against spill-over that an operator can't see."""
