Count calls without spill-over state that leave the region

Cause: calls of unknown models get no spill-over state, so those that another service of their route serves in another region were no longer counted as spilled.

Change: the zones of the own region, as last given to such a call, are kept by service.

--- a/src/tamaracktray/spillover/demand.py
+++ b/src/tamaracktray/spillover/demand.py
@@ -106,16 +106,18 @@
 
     Applies to services with an engine in deployments of several regions; otherwise all
     zones compete as they do by ``ZonePreference``. ``entry`` is the name of this entry.
-    Kinds are ordered by their last use.
+    Kinds are ordered by their last use. ``_home_zones_by_service`` are the zones of the
+    own region as last given to a call of an unknown model.
     """
 
-    __slots__ = ("_changes", "_delays", "_entry", "_names_by_region", "_region")
-    __slots__ += ("_reported_at", "_state_by_kind")
+    __slots__ = ("_changes", "_delays", "_entry", "_home_zones_by_service")
+    __slots__ += ("_names_by_region", "_region", "_reported_at", "_state_by_kind")
 
     def __init__(self, entry: str) -> None:
         self._entry = entry
         self._region = ""
         self._delays = ZoneDelays()
+        self._home_zones_by_service: dict[str, tuple[str, ...]] = {}
         self._names_by_region: dict[str, list[str]] = {}
         self._reported_at: dict[str, float] = {}
         self._state_by_kind: OrderedDict[tuple[str, str], KindState] = OrderedDict()
@@ -137,7 +139,10 @@
             now, call, service.engine, loads_by_zone, placement_context
         )
         if state is None:
-            return _group_by_region(loads_by_zone, placement_context)
+            self._region = placement_context.region
+            groups = _group_by_region(loads_by_zone, placement_context)
+            self._home_zones_by_service[call.services[0]] = groups[0]
+            return groups
         left_s = _measure_time_left(now, call, service.engine)
         targets = self._order_targets(now, call, state, left_s)
         region_by_zone = placement_context.region_by_zone
@@ -162,10 +167,13 @@
 
     @override
     def note_sent(self, call: Call, zone: str) -> bool:
-        state = self._state_by_kind.get((call.services[0], call.model))
-        if state is None or not self._is_allowed_at_home(call):
+        if not self._is_allowed_at_home(call):
             return False
-        return state.note_sent(zone)
+        state = self._state_by_kind.get((call.services[0], call.model))
+        if state is not None:
+            return state.note_sent(zone)
+        home_zones = self._home_zones_by_service.get(call.services[0])
+        return home_zones is not None and zone not in home_zones
 
     @override
     def note_report(self, now: float, peer: str) -> None:
--- a/tests/test_spillover.py
+++ b/tests/test_spillover.py
@@ -544,6 +544,16 @@
         zones.set_running(24, 12, 0)
         assert choose() == "zone-2"
 
+    def test_calls_without_state_that_leave_are_counted(self):
+        """Guards against spill-over that the metric doesn't show."""
+        gateway = build_gateway(engine("home", models=()), worker("spare", FAR))
+        route = build_route(RepeatKind.STREAM, ENGINES, ORDERS)
+        (send,) = gateway.arrive(build_call("1", route))[:1]
+        assert (send.endpoint_id, send.is_spilled) == ("spare", True)
+        gateway.follow(engine("home", models=()), worker("near", "zone-b"))
+        (send,) = gateway.arrive(build_call("2", route))[:1]
+        assert (send.endpoint_id, send.is_spilled) == ("near", False)
+
     def test_call_without_a_model_keeps_its_state(self):
         """Guards against calls that name no model being taken for unknown ones."""
         zones = Zones(24, 24)
