--- a/tests/test_spillover.py
+++ b/tests/test_spillover.py
@@ -5,11 +5,16 @@
 """
 
 from collections import Counter
+from collections.abc import Iterable
 
+import msgspec
 import structlog
 
 from gateways import (
     ENGINES,
+    LAYERS,
+    MODEL,
+    ORDERS,
     REGION_BY_ZONE,
     SERVICES,
     STREAM,
@@ -18,9 +23,18 @@
     build_route,
     engine,
     sent,
+    worker,
 )
 from tamaracktray.call_log import CallLog
-from tamaracktray.calls import CallArrived, CallAttemptEnded, RefuseCall, SendCall
+from tamaracktray.calls import (
+    Call,
+    CallArrived,
+    CallAttemptEnded,
+    LeaveAttempt,
+    RefuseCall,
+    ResumeAttempt,
+    SendCall,
+)
 from tamaracktray.crash_watch import CrashWatch
 from tamaracktray.effects import Effect
 from tamaracktray.endpoint_loads import EndpointLoad
@@ -35,11 +49,13 @@
 from tamaracktray.outcomes import AttemptPhase
 from tamaracktray.ownership import FleetNode
 from tamaracktray.part_watch import PartWatch
-from tamaracktray.placement import PlacementContext
-from tamaracktray.routes import RepeatKind
+from tamaracktray.placement import PlacementContext, choose_endpoint
+from tamaracktray.roster import LoadedModel
+from tamaracktray.routes import ModelSpec, RepeatKind
 from tamaracktray.snapshots import Collection, SnapshotCache
 from tamaracktray.spillover.demand import (
     FIGURES_INTERVAL_S,
+    MAX_KINDS,
     REPORT_VALID_S,
     DemandSpillover,
 )
@@ -146,12 +162,29 @@
 class Zones:
     """Zones of one region each with one endpoint, and the policy of one entry."""
 
-    def __init__(self, *slots: int, entry: str = "entry-0") -> None:
+    def __init__(
+        self,
+        *slots: int,
+        entry: str = "entry-0",
+        named: tuple[str, ...] = (MODEL,),
+        served: tuple[str, ...] = (MODEL,),
+    ) -> None:
+        """Create the zones; ``named`` are the models of the service's configuration.
+
+        The endpoints hold those in ``served``.
+        """
         self.names = [f"zone-{number}" for number in range(len(slots))]
+        models = tuple(LoadedModel(model, 1, 0, LAYERS) for model in served)
         self.loads = {
-            zone: EndpointLoad(engine(f"e-{zone}", zone, max_batch=count))
+            zone: EndpointLoad(
+                engine(f"e-{zone}", zone, max_batch=count, models=models)
+            )
             for zone, count in zip(self.names, slots, strict=True)
         }
+        spec = msgspec.structs.replace(
+            SERVICES[ENGINES].engine, models=tuple(ModelSpec(name) for name in named)
+        )
+        service = msgspec.structs.replace(SERVICES[ENGINES], engine=spec)
         self.now = 0.0
         self.sent: list[str] = []
         self.policy = DemandSpillover(entry)
@@ -161,7 +194,7 @@
             self.names[0],
             {zone: f"region-{zone}" for zone in self.names},
             frozenset(),
-            SERVICES,
+            {**SERVICES, ENGINES: service},
             {},
         )
 
@@ -195,6 +228,121 @@
         return Counter(zones)
 
 
+class TestTriedEndpoints:
+    """Calls whose attempts failed, beside regions with and without figures."""
+
+    def build_silent_gateway(self, *records, **fields) -> Gateway:
+        """Return an entry whose peer of region-c has not reported for too long."""
+        gateway = build_gateway(*records, **fields)
+        gateway.now = REPORT_VALID_S + 0.1
+        return gateway
+
+    def send_first(self, gateway: Gateway, **fields) -> Call:
+        """Return a call that was sent to the endpoint of the own zone."""
+        call = build_call("1", now=gateway.now, **fields)
+        assert sent(gateway.arrive(call)) == ["home"]
+        return call
+
+    def choose(
+        self,
+        zones: Zones,
+        *tried: str,
+        reporting: tuple[str, ...] = (),
+    ) -> str:
+        """Return the chosen zone; each other one has an entry, ``reporting`` report."""
+        names = [zone for zone in zones.names if zone != zones.names[0]]
+        zones.policy.update_entries(
+            FleetNode(f"peer-{zone}", f"region-{zone}") for zone in names
+        )
+        for zone in reporting:
+            zones.policy.note_report(zones.now, f"peer-{zone}")
+        load = choose_endpoint(
+            zones.now,
+            build_call("c", now=zones.now),
+            {zone: [load] for zone, load in zones.loads.items()},
+            zones.context,
+            frozenset(f"e-{zone}" for zone in tried),
+            zones.policy,
+        )
+        return "" if load is None else load.record.zone
+
+    def test_region_without_figures_takes_a_call_that_has_no_other_endpoint(self):
+        """Guards against a refusal while a region whose entry is silent has room."""
+        gateway = self.build_silent_gateway(engine("home"), engine("far", FAR))
+        call = self.send_first(gateway)
+        effects = gateway.end(call, "home", AttemptPhase.NOT_SENT)
+        (send,) = effects[:1]
+        assert send.endpoint_id == "far"
+        assert send.is_spilled
+
+    def test_region_that_the_call_may_not_use_stays_excluded(self):
+        """Guards against a last resort that ignores the regions of a call."""
+        gateway = self.build_silent_gateway(engine("home"), engine("far", FAR))
+        call = self.send_first(gateway, regions=frozenset({"region-a"}))
+        effects = gateway.end(call, "home", AttemptPhase.NOT_SENT)
+        assert sent(effects) == []
+        assert any(isinstance(effect, RefuseCall) for effect in effects)
+
+    def test_call_waits_for_an_endpoint_that_it_has_not_tried(self):
+        """Guards against calls that leave for a silent region by a failure alone."""
+        records = engine("home"), engine("next"), engine("far", FAR)
+        gateway = self.build_silent_gateway(*records, owned=("home", "next"))
+        call = self.send_first(gateway)
+        gateway.load("next").in_flight = 4
+        assert sent(gateway.end(call, "home", AttemptPhase.NOT_SENT)) == []
+        gateway.load("next").in_flight = 3
+        assert sent(gateway.tick(0.01)) == ["next"]
+
+    def test_regions_with_figures_come_first(self):
+        """Guards against a silent region that is used before one that reports."""
+        zones = Zones(4, 4, 4)
+        for reporting in ("zone-1", "zone-2"):
+            zones.set_running(0, 0, 0)
+            zones.now += 2 * REPORT_VALID_S
+            assert self.choose(zones, "zone-0", reporting=(reporting,)) == reporting
+
+    def test_call_waits_for_a_full_region_with_figures(self):
+        """Guards against taking expired counts of a silent entry for free slots."""
+        zones = Zones(4, 8, 8)
+        zones.set_running(0, 8, 0)
+        assert self.choose(zones, "zone-0", reporting=("zone-1",)) == ""
+        tried = ("zone-0", "zone-1")
+        assert self.choose(zones, *tried, reporting=("zone-1",)) == "zone-2"
+
+    def test_other_service_of_the_route_comes_before_regions_without_figures(self):
+        """Guards against leaving the region while another service has room there."""
+        gateway = self.build_silent_gateway(
+            engine("home"),
+            worker("spare", "zone-a"),
+            engine("far", FAR),
+            owned=("home", "spare"),
+        )
+        route = build_route(RepeatKind.STREAM, ENGINES, ORDERS)
+        call = self.send_first(gateway, route=route)
+        assert sent(gateway.end(call, "home", AttemptPhase.NOT_SENT)) == ["spare"]
+
+    def test_silent_attempt_is_not_moved_to_a_region_without_figures(self):
+        """Guards against leaving an endpoint that may go on, for an unknown one."""
+        gateway = self.build_silent_gateway(engine("home"), engine("far", FAR))
+        self.send_first(gateway)
+        effects = gateway.tick(1.0) + gateway.tick(0.5)
+        assert not any(isinstance(effect, LeaveAttempt) for effect in effects)
+
+    def test_call_with_a_parked_attempt_goes_back_to_it(self):
+        """Guards against a further run of a call that is not refused anyway."""
+        near = engine("near", "zone-b")
+        gateway = self.build_silent_gateway(engine("home"), near, engine("far", FAR))
+        call = self.send_first(gateway)
+        effects = gateway.tick(1.0)
+        assert any(isinstance(effect, LeaveAttempt) for effect in effects)
+        effects = gateway.end(call, "home", AttemptPhase.SENT, is_parked=True)
+        assert sent(effects) == ["near"]
+        effects = gateway.end(call, "near", AttemptPhase.NOT_SENT)
+        effects += gateway.tick(0.5) + gateway.tick(0.5)
+        assert sent(effects) == []
+        assert any(isinstance(effect, ResumeAttempt) for effect in effects)
+
+
 class TestShares:
     def test_early_share_has_hysteresis(self):
         """Guards against a share that is switched on and off by each call."""
@@ -335,6 +483,107 @@
         assert sent(gateway.arrive(build_call("1", route))) == ["far"]
 
 
+class TestKinds:
+    """State by service and model; clients choose the names of the models."""
+
+    def name_models(self, count: int) -> tuple[str, ...]:
+        return tuple(f"model-{number}" for number in range(count))
+
+    def note_kinds(self, zones: Zones, models: Iterable[str]) -> list[str]:
+        """Place a call for each model; return those that begin to leave early."""
+        for model in models:
+            zones.choose(model=model)
+        changes = zones.policy.take_changes()
+        assert all(change.is_spilling for change in changes)
+        return [change.model for change in changes]
+
+    def repeat_beside(self, zones: Zones, models: tuple[str, ...]) -> list[str]:
+        """Place calls of the usual model beside those of others; return changes."""
+        changed: list[str] = []
+        for _ in range(20):
+            zones.set_running(24, 0)
+            changed += self.note_kinds(zones, (MODEL, *models))
+        return changed
+
+    def test_unknown_models_do_not_evict_known_ones(self):
+        """Guards against clients that clear the state with made-up names."""
+        models = self.name_models(MAX_KINDS)
+        assert self.repeat_beside(Zones(24, 24), models) == [MODEL]
+
+    def test_models_without_an_endpoint_do_not_evict_others(self):
+        """Guards against state for configured models that nothing serves."""
+        models = self.name_models(MAX_KINDS)
+        zones = Zones(24, 24, named=(MODEL, *models))
+        assert self.repeat_beside(zones, models) == [MODEL]
+
+    def test_models_that_the_service_does_not_name_do_not_evict_others(self):
+        """Guards against state for models that only endpoints name."""
+        models = self.name_models(MAX_KINDS)
+        zones = Zones(24, 24, served=(MODEL, *models))
+        assert self.repeat_beside(zones, models) == [MODEL]
+
+    def test_model_that_the_service_does_not_name_stays_in_its_region_first(self):
+        """Guards against calls without state that leave a region with room."""
+        zones = Zones(24, 24, 24, served=(MODEL, "extra"))
+        zones.set_running(20, 0, 0)
+        call = build_call("c", now=zones.now, model="extra")
+        loads_by_zone = {zone: [load] for zone, load in zones.loads.items()}
+
+        def choose() -> str:
+            load = choose_endpoint(
+                zones.now,
+                call,
+                loads_by_zone,
+                zones.context,
+                frozenset(),
+                zones.policy,
+            )
+            return load.record.zone
+
+        assert choose() == "zone-0"
+        zones.set_running(24, 12, 0)
+        assert choose() == "zone-2"
+
+    def test_calls_without_state_that_leave_are_counted(self):
+        """Guards against spill-over that the metric doesn't show."""
+        gateway = build_gateway(engine("home", models=()), worker("spare", FAR))
+        route = build_route(RepeatKind.STREAM, ENGINES, ORDERS)
+        (send,) = gateway.arrive(build_call("1", route))[:1]
+        assert (send.endpoint_id, send.is_spilled) == ("spare", True)
+        gateway.follow(engine("home", models=()), worker("near", "zone-b"))
+        (send,) = gateway.arrive(build_call("2", route))[:1]
+        assert (send.endpoint_id, send.is_spilled) == ("near", False)
+
+    def test_call_without_a_model_keeps_its_state(self):
+        """Guards against calls that name no model being taken for unknown ones."""
+        zones = Zones(24, 24)
+        zones.set_running(24, 0)
+        assert self.note_kinds(zones, ("",)) == [""]
+        assert self.note_kinds(zones, ("",)) == []
+
+    def test_model_gets_its_state_once_an_endpoint_serves_it(self):
+        """Guards against a model that stays unknown after its first load."""
+        zones = Zones(24, 24, named=(MODEL, "late"))
+        zones.set_running(24, 0)
+        assert self.note_kinds(zones, ("late",)) == []
+        for load in zones.loads.values():
+            models = (*load.record.models, LoadedModel("late", 1, 0, LAYERS))
+            record = msgspec.structs.replace(load.record, models=models)
+            load.replace_record(record)
+        assert self.note_kinds(zones, ("late",)) == ["late"]
+
+    def test_least_recently_used_kind_is_evicted(self):
+        """Guards against one kind too many that clears the state of all others."""
+        models = self.name_models(MAX_KINDS + 1)
+        zones = Zones(24, 24, named=models, served=models)
+        zones.set_running(24, 0)
+        assert self.note_kinds(zones, models[:-1]) == list(models[:-1])
+        assert self.note_kinds(zones, models[:1]) == []
+        assert self.note_kinds(zones, models[-1:]) == [models[-1]]
+        assert self.note_kinds(zones, (models[0], *models[2:])) == []
+        assert self.note_kinds(zones, models[1:2]) == [models[1]]
+
+
 class TestSignals:
     def test_calls_that_leave_are_counted_and_changes_logged(self):
         """Guards against spill-over that an operator can't see."""
