Let plays of ranked calls name their callers

Cause: plays of a shortage tell calls apart by rank only, and arrive at random times. Change: RankLoad takes the number of slots, and subclasses choose the fields that name a call's caller and the time to the next arrival.

--- a/tests/rank_loads.py
+++ b/tests/rank_loads.py
@@ -23,11 +23,14 @@
 class RankLoad:
     """Plays calls of several ranks at random times and records what became of them."""
 
-    def __init__(self, seed: int, ranks: dict[Rank, float], load: float) -> None:
+    def __init__(
+        self, seed: int, ranks: dict[Rank, float], load: float, slots: int = SLOTS
+    ) -> None:
         self.random = random.Random(seed)
         self.ranks = ranks
         self.load = load
-        self.gateway = Gateway(engine("e", max_batch=SLOTS))
+        self.slots = slots
+        self.gateway = Gateway(engine("e", max_batch=slots))
         self.offered: Counter[Rank] = Counter()
         self.started: Counter[Rank] = Counter()
         self.shed: Counter[Rank] = Counter()
@@ -70,8 +73,8 @@
             self.gateway.now = at
             if what == "arrive":
                 self._record(self._arrive())
-                gap_s = CALL_S / SLOTS / self.load
-                self._schedule(at + self.random.expovariate(1 / gap_s), "arrive")
+                gap_s = CALL_S / self.slots / self.load
+                self._schedule(at + self.choose_gap(gap_s), "arrive")
             elif what == "tick":
                 self._record(self.gateway.tick(0.0, "e"))
                 self._schedule(at + TICK_S, "tick")
@@ -84,6 +87,14 @@
         ]
         heapq.heapify(self._events)
 
+    def choose_gap(self, mean_s: float) -> float:
+        """Return the time to the next arrival, in seconds."""
+        return self.random.expovariate(1 / mean_s)
+
+    def choose_caller(self, rank: Rank) -> dict[str, str]:
+        """Return the fields of a call that name its caller."""
+        return {}
+
     def _schedule(self, at: float, what: str) -> None:
         heapq.heappush(self._events, (at, next(self._numbers), what))
 
@@ -99,6 +110,7 @@
             prompt_tokens=400,
             output_tokens=output,
             max_output=output,
+            **self.choose_caller(rank),
         )
         self._calls_by_id[call.id] = call
         self.offered[rank] += 1
