Split the submission of calls in the admission experiment

Cause: an experiment with callers of several zones has to choose the entry and the rank of a call, which were fixed within one method. Change: the entry is chosen and the call is built in methods of their own.

--- a/src/tamaracktray_emulator/admission.py
+++ b/src/tamaracktray_emulator/admission.py
@@ -350,7 +350,21 @@
 
     def _submit_call(self, caller: CallerRecord) -> None:
         caller.submissions += 1
-        caller.entry = self._random.randrange(len(self._entries))
+        caller.entry = self._choose_entry(caller)
+        call = self._build_call(caller)
+        self._caller_by_call[call.id] = caller
+        self._calls_by_id[call.id] = call
+        state = self._entries[caller.entry]
+        event = CallArrived(self._now, call)
+        self._execute_effects(
+            caller.entry, handle_call(self._build_context(state), event)
+        )
+
+    def _choose_entry(self, caller: CallerRecord) -> int:
+        """Return the number of the entry that gets a caller's next submission."""
+        return self._random.randrange(len(self._entries))
+
+    def _build_call(self, caller: CallerRecord) -> Call:
         route = Route(
             caller.kind.name,
             "h",
@@ -363,7 +377,7 @@
             is_resumable=True,
         )
         name = str(next(self._sequence))
-        call = Call(
+        return Call(
             name,
             name,
             route,
@@ -377,13 +391,6 @@
             wait_s=caller.arrived + CALLER_DEADLINE_S - self._now,
             fingerprint=name,
         )
-        self._caller_by_call[name] = caller
-        self._calls_by_id[name] = call
-        state = self._entries[caller.entry]
-        event = CallArrived(self._now, call)
-        self._execute_effects(
-            caller.entry, handle_call(self._build_context(state), event)
-        )
 
     def _execute_effects(self, entry: int, effects: list[Effect]) -> None:
         for effect in effects:
