--- a/tests/test_work.py
+++ b/tests/test_work.py
@@ -38,9 +38,9 @@
     """The ids of the calls for which the choice of an endpoint was run."""
     chosen: list[str] = []
 
-    def choose(now, call, *args):
+    def choose(now, call, *args, **options):
         chosen.append(call.id)
-        return choose_endpoint(now, call, *args)
+        return choose_endpoint(now, call, *args, **options)
 
     monkeypatch.setattr(gateway_fleet, "choose_endpoint", choose)
     return chosen
