--- a/src/tamaracktray_emulator/soak/plan.py
+++ b/src/tamaracktray_emulator/soak/plan.py
@@ -18,6 +18,7 @@
     back. ``is_calm`` leaves out faults that suspend promises. With ``has_silences``,
     sound endpoints fall silent for about a second and configurations change in series;
     if the soak is also calm, no other fault breaks answers off.
+    ``recovery_s`` is the time after the last fault within which the fleet recovers.
     """
 
     seed: int
@@ -34,6 +35,7 @@
     restarts_on_copies: bool = False
     is_calm: bool = False
     has_silences: bool = False
+    recovery_s: float = 12.0
 
 
 class Violation(msgspec.Struct, frozen=True):
--- a/src/tamaracktray_emulator/soak/run.py
+++ b/src/tamaracktray_emulator/soak/run.py
@@ -38,9 +38,6 @@
 # Time that the processes have to start, in seconds.
 START_DELAY_S = 2.5
 
-# Time after the last fault within which the fleet must recover, in seconds.
-RECOVERY_S = 12.0
-
 # Length of the final window in seconds, and the share of its calls to be served.
 FINAL_WINDOW_S = 3.0
 FINAL_SERVED_SHARE = 0.9
@@ -118,7 +115,7 @@
             runs = [CopyRestartInjector(*shared, operations).run]
         await _run_for(plan.duration_s, *runs)
         await fleet.restore()
-        await curio.sleep(RECOVERY_S)
+        await curio.sleep(plan.recovery_s)
         final_start = fleet.now
         await curio.sleep(FINAL_WINDOW_S)
         _check_recovery(record, final_start, fleet.now)
