Rank the streams and bound the slots of soaks with overloads

Cause: all streams of a soak have one priority, and its engines take 800 of them a second, which is more than one process can send.

--- a/src/tamaracktray_emulator/soak/endpoints.py
+++ b/src/tamaracktray_emulator/soak/endpoints.py
@@ -158,7 +158,12 @@
 
 
 class SoakEngine(_RecordingMixin, EngineStandIn):
-    """A model engine that checks that the weights it loads are complete."""
+    """A model engine that checks that the weights it loads are complete.
+
+    ``max_batch`` is the number of requests that its record allows at a time.
+    """
+
+    max_batch = 16
 
     @override
     async def run(
@@ -183,4 +188,5 @@
 
     @override
     def describe(self, zone: str, **fields: Any) -> dict[str, Any]:
-        return super().describe(zone, address=str(self.listed_address), **fields)
+        listed = {"address": str(self.listed_address), "maxBatchSize": self.max_batch}
+        return super().describe(zone, **listed, **fields)
--- a/src/tamaracktray_emulator/soak/fleet.py
+++ b/src/tamaracktray_emulator/soak/fleet.py
@@ -38,6 +38,14 @@
 REGION_BY_ZONE = {"zone-a": "region-a", "zone-b": "region-a", "zone-c": "region-c"}
 REGIONS = ", ".join(f"{zone}={region}" for zone, region in REGION_BY_ZONE.items())
 
+# Routes of streams in soaks with overloads, by priority; the second is the usual one.
+RANKED_ROUTES = ("talk-first", "talk", "talk-last")
+
+# Slots of all engines together in soaks with overloads, and the time of an event in
+# seconds: 37 streams a second.
+OVERLOAD_SLOTS = 18
+OVERLOAD_EVENT_S = 0.08
+
 # Every process and stand-in has its own loopback address.
 CALLER_PORT = 21_080
 READY_PORT = 21_081
@@ -94,6 +102,18 @@
         self.services = [build_engine_service(ENGINES), build_plain_service(ORDERS)]
         if plan.has_silences:
             self.services.append(build_plain_service(RETURNS))
+        self.ranked_routes: list[dict[str, Any]] = []
+        self.engine_slots = 0
+        if plan.has_overloads:
+            self.engine_slots = max(OVERLOAD_SLOTS // plan.engines, 1)
+            self.services[0]["engine"]["maxBatchSize"] = self.engine_slots
+            self.ranked_routes = [
+                build_route(
+                    name, "stream", ENGINES, timeoutMs=timeout_ms, priority=rank
+                )
+                for rank, name in enumerate(RANKED_ROUTES)
+                if name != self.routes[0]["name"]
+            ]
         self.dropped_routes: set[str] = set()
         self.limits: dict[str, Any] = {}
         self.team_priority = 1
@@ -127,6 +147,9 @@
         for number in range(self.plan.engines):
             engine = await self.add_endpoint(SoakEngine, f"e-{number}", ENGINES, number)
             engine.version = 1
+            if self.engine_slots:
+                engine.max_batch = self.engine_slots
+                engine.event_s = OVERLOAD_EVENT_S
             self.list_endpoint(engine)
             self._add_daemon(
                 f"agent-{number}", Role.AGENT, engine.zone, engine.server.address
@@ -213,7 +236,7 @@
         tenants = [build_tenant(TEAM, *self.keys, **fields)]
         routes = [
             {**item, "allowedRegions": self.regions_by_route.get(item["name"], ())}
-            for item in self.routes
+            for item in (*self.routes, *self.ranked_routes)
             if item["name"] not in self.dropped_routes
         ]
         document = build_configuration(self.version, routes, services, tenants)
--- a/src/tamaracktray_emulator/soak/plan.py
+++ b/src/tamaracktray_emulator/soak/plan.py
@@ -5,6 +5,10 @@
 # Sizes for soaks with silences: calls need endpoints to move to and time for it.
 SIZES_WITH_SILENCES = {"engines": 6, "callers": 60, "rate": 200.0, "deadline_s": 5.0}
 
+# Sizes for soaks with overloads: the soak's own process has to send several times what
+# the engines can take, so they can take little.
+SIZES_WITH_OVERLOADS = {"rate": 24.0}
+
 
 class SoakPlan(msgspec.Struct, frozen=True):
     """Parameters of a soak; equal plans inject the same faults at the same times.
@@ -17,7 +21,9 @@
     repeated later. With ``restarts_on_copies``, only entries start as the store is
     back. ``is_calm`` leaves out faults that suspend promises. With ``has_silences``,
     sound endpoints fall silent for about a second and configurations change in series;
-    if the soak is also calm, no other fault breaks answers off.
+    if the soak is also calm, no other fault breaks answers off. With ``has_overloads``,
+    streams of three priorities are sent for some seconds at a time to engines that
+    can't take them all; if the soak is also calm, no other fault breaks answers off.
     ``recovery_s`` is the time after the last fault within which the fleet recovers.
     """
 
@@ -35,6 +41,7 @@
     restarts_on_copies: bool = False
     is_calm: bool = False
     has_silences: bool = False
+    has_overloads: bool = False
     recovery_s: float = 12.0
 
 
