Overload the engines of a soak and check refusals and ranks

Cause: no soak sends more than the engines can take, so that shedding, promised places and spill-over never run beside faults. Checked are: a refusal marked as not run belongs to a request that never ran; one for lack of room has a valid Retry-After; each rank gets an answer in an overload without another fault. An overload suspends no other promise. With `--calm` as well, no injector breaks answers off.

--- a/src/tamaracktray_emulator/main.py
+++ b/src/tamaracktray_emulator/main.py
@@ -60,6 +60,12 @@
             "--pauses", help="Let endpoints fall silent beside changes of routes."
         ),
     ] = False,
+    overload: Annotated[
+        bool,
+        typer.Option(
+            "--overload", help="Send more streams of three ranks than engines can take."
+        ),
+    ] = False,
     copy_restarts: Annotated[
         bool,
         typer.Option(
@@ -75,12 +81,17 @@
     """Run the real programs under random faults and check their guarantees."""
     from tamaracktray_emulator.soak.plan import (
         REPORT_HEAD,
+        SIZES_WITH_OVERLOADS,
         SIZES_WITH_SILENCES,
         SoakPlan,
     )
     from tamaracktray_emulator.soak.run import run_soak
 
     typer.echo(REPORT_HEAD)
+    sizes = {
+        **(SIZES_WITH_SILENCES if pauses else {}),
+        **(SIZES_WITH_OVERLOADS if overload else {}),
+    }
     broken = 0
     for number in range(seed, seed + count):
         plan = SoakPlan(
@@ -93,7 +104,8 @@
             restarts_on_copies=copy_restarts,
             is_calm=calm,
             has_silences=pauses,
-            **(SIZES_WITH_SILENCES if pauses else {}),
+            has_overloads=overload,
+            **sizes,
         )
         report = run_soak(plan, logs / str(number))
         typer.echo(report.format_row())
--- a/src/tamaracktray_emulator/soak/callers.py
+++ b/src/tamaracktray_emulator/soak/callers.py
@@ -7,6 +7,9 @@
 import h11
 import msgspec
 
+from tamaracktray.decoding import decode_json
+from tamaracktray.headers import RETRY_AFTER
+from tamaracktray.messages import ErrorBody
 from tamaracktray.types import Address
 from tamaracktray_emulator.platform.documents import ENGINE_MODEL
 from tamaracktray_emulator.platform.worker import (
@@ -162,7 +165,7 @@
     async def _send_random_call(self, connection: CallerConnection) -> bool:
         """Send one random call and return whether the connection can be reused."""
         kind = self._random.choice(KINDS)
-        call = self._build_own_call(connection.entry, kind)
+        call = self.build_own_call(connection.entry, kind)
         return await self._send_call(connection, call)
 
     async def press(self, entry: str, duration_s: float) -> None:
@@ -170,7 +173,7 @@
         address = self.addresses_by_entry[entry]
         async with curio.TaskGroup() as group:
             for number in range(int(duration_s / PRESS_INTERVAL_S)):
-                call = self._build_own_call(entry, KINDS[number % len(KINDS)])
+                call = self.build_own_call(entry, KINDS[number % len(KINDS)])
                 await group.spawn(self.send_on_new_connection, call, address)
                 await curio.sleep(PRESS_INTERVAL_S)
 
@@ -207,6 +210,10 @@
             self._record_cut(call, connection)
             return False
         call.status = answer.status
+        if not 200 <= answer.status < 300:
+            error = decode_json(answer.body, ErrorBody)
+            call.refusal = error.map(lambda body: body.error).value_or(None)
+            call.retry_after = answer.headers.get(RETRY_AFTER)
         signer = answer.headers.get(SIGNATURE, "").removeprefix("sig.")
         if self.notice_checker is not None and signer and LEAVING in answer.headers:
             self.notice_checker.note_forwarded_notice(call, signer)
@@ -216,10 +223,14 @@
             self._check_success(call, answer, signer)
         return answer.headers.get("connection", "").lower() != "close"
 
-    def _build_own_call(self, entry: str, kind: CallKind) -> SoakCall:
+    def build_own_call(self, entry: str, kind: CallKind, prefix: str = "") -> SoakCall:
+        """Create a call whose target and body no other call has.
+
+        Without a ``prefix``, its path is on the usual route of its kind.
+        """
         name = f"{self._call_count + 1:08x}"
         body = b"" if kind is CallKind.SAFE else f"body of {name}".encode()
-        target = f"{PATH_BY_KIND[kind]}{name}"
+        target = f"{prefix or PATH_BY_KIND[kind]}{name}"
         parts = (SHARED_PART,) if kind is CallKind.STREAM else ()
         return self.build_call(entry, kind, target, body, parts)
 
--- a/src/tamaracktray_emulator/soak/record.py
+++ b/src/tamaracktray_emulator/soak/record.py
@@ -7,6 +7,7 @@
 
 import msgspec
 
+from tamaracktray.types import Refusal
 from tamaracktray_emulator.soak.plan import Violation
 
 # Statuses which promise that a request was not run and will not be run.
@@ -53,7 +54,8 @@
 
     ``cut_by`` is the entry that closed the connection before the answer was complete;
     the last byte of the request was sent to it at ``written_at``. ``parts`` are the
-    shared parts of its prompt.
+    shared parts of its prompt. ``refusal`` is what the answer says if it is an error,
+    and ``retry_after`` its header of that name.
     """
 
     id: str
@@ -68,6 +70,8 @@
     cut_by: str = ""
     parts: tuple[str, ...] = ()
     written_at: float = math.inf
+    refusal: Refusal | None = None
+    retry_after: str | None = None
 
 
 class SentAnswer:
--- a/src/tamaracktray_emulator/soak/run.py
+++ b/src/tamaracktray_emulator/soak/run.py
@@ -24,6 +24,8 @@
 from tamaracktray_emulator.soak.notice_injector import NoticeInjector
 from tamaracktray_emulator.soak.odd_entries import OddEntryInjector
 from tamaracktray_emulator.soak.operations import Operations
+from tamaracktray_emulator.soak.overload_checks import OverloadChecker
+from tamaracktray_emulator.soak.overload_injector import OverloadInjector
 from tamaracktray_emulator.soak.plan import SoakPlan, SoakReport
 from tamaracktray_emulator.soak.probes import ProbeChecker
 from tamaracktray_emulator.soak.record import NOT_RUN_STATUSES, SoakRecord
@@ -93,6 +95,10 @@
         if plan.has_silences:
             options.append(SilenceInjector(fleet).run)
             options.append(ConfigurationInjector(fleet).run)
+        overload_checker = OverloadChecker(record, fault_log)
+        if plan.has_overloads:
+            overloads = OverloadInjector(fleet, callers, overload_checker)
+            options.append(overloads.run)
         breaks = [
             FatalRequestInjector(fleet, fault_log, callers, record).run,
             FatalPartInjector(fleet, fault_log, callers, record).run,
@@ -109,7 +115,7 @@
         ]
         if plan.is_calm:
             runs.remove(fault_injector.run)
-        if plan.is_calm and plan.has_silences:
+        if plan.is_calm and (plan.has_silences or plan.has_overloads):
             runs = [run for run in runs if run not in breaks]
         if plan.restarts_on_copies:
             runs = [CopyRestartInjector(*shared, operations).run]
@@ -126,6 +132,8 @@
     timeout_s = MIN_TIMEOUT_S if plan.has_silences else plan.deadline_s
     AnswerChecker(record, fault_log, fleet.binding_log, timeout_s).check()
     BindingChecker(record, fault_log, fleet.binding_log, REGION_BY_ZONE).check()
+    if plan.has_overloads:
+        overload_checker.check_refusals()
     return _build_report(plan, record, fault_log)
 
 
