--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -28,7 +28,16 @@
 from tamaracktray_emulator.soak.fleet import ENGINES, ORDERS, ZONES, SoakFleet
 from tamaracktray_emulator.soak.notice_checks import DRAIN_S, NoticeChecker
 from tamaracktray_emulator.soak.operations import STOP_PROMISE, Operations
-from tamaracktray_emulator.soak.plan import SIZES_WITH_SILENCES, SoakPlan
+from tamaracktray_emulator.soak.overload_checks import (
+    NOT_RUN_PROMISE,
+    RANK_PROMISE,
+    RETRY_PROMISE,
+)
+from tamaracktray_emulator.soak.plan import (
+    SIZES_WITH_OVERLOADS,
+    SIZES_WITH_SILENCES,
+    SoakPlan,
+)
 from tamaracktray_emulator.soak.record import (
     Arrival,
     CallKind,
@@ -503,6 +512,22 @@
         assert report.violations == []
         assert report.checked_by_promise[PROMISE] > 1_000
 
+    def test_overload_is_refused_truly_and_starves_no_rank(self, tmp_path):
+        """Guards against refused calls that run and against ranks without answers."""
+        plan = SoakPlan(
+            9551,
+            duration_s=6.2,
+            is_calm=True,
+            has_overloads=True,
+            recovery_s=3.0,
+            **SIZES_WITH_OVERLOADS,
+        )
+        report = run_soak(plan, tmp_path)
+        assert report.violations == []
+        assert report.checked_by_promise[RANK_PROMISE] == 3
+        assert report.checked_by_promise[NOT_RUN_PROMISE] > 50
+        assert report.checked_by_promise[RETRY_PROMISE] > 50
+
 
 class TestFailedSeeds:
     @pytest.mark.parametrize("seed", FAILED_SEEDS)
