Keep drained endpoints drained in the soak, and count limits from their start

Traced: the end of a leaving notice listed an endpoint as ready that an operation had listed as draining; and a limit of 3.27 s was checked over the last 4 s, so that about 10 of 14 requests had arrived before it was named, which the rule allows. Change: the end of a notice keeps the listed state; requests from before the limit was named are not counted.

--- a/src/tamaracktray_emulator/soak/fleet.py
+++ b/src/tamaracktray_emulator/soak/fleet.py
@@ -207,10 +207,14 @@
 
     def is_listed_ready(self, name: str) -> bool:
         """Return whether the store lists an endpoint that isn't leaving."""
+        return self.find_listed_state(name) == "ready"
+
+    def find_listed_state(self, name: str) -> str:
+        """Return the state with which the store lists an endpoint, if it does."""
         stored = self.store.objects.get(("servers", name), {})
         spec = stored.get("spec")
         # Another writer may have replaced the record by an unreadable one.
-        return isinstance(spec, dict) and spec.get("state") == "ready"
+        return str(spec.get("state", "")) if isinstance(spec, dict) else ""
 
     def unlist_endpoint(self, name: str) -> None:
         """Remove an endpoint's record from the store, if present."""
--- a/src/tamaracktray_emulator/soak/limit_injector.py
+++ b/src/tamaracktray_emulator/soak/limit_injector.py
@@ -46,6 +46,7 @@
             endpoint = self._random.choice(self._fleet.endpoints)
             rate_per_s = self._random.uniform(MIN_RATE_PER_S, MAX_RATE_PER_S)
             started = self._fleet.now
+            named_at = time.monotonic()
             endpoint.limit = f"{rate_per_s:.2f}"
             try:
                 duration_s = self._random.uniform(MIN_LIMIT_S, MAX_LIMIT_S)
@@ -53,16 +54,23 @@
             finally:
                 endpoint.limit = ""
             if duration_s >= CONTACT_S:
-                self._check(endpoint, rate_per_s, started)
+                self._check(endpoint, rate_per_s, started, named_at)
 
     def _check(
-        self, endpoint: SoakWorker | SoakEngine, rate_per_s: float, started: float
+        self,
+        endpoint: SoakWorker | SoakEngine,
+        rate_per_s: float,
+        started: float,
+        named_at: float,
     ) -> None:
-        """Check the arrivals of the last window, unless there was a fault."""
+        """Check the arrivals of the last window, unless there was a fault.
+
+        Requests that arrived before the limit was named are not bound by it.
+        """
         now = self._fleet.now
         if not self._fault_log.is_fault_free(started - CONTACT_S, now):
             return
-        window_start = time.monotonic() - WINDOW_S
+        window_start = max(time.monotonic() - WINDOW_S, named_at)
         arrivals = sum(arrival > window_start for arrival in endpoint.arrived_at)
         allowed = ALLOWED_MULTIPLE * rate_per_s * WINDOW_S + ALLOWED_EXTRA
         detail = f"{endpoint.id}: {arrivals} at {rate_per_s:.2f} a second"
--- a/src/tamaracktray_emulator/soak/notice_injector.py
+++ b/src/tamaracktray_emulator/soak/notice_injector.py
@@ -4,6 +4,7 @@
 
 import curio
 
+from tamaracktray_emulator.soak.endpoints import SoakEngine, SoakWorker
 from tamaracktray_emulator.soak.fleet import SoakFleet, build_random
 from tamaracktray_emulator.soak.notice_checks import NoticeChecker
 
@@ -45,12 +46,22 @@
                     endpoint.is_pause_marked = self._random.random() < 0.7
                 await curio.sleep(duration_s)
             finally:
-                endpoint.pause = ""
-                if endpoint.is_leaving:
-                    endpoint.is_leaving = False
-                    endpoint.start_time_ms = int(time.time() * MS_PER_S)
-                    self._notice_checker.note_restart(endpoint.id, self._fleet.now)
-                    self._fleet.list_endpoint(endpoint)
+                self.end_notice(endpoint)
+
+    def end_notice(self, endpoint: SoakWorker | SoakEngine) -> None:
+        """End the notices of an endpoint; one that said it leaves starts again.
+
+        It stays listed as draining if an operation has listed it so meanwhile.
+        """
+        endpoint.pause = ""
+        if not endpoint.is_leaving:
+            return
+        endpoint.is_leaving = False
+        endpoint.start_time_ms = int(time.time() * MS_PER_S)
+        self._notice_checker.note_restart(endpoint.id, self._fleet.now)
+        is_draining = self._fleet.find_listed_state(endpoint.id) == "draining"
+        state = "draining" if is_draining else "ready"
+        self._fleet.list_endpoint(endpoint, state=state)
 
     def _draw_pause(self) -> str:
         return f"{self._random.uniform(MIN_PAUSE_S, MAX_PAUSE_S):.2f}"
