--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -516,7 +516,7 @@
         """Guards against refused calls that run and against ranks without answers."""
         plan = SoakPlan(
             9551,
-            duration_s=6.2,
+            duration_s=7.5,
             is_calm=True,
             has_overloads=True,
             recovery_s=3.0,
