Encode names in request targets, and return what can't be sent as a failure

A name with "&", "#", "%" or "+" ended none, but no list of workers succeeded.

Cause: the name went unencoded into the request for the next page. h11 raised LocalProtocolError, which no caller expects, or the store read another name. Evidence: the exit logs "Illegal target characters"; with the same document under a plain name the case holds.

All targets with names are built by encode_target now: pages, objects and their status, models at engines, at the origin and at peers, services. What HTTP can't carry is a TransportError with sent=False from fetch and from PersistentClient, so any further such value costs only its own call.

The store's stand-in decodes path segments one by one, since a name may hold a slash; a test that hooks its writes looks at the target instead of the joined name for that reason.

--- a/src/tamaracktray/agent_process.py
+++ b/src/tamaracktray/agent_process.py
@@ -35,7 +35,7 @@
 from tamaracktray.node_process import (
     PEER_CONNECT_S,
     PEER_TIMEOUT_S,
-    SERVICES_PATH,
+    SERVICES,
     NodeProcess,
 )
 from tamaracktray.node_settings import NodeProcessSettings
@@ -59,6 +59,7 @@
 )
 from tamaracktray.staging_state import StagingState
 from tamaracktray.swap_turns import estimate_swap_delay
+from tamaracktray.targets import encode_target
 from tamaracktray.types import Address
 from tamaracktray.version_keys import VersionKey
 from tamaracktray.weights import Manifest
@@ -141,7 +142,7 @@
         reply = await fetch(
             entry,
             "GET",
-            f"{SERVICES_PATH}{self.state.engine_service}",
+            encode_target(SERVICES, self.state.engine_service),
             timeout_s=PEER_TIMEOUT_S,
             connect_timeout_s=PEER_CONNECT_S,
         )
--- a/src/tamaracktray/api.py
+++ b/src/tamaracktray/api.py
@@ -9,7 +9,6 @@
 import time
 import uuid
 from typing import Any
-from urllib.parse import quote
 
 import curio
 import msgspec
@@ -46,6 +45,7 @@
 )
 from tamaracktray.responders import Responder
 from tamaracktray.shell import Shell, decode_objects
+from tamaracktray.targets import encode_target
 
 PREFIX = "/api/v1"
 MAX_WATCH_S = 60.0
@@ -396,5 +396,5 @@
 
 def build_path(kind: Kind, name: str = "") -> str:
     """Return the API path of a kind or of one resource."""
-    path = f"{PREFIX}/{kind.value}"
-    return f"{path}/{quote(name, safe='')}" if name else path
+    names = (kind.value, name) if name else (kind.value,)
+    return PREFIX + encode_target(*names)
--- a/src/tamaracktray/chunk_relay.py
+++ b/src/tamaracktray/chunk_relay.py
@@ -107,7 +107,7 @@
 
     async def handle(self, request: Request, responder: Responder) -> None:
         """Answer a request of a peer for a part of a version."""
-        key = read_version_key(request.path)
+        key = read_version_key(request.target)
         part = request.path.rpartition("/")[2]
         if key is not None and request.path.endswith(MANIFEST_PART):
             manifest = await self.find_manifest(key)
--- a/src/tamaracktray/client.py
+++ b/src/tamaracktray/client.py
@@ -12,6 +12,7 @@
 from tamaracktray.exchange import fetch
 from tamaracktray.http_messages import Headers
 from tamaracktray.resources import Kind, Resource, decode_resource, encode_resource
+from tamaracktray.targets import encode_target
 from tamaracktray.types import Address
 
 
@@ -79,7 +80,7 @@
 
     def read_failures(self, rollout: str) -> Result[dict[str, str], CommandError]:
         """Read the failure reasons of a rollout by instance."""
-        reply = self._call("GET", f"{PREFIX}/failures/{rollout}")
+        reply = self._call("GET", PREFIX + encode_target("failures", rollout))
         return reply.map(lambda document: document["reason_by_instance"])
 
     def list_unknown(self) -> Result[list[dict[str, Any]], CommandError]:
@@ -92,7 +93,8 @@
     ) -> Result[Any, CommandError]:
         """Settle a key of unknown outcome."""
         document = {"was_run": was_run, "operator": operator}
-        return self._call("POST", f"{PREFIX}/claims/{key}/settle", document)
+        target = PREFIX + encode_target("claims", key, "settle")
+        return self._call("POST", target, document)
 
     def _call(
         self,
--- a/src/tamaracktray/exchange.py
+++ b/src/tamaracktray/exchange.py
@@ -23,7 +23,7 @@
     Reply,
     decode_headers,
 )
-from tamaracktray.request_sending import RequestSender
+from tamaracktray.request_sending import RequestSender, build_head
 from tamaracktray.types import Address
 
 # Default size limit of an answer's body in bytes.
@@ -272,14 +272,16 @@
     ``may_send`` is called with the connection time in seconds once connected, as the
     decision to send may be out of date by then. Reading an answer fails if its body far
     exceeds ``max_bytes``. The failure states whether any byte of the request may have
-    been sent.
+    been sent; none has if HTTP can't carry the target or a header.
     """
     connection = h11.Connection(h11.CLIENT)
     framing = [("content-length", str(len(body))), ("connection", "close")]
     if not has_host_header:
         framing.append(("host", str(address)))
-    request = h11.Request(method=method, target=target, headers=[*headers, *framing])
-    payload = connection.send(request) + connection.send(h11.Data(data=body))
+    head = build_head(method, target, [*headers, *framing])
+    if isinstance(head, Failure):
+        return head
+    payload = connection.send(head.unwrap()) + connection.send(h11.Data(data=body))
     payload += connection.send(h11.EndOfMessage())
     started_at = time.monotonic()
     try:
--- a/src/tamaracktray/node_process.py
+++ b/src/tamaracktray/node_process.py
@@ -67,7 +67,8 @@
 IDLE_BEACON_INTERVAL_S = 0.5
 
 SNAPSHOTS_PATH = "/snapshots"
-SERVICES_PATH = "/services/"
+SERVICES = "services"
+SERVICES_PATH = f"/{SERVICES}/"
 MAX_SNAPSHOT_BYTES = 16 * 1_048_576
 METRICS_TYPE: Headers = [("content-type", "text/plain; version=0.0.4")]
 MAX_DATAGRAM_BYTES = 65_507
--- a/src/tamaracktray/objects.py
+++ b/src/tamaracktray/objects.py
@@ -26,6 +26,7 @@
 from tamaracktray.exchange import fetch
 from tamaracktray.http_messages import Reply
 from tamaracktray.store_calls import classify_transport
+from tamaracktray.targets import encode_target
 from tamaracktray.types import Address
 
 API_PREFIX = "/apis/tamaracktray.dev/v1"
@@ -238,7 +239,7 @@
     async def get(
         self, collection: str, name: str
     ) -> Result[StoredObject, PlatformError]:
-        reply = await self._call("GET", f"/{collection}/{name}")
+        reply = await self._call("GET", encode_target(collection, name))
         return reply.bind(
             lambda answer: _parse_document(answer.body, _Document, _read_object)
         )
@@ -266,7 +267,7 @@
         if version == 0:
             reply = await self._call("POST", f"/{collection}", body)
         else:
-            reply = await self._call("PUT", f"/{collection}/{name}", body)
+            reply = await self._call("PUT", encode_target(collection, name), body)
         return reply.bind(
             lambda answer: _parse_document(answer.body, _Document, _read_object)
         )
@@ -277,7 +278,7 @@
     ) -> Result[int, PlatformError]:
         options = {"preconditions": {"resourceVersion": str(version)}, "writer": writer}
         body = msgspec.json.encode(options)
-        reply = await self._call("DELETE", f"/{collection}/{name}", body)
+        reply = await self._call("DELETE", encode_target(collection, name), body)
         return reply.bind(
             lambda answer: _parse_document(
                 answer.body,
--- a/src/tamaracktray/persistent_client.py
+++ b/src/tamaracktray/persistent_client.py
@@ -8,6 +8,7 @@
 from tamaracktray.exceptions import TransportError
 from tamaracktray.exchange import Exchange
 from tamaracktray.http_messages import Headers, Reply
+from tamaracktray.request_sending import build_head
 from tamaracktray.types import Address
 
 # Effectively unlimited, in seconds: the timeout of the whole request bounds the read.
@@ -84,10 +85,18 @@
         timeout_s: float,
         max_bytes: int,
     ) -> Result[Reply, TransportError]:
+        self._sent += 1
+        request_id = f"{method}-{self._sent}"
+        framing = [("content-length", str(len(body))), ("host", str(self._address))]
+        if self._id_header:
+            framing.append((self._id_header, request_id))
+        head = build_head(method, target, [*(headers or []), *framing])
+        if isinstance(head, Failure):
+            return head
         try:
             return Success(
                 await curio.timeout_after(
-                    timeout_s, self._send(method, target, headers, body, max_bytes)
+                    timeout_s, self._send(head.unwrap(), body, request_id, max_bytes)
                 )
             )
         except curio.TaskTimeout:
@@ -102,12 +111,7 @@
             return Failure(TransportError(f"{self._address}: {error}", sent=True))
 
     async def _send(
-        self,
-        method: str,
-        target: str,
-        headers: Headers | None,
-        body: bytes,
-        max_bytes: int,
+        self, head: h11.Request, body: bytes, request_id: str, max_bytes: int
     ) -> Reply:
         if self._socket is not None and peek(self._socket) is not None:
             # A late duplicate answer would be taken as the answer to this request.
@@ -118,15 +122,7 @@
                 limit_silence(self._socket, self._silence_s)
             self._connection = h11.Connection(h11.CLIENT)
         connection, socket = self._connection, self._socket
-        framing = [("content-length", str(len(body))), ("host", str(self._address))]
-        self._sent += 1
-        request_id = f"{method}-{self._sent}"
-        if self._id_header:
-            framing.append((self._id_header, request_id))
-        request = h11.Request(
-            method=method, target=target, headers=[*(headers or []), *framing]
-        )
-        payload = connection.send(request) + connection.send(h11.Data(data=body))
+        payload = connection.send(head) + connection.send(h11.Data(data=body))
         await socket.sendall(payload + connection.send(h11.EndOfMessage()))
         exchange = Exchange(connection, socket, max_bytes)
         reply = Reply(*await _read_reply(exchange, max_bytes))
--- a/src/tamaracktray/platform/engine.py
+++ b/src/tamaracktray/platform/engine.py
@@ -21,6 +21,7 @@
 from tamaracktray.platform.documents import read_manifest, read_report
 from tamaracktray.platform.protocol import REQUEST_ID
 from tamaracktray.stage_connections import LOCAL_TIMEOUT_S, StageConnections
+from tamaracktray.targets import encode_target
 from tamaracktray.types import Address
 from tamaracktray.weights import MAX_CHUNK_BYTES, Manifest
 
@@ -63,7 +64,7 @@
 
     @override
     async def list_staged(self, model: str) -> Result[list[int], WeightError]:
-        reply = await self._connections.read(f"/stage-get/{model}")
+        reply = await self._connections.read(encode_target("stage-get", model))
         if isinstance(reply, Failure):
             return reply
         staged = decode_json(reply.unwrap().body, dict[str, list[int]])
@@ -76,7 +77,7 @@
         self, model: str, index: int, reader: int = 0
     ) -> Result[bytes, WeightError]:
         # The platform's parameter "quantity" is the index of the chunk.
-        target = f"/stage-get/{model}?quantity={index}"
+        target = encode_target("stage-get", model, quantity=index)
         reply = await self._connections.read(target, reader)
         return reply.map(lambda answer: answer.body)
 
@@ -84,7 +85,7 @@
     async def write_chunk(
         self, model: str, index: int, data: bytes
     ) -> Result[None, WeightError]:
-        target = f"/stage-put/{model}?quantity={index}"
+        target = encode_target("stage-put", model, quantity=index)
         return await self._connections.write(target, data)
 
     @override
@@ -132,7 +133,7 @@
     async def read_manifest(
         self, model: str, version: int
     ) -> Result[Manifest, WeightError]:
-        reply = await self._call(f"/manifest/{model}?version={version}")
+        reply = await self._call(encode_target("manifest", model, version=version))
         if isinstance(reply, Failure):
             return reply
         try:
@@ -148,7 +149,7 @@
     async def read_chunk(
         self, model: str, version: int, index: int
     ) -> Result[bytes, WeightError]:
-        target = f"/piece/{model}?quantity={index}&version={version}"
+        target = encode_target("piece", model, quantity=index, version=version)
         return (await self._call(target)).map(lambda answer: answer.body)
 
     async def _call(self, target: str) -> Result[Reply, WeightError]:
--- a/src/tamaracktray/platform/store.py
+++ b/src/tamaracktray/platform/store.py
@@ -31,6 +31,7 @@
 from tamaracktray.quarantine_records import read_quarantine
 from tamaracktray.snapshots import Collection
 from tamaracktray.store_calls import classify_transport, compute_watch_timeout_s
+from tamaracktray.targets import encode_target
 from tamaracktray.types import Address
 
 JSON: Headers = [("content-type", "application/json")]
@@ -118,7 +119,7 @@
     async def get(
         self, collection: str, name: str
     ) -> Result[StoredObject, PlatformError]:
-        reply = await self._call("GET", f"{_build_path(collection)}/{name}")
+        reply = await self._call("GET", _build_target(collection, name))
         return reply.bind(lambda answer: _decode(answer, _Object)).map(
             lambda item: _build_stored_object(collection, item)
         )
@@ -128,13 +129,10 @@
         items: list[StoredObject] = []
         revision = 0
         era: int | None = None
-        query = ""
+        target = _build_target(collection)
         for _ in range(MAX_PAGES):
-            reply = await self._call(
-                "GET",
-                _build_path(collection) + query,
-                timeout_s=TIMEOUT_S_BY_COLLECTION.get(collection),
-            )
+            timeout_s = TIMEOUT_S_BY_COLLECTION.get(collection)
+            reply = await self._call("GET", target, timeout_s=timeout_s)
             decoded = reply.bind(lambda answer: _decode(answer, _Page))
             if isinstance(decoded, Failure):
                 return decoded
@@ -149,7 +147,8 @@
             if not page.has_more or not page.items:
                 return Success(ObjectList(revision, items, era))
             # Despite its name, this parameter is the name of the last object listed.
-            query = f"?sinceRevision={page.items[-1].metadata.name}"
+            last_name = page.items[-1].metadata.name
+            target = _build_target(collection, sinceRevision=last_name)
         return Failure(PlatformUnavailableError(f"{collection}: too many pages"))
 
     @override
@@ -157,10 +156,10 @@
         self, collection: str, name: str, value: Any, version: int, writer: str
     ) -> Result[StoredObject, PlatformError]:
         metadata: dict[str, Any] = {"name": name}
-        method, target = "POST", _build_path(collection)
+        method, target = "POST", _build_target(collection)
         if version:
             metadata["revision"] = version
-            method, target = "PUT", f"{_build_path(collection)}/{name}"
+            method, target = "PUT", _build_target(collection, name)
         body = msgspec.json.encode({"metadata": metadata, "spec": value})
         reply = await self._call(method, target, body)
         return reply.bind(lambda answer: _decode(answer, _Object)).map(
@@ -173,7 +172,7 @@
     ) -> Result[StoredObject, PlatformError]:
         metadata = {"name": name, "revision": version}
         document = {"metadata": metadata, "status": status}
-        target = f"{_build_path(collection)}/{name}/status"
+        target = _build_target(collection, name, "status")
         reply = await self._call("PUT", target, msgspec.json.encode(document))
         return reply.bind(lambda answer: _decode(answer, _Object)).map(
             lambda item: _build_stored_object(collection, item)
@@ -183,7 +182,7 @@
     async def delete(
         self, collection: str, name: str, version: int, writer: str
     ) -> Result[int, PlatformError]:
-        target = f"{_build_path(collection)}/{name}?revision={version}"
+        target = _build_target(collection, name, revision=version)
         reply = await self._call("DELETE", target)
         return reply.map(lambda _: version)
 
@@ -192,7 +191,7 @@
         self, collection: str, revision: int, timeout_s: float
     ) -> Result[ObjectList, PlatformError]:
         wait_ms = int(timeout_s * MS_PER_S)
-        target = f"{_build_path(collection)}?watch={revision}&waitMs={wait_ms}"
+        target = _build_target(collection, watch=revision, waitMs=wait_ms)
         call_timeout_s = compute_watch_timeout_s(timeout_s, self._timeout_s)
         reply = await self._call("GET", target, timeout_s=call_timeout_s)
         decoded = reply.bind(lambda answer: _decode(answer, _Events))
@@ -227,8 +226,9 @@
         return Success(answer)
 
 
-def _build_path(collection: str) -> str:
-    return f"/objects/{KIND_BY_COLLECTION[Collection(collection)]}"
+def _build_target(collection: str, *names: str, **query: str | int) -> str:
+    kind = KIND_BY_COLLECTION[Collection(collection)]
+    return encode_target("objects", kind, *names, **query)
 
 
 def _build_error(method: str, target: str, answer: Reply) -> PlatformError:
--- a/src/tamaracktray/request_sending.py
+++ b/src/tamaracktray/request_sending.py
@@ -4,8 +4,28 @@
 """
 
 import curio
+import h11
+from returns.result import Failure, Result, Success
 
 from tamaracktray.connections import send_nonblocking
+from tamaracktray.exceptions import TransportError
+from tamaracktray.http_messages import Headers, RawHeaders
+
+# Characters of the reason why a request can't be sent that are kept: it may quote a
+# value of any length.
+MAX_REASON_CHARACTERS = 200
+
+
+def build_head(
+    method: str, target: str, headers: Headers | RawHeaders
+) -> Result[h11.Request, TransportError]:
+    """Return the head of a request, or a failure if HTTP can't carry its values."""
+    try:
+        return Success(h11.Request(method=method, target=target, headers=headers))
+    except (h11.LocalProtocolError, UnicodeEncodeError) as error:
+        reason = str(error)[:MAX_REASON_CHARACTERS]
+        message = f"the request can't be sent: {reason}"
+        return Failure(TransportError(message, sent=False))
 
 
 class RequestSender:
--- a/src/tamaracktray/version_keys.py
+++ b/src/tamaracktray/version_keys.py
@@ -3,8 +3,10 @@
 import msgspec
 
 from tamaracktray.headers import read_int
+from tamaracktray.targets import decode_path, encode_target
 
-VERSIONS_PATH = "/versions/"
+VERSIONS = "versions"
+VERSIONS_PATH = f"/{VERSIONS}/"
 
 
 class VersionKey(msgspec.Struct, frozen=True):
@@ -16,11 +18,11 @@
     @property
     def path(self) -> str:
         """Return the path at which peers request its parts."""
-        return f"{VERSIONS_PATH}{self.model}/{self.version}"
+        return encode_target(VERSIONS, self.model, str(self.version))
 
 
-def read_version_key(path: str) -> VersionKey | None:
-    """Return the version that a peer's request path names, or ``None``."""
-    parts = path.removeprefix(VERSIONS_PATH).split("/")
-    version = read_int(parts[1]) if len(parts) == 3 else None
-    return None if version is None else VersionKey(parts[0], version)
+def read_version_key(target: str) -> VersionKey | None:
+    """Return the version that the target of a peer's request names, or ``None``."""
+    parts = decode_path(target)
+    version = read_int(parts[2]) if len(parts) == 4 else None
+    return None if version is None else VersionKey(parts[1], version)
--- a/src/tamaracktray_emulator/platform/store.py
+++ b/src/tamaracktray_emulator/platform/store.py
@@ -5,6 +5,7 @@
 from collections.abc import Collection
 from enum import Enum
 from typing import Any
+from urllib.parse import unquote
 
 import curio
 import msgspec
@@ -178,13 +179,13 @@
 
     @override
     async def answer(self, request: Request, responder: Responder) -> None:
+        kind, name, _ = _split_path(request.target)
         self.calls += 1
-        self.calls_by_kind[request.path.removeprefix(PREFIX).partition("/")[0]] += 1
+        self.calls_by_kind[kind] += 1
         if await self._fail(responder):
             return
         if self.faults.delay_s:
             await curio.sleep(self.faults.delay_s)
-        kind, _, name = request.path.removeprefix(PREFIX).partition("/")
         if request.method != "GET":
             await self._write(request, responder, kind, name)
         elif "watch" in request.query:
@@ -269,7 +270,7 @@
             return
         document = msgspec.json.decode(request.body) if request.body else {}
         metadata = document.get("metadata", {})
-        name, _, part = (name or metadata["name"]).partition("/")
+        name = name or metadata["name"]
         stored = self.objects.get((kind, name))
         expected_revision = metadata.get("revision", request.query.get("revision"))
         if request.method == "POST" and stored is not None:
@@ -287,7 +288,7 @@
             return
         if request.method == "DELETE":
             self.remove(kind, name)
-        elif part == "status":
+        elif _split_path(request.target)[2] == "status":
             self.status_calls += 1
             self._write_status(kind, name, document.get("status"))
         else:
@@ -297,3 +298,10 @@
             await responder.abort()
             return
         await self._send(responder, 200, self.objects.get((kind, name), {}))
+
+
+def _split_path(target: str) -> tuple[str, str, str]:
+    """Return the kind, name and part that a request's target names, or empty texts."""
+    path = target.partition("?")[0].removeprefix(PREFIX)
+    kind, name, part = [*path.split("/"), "", ""][:3]
+    return unquote(kind), unquote(name), part
--- /dev/null
+++ b/tests/test_odd_names.py
@@ -0,0 +1,181 @@
+"""Names that other writers choose are sent on as they are, or cost only themselves."""
+
+import curio
+import pytest
+from returns.result import Failure
+
+from platforms import STORE_PORT, PlatformFleet, next_host, run_fleet
+from tamaracktray.exceptions import TransportError
+from tamaracktray.exchange import fetch
+from tamaracktray.http import HttpServer
+from tamaracktray.http_messages import Headers
+from tamaracktray.persistent_client import PersistentClient
+from tamaracktray.platform.engine import PlatformEngine, PlatformOrigin
+from tamaracktray.snapshots import Collection
+from tamaracktray.targets import decode_path
+from tamaracktray.types import Address
+from tamaracktray.version_keys import VersionKey, read_version_key
+from tamaracktray_emulator.platform import store as store_stand_in
+
+FOLLOW_S = 3.0
+
+# Names that sort between "w-1" and "w-2". A request target can't hold the first ones as
+# they are; the others mean something else there.
+ODD_NAMES = [
+    "w-1 (copy)",
+    "w-1\u00e9",
+    "w-1\u5de5",
+    "w-1\n",
+    "w-1\x00",
+    "w-1&x=1",
+    "w-1#x",
+    "w-1?x",
+    "w-1%20x",
+    "w-1+x",
+    "w-1/x",
+    'w-1"',
+    "w-1;x",
+]
+
+KINDS = {
+    "servers": Collection.ENDPOINTS,
+    "versions": Collection.VERSIONS,
+    "members": Collection.MEMBERS,
+    "evacuations": Collection.EVACUATIONS,
+    "quarantines": Collection.QUARANTINES,
+}
+
+
+def list_names(fleet: PlatformFleet, number: int, collection: Collection) -> set[str]:
+    snapshot = fleet.entries[number].state.snapshot_cache.by_collection[collection]
+    return set(snapshot.objects_by_name)
+
+
+class TestPages:
+    # Guards against a name in a request for the next page that ends all processes, or
+    # that is taken for another name.
+    @pytest.mark.parametrize("odd", ODD_NAMES)
+    def test_list_goes_on_after_an_odd_name(self, odd, monkeypatch):
+        monkeypatch.setattr(store_stand_in, "PAGE_LENGTH", 1)
+
+        async def scenario(fleet: PlatformFleet) -> None:
+            for kind in KINDS:
+                for name in ("w-1", odd, "w-2"):
+                    fleet.store.write(kind, name, 7)
+            await fleet.add_worker("w-1")
+            await fleet.add_worker("w-2")
+            await fleet.start(entries=2)
+            await fleet.until_listed(2)
+            for kind, collection in KINDS.items():
+                stored = {name for key, name in fleet.store.objects if key == kind}
+                for number in range(2):
+                    await fleet.until(
+                        lambda n=number, c=collection, s=stored: (
+                            list_names(fleet, n, c) == s
+                        ),
+                        FOLLOW_S,
+                    )
+            for number in range(4):
+                reply = await fleet.call("/look/1", f"id-{number}", entry=number % 2)
+                assert reply.status == 200
+            assert [shell.exit_code for shell in fleet.entries] == [0, 0]
+
+        run_fleet(scenario)
+
+
+class TestObjects:
+    # Guards against reads and writes of another object than the one that is named.
+    @pytest.mark.parametrize("odd", ODD_NAMES)
+    def test_object_with_an_odd_name_is_read_and_written(self, odd):
+        async def scenario(fleet: PlatformFleet) -> None:
+            await fleet.open(fleet.store)
+            entry = await fleet.add_entry()
+            await curio.sleep(0)
+            store = entry.store
+            document = {"model": "kiln-2", "version": 2}
+            created = await store.put(Collection.VERSIONS, odd, document, 0, "")
+            assert created.unwrap().name == odd
+            read = await store.get(Collection.VERSIONS, odd)
+            version = read.unwrap().version
+            status = {"namings": [[2, 1.0]]}
+            noted = await store.put_status(Collection.VERSIONS, odd, status, version)
+            assert fleet.store.objects["versions", odd]["status"] == status
+            version = noted.unwrap().version
+            changed = await store.put(Collection.VERSIONS, odd, document, version, "")
+            version = changed.unwrap().version
+            removed = await store.delete(Collection.VERSIONS, odd, version, "")
+            assert not isinstance(removed, Failure)
+            assert ("versions", odd) not in fleet.store.objects
+
+        run_fleet(scenario)
+
+
+class TestModels:
+    # Guards against calls about another model than the one that is named.
+    @pytest.mark.parametrize("odd", ODD_NAMES)
+    def test_engine_and_origin_are_asked_for_the_model(self, odd):
+        paths: list[list[str]] = []
+
+        async def handle(request, responder):
+            paths.append(decode_path(request.target))
+            await responder.respond(404, [])
+
+        async def main() -> None:
+            server = HttpServer(Address(next_host(), STORE_PORT), handle)
+            await server.open()
+            task = await curio.spawn(server.serve, daemon=True)
+            engine, origin = (
+                PlatformEngine(server.address),
+                PlatformOrigin(server.address),
+            )
+            await engine.list_staged(odd)
+            await engine.read_chunk(odd, 1)
+            await engine.write_chunk(odd, 1, b"x")
+            await origin.read_manifest(odd, 2)
+            await origin.read_chunk(odd, 2, 1)
+            await task.cancel()
+
+        curio.run(main)
+        kinds = ["stage-get", "stage-get", "stage-put", "manifest", "piece"]
+        assert paths == [[kind, odd] for kind in kinds]
+
+    @pytest.mark.parametrize("odd", ODD_NAMES)
+    def test_peer_reads_the_model_that_was_asked_for(self, odd):
+        key = VersionKey(odd, 3)
+        assert read_version_key(f"{key.path}/manifest") == key
+        assert read_version_key(f"{key.path}/7?held=1") == key
+
+
+class TestClients:
+    # Guards against exceptions that end the loop which makes a call.
+    UNSENDABLE: list[tuple[str, Headers]] = [
+        ("/a b", []),
+        ("/\u5de5", []),
+        ("/a", [("x-name", "a\nb")]),
+        ("/a", [("x-name", " a")]),
+        ("/a", [("x-name", "\u5de5" * 10_000)]),
+        ("/" + " " * 10_000, []),
+    ]
+
+    @pytest.mark.parametrize(("target", "headers"), UNSENDABLE)
+    def test_request_that_cannot_be_sent_is_a_failure(self, target, headers):
+        async def answer(request, responder):
+            await responder.respond(200, [])
+
+        async def main() -> list[TransportError]:
+            server = HttpServer(Address(next_host(), STORE_PORT), answer)
+            await server.open()
+            task = await curio.spawn(server.serve, daemon=True)
+            client = PersistentClient(server.address)
+            failures = [
+                (await fetch(server.address, "GET", target, headers)).failure(),
+                (await client.fetch("GET", target, headers)).failure(),
+            ]
+            reply = await client.fetch("GET", "/a")
+            assert reply.unwrap().status == 200
+            await task.cancel()
+            return failures
+
+        for failure in curio.run(main):
+            assert not failure.sent
+            assert len(failure.message) < 300
--- a/tests/test_store_eras.py
+++ b/tests/test_store_eras.py
@@ -347,7 +347,7 @@
             accidents: list[int] = []
 
             async def restore_and_write(store, request, responder, kind, name):
-                if name == f"{MODEL}/status" and not accidents:
+                if request.target.endswith(f"/{MODEL}/status") and not accidents:
                     accidents.append(store.objects[kind, MODEL]["metadata"]["revision"])
                     store.restore(copy)
                     store.revision = accidents[0] - 1
