Start failed loops again instead of ending the process

Cause: Runtime stopped the process on any exception of any loop.

A loop that fails is logged with its name, counted and started again after 0.5 s.

--- a/src/tamaracktray/node_process.py
+++ b/src/tamaracktray/node_process.py
@@ -164,13 +164,17 @@
     def list_loops(self) -> list[Callable[[], Awaitable[None]]]:
         watches = [self._reader.build_loop(collection) for collection in self.followed]
         return [
-            self._run_ticks,
             self._run_datagrams,
             self._run_beacons,
             *self._questions.list_loops(self.pull_snapshots),
             *watches,
         ]
 
+    @override
+    def list_vital_loops(self) -> list[Callable[[], Awaitable[None]]]:
+        # All deadlines are checked by ticks.
+        return [self._run_ticks, *super().list_vital_loops()]
+
     @override
     async def prepare(self) -> None:
         self._datagrams.bind((self.own_address.host, self.own_address.port))
--- a/src/tamaracktray/runtime.py
+++ b/src/tamaracktray/runtime.py
@@ -20,6 +20,10 @@
 from tamaracktray.signals import unblock_reload_signal
 
 MAX_EXIT_WAIT_S = 10.0
+
+# Pause before a loop that has failed is started again, in seconds.
+LOOP_RESTART_S = 0.5
+
 EXIT_INTERNAL_ERROR = 1
 EXIT_INVALID_SETTINGS = 2
 
@@ -50,7 +54,11 @@
 
     @abstractmethod
     def list_loops(self) -> list[Callable[[], Awaitable[None]]]:
-        """Return the background loops of the process."""
+        """Return the background loops of the process, restarted when they fail."""
+
+    def list_vital_loops(self) -> list[Callable[[], Awaitable[None]]]:
+        """Return the loops without which the process can't go on."""
+        return [server.serve for server in self._servers]
 
     async def prepare(self) -> None:
         """Run set-up steps before any loop starts."""
@@ -83,7 +91,7 @@
 
     async def run(self) -> None:
         """Handle signals and serve until the process has shut down."""
-        await curio.spawn(self._run_loop, self._run_signals, daemon=True)
+        await curio.spawn(self._run_vital_loop, self._run_signals, daemon=True)
         await self.serve()
 
     async def serve(self) -> None:
@@ -92,9 +100,10 @@
         for server in self._servers:
             await server.open()
         await self.prepare()
-        for loop in [*self.list_loops(), *(server.serve for server in self._servers)]:
-            task = await curio.spawn(self._run_loop, loop, daemon=True)
-            self._loop_tasks.append(task)
+        for loop in self.list_loops():
+            await self._start_loop(self._run_loop, loop)
+        for loop in self.list_vital_loops():
+            await self._start_loop(self._run_vital_loop, loop)
         self.log.info("started")
         await self._stop_requested.wait()
         await self.halt()
@@ -119,16 +128,47 @@
     async def _exit(self, effect: Exit) -> None:
         await self.stop()
 
+    async def _start_loop(
+        self,
+        run: Callable[[Callable[[], Awaitable[None]]], Awaitable[None]],
+        loop: Callable[[], Awaitable[None]],
+    ) -> None:
+        self._loop_tasks.append(await curio.spawn(run, loop, daemon=True))
+
     async def _run_loop(self, loop: Callable[[], Awaitable[None]]) -> None:
-        """Run a background loop; a failure of any loop stops the process."""
+        """Run a loop and start it again if it fails.
+
+        What made it fail may be there at each start of the process, so ending that
+        would not help. Only an ``InvariantError`` stops the process.
+        """
+        while True:
+            try:
+                await loop()
+                return
+            except InvariantError:
+                await self._fail("invariant broken")
+                return
+            except curio.CancelledError:
+                raise
+            except Exception:
+                self.metrics.count("loop_failures")
+                self.log.exception("loop failed", loop=loop.__qualname__)
+            await curio.sleep(LOOP_RESTART_S)
+
+    async def _run_vital_loop(self, loop: Callable[[], Awaitable[None]]) -> None:
+        """Run a loop; its failure stops the process."""
         try:
             await loop()
         except curio.CancelledError:
             raise
         except Exception:
-            self.log.exception("loop failed")
-            self.exit_code = EXIT_INTERNAL_ERROR
-            await self.stop()
+            await self._fail("vital loop failed", loop=loop.__qualname__)
+
+    async def _fail(self, reason: str, **fields: str) -> None:
+        """Log the exception being handled and stop the process."""
+        self.log.exception(reason, **fields)
+        self.exit_code = EXIT_INTERNAL_ERROR
+        await self.stop()
 
     async def _run_task(
         self, function: Callable[..., Awaitable[None]], *args: Any
@@ -136,9 +176,7 @@
         try:
             await function(*args)
         except InvariantError:
-            self.log.exception("invariant broken")
-            self.exit_code = EXIT_INTERNAL_ERROR
-            await self.stop()
+            await self._fail("invariant broken")
         except curio.CancelledError:
             raise
         except Exception:
--- a/src/tamaracktray/shell.py
+++ b/src/tamaracktray/shell.py
@@ -108,13 +108,17 @@
     @override
     def list_loops(self) -> list[Callable[[], Awaitable[None]]]:
         return [
-            self._run_ticks,
             self._watch_configuration,
             self._poll_instances,
             self._dispatch_inbox,
             *self.list_role_loops(),
         ]
 
+    @override
+    def list_vital_loops(self) -> list[Callable[[], Awaitable[None]]]:
+        # All deadlines are checked by ticks.
+        return [self._run_ticks, *super().list_vital_loops()]
+
     @override
     async def prepare(self) -> None:
         self._control.start()
