Leave out workers whose names no header can carry

Cause: each request names its worker in a header. Building that raised in the task of the call, which ended the call and told the placement nothing, so the idle worker stayed the best choice. Evidence: "handler failed" with UnicodeEncodeError or LocalProtocolError for each of these calls.

An entry whose name a header can't carry unchanged is now as unreadable as one with an odd document: left out, logged with the reason and counted. Requests can't reach such a worker under any name, so no other use of it is lost.

TestWorkers of test_odd_names: 7 of 11 cases with such names failed before, one more because the worker's stand-in could not sign with an accent; none does now. Names with inner blanks, accents, commas or semicolons are used as before.

--- a/src/tamaracktray/headers.py
+++ b/src/tamaracktray/headers.py
@@ -1,6 +1,7 @@
 """Names of the product's own HTTP headers, and helpers to read header values."""
 
 import math
+import re
 
 IDEMPOTENCY_KEY = "idempotency-key"
 TEAM = "x-team"
@@ -46,6 +47,24 @@
 # Longer numbers are treated as malformed.
 MAX_DIGITS = 15
 
+# Characters of an invalid value that an error shows.
+MAX_SHOWN = 100
+
+# Texts that a header can hold and that its reader gets unchanged: visible characters of
+# Latin-1, with blanks only between them.
+FIELD_VALUE = re.compile(r"[!-~\x80-\xff](?:[\t -~\x80-\xff]*[!-~\x80-\xff])?")
+
+
+def is_field_value(text: str) -> bool:
+    """Return whether a text can be sent as the value of a header, unchanged."""
+    return FIELD_VALUE.fullmatch(text) is not None
+
+
+def require_field_value(text: str) -> None:
+    """Raise ``ValueError`` if a text can't be sent as the value of a header."""
+    if not is_field_value(text):
+        raise ValueError(f"{text[:MAX_SHOWN]!r} can't be sent in a header")
+
 
 def read_decimal(text: str | None) -> float | None:
     """Parse a decimal number; return ``None`` if absent and NaN if malformed."""
--- a/src/tamaracktray/platform/documents.py
+++ b/src/tamaracktray/platform/documents.py
@@ -11,6 +11,7 @@
 
 from tamaracktray.endpoint_pace.reports import measure_share
 from tamaracktray.engines import EngineReport, VersionTarget
+from tamaracktray.headers import require_field_value
 from tamaracktray.roster import EndpointRecord, LoadedModel
 from tamaracktray.routes import (
     Backend,
@@ -255,10 +256,11 @@
 
 
 def read_endpoint(name: str, spec: Any) -> EndpointRecord:
-    """Return the record of an endpoint, read from its entry in the store."""
+    """Return the record of an endpoint that requests can name, from its entry."""
     document = msgspec.convert(spec, _ServerEntry)
     if document.state not in SERVER_STATES:
         raise msgspec.ValidationError(f"unknown state {document.state!r}")
+    require_field_value(name)
     is_whole = document.stage == WHOLE_STAGE
     models = _read_models(document.models, document.layers) if is_whole else ()
     return EndpointRecord(
--- a/src/tamaracktray/platform/engine.py
+++ b/src/tamaracktray/platform/engine.py
@@ -98,13 +98,12 @@
             "precondition": order.sequence,
             "fencingToken": order.fence,
         }
-        body = msgspec.json.encode(document)
         reply = await fetch(
             self._address,
             "POST",
             "/order",
             JSON,
-            body,
+            msgspec.json.encode(document),
             timeout_s=LOCAL_TIMEOUT_S,
             may_send=order.is_sendable,
         )
--- a/src/tamaracktray_emulator/platform/worker.py
+++ b/src/tamaracktray_emulator/platform/worker.py
@@ -3,6 +3,7 @@
 import time
 from enum import Enum
 from typing import Any
+from urllib.parse import quote
 
 import curio
 import msgspec
@@ -187,7 +188,7 @@
     def _build_headers(self, request_id: str) -> Headers:
         if self.mode is Mode.WRONG_ID:
             request_id = "another"
-        headers = [(REQUEST_ID, request_id), (SIGNATURE, f"sig.{self.id}")]
+        headers = [(REQUEST_ID, request_id), (SIGNATURE, f"sig.{quote(self.id)}")]
         if self.is_leaving:
             headers.append((LEAVING, "1"))
         if self.limit:
--- a/tests/test_odd_names.py
+++ b/tests/test_odd_names.py
@@ -4,7 +4,7 @@
 import pytest
 from returns.result import Failure
 
-from platforms import STORE_PORT, PlatformFleet, next_host, run_fleet
+from platforms import KEY, STORE_PORT, TEAM, PlatformFleet, next_host, run_fleet
 from tamaracktray.exceptions import TransportError
 from tamaracktray.exchange import fetch
 from tamaracktray.http import HttpServer
@@ -16,6 +16,7 @@
 from tamaracktray.types import Address
 from tamaracktray.version_keys import VersionKey, read_version_key
 from tamaracktray_emulator.platform import store as store_stand_in
+from tamaracktray_emulator.platform.documents import build_tenant
 
 FOLLOW_S = 3.0
 
@@ -179,3 +180,76 @@
         for failure in curio.run(main):
             assert not failure.sent
             assert len(failure.message) < 300
+
+
+# Names that the value of a header can't hold, or not unchanged.
+UNSENDABLE_NAMES = ["\u5de5", "w\n", "w\x00", "w\x7f", " w", "w ", "\t"]
+
+
+class TestWorkers:
+    # Guards against a worker that is chosen again and again although no request can
+    # name it.
+    @pytest.mark.parametrize("odd", UNSENDABLE_NAMES)
+    def test_worker_whose_name_cannot_be_sent_costs_no_call(self, odd, capsys):
+        async def scenario(fleet: PlatformFleet) -> None:
+            await fleet.add_worker(odd)
+            await fleet.add_worker("w-1")
+            await fleet.start()
+            await fleet.until_listed(1)
+            replies = [await fleet.call("/look/1", f"id-{n}") for n in range(20)]
+            replies += [await fleet.call("/order/1", f"no-{n}") for n in range(20)]
+            assert {reply.status for reply in replies} == {200}
+            assert fleet.workers[odd].arrivals == 0
+
+        run_fleet(scenario)
+        assert "can't be sent in a header" in capsys.readouterr().out
+
+    @pytest.mark.parametrize("odd", ["w-1 (copy)", "w-1\u00e9", "w-1,x", "w-1;x"])
+    def test_worker_whose_name_can_be_sent_is_used(self, odd):
+        async def scenario(fleet: PlatformFleet) -> None:
+            worker = await fleet.add_worker(odd)
+            await fleet.start()
+            await fleet.until_listed(1)
+            reply = await fleet.call("/look/1")
+            assert reply.status == 200
+            (run,) = worker.runs["id-1"]
+            assert run["x-tamaracktray-expect-instance"] == odd
+
+        run_fleet(scenario)
+
+
+class TestTeams:
+    # Guards against calls that fail with 500, and may then have run, for their team's
+    # name.
+    @pytest.mark.parametrize("odd", UNSENDABLE_NAMES)
+    def test_calls_of_a_team_whose_name_cannot_be_sent_are_refused(self, odd, capsys):
+        async def scenario(fleet: PlatformFleet) -> None:
+            fleet.tenants = [build_tenant(TEAM, KEY), build_tenant(odd, "odd-key")]
+            await fleet.add_worker("w-1")
+            await fleet.add_engine("e-1")
+            await fleet.start()
+            await fleet.until_listed(2)
+            for path in ("/look/1", "/order/1", "/talk/1"):
+                reply = await fleet.call(path, "odd-1", key="odd-key")
+                assert reply.status == 503
+                assert b"the name of the team" in reply.body
+                assert b'"not_run"' in reply.body
+                assert "retry-after" not in reply.headers
+                assert (await fleet.call(path, f"good{path}")).status == 200
+            arrivals = [worker.runs for worker in fleet.workers.values()]
+            assert not any("odd-1" in runs for runs in arrivals)
+
+        run_fleet(scenario)
+        assert "team can't be served" in capsys.readouterr().out
+
+    def test_calls_that_are_open_end_if_their_team_gets_such_a_name(self):
+        async def scenario(fleet: PlatformFleet) -> None:
+            await fleet.start()
+            waiting = await curio.spawn(fleet.call, "/look/1", "id-1")
+            await fleet.until(lambda: fleet.entries[0].state.gateway.pending_by_id)
+            fleet.tenants = [build_tenant("\u5de5", KEY)]
+            fleet.configure()
+            reply = await waiting.join()
+            assert reply.status == 503
+
+        run_fleet(scenario)
