Refuse calls of a team whose name no header can carry

Cause: the name of a team goes into a header, and nothing asked whether a header can carry it.

Binding a call to a routing table now refuses it at once with 503, not run and without Retry-After, since a retry can't succeed; the message says why. No endpoint is tried. The names are found once for each table and logged when it comes into force.

--- a/src/tamaracktray/call_binding.py
+++ b/src/tamaracktray/call_binding.py
@@ -36,8 +36,9 @@
     """Return what the table says about a call, or the refusal if it forbids it.
 
     The refusal's status is 404 if no route matches, 401 if the key is missing or
-    unknown, and 503 if the route has no service. A public route needs no key, but an
-    unknown one is not ignored there: it may belong to a team with regions of its own.
+    unknown, and 503 if the route has no service or endpoints can't be told the team. A
+    public route needs no key, but an unknown one is not ignored there: it may belong to
+    a team with regions of its own.
     """
     route = index.find_route(host, path)
     if route is None:
@@ -49,11 +50,17 @@
         message = "the key is unknown" if key else "a key is needed"
         return Failure(Refusal(ErrorCode.UNAUTHORIZED, message, RunState.NOT_RUN, 401))
     if not any(backend.weight > 0 for backend in route.backends):
-        message = "the route has no service"
-        return Failure(Refusal(ErrorCode.NO_ENDPOINT, message, RunState.NOT_RUN, 503))
+        return Failure(_refuse_for_good("the route has no service"))
+    if team is not None and team.name in index.unsendable_teams:
+        return Failure(_refuse_for_good("the name of the team can't be sent"))
     return Success(Binding(route, team))
 
 
+def _refuse_for_good(message: str) -> Refusal:
+    """Return the refusal of calls that no endpoint gets under this table."""
+    return Refusal(ErrorCode.NO_ENDPOINT, message, RunState.NOT_RUN, 503)
+
+
 def rebind_call(call: Call, index: RouteIndex) -> Result[Call, Refusal]:
     """Return a call as another table has it, or the refusal if that forbids it.
 
--- a/src/tamaracktray/entry_process.py
+++ b/src/tamaracktray/entry_process.py
@@ -35,6 +35,7 @@
 from tamaracktray.events import Event, Tick
 from tamaracktray.gateway_limits import list_limits
 from tamaracktray.gateway_state import GatewayBounds, GatewayState
+from tamaracktray.headers import MAX_SHOWN
 from tamaracktray.http import HttpServer
 from tamaracktray.http_messages import HttpLimits, Request
 from tamaracktray.member_registration import MemberRegistration
@@ -73,6 +74,9 @@
 # Least time between any two load beacons, in seconds.
 MIN_BEACON_INTERVAL_S = 0.005
 
+# Teams that can't be served which one log line names.
+MAX_LOGGED_TEAMS = 10
+
 
 class EntryProcess(NodeProcess):
     """Runs an entry."""
@@ -233,6 +237,14 @@
     @override
     async def apply_routing(self, effect: ApplyRouting) -> None:
         await super().apply_routing(effect)
+        unsendable = sorted(self.state.index.unsendable_teams)
+        if unsendable:
+            self.log.warning(
+                "team can't be served",
+                reason="its name can't be sent in a header",
+                teams=[name[:MAX_SHOWN] for name in unsendable[:MAX_LOGGED_TEAMS]],
+                count=len(unsendable),
+            )
         limits = self.state.index.table.limits
         self._caller_server.limits = HttpLimits(
             limits.max_header_bytes,
--- a/src/tamaracktray/routes.py
+++ b/src/tamaracktray/routes.py
@@ -8,6 +8,7 @@
 
 import msgspec
 
+from tamaracktray.headers import is_field_value
 from tamaracktray.types import Address
 
 
@@ -169,9 +170,12 @@
 
 
 class RouteIndex:
-    """Finds routes by host and path and teams by key."""
+    """Finds routes by host and path and teams by key.
 
-    __slots__ = ("_routes_by_host", "_team_by_key", "table")
+    ``unsendable_teams`` are the names of teams that requests can't name in a header.
+    """
+
+    __slots__ = ("_routes_by_host", "_team_by_key", "table", "unsendable_teams")
 
     def __init__(self, table: RoutingTable) -> None:
         self.table = table
@@ -180,6 +184,10 @@
             routes_by_prefix = self._routes_by_host.setdefault(route.host, {})
             routes_by_prefix[route.path_prefix] = route
         self._team_by_key = {key: team for team in table.teams for key in team.keys}
+        names = {team.name for team in table.teams if team.name}
+        self.unsendable_teams = frozenset(
+            name for name in names if not is_field_value(name)
+        )
 
     def find_route(self, host: str, path: str) -> Route | None:
         """Return the host's route with the longest prefix of ``path``, or ``None``."""
--- a/tests/test_odd_names.py
+++ b/tests/test_odd_names.py
@@ -4,7 +4,7 @@
 import pytest
 from returns.result import Failure
 
-from platforms import STORE_PORT, PlatformFleet, next_host, run_fleet
+from platforms import KEY, STORE_PORT, TEAM, PlatformFleet, next_host, run_fleet
 from tamaracktray.exceptions import TransportError
 from tamaracktray.exchange import fetch
 from tamaracktray.http import HttpServer
@@ -16,7 +16,10 @@
 from tamaracktray.types import Address
 from tamaracktray.version_keys import VersionKey, read_version_key
 from tamaracktray_emulator.platform import store as store_stand_in
-from tamaracktray_emulator.platform.documents import build_engine_service
+from tamaracktray_emulator.platform.documents import (
+    build_engine_service,
+    build_tenant,
+)
 
 FOLLOW_S = 3.0
 
@@ -218,6 +221,31 @@
         run_fleet(scenario)
 
 
+class TestTeams:
+    # Guards against calls that fail with 500, and may then have run, for their team's
+    # name.
+    @pytest.mark.parametrize("odd", UNSENDABLE_NAMES)
+    def test_calls_of_a_team_whose_name_cannot_be_sent_are_refused(self, odd, capsys):
+        async def scenario(fleet: PlatformFleet) -> None:
+            fleet.tenants = [build_tenant(TEAM, KEY), build_tenant(odd, "odd-key")]
+            await fleet.add_worker("w-1")
+            await fleet.add_engine("e-1")
+            await fleet.start()
+            await fleet.until_listed(2)
+            for path in ("/look/1", "/order/1", "/talk/1"):
+                reply = await fleet.call(path, "odd-1", key="odd-key")
+                assert reply.status == 503
+                assert b"the name of the team" in reply.body
+                assert b'"not_run"' in reply.body
+                assert "retry-after" not in reply.headers
+                assert (await fleet.call(path, f"good{path}")).status == 200
+            arrivals = [worker.runs for worker in fleet.workers.values()]
+            assert not any("odd-1" in runs for runs in arrivals)
+
+        run_fleet(scenario)
+        assert "team can't be served" in capsys.readouterr().out
+
+
 class TestServices:
     # Guards against an agent that asks its entries for another service.
     @pytest.mark.parametrize("odd", ODD_NAMES)
