Take a head with a status above 599 for no answer

Cause: h11 accepts statuses up to 999, and HTTP's end at 599. Evidence: those that h11 refuses (000, 099, 101, other lengths, signs) gave 502 throughout.

Exchange.read_head, through which all answers are read, fails for such a head as for bytes that are no answer: the request may have run, a safe one is repeated elsewhere, others get 502. This side ends the exchange, so that no request is suspected of a crash.

--- a/src/tamaracktray/exchange.py
+++ b/src/tamaracktray/exchange.py
@@ -41,6 +41,9 @@
 # Maximum number of interim answers before the final one.
 MAX_INTERIM_ANSWERS = 16
 
+# HTTP defines no status above this one, but h11 accepts any of three digits.
+MAX_STATUS = 599
+
 # Bytes read and chunks parsed after which the task yields to others.
 YIELD_AFTER_BYTES = 16_384
 YIELD_AFTER_CHUNKS = 128
@@ -113,7 +116,10 @@
         return Success(None)
 
     async def read_head(self, timeout_s: float) -> Result[None, TransportError]:
-        """Read the status and headers of the answer."""
+        """Read the status and headers of the answer.
+
+        Bytes without a status of HTTP are no answer, whatever else they say.
+        """
         try:
             event = await curio.timeout_after(timeout_s, self._read_response())
         except curio.TaskTimeout:
@@ -122,6 +128,10 @@
             return Failure(TransportError(f"no answer: {error}", sent=True))
         if not isinstance(event, h11.Response):
             return Failure(TransportError("closed without an answer", sent=True))
+        if event.status_code > MAX_STATUS:
+            self.is_abandoned = True
+            message = f"the answer's status, {event.status_code}, is none of HTTP's"
+            return Failure(TransportError(message, sent=True))
         self.status = event.status_code
         self.headers = decode_headers(event.headers)
         self.raw_headers = event.headers.raw_items()
