Accept only addresses of IPv4, which all sockets are of

An object of another writer in the list of entries ended every entry, again after each restart, if its address held a zero byte behind an IPv6 address; as a worker's address it gave 500 to calls. No caller is known to have met it.

Cause: the check of addresses accepted IPv6, where nearly any text may follow a percent sign. Evidence: "host name must not contain null character", a TypeError that the loop which sends beacons doesn't expect. Other such texts were looked up as host names.

Address.check asks for an IPv4 address. Everything else is unreadable, and the object is left out, logged and counted like others.

TestAddresses of test_odd_names: 5 of 5 cases failed before, one with entries that ended; none does now.

--- a/src/tamaracktray/types.py
+++ b/src/tamaracktray/types.py
@@ -72,7 +72,7 @@
 
 
 class Address(msgspec.Struct, frozen=True):
-    """An IP address and a TCP port."""
+    """An IPv4 address and a TCP port; all sockets of the project are of IPv4."""
 
     host: str
     port: int
@@ -92,8 +92,8 @@
         return address
 
     def check(self) -> None:
-        """Raise ``ValueError`` unless the host is an IP address and the port valid."""
-        ipaddress.ip_address(self.host)
+        """Raise ``ValueError`` unless host and port are valid in IPv4."""
+        ipaddress.IPv4Address(self.host)
         if not 0 <= self.port < PORT_END:
             raise ValueError(f"port {self.port} is not between 0 and 65535")
 
--- a/tests/test_odd_names.py
+++ b/tests/test_odd_names.py
@@ -4,7 +4,15 @@
 import pytest
 from returns.result import Failure
 
-from platforms import KEY, STORE_PORT, TEAM, PlatformFleet, next_host, run_fleet
+from platforms import (
+    KEY,
+    STORE_PORT,
+    TEAM,
+    ZONE,
+    PlatformFleet,
+    next_host,
+    run_fleet,
+)
 from tamaracktray.exceptions import TransportError
 from tamaracktray.exchange import fetch
 from tamaracktray.http import HttpServer
@@ -260,3 +268,37 @@
             assert odd in agent.state.index.table.services_by_name
 
         run_fleet(scenario)
+
+
+class TestAddresses:
+    # Addresses that are valid in IPv6 and that no socket of IPv4 can connect to.
+    HOSTS = [
+        "::1",
+        "fe80::1%a b",
+        "fe80::1%\u5de5",
+        "fe80::1%\x00",
+        "fe80::1%" + "x" * 99,
+    ]
+
+    # Guards against an address that ends calls, or the loop that sends beacons.
+    @pytest.mark.parametrize("host", HOSTS)
+    def test_address_of_another_kind_costs_no_call(self, host):
+        async def scenario(fleet: PlatformFleet) -> None:
+            await fleet.start(entries=2)
+            good = await fleet.add_worker("w-1")
+            document = {**good.describe(ZONE), "address": f"{host}:80"}
+            fleet.store.write("servers", "odd", document)
+            address = {"host": host, "port": 80}
+            member = {"name": "odd", "zone": ZONE, "address": address}
+            fleet.store.write("members", "odd", member)
+            await curio.sleep(1.5)
+            replies = [
+                await fleet.call("/look/1", f"id-{n}", entry=n % 2) for n in range(20)
+            ]
+            assert {reply.status for reply in replies} == {200}
+            assert [entry.exit_code for entry in fleet.entries] == [0, 0]
+            assert {"w-1"} == set(fleet.entries[0].state.roster.records_by_id)
+            for entry in fleet.entries:
+                assert "odd" not in entry.state.peers.members_by_name
+
+        run_fleet(scenario)
