Resume no stream at an event id that no header can carry

A stream that broke off behind such an event made each other endpoint that was to go on with it count as unreachable, so that other calls avoided it. No caller is known to have met it.

Cause: the endpoint chooses the ids of its events, and the request to resume names one in a header. Evidence: two endpoints with one failure each for one broken stream, the second of which was sent nothing.

The buffer takes such an id for none, and a stream without an id is cut for its caller, as before.

--- a/src/tamaracktray/event_stream.py
+++ b/src/tamaracktray/event_stream.py
@@ -1,6 +1,6 @@
 """Splits event streams between events, so that another endpoint can resume them."""
 
-from tamaracktray.headers import read_int
+from tamaracktray.headers import is_field_value, read_int
 
 # An empty line terminates an event.
 EVENT_TERMINATORS = (b"\n\n", b"\r\n\r\n")
@@ -14,7 +14,8 @@
 class EventBuffer:
     """Buffers the incomplete event at the end of a stream.
 
-    ``last_event_id`` is the id of the last event returned.
+    ``last_event_id`` is the id of the last event returned, empty if a request to resume
+    the stream can't name it.
     """
 
     __slots__ = ("_incomplete", "_is_repeating", "_resumed_id", "last_event_id")
@@ -93,7 +94,8 @@
     def _record_last_id(self, events: bytes) -> None:
         for line in reversed(events.splitlines()):
             if line.startswith(ID_FIELD):
-                self.last_event_id = _read_id(line)
+                event_id = _read_id(line)
+                self.last_event_id = event_id if is_field_value(event_id) else ""
                 return
 
 
--- a/tests/test_odd_names.py
+++ b/tests/test_odd_names.py
@@ -5,6 +5,7 @@
 from returns.result import Failure
 
 from platforms import (
+    ENGINES,
     KEY,
     STORE_PORT,
     TEAM,
@@ -13,6 +14,14 @@
     next_host,
     run_fleet,
 )
+from raw_endpoints import (
+    CallerProtocol,
+    Framing,
+    RawAnswer,
+    RawCaller,
+    build_events,
+    list_endpoint,
+)
 from tamaracktray.exceptions import TransportError
 from tamaracktray.exchange import fetch
 from tamaracktray.http import HttpServer
@@ -302,3 +311,29 @@
                 assert "odd" not in entry.state.peers.members_by_name
 
         run_fleet(scenario)
+
+
+class TestEventIds:
+    # Guards against endpoints that are blamed for a stream which can't be resumed.
+    @pytest.mark.parametrize("event_id", [b"2\x00", b"2\x7f", b"\x01"])
+    def test_stream_is_not_resumed_at_an_id_that_cannot_be_sent(self, event_id):
+        async def play(answer: RawAnswer) -> None:
+            await answer.begin(Framing.CHUNKS)
+            await answer.send(build_events(1, 1) + b"id: %b\ndata: x\n\n" % event_id)
+            await answer.reset()
+
+        async def scenario(fleet: PlatformFleet) -> None:
+            await fleet.start()
+            names = ("e-1", "e-2")
+            endpoints = [await list_endpoint(fleet, n, ENGINES, play) for n in names]
+            await fleet.until_listed(2)
+            caller = RawCaller(fleet, CallerProtocol.HTTP_1_1_CLOSE)
+            answer = await caller.call("/talk/1", "id-1")
+            assert answer.status == 200
+            assert not answer.is_complete
+            assert [endpoint.arrivals for endpoint in endpoints].count(0) == 1
+            loads = fleet.entries[0].state.gateway.loads_by_id
+            failures = [loads[name].failures for name in names]
+            assert sorted(failures) == [0, 1]
+
+        run_fleet(scenario)
