Share out the processor's time among bodies in many small parts

Cause: each body gives way after 64 parts, but nothing bounds the parts of all bodies together, and an ordinary request needs several rounds over all of them.

Beyond its first 32 parts under 1 KiB a body waits for turns of 64, which a server gives out in the order of asking at 10,000 parts a second, with 20,000 at once after a pause. A body that waits isn't read. Ordinary bodies never wait, and a single one of 30,000 parts is served in about a second.

The function that watches a client moves to the module of the data that it buffers, for size.

--- a/src/tamaracktray/http.py
+++ b/src/tamaracktray/http.py
@@ -24,7 +24,8 @@
 from tamaracktray.lingering import linger
 from tamaracktray.memory_budget import CONNECTION_BYTES, MemoryBudget, MemoryShare
 from tamaracktray.messages import encode_refusal
-from tamaracktray.pipelined_data import PipelinedData
+from tamaracktray.part_pacing import PartPacer
+from tamaracktray.pipelined_data import PipelinedData, watch_client
 from tamaracktray.request_reading import receive_request
 from tamaracktray.responders import ConnectionResponder, Responder
 from tamaracktray.task_yields import TaskYield
@@ -77,6 +78,7 @@
         "_lingering_tasks",
         "_listener",
         "_max_connections",
+        "_pacer",
         "_tasks",
         "address",
         "limits",
@@ -100,6 +102,7 @@
         self._is_closed = False
         self._max_connections = max_connections
         self._budget = budget or MemoryBudget(sys.maxsize)
+        self._pacer = PartPacer()
         self._accept_log_deadline = 0.0
         self._active_requests = 0
         self._tasks: set[curio.Task] = set()
@@ -268,7 +271,9 @@
                     connection, client, limits.send_timeout_s, share
                 )
                 try:
-                    request = await receive_request(connection, client, limits, share)
+                    request = await receive_request(
+                        connection, client, limits, share, self._pacer
+                    )
                 except RequestRejectedError as error:
                     await _reject(responder, connection, error)
                     return connection.our_state is h11.MUST_CLOSE
@@ -333,7 +338,7 @@
         """Run the handler until it ends or the client closes the connection."""
         handler = await curio.spawn(run_releasing, self._handle, request, responder)
         watcher = await curio.spawn(
-            run_releasing, _watch_client, buffered, client, handler
+            run_releasing, watch_client, buffered, client, handler
         )
         responder.watcher = watcher
         try:
@@ -367,24 +372,6 @@
     return renewed
 
 
-async def _watch_client(
-    buffered: PipelinedData, client: curio.io.Socket, handler: curio.Task
-) -> None:
-    """Cancel the handler if the client closes; buffer data received meanwhile.
-
-    Ends when no more may be buffered; more data then stays in the socket buffers.
-    """
-    while (free_bytes := buffered.free_bytes) > 0:
-        try:
-            data = await client.recv(min(HEAD_READ_BYTES, free_bytes))
-        except OSError:
-            data = b""
-        if not data:
-            await handler.cancel(blocking=False)
-            return
-        buffered.append(data)
-
-
 async def _reject(
     responder: ConnectionResponder,
     connection: h11.Connection,
--- a/src/tamaracktray/pipelined_data.py
+++ b/src/tamaracktray/pipelined_data.py
@@ -1,8 +1,9 @@
 """Data that a client sends beyond the end of its current request."""
 
+import curio
 import h11
 
-from tamaracktray.http_messages import HttpLimits
+from tamaracktray.http_messages import HEAD_READ_BYTES, HttpLimits
 from tamaracktray.memory_budget import CONNECTION_BYTES, MemoryShare
 
 
@@ -37,3 +38,21 @@
         if not self._share.resize(held_bytes):
             self._share.force(held_bytes)
             self._max_bytes = 0
+
+
+async def watch_client(
+    buffered: PipelinedData, client: curio.io.Socket, handler: curio.Task
+) -> None:
+    """Cancel the handler if the client closes; buffer data received meanwhile.
+
+    Ends when no more may be buffered; more data then stays in the socket buffers.
+    """
+    while (free_bytes := buffered.free_bytes) > 0:
+        try:
+            data = await client.recv(min(HEAD_READ_BYTES, free_bytes))
+        except OSError:
+            data = b""
+        if not data:
+            await handler.cancel(blocking=False)
+            return
+        buffered.append(data)
--- a/src/tamaracktray/request_reading.py
+++ b/src/tamaracktray/request_reading.py
@@ -19,6 +19,7 @@
     REQUEST_BYTES,
     MemoryShare,
 )
+from tamaracktray.part_pacing import BodyPace, PartPacer
 from tamaracktray.task_yields import TaskYield
 from tamaracktray.tracebacks import drop_traceback
 
@@ -38,10 +39,11 @@
     client: curio.io.Socket,
     limits: HttpLimits,
     share: MemoryShare,
+    pacer: PartPacer,
 ) -> Request | None:
     """Read one complete request; return ``None`` if the client has closed.
 
-    It is charged to ``share``.
+    It is charged to ``share``, and ``pacer`` limits the small parts of its body.
     """
     try:
         _resize(share, limits.max_header_bytes)
@@ -52,8 +54,10 @@
             return None
         _check_length(first, limits)
         _resize(share, _measure_head(first))
+        pace = BodyPace(pacer)
         body = await curio.timeout_after(
-            limits.receive_timeout_s, _receive_body(connection, client, limits, share)
+            limits.receive_timeout_s,
+            _receive_body(connection, client, limits, share, pace),
         )
     except curio.TaskTimeout as error:
         drop_traceback(error)
@@ -72,6 +76,7 @@
     client: curio.io.Socket,
     limits: HttpLimits,
     share: MemoryShare,
+    pace: BodyPace,
 ) -> bytes:
     """Read the body of a request, rejecting one above the size limit."""
     if connection.they_are_waiting_for_100_continue:
@@ -95,6 +100,7 @@
         if not isinstance(event, h11.Data):
             raise RequestRejectedError(HTTPStatus.BAD_REQUEST, "request was cut off")
         body += event.data
+        await pace.note_part(len(event.data))
         if len(body) > limits.max_body_bytes:
             raise RequestRejectedError(
                 HTTPStatus.REQUEST_ENTITY_TOO_LARGE,
--- a/tests/test_hostile_clients.py
+++ b/tests/test_hostile_clients.py
@@ -5,6 +5,7 @@
 """
 
 import json
+import math
 import os
 import subprocess
 import sys
@@ -21,6 +22,7 @@
     CALLER_PORT,
     HOST,
     KEY,
+    ORDERS,
     PEER_PORT,
     PEER_PORTS,
     READY_PORT,
@@ -30,10 +32,12 @@
     PlatformFleet,
     fetch_with_host,
     next_host,
+    run_fleet,
 )
 from tamaracktray.exchange import fetch
 from tamaracktray.http_messages import Reply
 from tamaracktray.types import Address
+from tamaracktray_emulator.platform.documents import build_route
 from tamaracktray_emulator.platform.worker import WorkerStandIn
 
 KIBIBYTE = 1_024
@@ -49,6 +53,9 @@
 MAX_DESCRIPTORS = 400
 ANSWER_BYTES = 250_000
 
+# Timeout of the route of the ordinary requests, in seconds.
+TIMEOUT_S = 1.2
+
 # The answer of an ordinary request may wait for the crowd's requests to time out.
 ORDINARY_S = 20.0
 
@@ -141,7 +148,13 @@
 class Process:
     """An entry or agent that the test starts with a settings file."""
 
-    def __init__(self, path: Path, role: str, store: Address) -> None:
+    def __init__(
+        self,
+        path: Path,
+        role: str,
+        store: Address,
+        limits: dict[str, int] = LOWERED_LIMITS,
+    ) -> None:
         self.ip = next_host()
         sections = {
             "node": {
@@ -153,7 +166,7 @@
             },
             "listen": {"peer_ports": PEER_PORTS},
             "store": {"address": str(store), "timeout_s": 0.5, "watch_s": 5.0},
-            "callers": LOWERED_LIMITS,
+            "callers": limits,
         }
         if role == "entry":
             sections["listen"]["callers"] = f"{self.ip}:{CALLER_PORT}"
@@ -279,3 +292,42 @@
     @pytest.mark.parametrize("role", ["entry", "agent"])
     def test_process_outlives_a_crowd_at_its_peer_port(self, role, name, tmp_path):
         check_crowd(tmp_path, role, PEER_PORT, PEER_CROWDS[name], ask_peer)
+
+
+class TestOrdinaryCallers:
+    # Guards against bodies in very small chunks, read side by side, that take all of an
+    # entry's processor time.
+    def test_requests_are_answered_beside_a_crowd_with_tiny_chunks(self, tmp_path):
+        crowd = Crowd(build_head(CHUNKED), build_chunk(1), 2_000, connections=400)
+        durations: list[float] = []
+
+        async def call_timed(process: Process) -> None:
+            began_at = time.monotonic()
+            status = await call(process)
+            durations.append(time.monotonic() - began_at if status == 200 else math.inf)
+
+        async def scenario(fleet: PlatformFleet) -> None:
+            route = build_route("order", "unsafe", ORDERS, timeoutMs=TIMEOUT_S * 1_000)
+            fleet.routes = [{**route, "maxAttempts": 1}]
+            await fleet.start(entries=0)
+            await fleet.add_worker("w-1")
+            address = fleet.store.server.address
+            process = Process(tmp_path / "node.ini", "entry", address, limits={})
+            try:
+                await until_answered(process, call)
+                clients = await curio.spawn(run_crowd, process, CALLER_PORT, crowd)
+                calls = []
+                while not clients.terminated:
+                    calls.append(await curio.spawn(call_timed, process))
+                    await curio.sleep(0.1)
+                for timed in calls:
+                    await timed.join()
+                assert process.is_running
+            finally:
+                process.end()
+
+        run_fleet(scenario)
+        late = [took_s for took_s in durations if took_s > TIMEOUT_S]
+        unanswered = [took_s for took_s in late if took_s > TIMEOUT_S + 0.5]
+        assert len(durations) > CROWD_S * 5
+        assert len(late) < 8 or len(unanswered) <= len(late) / 2, durations
