Send header values in the encoding in which they are read

Through the project's own interface, a caller's team or content type with an accent ended its call with 500, and so did an endpoint's content type, after its run. No caller is known to have met it.

Cause: decode_headers reads Latin-1, while h11 encodes text as ASCII. Evidence: a value that a server has read raises UnicodeEncodeError in fetch and in respond.

encode_headers is the inverse of decode_headers, and requests and answers use it. Bytes pass as before.

--- a/src/tamaracktray/http_messages.py
+++ b/src/tamaracktray/http_messages.py
@@ -81,3 +81,16 @@
 def decode_headers(headers: h11._headers.Headers) -> dict[str, str]:
     """Return header values by lower-case name."""
     return {name.decode("ascii"): value.decode("latin-1") for name, value in headers}
+
+
+def encode_headers(headers: Headers | RawHeaders) -> RawHeaders:
+    """Return headers as bytes, so that decoded values are sent as they were received.
+
+    Raises ``UnicodeEncodeError`` for a value outside Latin-1.
+    """
+    return [
+        (name.encode("ascii"), value.encode("latin-1"))
+        if isinstance(name, str)
+        else (name, value)
+        for name, value in headers
+    ]
--- a/src/tamaracktray/request_sending.py
+++ b/src/tamaracktray/request_sending.py
@@ -9,7 +9,7 @@
 
 from tamaracktray.connections import send_nonblocking
 from tamaracktray.exceptions import TransportError
-from tamaracktray.http_messages import Headers, RawHeaders
+from tamaracktray.http_messages import Headers, RawHeaders, encode_headers
 
 # Characters of the reason why a request can't be sent that are kept: it may quote a
 # value of any length.
@@ -21,7 +21,8 @@
 ) -> Result[h11.Request, TransportError]:
     """Return the head of a request, or a failure if HTTP can't carry its values."""
     try:
-        return Success(h11.Request(method=method, target=target, headers=headers))
+        encoded = encode_headers(headers)
+        return Success(h11.Request(method=method, target=target, headers=encoded))
     except (h11.LocalProtocolError, UnicodeEncodeError) as error:
         reason = str(error)[:MAX_REASON_CHARACTERS]
         message = f"the request can't be sent: {reason}"
--- a/src/tamaracktray/responders.py
+++ b/src/tamaracktray/responders.py
@@ -16,7 +16,7 @@
     reset_on_close,
     send_nonblocking,
 )
-from tamaracktray.http_messages import Headers, RawHeaders
+from tamaracktray.http_messages import Headers, RawHeaders, encode_headers
 from tamaracktray.memory_budget import MemoryShare
 from tamaracktray.tracebacks import drop_traceback
 from tamaracktray.types import ErrorCode, Refusal, RunState
@@ -189,7 +189,8 @@
         if self._connection.their_http_version < CHUNKED_SINCE:
             self._resets_on_close = True
             reset_on_close(self._socket)
-        framed_headers = [*headers, ("transfer-encoding", "chunked")]
+        framing = ("transfer-encoding", "chunked")
+        framed_headers = encode_headers([*headers, framing])
         await self._send(h11.Response(status_code=status, headers=framed_headers))
 
     @override
@@ -228,7 +229,8 @@
     async def respond(
         self, status: int, headers: Headers | RawHeaders, body: bytes = b""
     ) -> None:
-        framed_headers = [*headers, ("content-length", str(len(body)))]
+        framing = ("content-length", str(len(body)))
+        framed_headers = encode_headers([*headers, framing])
         head = h11.Response(status_code=status, headers=framed_headers)
         data = body if self.sends_body else b""
         await self._send(head, h11.Data(data=data), h11.EndOfMessage())
--- a/tests/test_odd_names.py
+++ b/tests/test_odd_names.py
@@ -1,5 +1,7 @@
 """Names that other writers choose are sent on as they are, or cost only themselves."""
 
+from functools import partial
+
 import curio
 import pytest
 from returns.result import Failure
@@ -131,6 +133,33 @@
         run_fleet(scenario)
 
 
+class TestHeaders:
+    # Guards against text that was read from a header and can't be sent on.
+    @pytest.mark.parametrize("text", ["\u00e9", "a \u00ff b", "\x80"])
+    def test_text_of_a_header_is_sent_on_unchanged(self, text):
+        async def answer(request, responder):
+            team = request.headers["x-team"]
+            if request.path == "/whole":
+                await responder.respond(200, [("x-team", team)])
+                return
+            await responder.send_head(200, [("x-team", team)])
+            await responder.finish()
+
+        async def main() -> None:
+            server = HttpServer(Address(next_host(), STORE_PORT), answer)
+            await server.open()
+            task = await curio.spawn(server.serve, daemon=True)
+            client = PersistentClient(server.address)
+            for target in ("/whole", "/parts"):
+                for get in (partial(fetch, server.address), client.fetch):
+                    reply = await get("GET", target, [("x-team", text)])
+                    assert reply.unwrap().status == 200
+                    assert reply.unwrap().headers["x-team"] == text
+            await task.cancel()
+
+        curio.run(main)
+
+
 class TestModels:
     # Guards against calls about another model than the one that is named.
     @pytest.mark.parametrize("odd", ODD_NAMES)
